feat: decisions, stand-ins and the object service's client

The layer of decisions (admission, routing, leases, chunks, jobs, bundles) stands apart from all I/O; the stand-ins speak the platform's protocol over loopback.

--- /dev/null
+++ b/src/decisions/call_budget.rs
@@ -0,0 +1,171 @@
+//! Decides which call to the object service goes next, within its rates.
+
+use std::{collections, fmt, time};
+
+use crate::clock;
+
+/// What a call is for; earlier classes go first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CallClass {
+    /// Bundles, heartbeats, cancellations.
+    Control,
+    /// Commits of results and records of calls that may not be repeated.
+    Commit,
+    /// Acceptance and claims of new work.
+    Claim,
+    /// Reads and lists.
+    Read,
+}
+
+/// All classes, in order of priority.
+pub const CLASSES: [CallClass; 4] = [
+    CallClass::Control,
+    CallClass::Commit,
+    CallClass::Claim,
+    CallClass::Read,
+];
+
+impl fmt::Display for CallClass {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Control => "control",
+            Self::Commit => "commit",
+            Self::Claim => "claim",
+            Self::Read => "read",
+        })
+    }
+}
+
+/// Calls a second.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    PartialOrd,
+    serde::Serialize,
+    serde::Deserialize,
+    schemars::JsonSchema,
+)]
+pub struct CallRate(pub f64);
+
+impl fmt::Display for CallRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl std::str::FromStr for CallRate {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim_end_matches("/s").parse().map(Self)
+    }
+}
+
+/// Tokens that come back at a steady rate.
+///
+/// Invariant: `0 <= tokens <= burst`.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    filled_at: clock::Moment,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    pub fn new(rate: f64, burst: f64, now: clock::Moment) -> Self {
+        Self {
+            rate,
+            burst,
+            tokens: burst,
+            filled_at: now,
+        }
+    }
+
+    /// Changes the rate and the size from now on.
+    pub fn set_rate(&mut self, rate: f64, burst: f64, now: clock::Moment) {
+        self.fill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    fn fill(&mut self, now: clock::Moment) {
+        let gained = now.since(self.filled_at).as_secs_f64() * self.rate;
+        self.tokens = (self.tokens + gained).min(self.burst);
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    /// Takes a token, or says how long it is until there is one.
+    ///
+    /// # Errors
+    /// No token is left.
+    pub fn take(&mut self, now: clock::Moment) -> Result<(), time::Duration> {
+        self.fill(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let missing = (1.0 - self.tokens) / self.rate.max(f64::MIN_POSITIVE);
+        Err(time::Duration::from_secs_f64(missing.min(MAX_WAIT_SECONDS)))
+    }
+}
+
+/// Longest wait that a bucket names, in seconds.
+const MAX_WAIT_SECONDS: f64 = 60.0;
+
+/// Calls that wait for their turn, and the rates they wait for.
+///
+/// Invariant: `queued` is the number of calls in `queues` and is at most `capacity`.
+pub struct CallBudget<T> {
+    queues: [collections::VecDeque<T>; CLASSES.len()],
+    queued: usize,
+    capacity: usize,
+    bucket: TokenBucket,
+}
+
+impl<T> CallBudget<T> {
+    /// An empty budget that holds at most `capacity` calls.
+    pub fn new(rate: CallRate, capacity: usize, now: clock::Moment) -> Self {
+        // Half a second's worth at once: enough for a burst, too little for a herd.
+        let burst = (rate.0 / 2.0).max(1.0);
+        Self {
+            queues: Default::default(),
+            queued: 0,
+            capacity,
+            bucket: TokenBucket::new(rate.0, burst, now),
+        }
+    }
+
+    /// Queues a call.
+    ///
+    /// # Errors
+    /// The queue is full; the call comes back.
+    pub fn push(&mut self, class: CallClass, call: T) -> Result<(), T> {
+        if self.queued >= self.capacity {
+            return Err(call);
+        }
+        self.queued += 1;
+        self.queues[class as usize].push_back(call);
+        Ok(())
+    }
+
+    /// The next call that may go now; or how long to wait, if any call waits.
+    pub fn next(&mut self, now: clock::Moment) -> Result<T, Option<time::Duration>> {
+        if self.queued == 0 {
+            return Err(None);
+        }
+        self.bucket.take(now).map_err(Some)?;
+        let call = self.queues.iter_mut().find_map(|q| q.pop_front());
+        self.queued -= 1;
+        call.ok_or(None)
+    }
+
+    /// Calls that wait.
+    pub fn queued(&self) -> usize {
+        self.queued
+    }
+}
--- /dev/null
+++ b/src/decisions/mod.rs
@@ -0,0 +1,20 @@
+//! Decisions: plain values in, plain values out.
+//!
+//! Time, randomness and messages are arguments here. There is no I/O, no lock
+//! and no clock, so that seeded runs can drive every decision.
+
+pub mod admission;
+pub mod bundle_steps;
+pub mod call_budget;
+pub mod chunk;
+pub mod health;
+pub mod index_ranges;
+pub mod job;
+pub mod job_order;
+pub mod lease;
+pub mod ownership;
+pub mod relay;
+pub mod retry;
+pub mod routing;
+pub mod step_model;
+pub mod workspace_limit;
--- /dev/null
+++ b/src/decisions/retry.rs
@@ -0,0 +1,78 @@
+//! When a failed attempt may be tried again.
+
+use std::time;
+
+use crate::{clock, outcome};
+
+/// Retries earned per success, so that retries stay a fraction of the traffic.
+const RETRIES_PER_SUCCESS: f64 = 0.1;
+/// Retries that may be saved up.
+const MAX_SAVED_RETRIES: f64 = 50.0;
+/// Retries there are before any success.
+const FIRST_RETRIES: f64 = 10.0;
+
+/// Retries that are left, earned by successes.
+///
+/// Invariant: `0 <= saved <= MAX_SAVED_RETRIES`.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    saved: f64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            saved: FIRST_RETRIES,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a request that succeeded.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + RETRIES_PER_SUCCESS).min(MAX_SAVED_RETRIES);
+    }
+
+    /// Takes a retry if one is left.
+    pub fn spend(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// What binds the attempts of one request.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryTerms {
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When its caller needs the answer.
+    pub deadline: clock::Moment,
+    /// Attempts at most.
+    pub max_attempts: u32,
+}
+
+/// Least time that must be left for another attempt to make sense.
+const LEAST_TIME_LEFT: time::Duration = time::Duration::from_millis(5);
+
+/// Whether to try again after `outcome`, the `attempts`-th attempt.
+pub fn may_retry<T>(
+    outcome: &outcome::AttemptOutcome<T>,
+    attempts: u32,
+    terms: &RetryTerms,
+    budget: &mut RetryBudget,
+    now: clock::Moment,
+) -> bool {
+    if !outcome.may_retry(terms.repeatable) {
+        return false;
+    }
+    if attempts >= terms.max_attempts {
+        return false;
+    }
+    if terms.deadline.since(now) < LEAST_TIME_LEFT {
+        return false;
+    }
+    budget.spend()
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Counters and histograms, with a bound on the number of label values.
+
+use std::{collections, sync};
+
+use prometheus::core::Collector;
+
+/// Workspaces that have series of their own; the others share `other`.
+pub const MAX_WORKSPACE_LABELS: usize = 200;
+/// Label of the workspaces beyond the bound.
+const OTHER_LABEL: &str = "other";
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const SECONDS: &[f64] = &[
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 120.0,
+];
+
+/// All metrics of a process.
+pub struct MetricSet {
+    registry: prometheus::Registry,
+    labels: sync::Mutex<collections::HashSet<String>>,
+    /// Seconds to the first token, by workspace and class.
+    pub first_token: prometheus::HistogramVec,
+    /// Seconds between tokens, by workspace and class.
+    pub between_tokens: prometheus::HistogramVec,
+    /// Seconds to the whole answer, by workspace and class.
+    pub whole_answer: prometheus::HistogramVec,
+    /// Seconds from arrival to the first attempt, by workspace and class.
+    pub queue_time: prometheus::HistogramVec,
+    /// Answers by status code of the error shape, or `ok`.
+    pub answers: prometheus::IntCounterVec,
+    /// Attempts by how they ended.
+    pub attempts: prometheus::IntCounterVec,
+    /// Permit requests by how they ended.
+    pub permits: prometheus::IntCounterVec,
+    /// Calls to the object service by class.
+    pub store_calls: prometheus::IntCounterVec,
+    /// Calls to the object service that failed, by kind.
+    pub store_errors: prometheus::IntCounterVec,
+    /// Batch items by how they ended.
+    pub batch_items: prometheus::IntCounterVec,
+    /// Batch streams cancelled for online requests.
+    pub preempted: prometheus::IntCounter,
+    /// Messages dropped because their sender did not know the link secret.
+    pub strangers: prometheus::IntCounter,
+    /// Answers discarded because they belonged to another attempt.
+    pub crossed: prometheus::IntCounter,
+    /// Broken invariants, by name.
+    pub broken_invariants: prometheus::IntCounterVec,
+    /// Generation of the bundle in use.
+    pub bundle_generation: prometheus::IntGauge,
+}
+
+fn register<C: Collector + Clone + 'static>(registry: &prometheus::Registry, metric: C) -> C {
+    // Names are constants of this file: a clash is a fault of the program.
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("metric names differ");
+    metric
+}
+
+fn histogram(registry: &prometheus::Registry, name: &str, help: &str) -> prometheus::HistogramVec {
+    let options = prometheus::HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    let metric = prometheus::HistogramVec::new(options, &["workspace", "class"]);
+    register(registry, metric.expect("the options are valid"))
+}
+
+fn counters(
+    registry: &prometheus::Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::IntCounterVec {
+    let metric = prometheus::IntCounterVec::new(prometheus::Opts::new(name, help), &[label]);
+    register(registry, metric.expect("the options are valid"))
+}
+
+fn counter(registry: &prometheus::Registry, name: &str, help: &str) -> prometheus::IntCounter {
+    let metric = prometheus::IntCounter::new(name, help);
+    register(registry, metric.expect("the options are valid"))
+}
+
+impl Default for MetricSet {
+    fn default() -> Self {
+        let registry = prometheus::Registry::new();
+        let r = &registry;
+        let generation = prometheus::IntGauge::new("jayhollow_bundle_generation", "Bundle in use");
+        Self {
+            labels: sync::Mutex::default(),
+            first_token: histogram(r, "jayhollow_first_token_seconds", "Time to first token"),
+            between_tokens: histogram(r, "jayhollow_between_tokens_seconds", "Between tokens"),
+            whole_answer: histogram(r, "jayhollow_whole_answer_seconds", "Whole answer"),
+            queue_time: histogram(r, "jayhollow_queue_seconds", "Arrival to first attempt"),
+            answers: counters(r, "jayhollow_answers_total", "Answers", "code"),
+            attempts: counters(r, "jayhollow_attempts_total", "Attempts", "outcome"),
+            permits: counters(r, "jayhollow_permits_total", "Permit requests", "outcome"),
+            store_calls: counters(r, "jayhollow_store_calls_total", "Store calls", "class"),
+            store_errors: counters(r, "jayhollow_store_errors_total", "Store errors", "kind"),
+            batch_items: counters(r, "jayhollow_batch_items_total", "Batch items", "outcome"),
+            preempted: counter(r, "jayhollow_preempted_total", "Batch streams cancelled"),
+            strangers: counter(r, "jayhollow_strangers_total", "Unknown peers dropped"),
+            crossed: counter(
+                r,
+                "jayhollow_crossed_answers_total",
+                "Crossed answers dropped",
+            ),
+            broken_invariants: counters(
+                r,
+                "jayhollow_broken_invariants_total",
+                "Broken invariants",
+                "name",
+            ),
+            bundle_generation: register(r, generation.expect("the name is valid")),
+            registry,
+        }
+    }
+}
+
+impl MetricSet {
+    /// The label of a workspace: its name, or `other` beyond the bound.
+    pub fn workspace_label<'a>(&self, workspace: &'a str) -> &'a str {
+        let mut labels = self.labels.lock().unwrap_or_else(|e| e.into_inner());
+        if labels.contains(workspace) {
+            return workspace;
+        }
+        if labels.len() >= MAX_WORKSPACE_LABELS {
+            return OTHER_LABEL;
+        }
+        labels.insert(workspace.to_owned());
+        workspace
+    }
+
+    /// All metrics in the text form that Prometheus reads.
+    pub fn render(&self) -> String {
+        let families = self.registry.gather();
+        prometheus::TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/outcome.rs
@@ -0,0 +1,89 @@
+//! How one attempt of a request ended.
+//!
+//! [`NotRunProof`] can only be made from evidence, so a false "not run" cannot
+//! be written elsewhere.
+
+use crate::error;
+
+/// Evidence that an attempt did not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NotRunProof(NotRunReason);
+
+/// Why an attempt cannot have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotRunReason {
+    NeverConnected,
+    RefusedByEndpoint,
+    NeverSent,
+}
+
+impl NotRunProof {
+    /// No connection was made, so no byte was sent.
+    pub fn never_connected(error: &awc::error::SendRequestError) -> Option<Self> {
+        match error {
+            awc::error::SendRequestError::Connect(awc::error::ConnectError::Disconnected) => None,
+            awc::error::SendRequestError::Connect(_) => Some(Self(NotRunReason::NeverConnected)),
+            _ => None,
+        }
+    }
+
+    /// The endpoint's own word in the header [`crate::wire::RAN_HEADER`].
+    pub fn refused_by(ran_header: Option<&str>) -> Option<Self> {
+        (ran_header == Some("no")).then_some(Self(NotRunReason::RefusedByEndpoint))
+    }
+
+    /// The attempt was given up before it was handed to a connection.
+    pub fn never_sent() -> Self {
+        Self(NotRunReason::NeverSent)
+    }
+
+    /// Whether the endpoint was reached and refused.
+    pub fn is_refusal(&self) -> bool {
+        self.0 == NotRunReason::RefusedByEndpoint
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptOutcome<T> {
+    /// The whole answer, checked to belong to the attempt.
+    Completed(T),
+    /// It did not run.
+    NotRun(NotRunProof),
+    /// The endpoint answered that it failed.
+    Failed(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+impl<T> AttemptOutcome<T> {
+    /// Whether another attempt is allowed for a request that is `repeatable` or not.
+    pub fn may_retry(&self, repeatable: bool) -> bool {
+        match self {
+            Self::Completed(_) => false,
+            Self::NotRun(_) => true,
+            Self::Failed(_) | Self::Unknown(_) => repeatable,
+        }
+    }
+
+    /// The final answer to give for the attempt, if it is not a success.
+    pub fn into_result(self) -> error::ApiResult<T> {
+        match self {
+            Self::Completed(value) => Ok(value),
+            Self::NotRun(_) => Err(error::ApiError::not_run(
+                error::ErrorCode::Overloaded,
+                "no endpoint took the request",
+            )),
+            Self::Failed(why) => Err(error::ApiError::ran(
+                error::ErrorCode::EndpointFailed,
+                error::RanReport::Yes,
+                why,
+            )),
+            Self::Unknown(why) => Err(error::ApiError::ran(
+                error::ErrorCode::OutcomeUnknown,
+                error::RanReport::Unknown,
+                why,
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine.rs
@@ -0,0 +1,484 @@
+//! Stand-in model engine over HTTP: streams, resume, cancel, orders, load, faults.
+
+use std::{cell, collections, rc, sync, time};
+
+use actix_http::{body, Method, StatusCode};
+use futures::{future, stream, FutureExt as _, StreamExt as _};
+use tokio::sync::mpsc;
+
+use super::engine_model;
+use crate::{http_server, wire};
+
+/// Longest that a sequence is kept for a reader that may come back.
+const KEEP_AFTER_CUT: time::Duration = time::Duration::from_millis(1000);
+
+/// Faults of an engine, set through `POST /faults`.
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Cut each stream once after this many tokens.
+    pub cut_after_tokens: Option<u32>,
+    /// Stop stepping.
+    pub freeze: bool,
+    /// Multiply the time of each step.
+    pub slow_factor: f64,
+    /// Send every other answer under another attempt's name.
+    pub cross: bool,
+    /// Delay of each answer, in milliseconds.
+    pub delay_ms: u64,
+    /// Refuse every request before running it.
+    pub refuse: bool,
+    /// Cut every stream whose prompt holds this text, each time.
+    pub poison: Option<String>,
+}
+
+/// What an engine reports of its load, with a lag.
+#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LoadReport {
+    /// Sequences in steps.
+    pub running: usize,
+    /// Sequences that wait.
+    pub waiting: usize,
+    /// Microseconds of the latest step.
+    pub step_us: u64,
+    /// Prompt tokens found in the cache since the start.
+    pub cached_tokens: u64,
+    /// Prompt tokens asked for since the start.
+    pub prompt_tokens: u64,
+    /// Answer tokens made since the start.
+    pub made_tokens: u64,
+}
+
+/// An order of the system to an engine.
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineOrder {
+    /// Fencing number of who gives the order.
+    pub fence: u64,
+    /// Model version to serve.
+    pub version: Option<String>,
+    /// Adapters to have loaded.
+    pub adapters: Option<Vec<String>>,
+    /// Role to take.
+    pub role: Option<String>,
+}
+
+/// How a stand-in engine behaves.
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineOptions {
+    /// Speed and size.
+    pub spec: engine_model::EngineSpec,
+    /// Answer at once, without steps; for measuring what is around the engine.
+    pub instant: bool,
+    /// Age of the load reports, in milliseconds.
+    pub report_lag_ms: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+}
+
+struct OpenSequence {
+    attempt: String,
+    prompt: String,
+    sender: Option<mpsc::UnboundedSender<engine_model::MadeToken>>,
+    made: u32,
+    end: u32,
+    keep: time::Duration,
+    left_at: Option<time::Instant>,
+}
+
+struct EngineState {
+    options: EngineOptions,
+    model: engine_model::EngineModel,
+    open: collections::HashMap<engine_model::SequenceNumber, OpenSequence>,
+    faults: EngineFaults,
+    cut: collections::HashSet<String>,
+    order: EngineOrder,
+    report: LoadReport,
+    reported_at: time::Instant,
+    made_tokens: u64,
+    starts: u64,
+    /// How often each prompt was begun from its first token, by hash.
+    effects: collections::HashMap<u64, u32>,
+}
+
+/// A stand-in engine on one worker thread.
+#[derive(Clone)]
+pub struct EngineStandin {
+    state: rc::Rc<cell::RefCell<EngineState>>,
+    work: rc::Rc<tokio::sync::Notify>,
+}
+
+/// The body of a request as the engine reads it.
+#[derive(serde::Deserialize)]
+struct EngineRequest {
+    #[serde(flatten)]
+    request: wire::GenerationRequest,
+    #[serde(default)]
+    given_text: String,
+}
+
+impl EngineStandin {
+    fn new(options: EngineOptions) -> Self {
+        let state = EngineState {
+            model: engine_model::EngineModel::new(options.spec.clone()),
+            options,
+            open: collections::HashMap::new(),
+            faults: EngineFaults::default(),
+            cut: collections::HashSet::new(),
+            order: EngineOrder::default(),
+            report: LoadReport::default(),
+            reported_at: time::Instant::now(),
+            made_tokens: 0,
+            starts: 0,
+            effects: collections::HashMap::new(),
+        };
+        let standin = Self {
+            state: rc::Rc::new(cell::RefCell::new(state)),
+            work: rc::Rc::new(tokio::sync::Notify::new()),
+        };
+        actix_rt::spawn(standin.clone().run_steps());
+        standin
+    }
+
+    async fn run_steps(self) {
+        loop {
+            if self.state.borrow().model.is_idle() || self.state.borrow().faults.freeze {
+                let pause = time::Duration::from_millis(20);
+                let _ = actix_rt::time::timeout(pause, self.work.notified()).await;
+                self.state.borrow_mut().update_report(0);
+                continue;
+            }
+            let (duration, made) = self.state.borrow_mut().model.step();
+            let factor = self.state.borrow().faults.slow_factor.max(1.0);
+            actix_rt::time::sleep(duration.mul_f64(factor)).await;
+            self.state.borrow_mut().deliver(made);
+            self.state
+                .borrow_mut()
+                .update_report(duration.as_micros() as u64);
+        }
+    }
+
+    async fn serve(self, mut request: actix_http::Request) -> http_server::HttpAnswer {
+        let path = request.path().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                self.generate(&mut request).await
+            }
+            (Method::GET, "/load") => {
+                http_server::json(StatusCode::OK, &self.state.borrow().report)
+            }
+            (Method::POST, "/faults") => match super::read_json(&mut request).await {
+                Ok(faults) => {
+                    self.state.borrow_mut().faults = faults;
+                    http_server::plain(StatusCode::OK, "set")
+                }
+                Err(answer) => answer,
+            },
+            (Method::POST, "/orders") => match super::read_json(&mut request).await {
+                Ok(order) => self.state.borrow_mut().take_order(order),
+                Err(answer) => answer,
+            },
+            (Method::GET, "/orders") => {
+                http_server::json(StatusCode::OK, &self.state.borrow().order)
+            }
+            (Method::GET, "/effects") => {
+                let state = self.state.borrow();
+                let most = state.effects.values().max().copied().unwrap_or(0);
+                let seen = state.effects.len();
+                let value =
+                    serde_json::json!({"starts": state.starts, "prompts": seen, "most": most});
+                http_server::json(StatusCode::OK, &value)
+            }
+            _ => http_server::plain(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn generate(&self, request: &mut actix_http::Request) -> http_server::HttpAnswer {
+        let head = request.head();
+        let attempt = http_server::header(head, wire::ATTEMPT_HEADER)
+            .unwrap_or("")
+            .to_owned();
+        let resume = http_server::header(head, wire::RESUME_HEADER).and_then(|v| v.parse().ok());
+        let keep = http_server::header(head, wire::KEEP_HEADER)
+            .and_then(|v| v.parse().ok())
+            .map_or(KEEP_AFTER_CUT, time::Duration::from_millis);
+        let chat = wire::is_chat(request.path());
+        let body: EngineRequest = match super::read_json(request).await {
+            Ok(body) => body,
+            Err(answer) => return answer,
+        };
+        if self.state.borrow().faults.refuse {
+            return refused();
+        }
+        let delay = self.state.borrow().faults.delay_ms;
+        if delay > 0 {
+            actix_rt::time::sleep(time::Duration::from_millis(delay)).await;
+        }
+        let prompt = body.request.prompt_text();
+        let sender_name = self.state.borrow_mut().echo_name(&attempt);
+        let streamed = body.request.stream;
+        let model = body.request.model.clone();
+        let tokens: stream::LocalBoxStream<'static, Option<engine_model::MadeToken>> =
+            if self.state.borrow().options.instant {
+                instant_tokens(body.request.token_limit())
+            } else {
+                let opened = self
+                    .state
+                    .borrow_mut()
+                    .open(&attempt, &prompt, &body, resume, keep);
+                let Some(receiver) = opened else {
+                    return http_server::plain(StatusCode::GONE, "the stream is gone");
+                };
+                self.work.notify_one();
+                received(receiver)
+            };
+        if streamed {
+            let events = tokens.map(move |token| match token {
+                Some(token) => Ok(event(chat, &prompt, model.as_str(), token)),
+                None => Err(std::io::Error::other("cut")),
+            });
+            return actix_http::Response::build(StatusCode::OK)
+                .insert_header(("content-type", "text/event-stream"))
+                .insert_header((wire::ATTEMPT_HEADER, sender_name))
+                .body(body::BodyStream::new(events))
+                .map_into_boxed_body();
+        }
+        whole(chat, prompt, model.as_str(), sender_name, tokens).await
+    }
+}
+
+async fn whole(
+    chat: bool,
+    prompt: String,
+    model: &str,
+    sender_name: String,
+    mut tokens: stream::LocalBoxStream<'static, Option<engine_model::MadeToken>>,
+) -> http_server::HttpAnswer {
+    let mut text = String::new();
+    while let Some(token) = tokens.next().await {
+        match token {
+            Some(token) => text.push_str(&engine_model::answer_token(&prompt, token.index)),
+            None => return http_server::plain(StatusCode::BAD_GATEWAY, "died"),
+        }
+    }
+    let count = engine_model::token_count(&prompt);
+    let answer = wire::whole_answer(chat, "gen-0", model, &text, count);
+    let mut answer = http_server::json(StatusCode::OK, &answer);
+    if let Ok(value) = sender_name.parse() {
+        let name = actix_http::header::HeaderName::from_static(wire::ATTEMPT_HEADER);
+        answer.headers_mut().insert(name, value);
+    }
+    answer
+}
+
+fn refused() -> http_server::HttpAnswer {
+    actix_http::Response::build(StatusCode::SERVICE_UNAVAILABLE)
+        .insert_header((wire::RAN_HEADER, "no"))
+        .body("refused")
+        .map_into_boxed_body()
+}
+
+fn instant_tokens(limit: u32) -> stream::LocalBoxStream<'static, Option<engine_model::MadeToken>> {
+    let tokens = (0..limit).map(move |index| {
+        let last = index + 1 == limit;
+        Some(engine_model::MadeToken {
+            number: 0,
+            index,
+            last,
+        })
+    });
+    stream::iter(tokens).boxed_local()
+}
+
+/// Tokens from the step loop; a stream that ends before its last token was cut.
+fn received(
+    receiver: mpsc::UnboundedReceiver<engine_model::MadeToken>,
+) -> stream::LocalBoxStream<'static, Option<engine_model::MadeToken>> {
+    stream::unfold((receiver, false), |(mut receiver, done)| async move {
+        if done {
+            return None;
+        }
+        match receiver.recv().await {
+            Some(token) => Some((Some(token), (receiver, token.last))),
+            None => Some((None, (receiver, true))),
+        }
+    })
+    .boxed_local()
+}
+
+fn event(chat: bool, prompt: &str, model: &str, token: engine_model::MadeToken) -> bytes::Bytes {
+    let text = engine_model::answer_token(prompt, token.index);
+    let data = wire::stream_chunk(chat, "gen-0", model, &text, token.last);
+    let end = if token.last { "data: [DONE]\n\n" } else { "" };
+    format!("id: {}\ndata: {data}\n\n{end}", token.index).into()
+}
+
+impl EngineState {
+    fn open(
+        &mut self,
+        attempt: &str,
+        prompt: &str,
+        body: &EngineRequest,
+        resume: Option<u32>,
+        keep: time::Duration,
+    ) -> Option<mpsc::UnboundedReceiver<engine_model::MadeToken>> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        if let Some(after) = resume {
+            return self.reopen(attempt, after, sender).then_some(receiver);
+        }
+        let given = if body.given_text.is_empty() {
+            body.request.given_text()
+        } else {
+            body.given_text.clone()
+        };
+        let first_token = engine_model::answer_length(&given);
+        let end_token = body.request.token_limit().max(first_token + 1);
+        let request = engine_model::SequenceRequest {
+            prompt: prompt.to_owned(),
+            first_token,
+            end_token,
+        };
+        let number = self.model.submit(&request);
+        self.starts += 1;
+        if first_token == 0 {
+            let hash = xxhash_rust::xxh3::xxh3_64(prompt.as_bytes());
+            *self.effects.entry(hash).or_default() += 1;
+        }
+        let sequence = OpenSequence {
+            attempt: attempt.to_owned(),
+            prompt: prompt.to_owned(),
+            sender: Some(sender),
+            made: first_token,
+            end: end_token,
+            keep,
+            left_at: None,
+        };
+        self.open.insert(number, sequence);
+        Some(receiver)
+    }
+
+    fn reopen(
+        &mut self,
+        attempt: &str,
+        after: u32,
+        sender: mpsc::UnboundedSender<engine_model::MadeToken>,
+    ) -> bool {
+        let found = self.open.iter_mut().find(|(_, s)| s.attempt == attempt);
+        let Some((&number, sequence)) = found else {
+            return false;
+        };
+        for index in after + 1..sequence.made {
+            let last = index + 1 == sequence.end;
+            let _ = sender.send(engine_model::MadeToken {
+                number,
+                index,
+                last,
+            });
+        }
+        if sequence.made == sequence.end {
+            self.open.remove(&number);
+            return true;
+        }
+        sequence.sender = Some(sender);
+        sequence.left_at = None;
+        true
+    }
+
+    fn deliver(&mut self, made: Vec<engine_model::MadeToken>) {
+        self.made_tokens += made.len() as u64;
+        for token in made {
+            let Some(sequence) = self.open.get_mut(&token.number) else {
+                continue;
+            };
+            sequence.made = token.index + 1;
+            let cut = self.faults.cut_after_tokens == Some(token.index)
+                && self.cut.insert(sequence.attempt.clone());
+            let poison = self
+                .faults
+                .poison
+                .as_ref()
+                .is_some_and(|p| sequence.prompt.contains(p));
+            let sent = sequence
+                .sender
+                .as_ref()
+                .is_some_and(|s| s.send(token).is_ok());
+            if cut || poison || !sent {
+                sequence.sender = None;
+                sequence.left_at.get_or_insert_with(time::Instant::now);
+            } else if token.last {
+                self.open.remove(&token.number);
+            }
+        }
+        self.sweep();
+    }
+
+    fn sweep(&mut self) {
+        let model = &mut self.model;
+        self.open.retain(|number, sequence| {
+            let left = sequence.sender.as_ref().is_none_or(|s| s.is_closed());
+            if left {
+                sequence.left_at.get_or_insert_with(time::Instant::now);
+            }
+            let gone = sequence
+                .left_at
+                .is_some_and(|at| at.elapsed() >= sequence.keep);
+            if gone {
+                model.cancel(*number);
+            }
+            !gone
+        });
+    }
+
+    fn update_report(&mut self, step_us: u64) {
+        let lag = time::Duration::from_millis(self.options.report_lag_ms);
+        if self.reported_at.elapsed() < lag {
+            return;
+        }
+        self.reported_at = time::Instant::now();
+        self.report = LoadReport {
+            running: self.model.running(),
+            waiting: self.model.waiting(),
+            step_us,
+            cached_tokens: self.model.cached_tokens,
+            prompt_tokens: self.model.prompt_tokens,
+            made_tokens: self.made_tokens,
+        };
+    }
+
+    fn take_order(&mut self, order: EngineOrder) -> http_server::HttpAnswer {
+        if self.options.checks_fencing && order.fence < self.order.fence {
+            return http_server::plain(StatusCode::CONFLICT, "old fencing number");
+        }
+        self.order = order;
+        http_server::plain(StatusCode::OK, "taken")
+    }
+
+    /// The attempt that an answer names; under the fault `cross` often another one.
+    fn echo_name(&mut self, attempt: &str) -> String {
+        if self.faults.cross && self.starts.is_multiple_of(2) {
+            return "attempt-of-another".to_owned();
+        }
+        attempt.to_owned()
+    }
+}
+
+impl http_server::RequestHandler for EngineStandin {
+    fn handle(
+        &self,
+        request: actix_http::Request,
+    ) -> future::LocalBoxFuture<'static, http_server::HttpAnswer> {
+        self.clone().serve(request).boxed_local()
+    }
+}
+
+/// Starts an engine on `listen`.
+///
+/// # Errors
+/// The address cannot be bound.
+pub fn start(listen: &str, options: EngineOptions) -> std::io::Result<http_server::ServerGuard> {
+    let server = http_server::ServerOptions::named("engine");
+    let factory: http_server::HandlerFactory =
+        sync::Arc::new(move || rc::Rc::new(EngineStandin::new(options.clone())));
+    http_server::start(listen, server, factory)
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,27 @@
+//! Small stand-ins of the outside systems, for tests, benches and `jayhollow dev`.
+
+pub mod engine;
+pub mod engine_model;
+pub mod objects;
+pub mod plain_service;
+
+use std::time;
+
+use actix_http::StatusCode;
+
+use crate::http_server;
+
+/// Largest body a stand-in reads, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Reads a JSON body; a bad one becomes the answer to give.
+async fn read_json<T: serde::de::DeserializeOwned>(
+    request: &mut actix_http::Request,
+) -> Result<T, http_server::HttpAnswer> {
+    let patience = time::Duration::from_secs(10);
+    let body = http_server::read_body(request, MAX_BODY_BYTES, patience)
+        .await
+        .map_err(|e| http_server::plain(StatusCode::BAD_REQUEST, e.to_string()))?;
+    serde_json::from_slice(&body)
+        .map_err(|e| http_server::plain(StatusCode::BAD_REQUEST, e.to_string()))
+}
