--- a/src/bin/jayhollow-bench.rs
+++ b/src/bin/jayhollow-bench.rs
@@ -1,1 +1,3 @@
+//! The bench's program.
+
 fn main() {}
--- a/src/bin/jayhollow.rs
+++ b/src/bin/jayhollow.rs
@@ -1,1 +1,5 @@
-fn main() {}
+//! The command line's program.
+
+fn main() -> std::process::ExitCode {
+    jayhollow::cli::run()
+}
--- /dev/null
+++ b/src/cli/bundle_commands.rs
@@ -0,0 +1,133 @@
+//! `jayhollow bundle`.
+
+use std::{fs, path};
+
+use super::{client, output, CommandError, CommandResult, GatewayReach};
+use crate::bundle;
+
+/// What can be done with bundles.
+#[derive(Debug, clap::Subcommand)]
+pub enum BundleCommand {
+    /// Check a bundle without sending it anywhere.
+    Check {
+        /// The bundle, in JSON.
+        file: path::PathBuf,
+    },
+    /// Propose a bundle as the next generation.
+    Submit {
+        /// The bundle, in JSON.
+        file: path::PathBuf,
+        /// Generation that you started from; a newer one is a conflict.
+        #[arg(long)]
+        parent: Option<u64>,
+    },
+    /// Accept a proposed bundle; it goes into force everywhere.
+    SignOff {
+        /// Its generation.
+        generation: u64,
+    },
+    /// Drop a proposed bundle.
+    Discard {
+        /// Its generation.
+        generation: u64,
+    },
+    /// Show which generation is in force where.
+    Status,
+    /// Print the hash of an API key, as a bundle holds it.
+    HashKey {
+        /// The key.
+        api_key: String,
+    },
+}
+
+/// Runs a command.
+///
+/// # Errors
+/// The bundle has faults, or the gateway cannot be reached or refuses.
+pub async fn run(reach: &GatewayReach, command: &BundleCommand) -> CommandResult<()> {
+    let client = client::ApiClient::new(reach);
+    match command {
+        BundleCommand::Check { file } => check(reach, file),
+        BundleCommand::Submit { file, parent } => {
+            let body = read(file)?;
+            let query = parent.map(|p| format!("?parent={p}")).unwrap_or_default();
+            let path = format!("/operator/v1/bundles{query}");
+            let answer = client.post(&path, body).await?;
+            let fields = ["generation", "parent", "step", "author"];
+            output::print(reach.output, &answer, &[answer["draft"].clone()], &fields);
+            Ok(())
+        }
+        BundleCommand::SignOff { generation } => {
+            let path = format!("/operator/v1/bundles/sign-off?generation={generation}");
+            let answer = client.post(&path, Vec::new()).await?;
+            let fields = ["generation", "step", "author", "signer"];
+            output::print(
+                reach.output,
+                &answer,
+                &[answer["accepted"].clone()],
+                &fields,
+            );
+            Ok(())
+        }
+        BundleCommand::Discard { generation } => {
+            let path = format!("/operator/v1/bundles/discard?generation={generation}");
+            let answer = client.post(&path, Vec::new()).await?;
+            output::print(
+                reach.output,
+                &answer,
+                std::slice::from_ref(&answer),
+                &["discarded"],
+            );
+            Ok(())
+        }
+        BundleCommand::Status => {
+            let answer = client.get("/operator/v1/bundles").await?;
+            let fields = [
+                "accepted.generation",
+                "accepted.step",
+                "live_instances",
+                "in_force_at",
+                "lagging",
+            ];
+            output::print(
+                reach.output,
+                &answer,
+                std::slice::from_ref(&answer),
+                &fields,
+            );
+            Ok(())
+        }
+        BundleCommand::HashKey { api_key } => {
+            println!("{}", bundle::hash_key(api_key));
+            Ok(())
+        }
+    }
+}
+
+fn read(file: &path::Path) -> CommandResult<Vec<u8>> {
+    fs::read(file).map_err(|e| CommandError::failed(format!("{}: {e}", file.display())))
+}
+
+fn check(reach: &GatewayReach, file: &path::Path) -> CommandResult<()> {
+    let text = read(file)?;
+    let mut deserializer = serde_json::Deserializer::from_slice(&text);
+    let document: bundle::BundleDocument = serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(|e| {
+            let at = e.path().to_string();
+            CommandError::failed(format!("{} at '{at}': {}", file.display(), e.into_inner()))
+        })?;
+    let faults = document.faults();
+    let rows: Vec<serde_json::Value> = faults
+        .iter()
+        .map(|f| serde_json::json!({"path": f.path, "problem": f.problem}))
+        .collect();
+    let value = serde_json::json!({"valid": faults.is_empty(), "faults": rows});
+    output::print(reach.output, &value, &rows, &["path", "problem"]);
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(CommandError::failed(format!(
+        "the bundle has {} faults",
+        faults.len()
+    )))
+}
--- /dev/null
+++ b/src/cli/client.rs
@@ -0,0 +1,137 @@
+//! HTTP client of the command line.
+
+use std::time;
+
+use actix_http::{Method, StatusCode};
+
+use super::{CommandError, CommandResult, ExitReason, GatewayReach};
+use crate::{error, gateway::operators};
+
+/// Longest wait for an answer.
+const PATIENCE: time::Duration = time::Duration::from_secs(120);
+/// Largest answer read, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 30;
+
+/// A client of a gateway's API.
+pub struct ApiClient {
+    client: awc::Client,
+    url: String,
+    key: String,
+    operator: String,
+}
+
+/// A request of the command line.
+pub struct ApiCall<'a> {
+    /// Method of HTTP.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Content type of the body.
+    pub content_type: &'a str,
+    /// Idempotency key, if any.
+    pub idempotency_key: Option<&'a str>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl ApiClient {
+    /// A client for the thread that it is made on.
+    pub fn new(reach: &GatewayReach) -> Self {
+        let client = awc::Client::builder().timeout(PATIENCE).finish();
+        Self {
+            client,
+            url: reach.url.trim_end_matches('/').to_owned(),
+            key: reach.key.clone(),
+            operator: reach.operator.clone(),
+        }
+    }
+
+    /// Reads JSON from a path.
+    ///
+    /// # Errors
+    /// The gateway cannot be reached or refuses.
+    pub async fn get(&self, path: &str) -> CommandResult<serde_json::Value> {
+        parse(&self.fetch(path).await?)
+    }
+
+    /// Reads bytes from a path.
+    ///
+    /// # Errors
+    /// The gateway cannot be reached or refuses.
+    pub async fn fetch(&self, path: &str) -> CommandResult<bytes::Bytes> {
+        self.send(ApiCall {
+            method: Method::GET,
+            path,
+            content_type: "application/json",
+            idempotency_key: None,
+            body: Vec::new(),
+        })
+        .await
+    }
+
+    /// Posts JSON to a path.
+    ///
+    /// # Errors
+    /// The gateway cannot be reached or refuses.
+    pub async fn post(&self, path: &str, body: Vec<u8>) -> CommandResult<serde_json::Value> {
+        let call = ApiCall {
+            method: Method::POST,
+            path,
+            content_type: "application/json",
+            idempotency_key: None,
+            body,
+        };
+        parse(&self.send(call).await?)
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// The gateway cannot be reached or refuses.
+    pub async fn send(&self, call: ApiCall<'_>) -> CommandResult<bytes::Bytes> {
+        let url = format!("{}{}", self.url, call.path);
+        let mut request = self
+            .client
+            .request(call.method, &url)
+            .insert_header(("authorization", format!("Bearer {}", self.key)))
+            .insert_header((operators::OPERATOR_HEADER, self.operator.as_str()))
+            .insert_header(("content-type", call.content_type));
+        if let Some(key) = call.idempotency_key {
+            request = request.insert_header(("idempotency-key", key));
+        }
+        let unreachable = |why: String| CommandError {
+            reason: ExitReason::Unreachable,
+            message: format!("{url} cannot be reached: {why}"),
+        };
+        let mut response = request
+            .send_body(call.body)
+            .await
+            .map_err(|e| unreachable(e.to_string()))?;
+        let body = response.body().limit(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|e| unreachable(e.to_string()))?;
+        if response.status().is_success() {
+            return Ok(body);
+        }
+        Err(refusal(response.status(), &body))
+    }
+}
+
+/// Parses an answer.
+///
+/// # Errors
+/// It is not JSON.
+pub fn parse(body: &[u8]) -> CommandResult<serde_json::Value> {
+    serde_json::from_slice(body).map_err(CommandError::failed)
+}
+
+fn refusal(status: StatusCode, body: &[u8]) -> CommandError {
+    let reason = match status {
+        StatusCode::CONFLICT => ExitReason::Conflict,
+        _ => ExitReason::Refused,
+    };
+    let message = match serde_json::from_slice::<error::ErrorBody>(body) {
+        Ok(parsed) => format!("{}: {}", parsed.error.code.as_str(), parsed.error.message),
+        Err(_) => format!("the gateway answered {status}"),
+    };
+    CommandError { reason, message }
+}
--- /dev/null
+++ b/src/cli/instance_commands.rs
@@ -0,0 +1,42 @@
+//! `jayhollow instance`.
+
+use super::{client, output, CommandResult, GatewayReach};
+
+/// What can be done with instances.
+#[derive(Debug, clap::Subcommand)]
+pub enum InstanceCommand {
+    /// List the live instances.
+    List,
+    /// Stop an instance as planned: it finishes every request first.
+    Stop {
+        /// Its name.
+        id: String,
+    },
+}
+
+/// Runs a command.
+///
+/// # Errors
+/// The gateway cannot be reached or refuses.
+pub async fn run(reach: &GatewayReach, command: &InstanceCommand) -> CommandResult<()> {
+    let client = client::ApiClient::new(reach);
+    match command {
+        InstanceCommand::List => {
+            let answer = client.get("/operator/v1/instances").await?;
+            let rows = answer["instances"].as_array().cloned().unwrap_or_default();
+            let fields = ["id", "role", "domain", "generation", "leaving"];
+            output::print(reach.output, &answer, &rows, &fields);
+        }
+        InstanceCommand::Stop { id } => {
+            let path = format!("/operator/v1/instances/{id}/stop");
+            let answer = client.post(&path, Vec::new()).await?;
+            output::print(
+                reach.output,
+                &answer,
+                std::slice::from_ref(&answer),
+                &["stopping"],
+            );
+        }
+    }
+    Ok(())
+}
--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -30,6 +30,8 @@
     Adaptive,
     /// Nothing while the endpoint serves any online request.
     Reserved,
+    /// A fixed number less the online requests, never taken back; for plain services.
+    Yielding,
 }
 
 /// Limits of a ledger.
@@ -39,6 +41,8 @@
     pub policy: BatchPolicy,
     /// Sequences that the endpoint runs in one step at most.
     pub max_sequences: u32,
+    /// Online requests that the endpoint may hold, waiting ones included.
+    pub max_online: u32,
     /// Streams under the fixed policies.
     pub fixed_streams: u32,
     /// By how many percent batch work may slow down steps.
@@ -54,6 +58,7 @@
         Self {
             policy: BatchPolicy::Adaptive,
             max_sequences: 64,
+            max_online: 128,
             fixed_streams: 32,
             slowdown_percent: 10,
             permit_ttl: time::Duration::from_secs(120),
@@ -139,20 +144,29 @@
         self.streams.len() as u32
     }
 
-    /// Grants a permit; says which batch streams have to go for it.
-    pub fn request_permit(&mut self, number: PermitNumber, now: clock::Moment) -> PermitGrant {
+    /// Grants a permit, and says which batch streams have to go for it.
+    ///
+    /// Gives nothing if the endpoint holds as many online requests as it may.
+    pub fn request_permit(
+        &mut self,
+        number: PermitNumber,
+        now: clock::Moment,
+    ) -> Option<PermitGrant> {
         self.expire(now);
+        if self.online() >= self.spec.max_online {
+            return None;
+        }
         self.permits.insert(number, now + self.spec.permit_ttl);
         self.note_peak(now);
         let preempt = self.choose_preempted();
         for stream in &preempt {
             self.streams.remove(stream);
         }
-        PermitGrant {
+        Some(PermitGrant {
             online: self.online(),
             batch: self.batch(),
             preempt,
-        }
+        })
     }
 
     /// Ends a permit; a number that is not known was released or expired before.
@@ -182,6 +196,7 @@
             BatchPolicy::Uncontrolled => u32::MAX,
             BatchPolicy::Fixed => self.spec.fixed_streams,
             BatchPolicy::FixedPreempt => self.spec.fixed_streams.min(places),
+            BatchPolicy::Yielding => self.spec.fixed_streams.saturating_sub(online),
             BatchPolicy::Reserved if online > 0 => 0,
             BatchPolicy::Reserved => places,
             BatchPolicy::Adaptive => self.adaptive_limit(online).min(places),
--- a/src/decisions/chunk.rs
+++ b/src/decisions/chunk.rs
@@ -87,6 +87,8 @@
     pub segment: Option<SegmentRef>,
     /// Items that are about to be sent and must not be sent again.
     pub intend: index_ranges::IndexRanges,
+    /// Items that were intended under this claim and cannot have run.
+    pub withdraw: index_ranges::IndexRanges,
     /// Whether the holder gives the chunk up.
     pub release: bool,
 }
@@ -163,6 +165,7 @@
         for index in commit.intend.iter() {
             next.intended.insert(index);
         }
+        next.intended = next.intended.minus(&commit.withdraw);
         next.segments.extend(commit.segment.clone());
         if commit.release || next.is_done() {
             next.holder = None;
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -11,6 +11,7 @@
 pub mod index_ranges;
 pub mod job;
 pub mod job_order;
+pub mod job_plan;
 pub mod lease;
 pub mod ownership;
 pub mod relay;
--- a/src/decisions/relay.rs
+++ b/src/decisions/relay.rs
@@ -23,6 +23,14 @@
 }
 
 impl RelayCursor {
+    /// A cursor for an answer whose events before `index` are in hand already.
+    pub fn starting_at(index: u32) -> Self {
+        Self {
+            next: index,
+            finished: false,
+        }
+    }
+
     /// Decides about the event with `index`; `last` says whether it ends the answer.
     pub fn accept(&mut self, index: u32, last: bool) -> RelayStep {
         if index < self.next {
--- /dev/null
+++ b/src/dispatcher/batch_runner.rs
@@ -0,0 +1,519 @@
+//! The batch thread: claims chunks, fills the endpoints' room, commits, ends jobs.
+
+use std::{cell, collections, rc, sync, time};
+
+use futures::FutureExt as _;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{chunk_work, claims, commits, context, item_run, job_close};
+use crate::{
+    batch_item, clock,
+    decisions::{health, job, job_order, job_plan, ownership},
+    fleet, ids, platform, wire,
+};
+
+/// Pause between rounds while chunks are in hand.
+const BUSY_PAUSE: time::Duration = time::Duration::from_millis(5);
+/// Pause between rounds otherwise, unless something wakes the thread.
+const IDLE_PAUSE: time::Duration = time::Duration::from_millis(500);
+/// Claims under way at once.
+const MAX_CLAIMS: usize = 4;
+/// Pause after a claim or a commit that the object service did not answer.
+const STORE_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+type ChunkKey = (ids::JobId, ids::ChunkIndex);
+type SharedChunk = rc::Rc<cell::RefCell<chunk_work::ChunkWork>>;
+
+/// Asks the batch thread to give up its work; answered when it has.
+pub type StopRequest = oneshot::Sender<()>;
+
+#[derive(Default)]
+struct RunnerState {
+    chunks: collections::BTreeMap<ChunkKey, SharedChunk>,
+    plans: collections::HashMap<ids::JobId, job_plan::JobPlan>,
+    order: job_order::JobOrder,
+    health: health::HealthBoard,
+    claiming: collections::HashSet<ChunkKey>,
+    looking: collections::HashSet<ids::JobId>,
+    claim_again_at: clock::Moment,
+    round_at: clock::Moment,
+    /// When this process came back from a pause, until it has read the service again.
+    paused_until_read: Option<clock::Moment>,
+    stop: Option<StopRequest>,
+}
+
+/// The batch thread's loop and state.
+#[derive(Clone)]
+pub struct BatchRunner {
+    context: sync::Arc<context::DispatcherContext>,
+    client: awc::Client,
+    state: rc::Rc<cell::RefCell<RunnerState>>,
+    wake: rc::Rc<tokio::sync::Notify>,
+}
+
+impl BatchRunner {
+    /// A runner for the thread that it is made on.
+    pub fn new(context: sync::Arc<context::DispatcherContext>) -> Self {
+        let state = RunnerState {
+            round_at: context.clock.now(),
+            ..RunnerState::default()
+        };
+        Self {
+            context,
+            client: crate::endpoint_client::new_client(),
+            state: rc::Rc::new(cell::RefCell::new(state)),
+            wake: rc::Rc::new(tokio::sync::Notify::new()),
+        }
+    }
+
+    /// Runs until a stop was asked for and all work is given up, or `stops` is closed.
+    pub async fn run(self, mut stops: mpsc::Receiver<StopRequest>) {
+        let mut changes = self.context.fleet.changes();
+        loop {
+            self.round();
+            if self.finish_stop() {
+                return;
+            }
+            let busy = !self.state.borrow().chunks.is_empty();
+            let pause = if busy { BUSY_PAUSE } else { IDLE_PAUSE };
+            tokio::select! {
+                stop = stops.recv() => match stop {
+                    Some(stop) => self.begin_stop(stop),
+                    None => return,
+                },
+                () = self.wake.notified() => {}
+                () = self.context.board.changed.notified() => {}
+                _ = changes.changed() => self.take_snapshot(),
+                () = actix_rt::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    fn take_snapshot(&self) {
+        let snapshot = self.context.fleet.snapshot();
+        let batch = &self.context.settings.batch;
+        self.context
+            .board
+            .refresh(&snapshot, self.context.id(), batch);
+    }
+
+    fn begin_stop(&self, stop: StopRequest) {
+        self.state.borrow_mut().stop = Some(stop);
+        for work in self.state.borrow().chunks.values() {
+            work.borrow_mut().release();
+        }
+        self.context.board.cancel_all();
+    }
+
+    fn finish_stop(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        let idle = state.chunks.is_empty() && state.claiming.is_empty();
+        match state.stop.take_if(|_| idle) {
+            None => false,
+            Some(stop) => {
+                let _ = stop.send(());
+                true
+            }
+        }
+    }
+
+    fn round(&self) {
+        let snapshot = self.context.fleet.snapshot();
+        let now = self.context.clock.now();
+        if !self.note_round(&snapshot, now) {
+            return;
+        }
+        self.drop_ended(&snapshot);
+        self.start_items();
+        self.start_commits(now);
+        if self.state.borrow().stop.is_none() && snapshot.synced {
+            self.plan_jobs(&snapshot, now);
+        }
+    }
+
+    /// Notices a long pause of the process; false until the service was read again.
+    fn note_round(&self, snapshot: &fleet::FleetSnapshot, now: clock::Moment) -> bool {
+        let mut state = self.state.borrow_mut();
+        if now.since(state.round_at) >= self.context.settings.pace.lapse() {
+            log::warn!("event=paused ms={}", now.since(state.round_at).as_millis());
+            state.paused_until_read = Some(now);
+        }
+        state.round_at = now;
+        if state
+            .paused_until_read
+            .is_some_and(|at| snapshot.read_at > at)
+        {
+            state.paused_until_read = None;
+        }
+        state.paused_until_read.is_none()
+    }
+
+    /// Gives up the chunks of jobs that were cancelled, and plans of jobs that ended.
+    fn drop_ended(&self, snapshot: &fleet::FleetSnapshot) {
+        let mut state = self.state.borrow_mut();
+        state.plans.retain(|id, _| snapshot.jobs.contains_key(id));
+        for ((id, _), work) in &state.chunks {
+            let cancelled = snapshot
+                .jobs
+                .get(id)
+                .is_some_and(|j| j.cancelling_at.is_some());
+            if cancelled {
+                work.borrow_mut().release();
+            }
+        }
+    }
+
+    /// Starts items wherever an endpoint has room.
+    fn start_items(&self) {
+        for (endpoint, room) in self.context.board.endpoints_with_room() {
+            let now = self.context.clock.now();
+            if self.state.borrow().health.is_ejected(&endpoint.id, now) {
+                continue;
+            }
+            for _ in 0..room {
+                if !self.start_item(&endpoint) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn start_item(&self, endpoint: &platform::EndpointRecord) -> bool {
+        let Some((key, work, pending)) = self.take_item(&endpoint.service) else {
+            return false;
+        };
+        let Some(stream) = self.context.board.begin(&endpoint.id) else {
+            work.borrow_mut().put_back(pending);
+            return false;
+        };
+        let runner = self.clone();
+        let item = work.borrow().item(pending.index);
+        let endpoint = endpoint.id.clone();
+        actix_rt::spawn(async move {
+            let context = &runner.context;
+            let end = item_run::run(context, &runner.client, &item, &pending, stream).await;
+            runner.note_end(&key, &work, &item, pending, &endpoint, end);
+            runner.wake.notify_one();
+        });
+        true
+    }
+
+    /// The next item for a service, from the job that goes first.
+    fn take_item(
+        &self,
+        service: &ids::ServiceName,
+    ) -> Option<(ChunkKey, SharedChunk, chunk_work::PendingItem)> {
+        let mut state = self.state.borrow_mut();
+        let jobs: Vec<sync::Arc<job::JobManifest>> = state
+            .chunks
+            .values()
+            .map(|w| w.borrow().job.clone())
+            .collect();
+        let mut jobs: Vec<&job::JobManifest> = jobs.iter().map(|j| j.as_ref()).collect();
+        jobs.dedup_by(|a, b| a.id == b.id);
+        state.order.sort(&mut jobs, wire::created());
+        for job in jobs {
+            let first = (job.id.clone(), ids::ChunkIndex(0));
+            let last = (job.id.clone(), ids::ChunkIndex(u32::MAX));
+            for (key, work) in state.chunks.range(first..=last) {
+                let taken = work.borrow_mut().take_next(service);
+                if let Some(pending) = taken {
+                    let found = (key.clone(), work.clone(), pending);
+                    state.order.note_served(&job.workspace, 1);
+                    return Some(found);
+                }
+            }
+        }
+        None
+    }
+
+    /// Notes how an attempt of an item ended.
+    fn note_end(
+        &self,
+        key: &ChunkKey,
+        work: &SharedChunk,
+        item: &batch_item::BatchItem,
+        mut pending: chunk_work::PendingItem,
+        endpoint: &ids::EndpointId,
+        end: item_run::ItemEnd,
+    ) {
+        let now = self.context.clock.now();
+        let may_repeat = work.borrow().may_repeat(pending.index);
+        let max_attempts = self
+            .context
+            .fleet
+            .snapshot()
+            .bundle
+            .document
+            .batch
+            .max_item_attempts;
+        let mut work = work.borrow_mut();
+        let label = match end {
+            item_run::ItemEnd::Settled(result) => {
+                self.state.borrow_mut().health.note_success(endpoint);
+                work.settle(pending.index, &result);
+                "settled"
+            }
+            item_run::ItemEnd::Preempted(text) if may_repeat => {
+                pending.text = text;
+                work.put_back(pending);
+                "preempted"
+            }
+            item_run::ItemEnd::NotRun => {
+                self.state.borrow_mut().health.note_failure(endpoint, now);
+                work.put_last(pending);
+                "not_run"
+            }
+            item_run::ItemEnd::Preempted(_) | item_run::ItemEnd::Failed(..) if !may_repeat => {
+                let code = batch_item::ItemErrorCode::OutcomeUnknown;
+                let why = "it may have run and may not be repeated";
+                work.settle_failed(pending.index, code, why);
+                "unknown"
+            }
+            item_run::ItemEnd::Preempted(_) => unreachable!("both cases stand above"),
+            item_run::ItemEnd::Failed(why, text) => {
+                pending.attempts += 1;
+                pending.text = text;
+                if pending.attempts >= max_attempts {
+                    let code = batch_item::ItemErrorCode::EndpointFailed;
+                    work.settle_failed(pending.index, code, &why);
+                    "failed"
+                } else {
+                    work.put_last(pending);
+                    "retried"
+                }
+            }
+        };
+        drop(work);
+        self.context
+            .metrics
+            .batch_items
+            .with_label_values(&[label])
+            .inc();
+        if matches!(label, "failed" | "unknown" | "retried") {
+            let (job, chunk) = key;
+            log::info!(
+                "event=item_{label} job={job} chunk={chunk} item={} endpoint={endpoint}",
+                item.custom_id.escape_debug()
+            );
+        }
+    }
+
+    fn start_commits(&self, now: clock::Moment) {
+        let commit_after = self.context.settings.batch.commit_after_ms;
+        let commit_after = time::Duration::from_millis(commit_after);
+        let chunks: Vec<(ChunkKey, SharedChunk)> = self
+            .state
+            .borrow()
+            .chunks
+            .iter()
+            .map(|(k, w)| (k.clone(), w.clone()))
+            .collect();
+        for (key, work) in chunks {
+            let planned = work.borrow_mut().plan_commit(now, commit_after);
+            if let Some(planned) = planned {
+                actix_rt::spawn(self.clone().run_commit(key, work, planned));
+            }
+        }
+    }
+
+    /// Writes a commit, over an outage as long as it takes.
+    async fn run_commit(
+        self,
+        key: ChunkKey,
+        work: SharedChunk,
+        planned: chunk_work::PlannedCommit,
+    ) {
+        let job = work.borrow().job.clone();
+        loop {
+            match commits::commit(&self.context, &job, key.1, &planned).await {
+                commits::CommitOutcome::Done(revision) => {
+                    let now = self.context.clock.now();
+                    let held = work.borrow_mut().note_committed(&planned, revision, now);
+                    if !held {
+                        self.let_go(&key, work.borrow().is_done());
+                    }
+                    break;
+                }
+                commits::CommitOutcome::Lost => {
+                    log::warn!("event=claim_lost job={} chunk={}", key.0, key.1);
+                    work.borrow_mut().release();
+                    self.let_go(&key, false);
+                    break;
+                }
+                commits::CommitOutcome::Failed(e) => {
+                    log::warn!(
+                        "event=commit_waits job={} chunk={} why=\"{e}\"",
+                        key.0,
+                        key.1
+                    );
+                    actix_rt::time::sleep(STORE_PAUSE).await;
+                }
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    fn let_go(&self, key: &ChunkKey, done: bool) {
+        let mut state = self.state.borrow_mut();
+        state.chunks.remove(key);
+        let mut held = self.context.held.lock().unwrap_or_else(|e| e.into_inner());
+        held.remove(key);
+        let status = match done {
+            true => job_plan::ChunkStatus::Done,
+            false => job_plan::ChunkStatus::Unknown,
+        };
+        if let Some(plan) = state.plans.get_mut(&key.0) {
+            plan.note(key.1, status);
+        }
+    }
+
+    /// Claims chunks while too little waits, and looks at jobs that may have ended.
+    fn plan_jobs(&self, snapshot: &sync::Arc<fleet::FleetSnapshot>, now: clock::Moment) {
+        let services = self.context.board.services();
+        let mut jobs: Vec<&job::JobManifest> = snapshot
+            .jobs
+            .values()
+            .map(|j| j.as_ref())
+            .filter(|j| j.services.iter().any(|s| services.contains(s)))
+            .collect();
+        self.state
+            .borrow_mut()
+            .order
+            .sort(&mut jobs, wire::created());
+        for job in jobs {
+            let group = self.group_of(job, snapshot);
+            let first = group.first().is_some_and(|c| c.id == *self.context.id());
+            if !group.iter().any(|c| c.id == *self.context.id()) {
+                continue;
+            }
+            if job.cancelling_at.is_none() {
+                self.claim_from(job, &group, snapshot, now);
+            }
+            self.look_at(job, first, now);
+        }
+    }
+
+    /// The dispatchers that work on a job: owners of endpoints that serve it.
+    fn group_of(
+        &self,
+        job: &job::JobManifest,
+        snapshot: &fleet::FleetSnapshot,
+    ) -> Vec<ownership::OwnerCandidate> {
+        let serves = |e: &&platform::EndpointRecord| job.services.contains(&e.service);
+        let owners: collections::BTreeMap<&ids::InstanceId, &ownership::OwnerCandidate> = snapshot
+            .endpoints
+            .iter()
+            .filter(serves)
+            .filter_map(|e| ownership::owner_of(&e.id, &e.domain, &snapshot.dispatchers))
+            .map(|owner| (&owner.id, owner))
+            .collect();
+        let owners = owners.into_values().cloned().collect();
+        job_plan::group(&job.id, job.chunk_items.len(), owners)
+    }
+
+    fn claim_from(
+        &self,
+        job: &job::JobManifest,
+        group: &[ownership::OwnerCandidate],
+        snapshot: &fleet::FleetSnapshot,
+        now: clock::Moment,
+    ) {
+        loop {
+            let mut state = self.state.borrow_mut();
+            let waiting: usize = state.chunks.values().map(|w| w.borrow().waiting()).sum();
+            let batch = &self.context.settings.batch;
+            let enough = waiting >= batch.low_water_items
+                || state.chunks.len() + state.claiming.len() >= batch.max_chunks
+                || state.claiming.len() >= MAX_CLAIMS
+                || now < state.claim_again_at;
+            if enough {
+                return;
+            }
+            let chunks = job.chunk_items.len();
+            let plan = state
+                .plans
+                .entry(job.id.clone())
+                .or_insert_with(|| job_plan::JobPlan::new(chunks));
+            let is_live = |id: &ids::InstanceId| snapshot.is_live(id);
+            let Some(index) = plan.next_chunk(&job.id, self.context.id(), group, is_live) else {
+                return;
+            };
+            plan.note(index, job_plan::ChunkStatus::Mine);
+            state.claiming.insert((job.id.clone(), index));
+            drop(state);
+            let Some(job) = snapshot.jobs.get(&job.id).cloned() else {
+                return;
+            };
+            actix_rt::spawn(self.clone().run_claim(job, index));
+        }
+    }
+
+    async fn run_claim(self, job: sync::Arc<job::JobManifest>, index: ids::ChunkIndex) {
+        let key = (job.id.clone(), index);
+        let outcome = claims::claim(&self.context, job, index).await;
+        let mut state = self.state.borrow_mut();
+        state.claiming.remove(&key);
+        let status = match outcome {
+            claims::ClaimOutcome::Claimed(mut work) => {
+                if state.stop.is_some() {
+                    work.release();
+                }
+                let work = rc::Rc::new(cell::RefCell::new(*work));
+                state.chunks.insert(key.clone(), work);
+                let mut held = self.context.held.lock().unwrap_or_else(|e| e.into_inner());
+                held.insert(key.clone());
+                job_plan::ChunkStatus::Mine
+            }
+            claims::ClaimOutcome::Done => job_plan::ChunkStatus::Done,
+            claims::ClaimOutcome::Held(holder) => job_plan::ChunkStatus::Held(holder),
+            claims::ClaimOutcome::Failed(e) => {
+                log::warn!("event=claim_failed job={} chunk={index} why=\"{e}\"", key.0);
+                state.claim_again_at = self.context.clock.now() + STORE_PAUSE;
+                job_plan::ChunkStatus::Unknown
+            }
+        };
+        if let Some(plan) = state.plans.get_mut(&key.0) {
+            plan.note(index, status);
+        }
+        drop(state);
+        self.wake.notify_one();
+    }
+
+    /// Reads a job's chunks when that may tell something new; the first ends the job.
+    fn look_at(&self, job: &job::JobManifest, first: bool, now: clock::Moment) {
+        let mut state = self.state.borrow_mut();
+        let chunks = job.chunk_items.len();
+        let plan = state
+            .plans
+            .entry(job.id.clone())
+            .or_insert_with(|| job_plan::JobPlan::new(chunks));
+        let cancelling = job.cancelling_at.is_some();
+        if !plan.wants_look(first, cancelling, now) {
+            return;
+        }
+        if !state.looking.insert(job.id.clone()) {
+            return;
+        }
+        let runner = self.clone();
+        let job = job.clone();
+        let looking = async move {
+            let looked = job_close::look(&runner.context, &job, first).await;
+            let mut state = runner.state.borrow_mut();
+            state.looking.remove(&job.id);
+            let now = runner.context.clock.now();
+            if let Some(plan) = state.plans.get_mut(&job.id) {
+                match looked {
+                    Ok(chunks) => plan.note_all(&chunks, runner.context.id(), now),
+                    Err(e) => {
+                        plan.note_look(now);
+                        log::warn!("event=look_failed job={} why=\"{e}\"", job.id);
+                    }
+                }
+            }
+            drop(state);
+            runner.wake.notify_one();
+        };
+        actix_rt::spawn(looking.boxed_local());
+    }
+}
--- /dev/null
+++ b/src/dispatcher/claims.rs
@@ -0,0 +1,163 @@
+//! Claims of chunks.
+
+use std::{sync, time};
+
+use super::{chunk_work, context};
+use crate::{
+    batch_item, bundle,
+    decisions::{call_budget, chunk, job},
+    fleet, gateway, ids, settle, store,
+};
+
+/// Longest wait for a claim to be written.
+const CLAIM_PATIENCE: time::Duration = time::Duration::from_secs(5);
+
+/// How a claim ended.
+pub enum ClaimOutcome {
+    /// The chunk is in hand.
+    Claimed(Box<chunk_work::ChunkWork>),
+    /// All its items have results.
+    Done,
+    /// Another live instance holds it.
+    Held(ids::InstanceId),
+    /// The object service gave no answer; nothing is known.
+    Failed(store::StoreError),
+}
+
+/// Claims a chunk of a job, if nobody alive holds it.
+pub async fn claim(
+    context: &context::DispatcherContext,
+    job: sync::Arc<job::JobManifest>,
+    index: ids::ChunkIndex,
+) -> ClaimOutcome {
+    // Read first: a claim must not wait in hand for its items.
+    let items = match read_items(context, &job, index).await {
+        Ok(items) => items,
+        Err(e) => return ClaimOutcome::Failed(e),
+    };
+    let claim = chunk::ClaimId(ids::unique("c"));
+    let holder = chunk::ChunkHolder {
+        instance: context.id().clone(),
+        claim: claim.clone(),
+    };
+    let fresh = chunk::ChunkState::fresh(items.len() as u32).claimed(holder.clone());
+    let key = chunk::state_key(&job.id, index);
+    let first = write(context, &key, &fresh, store::WriteCondition::Absent).await;
+    let written = match first {
+        Ok(settle::SettledWrite::Lost(Some(found))) => {
+            match take_over(context, &key, found, &holder).await {
+                Ok(written) => written,
+                Err(outcome) => return outcome,
+            }
+        }
+        Ok(settle::SettledWrite::Done(revision)) => (fresh, revision),
+        Ok(settle::SettledWrite::Lost(None)) => {
+            return ClaimOutcome::Failed(store::StoreError::Conflict)
+        }
+        Err(e) => return ClaimOutcome::Failed(e),
+    };
+    let (state, revision) = written;
+    log::info!(
+        "event=chunk_claimed job={} chunk={index} epoch={}",
+        job.id,
+        state.epoch
+    );
+    let bundle = context.fleet.snapshot().bundle.clone();
+    let claimed = chunk_work::ClaimedChunk {
+        job,
+        index,
+        claim,
+        state,
+        revision,
+        items,
+    };
+    let now = context.clock.now();
+    let work = chunk_work::ChunkWork::new(claimed, |item| may_repeat(item, &bundle), now);
+    ClaimOutcome::Claimed(Box::new(work))
+}
+
+/// Whether an item may run more than once: by its own word, else by its service's.
+fn may_repeat(item: &batch_item::BatchItem, bundle: &bundle::BundleView) -> bool {
+    if let Some(repeatable) = item.repeatable {
+        return repeatable;
+    }
+    let service = item.service().ok();
+    let spec = service.as_ref().and_then(|name| bundle.service(name));
+    item.is_generation() || spec.is_some_and(|s| s.repeatable)
+}
+
+/// Claims a chunk that has a state already, if its holder is gone.
+async fn take_over(
+    context: &context::DispatcherContext,
+    key: &str,
+    found: store::VersionedObject,
+    holder: &chunk::ChunkHolder,
+) -> Result<(chunk::ChunkState, store::ObjectRevision), ClaimOutcome> {
+    let state: chunk::ChunkState = found.decode().map_err(ClaimOutcome::Failed)?;
+    if state.is_done() {
+        return Err(ClaimOutcome::Done);
+    }
+    let snapshot = context.fleet.snapshot();
+    if let Some(other) = live_holder(&state, context.id(), &snapshot) {
+        return Err(ClaimOutcome::Held(other));
+    }
+    let claimed = state.claimed(holder.clone());
+    let condition = store::WriteCondition::Match(found.revision);
+    match write(context, key, &claimed, condition).await {
+        Ok(settle::SettledWrite::Done(revision)) => Ok((claimed, revision)),
+        Ok(settle::SettledWrite::Lost(_)) => Err(ClaimOutcome::Failed(store::StoreError::Conflict)),
+        Err(e) => Err(ClaimOutcome::Failed(e)),
+    }
+}
+
+/// The holder of a chunk, if it is another instance that is alive.
+///
+/// A claim of this instance that is not in hand is one of an earlier process.
+pub fn live_holder(
+    state: &chunk::ChunkState,
+    own: &ids::InstanceId,
+    snapshot: &fleet::FleetSnapshot,
+) -> Option<ids::InstanceId> {
+    let holder = state.holder.as_ref()?;
+    let other = holder.instance != *own && snapshot.is_live(&holder.instance);
+    other.then(|| holder.instance.clone())
+}
+
+async fn write(
+    context: &context::DispatcherContext,
+    key: &str,
+    state: &chunk::ChunkState,
+    condition: store::WriteCondition,
+) -> store::StoreResult<settle::SettledWrite> {
+    let class = call_budget::CallClass::Claim;
+    let value = store::encode(state);
+    let deadline = time::Instant::now() + CLAIM_PATIENCE;
+    settle::put(
+        context.store.as_ref(),
+        class,
+        key,
+        value,
+        condition,
+        deadline,
+    )
+    .await
+}
+
+async fn read_items(
+    context: &context::DispatcherContext,
+    job: &job::JobManifest,
+    index: ids::ChunkIndex,
+) -> store::StoreResult<Vec<batch_item::BatchItem>> {
+    let key = gateway::files::chunk_key(&job.input_file, index);
+    let object = context
+        .store
+        .get(call_budget::CallClass::Claim, &key)
+        .await?;
+    let object = object.ok_or_else(|| store::StoreError::Corrupt(format!("no {key}")))?;
+    let lines = object
+        .value
+        .split(|b| *b == b'\n')
+        .filter(|l| !l.is_empty());
+    let items: Result<Vec<_>, String> = lines.map(batch_item::BatchItem::parse).collect();
+    items.map_err(store::StoreError::Corrupt)
+}
--- /dev/null
+++ b/src/dispatcher/item_run.rs
@@ -0,0 +1,220 @@
+//! One attempt of a batch item at an endpoint.
+
+use std::{sync, time};
+
+use futures::StreamExt as _;
+
+use super::{chunk_work, context, ledger_board};
+use crate::{
+    batch_item,
+    decisions::relay,
+    endpoint_client, ids,
+    outcome::{self, AttemptOutcome},
+    wire,
+};
+
+/// Longest time of one attempt of an item.
+const ATTEMPT_PATIENCE: time::Duration = time::Duration::from_secs(600);
+
+/// How an attempt of an item ended.
+pub enum ItemEnd {
+    /// It has a result.
+    Settled(batch_item::ItemResult),
+    /// Its stream was taken back; the text so far is kept.
+    Preempted(String),
+    /// It did not run.
+    NotRun,
+    /// It failed or may have run; the text so far is kept.
+    Failed(String, String),
+}
+
+/// Runs an item at the endpoint of a begun stream; the stream is ended in the ledger.
+pub async fn run(
+    context: &sync::Arc<context::DispatcherContext>,
+    client: &awc::Client,
+    item: &batch_item::BatchItem,
+    pending: &chunk_work::PendingItem,
+    stream: ledger_board::BegunStream,
+) -> ItemEnd {
+    let endpoint = stream.endpoint.id.clone();
+    let number = stream.number;
+    let end = if item.is_generation() {
+        run_generation(context, client, item, pending, stream).await
+    } else {
+        run_plain(client, item, &stream).await
+    };
+    context.board.end(&endpoint, number);
+    end
+}
+
+fn new_call(
+    item: &batch_item::BatchItem,
+    stream: &ledger_board::BegunStream,
+    body: serde_json::Value,
+) -> endpoint_client::EndpointCall {
+    endpoint_client::EndpointCall {
+        address: stream.endpoint.address,
+        method: actix_http::Method::POST,
+        path: item.endpoint_path(),
+        content_type: "application/json".into(),
+        body: body.to_string().into(),
+        attempt: ids::AttemptId::try_from(ids::unique("att")).expect("unique names are valid"),
+        resume_after: None,
+        // Nobody comes back for a batch stream: it is continued from its text.
+        keep: Some(time::Duration::ZERO),
+        patience: ATTEMPT_PATIENCE,
+    }
+}
+
+/// A plain service's call is never taken back once it is sent.
+async fn run_plain(
+    client: &awc::Client,
+    item: &batch_item::BatchItem,
+    stream: &ledger_board::BegunStream,
+) -> ItemEnd {
+    let call = new_call(item, stream, item.body.clone());
+    match endpoint_client::call_whole(client, &call).await {
+        AttemptOutcome::Completed(answer) => ItemEnd::Settled(to_result(item, &call, &answer)),
+        AttemptOutcome::NotRun(_) => ItemEnd::NotRun,
+        AttemptOutcome::Failed(why) | AttemptOutcome::Unknown(why) => {
+            ItemEnd::Failed(why, String::new())
+        }
+    }
+}
+
+fn to_result(
+    item: &batch_item::BatchItem,
+    call: &endpoint_client::EndpointCall,
+    answer: &endpoint_client::EndpointAnswer,
+) -> batch_item::ItemResult {
+    if answer.status.is_client_error() {
+        let message = format!("the endpoint answered {}", answer.status);
+        let code = batch_item::ItemErrorCode::InvalidRequest;
+        return batch_item::ItemResult::failed(&item.custom_id, code, message);
+    }
+    let body = serde_json::from_slice(&answer.body).unwrap_or_else(|_| {
+        serde_json::Value::String(String::from_utf8_lossy(&answer.body).into_owned())
+    });
+    let response = batch_item::ItemResponse {
+        status_code: answer.status.as_u16(),
+        request_id: call.attempt.to_string(),
+        body,
+    };
+    batch_item::ItemResult::answered(&item.custom_id, response)
+}
+
+async fn run_generation(
+    context: &sync::Arc<context::DispatcherContext>,
+    client: &awc::Client,
+    item: &batch_item::BatchItem,
+    pending: &chunk_work::PendingItem,
+    mut stream: ledger_board::BegunStream,
+) -> ItemEnd {
+    let mut body = match pending.text.is_empty() {
+        true => item.body.clone(),
+        false => wire::with_given_text(&item.body, &pending.text),
+    };
+    body["stream"] = true.into();
+    let call = new_call(item, &stream, body);
+    let silence = time::Duration::from_millis(context.settings.batch.stream_silence_ms);
+    let opening = endpoint_client::open_stream(client, &call);
+    let opened = tokio::select! {
+        opened = actix_rt::time::timeout(silence, opening) => opened,
+        _ = &mut stream.cancelled => return ItemEnd::Preempted(pending.text.clone()),
+    };
+    let opened = opened
+        .unwrap_or_else(|_| outcome::AttemptOutcome::Unknown("the endpoint was silent".into()));
+    let events = match opened {
+        AttemptOutcome::Completed(endpoint_client::OpenedStream::Events(events)) => events,
+        AttemptOutcome::Completed(endpoint_client::OpenedStream::Whole(answer)) => {
+            return ItemEnd::Settled(to_result(item, &call, &answer));
+        }
+        AttemptOutcome::NotRun(_) => return ItemEnd::NotRun,
+        AttemptOutcome::Failed(why) | AttemptOutcome::Unknown(why) => {
+            return ItemEnd::Failed(why, pending.text.clone());
+        }
+    };
+    let reader = ItemReader {
+        context,
+        silence,
+        text: pending.text.clone(),
+        stream,
+    };
+    match reader.read(events).await {
+        Ok(text) => ItemEnd::Settled(whole_result(item, &call, &text)),
+        Err(end) => end,
+    }
+}
+
+fn whole_result(
+    item: &batch_item::BatchItem,
+    call: &endpoint_client::EndpointCall,
+    text: &str,
+) -> batch_item::ItemResult {
+    let model = item.service().map(|s| s.to_string()).unwrap_or_default();
+    let chat = wire::is_chat(&item.url);
+    let prompt_tokens = item.body.to_string().len().div_ceil(BYTES_PER_TOKEN);
+    let body = wire::whole_answer(chat, call.attempt.as_str(), &model, text, prompt_tokens);
+    let response = batch_item::ItemResponse {
+        status_code: 200,
+        request_id: call.attempt.to_string(),
+        body,
+    };
+    batch_item::ItemResult::answered(&item.custom_id, response)
+}
+
+/// Bytes of a prompt that are counted as a token in usage figures.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Reads the events of one stream.
+struct ItemReader<'a> {
+    context: &'a context::DispatcherContext,
+    silence: time::Duration,
+    text: String,
+    stream: ledger_board::BegunStream,
+}
+
+impl ItemReader<'_> {
+    /// The whole text, or how the attempt ended without it.
+    async fn read(mut self, mut events: endpoint_client::EventStream) -> Result<String, ItemEnd> {
+        let mut cursor: Option<relay::RelayCursor> = None;
+        let mut latest: Option<time::Instant> = None;
+        loop {
+            let next = tokio::select! {
+                next = actix_rt::time::timeout(self.silence, events.next()) => next,
+                _ = &mut self.stream.cancelled => return Err(ItemEnd::Preempted(self.text)),
+            };
+            let event = match next {
+                Ok(Some(Ok(event))) => event,
+                Ok(Some(Err(why))) => return Err(ItemEnd::Failed(why, self.text)),
+                Ok(None) => {
+                    let why = "the stream ended early".to_owned();
+                    return Err(ItemEnd::Failed(why, self.text));
+                }
+                Err(_) => {
+                    let why = "the endpoint was silent".to_owned();
+                    return Err(ItemEnd::Failed(why, self.text));
+                }
+            };
+            let cursor = cursor.get_or_insert_with(|| relay::RelayCursor::starting_at(event.index));
+            match cursor.accept(event.index, event.last) {
+                relay::RelayStep::Drop => continue,
+                relay::RelayStep::Gap => {
+                    return Err(ItemEnd::Failed("events are missing".into(), self.text));
+                }
+                relay::RelayStep::Forward => {}
+            }
+            let now = time::Instant::now();
+            let gap = latest.map(|at| now - at);
+            latest = Some(now);
+            let endpoint = &self.stream.endpoint.id;
+            self.context
+                .board
+                .note_token(endpoint, self.stream.number, gap);
+            self.text.push_str(&event.text);
+            if event.last {
+                return Ok(self.text);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatcher/job_close.rs
@@ -0,0 +1,124 @@
+//! The end of a job: completed when every chunk is done, cancelled when it was asked for.
+
+use std::{collections, time};
+
+use super::{claims, context};
+use crate::{
+    decisions::{call_budget, chunk, job},
+    gateway::batches,
+    ids, settle, store, wire,
+};
+
+/// Longest wait for a write.
+const CLOSE_PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+/// Ends a job if it can be ended now; gives the states of its chunks.
+///
+/// # Errors
+/// The object service cannot be reached.
+pub async fn look(
+    context: &context::DispatcherContext,
+    manifest: &job::JobManifest,
+    first: bool,
+) -> store::StoreResult<collections::BTreeMap<u32, chunk::ChunkState>> {
+    let chunks = batches::read_chunks(context.store.as_ref(), &manifest.id).await?;
+    if !first {
+        return Ok(chunks);
+    }
+    let done = chunks.values().filter(|c| c.is_done()).count();
+    if done == manifest.chunk_items.len() {
+        end(context, manifest, job::JobEnd::Completed, &chunks).await?;
+    } else if manifest.cancelling_at.is_some() && seal(context, manifest, &chunks).await? {
+        end(context, manifest, job::JobEnd::Cancelled, &chunks).await?;
+    }
+    Ok(chunks)
+}
+
+/// Takes the chunks of lost holders away from them; says whether nobody holds any.
+async fn seal(
+    context: &context::DispatcherContext,
+    manifest: &job::JobManifest,
+    chunks: &collections::BTreeMap<u32, chunk::ChunkState>,
+) -> store::StoreResult<bool> {
+    let snapshot = context.fleet.snapshot();
+    let held = chunks.iter().filter(|(_, state)| state.holder.is_some());
+    let mut sealed = true;
+    for (index, state) in held {
+        sealed = false;
+        if claims::live_holder(state, context.id(), &snapshot).is_some() {
+            continue;
+        }
+        seal_one(context, manifest, ids::ChunkIndex(*index)).await?;
+    }
+    Ok(sealed)
+}
+
+async fn seal_one(
+    context: &context::DispatcherContext,
+    manifest: &job::JobManifest,
+    index: ids::ChunkIndex,
+) -> store::StoreResult<()> {
+    let key = chunk::state_key(&manifest.id, index);
+    let class = call_budget::CallClass::Commit;
+    let Some(found) = context.store.get(class, &key).await? else {
+        return Ok(());
+    };
+    let state: chunk::ChunkState = found.decode()?;
+    if state
+        .holder
+        .as_ref()
+        .is_some_and(|h| h.instance == *context.id())
+    {
+        // In hand here, or of an earlier process: the batch loop gives it up.
+        if context.holds(&manifest.id, index) {
+            return Ok(());
+        }
+    }
+    let sealed = chunk::ChunkState {
+        holder: None,
+        epoch: state.epoch + 1,
+        ..state
+    };
+    let condition = store::WriteCondition::Match(found.revision);
+    let deadline = time::Instant::now() + CLOSE_PATIENCE;
+    let value = store::encode(&sealed);
+    settle::put(
+        context.store.as_ref(),
+        class,
+        &key,
+        value,
+        condition,
+        deadline,
+    )
+    .await?;
+    Ok(())
+}
+
+async fn end(
+    context: &context::DispatcherContext,
+    manifest: &job::JobManifest,
+    end: job::JobEnd,
+    chunks: &collections::BTreeMap<u32, chunk::ChunkState>,
+) -> store::StoreResult<()> {
+    let record = job::JobRecord {
+        manifest: manifest.clone(),
+        end,
+        counts: batches::sum_counts(manifest.items, chunks.values()),
+        ended_at: wire::created(),
+    };
+    let store = context.store.as_ref();
+    let class = call_budget::CallClass::Commit;
+    let key = manifest.ended_key();
+    let absent = store::WriteCondition::Absent;
+    let deadline = time::Instant::now() + CLOSE_PATIENCE;
+    // Whoever came first wrote the one record; either way the job has ended.
+    settle::put(store, class, &key, store::encode(&record), absent, deadline).await?;
+    settle::remove(store, class, &manifest.active_key(), deadline).await?;
+    log::info!(
+        "event=job_ended job={} end={end:?} completed={} failed={}",
+        manifest.id,
+        record.counts.completed,
+        record.counts.failed
+    );
+    Ok(())
+}
--- /dev/null
+++ b/src/dispatcher/mod.rs
@@ -0,0 +1,135 @@
+//! The dispatcher: owns endpoints, grants permits, runs batch work.
+
+pub mod batch_runner;
+pub mod chunk_work;
+pub mod claims;
+pub mod commits;
+pub mod context;
+pub mod item_run;
+pub mod job_close;
+pub mod ledger_board;
+pub mod status_page;
+
+use std::{collections, io, net, sync, thread, time};
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{clock, fleet, http_server, link, metrics, settings, store, store_client};
+
+/// Longest wait for chunks to be handed back at a planned stop.
+const STOP_PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+/// A running dispatcher.
+pub struct DispatcherDaemon {
+    /// Where peers reach it.
+    pub link_address: net::SocketAddr,
+    /// Where its metrics are, if anywhere.
+    pub metrics_address: Option<net::SocketAddr>,
+    /// What its parts share.
+    pub context: sync::Arc<context::DispatcherContext>,
+    stops: mpsc::Sender<batch_runner::StopRequest>,
+    _link: link::LinkGuard,
+    status_page: Option<http_server::ServerGuard>,
+}
+
+/// Starts a dispatcher.
+///
+/// # Errors
+/// An address cannot be bound, or a thread cannot be started.
+pub fn start(
+    settings: settings::dispatcher::DispatcherSettings,
+    secret: link::LinkSecret,
+    policy: ledger_board::PolicyOverride,
+) -> io::Result<DispatcherDaemon> {
+    let clock: sync::Arc<dyn clock::MonotonicClock> = sync::Arc::new(clock::SystemClock::default());
+    let metrics = sync::Arc::new(metrics::MetricSet::default());
+    let store_options = store_client::StoreOptions {
+        url: settings.store.url.clone(),
+        rate: settings.store.calls_per_second,
+    };
+    let client = store_client::StoreClient::start(store_options, clock.clone(), metrics.clone())?;
+    let store: sync::Arc<dyn store::ObjectStore> = sync::Arc::new(client);
+    let board = ledger_board::LedgerBoard::new(clock.clone(), metrics.clone(), policy);
+    let board = sync::Arc::new(board);
+    let link = link::serve(
+        settings.link.listen,
+        secret.clone(),
+        board.clone(),
+        metrics.clone(),
+    )?;
+    let permit_timeout = time::Duration::from_millis(settings.link.permit_timeout_ms);
+    let link_client = link::LinkClient::start(secret, permit_timeout)?;
+    let options = fleet::FleetOptions {
+        id: settings.instance.id.clone(),
+        domain: settings.instance.domain.clone(),
+        role: fleet::InstanceRole::Dispatcher,
+        link: link.address,
+        pace: settings.pace.clone(),
+    };
+    let fleet = fleet::start(
+        options,
+        store.clone(),
+        clock.clone(),
+        metrics.clone(),
+        link_client,
+    )?;
+    board.set_fleet(fleet.clone());
+    let status_page = match settings.metrics_listen {
+        None => None,
+        Some(listen) => Some(status_page::start(listen, fleet.clone(), metrics.clone())?),
+    };
+    let context = sync::Arc::new(context::DispatcherContext {
+        settings,
+        clock,
+        store,
+        fleet,
+        metrics,
+        board,
+        held: sync::Mutex::new(collections::HashSet::new()),
+    });
+    let stops = start_batch_thread(context.clone())?;
+    log::info!("event=dispatcher_started link={}", link.address);
+    Ok(DispatcherDaemon {
+        link_address: link.address,
+        metrics_address: status_page.as_ref().map(|p| p.address),
+        context,
+        stops,
+        _link: link,
+        status_page,
+    })
+}
+
+fn start_batch_thread(
+    context: sync::Arc<context::DispatcherContext>,
+) -> io::Result<mpsc::Sender<batch_runner::StopRequest>> {
+    let (stops, asked) = mpsc::channel(1);
+    thread::Builder::new().name("batch".into()).spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            batch_runner::BatchRunner::new(context).run(asked).await;
+        });
+    })?;
+    Ok(stops)
+}
+
+impl DispatcherDaemon {
+    /// Stops as planned: hands back chunks, then leaves.
+    ///
+    /// # Errors
+    /// The status page's thread ended with an error.
+    pub fn stop(self) -> io::Result<()> {
+        log::info!("event=dispatcher_stopping");
+        self.context.fleet.leave();
+        let (done, handed_back) = oneshot::channel();
+        let waiting = async {
+            if self.stops.send(done).await.is_ok() {
+                let _ = actix_rt::time::timeout(STOP_PATIENCE, handed_back).await;
+            }
+        };
+        actix_rt::System::new().block_on(waiting);
+        log::info!("event=dispatcher_stopped");
+        match self.status_page {
+            Some(page) => page.stop(false),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/outputs.rs
@@ -0,0 +1,141 @@
+//! Contents of files: inputs as they came, outputs and errors of jobs.
+
+use std::{io, sync};
+
+use actix_http::{body, StatusCode};
+use futures::{stream, StreamExt as _};
+
+use super::{batches, context, files};
+use crate::{
+    decisions::{call_budget, chunk, job},
+    error, http_server, ids, store,
+};
+
+/// Which lines of a job's results are wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ResultKind {
+    Answers,
+    Errors,
+}
+
+/// A part of a content: an object, and the lines of it that are wanted.
+struct ContentPart {
+    key: String,
+    skip: usize,
+    take: usize,
+}
+
+fn parse_output(file: &str) -> Option<(ResultKind, &str)> {
+    if let Some(job) = file.strip_prefix("out-") {
+        return Some((ResultKind::Answers, job));
+    }
+    Some((ResultKind::Errors, file.strip_prefix("err-")?))
+}
+
+/// The description of a file or of a job's output.
+///
+/// # Errors
+/// There is no such file, or the object service cannot be reached.
+pub async fn describe(
+    context: &context::GatewayContext,
+    workspace: &ids::WorkspaceId,
+    file: &str,
+) -> error::ApiResult<serde_json::Value> {
+    let Some((_, id)) = parse_output(file) else {
+        return Ok(files::view(
+            &files::read_record(context, workspace, file).await?,
+        ));
+    };
+    let view = batches::read(context, workspace, id).await?;
+    Ok(serde_json::json!({
+        "id": file, "object": "file", "bytes": 0, "filename": format!("{file}.jsonl"),
+        "created_at": view.manifest().created_at, "purpose": "batch_output",
+        "status": "processed",
+    }))
+}
+
+/// The content of a file or of a job's output, streamed object by object.
+///
+/// # Errors
+/// There is no such file, its job has not ended, or the object service cannot be reached.
+pub async fn content(
+    context: &sync::Arc<context::GatewayContext>,
+    workspace: &ids::WorkspaceId,
+    file: &str,
+) -> error::ApiResult<http_server::HttpAnswer> {
+    let parts = match parse_output(file) {
+        None => input_parts(&files::read_record(context, workspace, file).await?),
+        Some((kind, id)) => match batches::read(context, workspace, id).await? {
+            batches::JobView::Ended(record) => result_parts(context, &record, kind).await?,
+            batches::JobView::Active(..) => {
+                let message = "the batch has not ended yet";
+                return Err(error::ApiError::not_run(
+                    error::ErrorCode::NotFound,
+                    message,
+                ));
+            }
+        },
+    };
+    let store = context.store.clone();
+    let pieces = stream::iter(parts).then(move |part| read_part(store.clone(), part));
+    Ok(actix_http::Response::build(StatusCode::OK)
+        .insert_header(("content-type", "application/jsonl"))
+        .body(body::BodyStream::new(pieces.boxed_local()))
+        .map_into_boxed_body())
+}
+
+fn input_parts(record: &files::FileRecord) -> Vec<ContentPart> {
+    (0..record.chunk_items.len() as u32)
+        .map(|i| ContentPart {
+            key: files::chunk_key(&record.id, ids::ChunkIndex(i)),
+            skip: 0,
+            take: usize::MAX,
+        })
+        .collect()
+}
+
+async fn result_parts(
+    context: &context::GatewayContext,
+    record: &job::JobRecord,
+    kind: ResultKind,
+) -> error::ApiResult<Vec<ContentPart>> {
+    let id = &record.manifest.id;
+    let chunks = batches::read_chunks(context.store.as_ref(), id).await;
+    let chunks = chunks.map_err(|e| files::store_error(&e))?;
+    let part = |index: u32, segment: &chunk::SegmentRef| {
+        let (skip, take) = match kind {
+            ResultKind::Answers => (0, segment.completed),
+            ResultKind::Errors => (segment.completed, segment.failed),
+        };
+        ContentPart {
+            key: chunk::segment_key(id, ids::ChunkIndex(index), &segment.name),
+            skip: skip as usize,
+            take: take as usize,
+        }
+    };
+    let parts = chunks
+        .iter()
+        .flat_map(|(index, state)| state.segments.iter().map(move |s| part(*index, s)));
+    Ok(parts.filter(|p| p.take > 0).collect())
+}
+
+/// Reads the wanted lines of an object; a failure breaks the answer off, never shortens it.
+async fn read_part(
+    store: sync::Arc<dyn store::ObjectStore>,
+    part: ContentPart,
+) -> io::Result<bytes::Bytes> {
+    let found = store.get(call_budget::CallClass::Read, &part.key).await;
+    let object = found.map_err(io::Error::other)?;
+    let object = object.ok_or_else(|| io::Error::other(format!("{} is missing", part.key)))?;
+    if part.skip == 0 && part.take == usize::MAX {
+        return Ok(object.value);
+    }
+    let lines = object.value.split_inclusive(|b| *b == b'\n');
+    let wanted: Vec<u8> = lines
+        .skip(part.skip)
+        .take(part.take)
+        .flatten()
+        .copied()
+        .collect();
+    Ok(wanted.into())
+}
--- /dev/null
+++ b/src/gateway/plain_calls.rs
@@ -0,0 +1,59 @@
+//! Calls of plain services: `/services/{service}/{path}`.
+
+use std::{sync, time};
+
+use super::{admit, caller_request, context, whole_call};
+use crate::{error, http_server, ids, platform};
+
+/// Splits `/services/{service}/{path}` into service and path.
+pub fn split_path(path: &str) -> Option<(&str, String)> {
+    let rest = path.strip_prefix("/services/")?;
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    Some((service, format!("/{path}")))
+}
+
+/// Answers a call of a plain service.
+///
+/// # Errors
+/// The final error to answer with.
+pub async fn serve(
+    context: &sync::Arc<context::GatewayContext>,
+    client: &awc::Client,
+    terms: &caller_request::CallerTerms,
+    mut request: actix_http::Request,
+) -> error::ApiResult<http_server::HttpAnswer> {
+    let limits = &context.settings.callers.limits;
+    let patience = time::Duration::from_millis(limits.body_timeout_ms);
+    let body = caller_request::read_body(&mut request, limits.body_bytes, patience).await?;
+    let bundle = context.fleet.snapshot().bundle.clone();
+    let not_found = || {
+        let message = "no such plain service";
+        error::ApiError::not_run(error::ErrorCode::NotFound, message)
+    };
+    let (name, mut path) = split_path(request.path()).ok_or_else(not_found)?;
+    let name: ids::ServiceName = name.parse().map_err(|_| not_found())?;
+    let spec = bundle.service(&name).ok_or_else(not_found)?;
+    if let Some(query) = request.uri().query() {
+        path = format!("{path}?{query}");
+    }
+    let safe = matches!(
+        *request.method(),
+        actix_http::Method::GET | actix_http::Method::HEAD
+    );
+    let content_type = http_server::header(request.head(), "content-type");
+    let call = whole_call::WholeCall {
+        service: name,
+        kind: platform::EndpointKind::Plain,
+        affinity: 0,
+        method: request.method().clone(),
+        path,
+        content_type: content_type
+            .unwrap_or("application/octet-stream")
+            .to_owned(),
+        body,
+        repeatable: !terms.forbids_repeat && (safe || spec.repeatable),
+    };
+    let _place = admit::admit(context, terms)?;
+    let answer = whole_call::run_once(context, client, terms, call).await?;
+    Ok(whole_call::to_http(&answer))
+}
--- /dev/null
+++ b/src/gateway/router.rs
@@ -0,0 +1,176 @@
+//! Which part of the gateway answers which path.
+
+use std::{sync, time};
+
+use actix_http::{Method, StatusCode};
+use futures::{future, FutureExt as _};
+
+use super::{batches, caller_request, context, files, generation, operators, outputs, plain_calls};
+use crate::{endpoint_client, error, http_server};
+
+/// Answers callers and operators on one worker thread.
+pub struct CallerRouter {
+    context: sync::Arc<context::GatewayContext>,
+    client: awc::Client,
+}
+
+impl CallerRouter {
+    /// A router for the thread that it is made on.
+    pub fn new(context: sync::Arc<context::GatewayContext>) -> Self {
+        Self {
+            context,
+            client: endpoint_client::new_client(),
+        }
+    }
+}
+
+impl http_server::RequestHandler for CallerRouter {
+    fn handle(
+        &self,
+        request: actix_http::Request,
+    ) -> future::LocalBoxFuture<'static, http_server::HttpAnswer> {
+        let context = self.context.clone();
+        let client = self.client.clone();
+        async move {
+            let started = time::Instant::now();
+            let method = request.method().clone();
+            let path = request.path().to_owned();
+            let outcome = route(&context, &client, request).await;
+            finish(&context, &method, &path, started, outcome)
+        }
+        .boxed_local()
+    }
+}
+
+/// Turns an outcome into the answer, counts it and logs it.
+fn finish(
+    context: &context::GatewayContext,
+    method: &Method,
+    path: &str,
+    started: time::Instant,
+    outcome: error::ApiResult<http_server::HttpAnswer>,
+) -> http_server::HttpAnswer {
+    let (code, answer) = match outcome {
+        Ok(answer) => ("ok", answer),
+        Err(e) => {
+            let code = e.code.as_str();
+            let ms = started.elapsed().as_millis();
+            log::info!(
+                "event=refused method={method} path={path} code={code} ran={:?} ms={ms} why=\"{}\"",
+                e.ran,
+                e.message.replace('"', "'")
+            );
+            (code, e.answer())
+        }
+    };
+    context.metrics.answers.with_label_values(&[code]).inc();
+    answer
+}
+
+async fn route(
+    context: &sync::Arc<context::GatewayContext>,
+    client: &awc::Client,
+    request: actix_http::Request,
+) -> error::ApiResult<http_server::HttpAnswer> {
+    let path = request.path().to_owned();
+    match path.as_str() {
+        "/healthz" => return Ok(http_server::plain(StatusCode::OK, "ok")),
+        "/readyz" => return Ok(ready(context)),
+        "/metrics" => return Ok(http_server::plain(StatusCode::OK, context.metrics.render())),
+        _ => {}
+    }
+    if path.starts_with("/operator/") {
+        return operators::serve(context, request).await;
+    }
+    let bundle = context.fleet.snapshot().bundle.clone();
+    let patience = context.settings.online.default_deadline_ms;
+    let patience = time::Duration::from_millis(patience);
+    let terms = caller_request::read_terms(request.head(), &bundle, patience)?;
+    let request_id = terms.request_id.clone();
+    let started = time::Instant::now();
+    let mut answer = serve(context, client, terms, request).await;
+    if let Ok(answer) = &mut answer {
+        log::info!(
+            "event=answered request={request_id} path={path} status={} ms={}",
+            answer.status().as_u16(),
+            started.elapsed().as_millis()
+        );
+        let name = actix_http::header::HeaderName::from_static(caller_request::REQUEST_HEADER);
+        if let Ok(value) = request_id.parse() {
+            answer.headers_mut().insert(name, value);
+        }
+    }
+    answer
+}
+
+async fn serve(
+    context: &sync::Arc<context::GatewayContext>,
+    client: &awc::Client,
+    terms: caller_request::CallerTerms,
+    request: actix_http::Request,
+) -> error::ApiResult<http_server::HttpAnswer> {
+    let path = request.path().to_owned();
+    let workspace = terms.workspace.id.clone();
+    let method = request.method().clone();
+    if path.starts_with("/services/") {
+        return plain_calls::serve(context, client, &terms, request).await;
+    }
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let json = |value: &serde_json::Value| http_server::json(StatusCode::OK, value);
+    match (method.as_str(), parts.as_slice()) {
+        ("POST", ["v1", "chat", "completions"] | ["v1", "completions"]) => {
+            generation::serve(context, client, terms, request).await
+        }
+        ("GET", ["v1", "models"]) => Ok(json(&models(context))),
+        ("POST", ["v1", "files"]) => files::upload(context, &terms, request).await,
+        ("GET", ["v1", "files", file]) => {
+            Ok(json(&outputs::describe(context, &workspace, file).await?))
+        }
+        ("GET", ["v1", "files", file, "content"]) => {
+            outputs::content(context, &workspace, file).await
+        }
+        ("POST", ["v1", "batches"]) => batches::create(context, &terms, request).await,
+        ("GET", ["v1", "batches"]) => {
+            Ok(json(&batches::list(context, &workspace, &request).await?))
+        }
+        ("GET", ["v1", "batches", id]) => {
+            Ok(json(&batches::read(context, &workspace, id).await?.json()))
+        }
+        ("POST", ["v1", "batches", id, "cancel"]) => Ok(json(
+            &batches::cancel(context, &workspace, id).await?.json(),
+        )),
+        _ => {
+            let message = format!("no such path: {method} {path}");
+            Err(error::ApiError::not_run(
+                error::ErrorCode::NotFound,
+                message,
+            ))
+        }
+    }
+}
+
+fn models(context: &context::GatewayContext) -> serde_json::Value {
+    let bundle = context.fleet.snapshot().bundle.clone();
+    let data: Vec<_> = bundle
+        .document
+        .models
+        .iter()
+        .map(|m| {
+            serde_json::json!({
+                "id": m.name, "object": "model", "created": 0, "owned_by": "jayhollow",
+            })
+        })
+        .collect();
+    serde_json::json!({"object": "list", "data": data})
+}
+
+/// Ready: the accepted bundle is in force here, and no stop was begun.
+fn ready(context: &context::GatewayContext) -> http_server::HttpAnswer {
+    if context.is_stopping() {
+        return http_server::plain(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+    }
+    if !context.fleet.snapshot().synced {
+        return http_server::plain(StatusCode::SERVICE_UNAVAILABLE, "no bundle yet");
+    }
+    http_server::plain(StatusCode::OK, "ready")
+}
--- /dev/null
+++ b/src/gateway/whole_call.rs
@@ -0,0 +1,182 @@
+//! Calls that are answered whole: attempts, retries, records of what may run once.
+
+use std::{collections, sync};
+
+use super::{caller_request, context, once, route};
+use crate::{decisions::retry, endpoint_client, error, http_server, ids, outcome, platform};
+
+/// A call as it goes to an endpoint.
+#[derive(Clone)]
+pub struct WholeCall {
+    /// The model or plain service.
+    pub service: ids::ServiceName,
+    /// Engine or plain service.
+    pub kind: platform::EndpointKind,
+    /// Affinity of the prompt.
+    pub affinity: u64,
+    /// Method of HTTP.
+    pub method: actix_http::Method,
+    /// Path and query at the endpoint.
+    pub path: String,
+    /// Content type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: bytes::Bytes,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+}
+
+/// The answer of an endpoint as it goes to the caller.
+pub fn to_http(answer: &endpoint_client::EndpointAnswer) -> http_server::HttpAnswer {
+    actix_http::Response::build(answer.status)
+        .insert_header(("content-type", answer.content_type.as_str()))
+        .body(answer.body.clone())
+        .map_into_boxed_body()
+}
+
+/// Runs a call; one with a key that may not be repeated is recorded first.
+///
+/// # Errors
+/// The final error to answer with.
+pub async fn run_once(
+    context: &sync::Arc<context::GatewayContext>,
+    client: &awc::Client,
+    terms: &caller_request::CallerTerms,
+    call: WholeCall,
+) -> error::ApiResult<endpoint_client::EndpointAnswer> {
+    let Some(key) = terms.key.as_ref().filter(|_| !call.repeatable) else {
+        return run(context, client, terms, &call).await;
+    };
+    let path = format!("{}{}", call.service, call.path);
+    match once::begin(context, terms, key, &path, &call.body).await? {
+        once::OnceEntry::Replay(answer) => Ok(answer),
+        once::OnceEntry::Send(ticket) => {
+            // Apart from the caller's connection: the record must be ended even if it goes.
+            let (context, client, terms) = (context.clone(), client.clone(), terms.clone());
+            let running = actix_rt::spawn(async move {
+                let outcome = run(&context, &client, &terms, &call).await;
+                once::end(&context, *ticket, &outcome).await;
+                outcome
+            });
+            running.await.unwrap_or_else(|_| {
+                let code = error::ErrorCode::OutcomeUnknown;
+                Err(error::ApiError::ran(
+                    code,
+                    error::RanReport::Unknown,
+                    "the call was lost",
+                ))
+            })
+        }
+    }
+}
+
+/// Runs a call with retries.
+async fn run(
+    context: &sync::Arc<context::GatewayContext>,
+    client: &awc::Client,
+    terms: &caller_request::CallerTerms,
+    call: &WholeCall,
+) -> error::ApiResult<endpoint_client::EndpointAnswer> {
+    let deadline = context.clock.now() + terms.patience;
+    let retry_terms = retry::RetryTerms {
+        repeatable: call.repeatable,
+        deadline,
+        max_attempts: context.settings.online.max_attempts,
+    };
+    let mut failed = collections::HashSet::new();
+    let mut attempts = 0;
+    let mut may_have_run = false;
+    loop {
+        attempts += 1;
+        let query = route::RouteQuery {
+            service: &call.service,
+            kind: call.kind,
+            key: call.affinity,
+            failed: &failed,
+        };
+        let hold = match route::choose(context, &query).await {
+            Ok(hold) => hold,
+            Err(e) => return Err(with_history(e, may_have_run)),
+        };
+        let outcome = attempt(context, client, call, &hold, deadline).await;
+        note(context, &hold, &outcome);
+        if !matches!(outcome, outcome::AttemptOutcome::NotRun(_)) {
+            may_have_run = true;
+        }
+        let now = context.clock.now();
+        let again = {
+            let mut budget = context.retries();
+            retry::may_retry(&outcome, attempts, &retry_terms, &mut budget, now)
+        };
+        if !again {
+            return outcome
+                .into_result()
+                .map_err(|e| with_history(e, may_have_run));
+        }
+        failed.insert(hold.endpoint.id.clone());
+    }
+}
+
+/// An error of the last attempt must not hide that an earlier one may have run.
+pub fn with_history(mut error: error::ApiError, may_have_run: bool) -> error::ApiError {
+    if may_have_run && error.ran == error::RanReport::No {
+        error.ran = error::RanReport::Unknown;
+    }
+    error
+}
+
+async fn attempt(
+    context: &context::GatewayContext,
+    client: &awc::Client,
+    call: &WholeCall,
+    hold: &route::RouteHold,
+    deadline: crate::clock::Moment,
+) -> outcome::AttemptOutcome<endpoint_client::EndpointAnswer> {
+    let Ok(attempt) = ids::unique("att").parse() else {
+        return outcome::AttemptOutcome::NotRun(outcome::NotRunProof::never_sent());
+    };
+    let endpoint_call = endpoint_client::EndpointCall {
+        address: hold.endpoint.address,
+        method: call.method.clone(),
+        path: call.path.clone(),
+        content_type: call.content_type.clone(),
+        body: call.body.clone(),
+        attempt,
+        resume_after: None,
+        keep: None,
+        patience: deadline.since(context.clock.now()),
+    };
+    endpoint_client::call_whole(client, &endpoint_call).await
+}
+
+/// Notes an attempt's end in health, retry budget and metrics.
+pub fn note<T>(
+    context: &context::GatewayContext,
+    hold: &route::RouteHold,
+    outcome: &outcome::AttemptOutcome<T>,
+) {
+    let id = &hold.endpoint.id;
+    let label = match outcome {
+        outcome::AttemptOutcome::Completed(_) => {
+            context.health().note_success(id);
+            context.retries().earn();
+            "completed"
+        }
+        outcome::AttemptOutcome::NotRun(_) => {
+            context.health().note_failure(id, context.clock.now());
+            "not_run"
+        }
+        outcome::AttemptOutcome::Failed(_) => {
+            context.health().note_failure(id, context.clock.now());
+            "failed"
+        }
+        outcome::AttemptOutcome::Unknown(why) => {
+            if why == endpoint_client::CROSSED {
+                context.metrics.crossed.inc();
+            }
+            context.health().note_failure(id, context.clock.now());
+            "unknown"
+        }
+    };
+    context.metrics.attempts.with_label_values(&[label]).inc();
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,15 +1,27 @@
 //! jayhollow serves online and batch inference on one fleet of model endpoints.
+pub mod batch_item;
 pub mod bundle;
+pub mod cli;
 pub mod clock;
+pub mod daemon;
 pub mod decisions;
+pub mod dev;
+pub mod dispatcher;
+pub mod endpoint_client;
 pub mod error;
+pub mod fleet;
+pub mod gateway;
 pub mod http_server;
 pub mod ids;
 pub mod invariant;
+pub mod link;
+pub mod log_setup;
 pub mod metrics;
 pub mod outcome;
 pub mod platform;
+pub mod settings;
 pub mod settle;
+pub mod smoke;
 pub mod standin;
 pub mod store;
 pub mod store_client;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,7 +9,7 @@
 
 use actix_http::StatusCode;
 
-use crate::http_server;
+use crate::{http_server, settings};
 
 /// Largest body a stand-in reads, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -25,3 +25,18 @@
     serde_json::from_slice(&body)
         .map_err(|e| http_server::plain(StatusCode::BAD_REQUEST, e.to_string()))
 }
+
+/// Starts the stand-in that the settings describe.
+///
+/// # Errors
+/// The address cannot be bound.
+pub fn start(
+    settings: settings::standin::StandinSettings,
+) -> std::io::Result<http_server::ServerGuard> {
+    use settings::standin::StandinSettings as S;
+    match settings {
+        S::Objects { listen, endpoints } => objects::start(&listen.to_string(), endpoints, None),
+        S::Engine { listen, options } => engine::start(&listen.to_string(), options),
+        S::Plain { listen } => plain_service::start(&listen.to_string()),
+    }
+}
--- a/src/standin/objects.rs
+++ b/src/standin/objects.rs
@@ -5,7 +5,7 @@
 //! conditional. `/watch` waits for changes after a revision. `/endpoints` is
 //! the lagging list of live and leaving endpoints.
 
-use std::{cell, collections, rc, time};
+use std::{cell, collections, io, path, rc, time};
 
 use actix_http::{Method, StatusCode};
 use futures::{future, FutureExt as _};
@@ -153,6 +153,15 @@
         platform::WatchAnswer { revision, changes }
     }
 
+    fn all(&self) -> Vec<platform::ObjectChange> {
+        let change = |(key, object): (&String, &StoredObject)| platform::ObjectChange {
+            key: key.clone(),
+            revision: object.revision,
+            value: Some(String::from_utf8_lossy(&object.value).into_owned()),
+        };
+        self.objects.iter().map(change).collect()
+    }
+
     fn list(&self, prefix: &str, after: &str) -> platform::ListAnswer {
         let mut answer = platform::ListAnswer::default();
         let mut size = 0;
@@ -365,16 +374,64 @@
     }
 }
 
+/// Pause between looks whether there is something to save.
+const SAVE_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+fn read_file(file: &path::Path) -> io::Result<Vec<platform::ObjectChange>> {
+    let text = std::fs::read(file)?;
+    serde_json::from_slice(&text).map_err(io::Error::other)
+}
+
+impl ObjectStandin {
+    /// Saves all objects to a file whenever something changed.
+    async fn run_save(self, file: path::PathBuf) {
+        let mut saved = self.table.borrow().revision;
+        loop {
+            actix_rt::time::sleep(SAVE_PAUSE).await;
+            let revision = self.table.borrow().revision;
+            if revision == saved {
+                continue;
+            }
+            let items = self.table.borrow().all();
+            let text = serde_json::to_vec(&items).unwrap_or_default();
+            let fresh = file.with_extension("new");
+            // Renamed when whole, so that a cut write leaves the older file.
+            let written =
+                std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, &file));
+            match written {
+                Ok(()) => saved = revision,
+                Err(e) => log::warn!("event=objects_unsaved why=\"{e}\""),
+            }
+        }
+    }
+}
+
 /// Starts the object service on `listen` with a first list of endpoints.
 ///
+/// With a `file` its objects outlast the process.
+///
 /// # Errors
 /// The address cannot be bound.
 pub fn start(
     listen: &str,
     endpoints: Vec<platform::EndpointRecord>,
-) -> std::io::Result<http_server::ServerGuard> {
+    file: Option<path::PathBuf>,
+) -> io::Result<http_server::ServerGuard> {
     let options = http_server::ServerOptions::named("objects");
-    let factory: http_server::HandlerFactory =
-        std::sync::Arc::new(move || rc::Rc::new(ObjectStandin::new(endpoints.clone())));
+    let saved = match &file {
+        Some(file) if file.exists() => read_file(file)?,
+        _ => Vec::new(),
+    };
+    let factory: http_server::HandlerFactory = std::sync::Arc::new(move || {
+        let standin = ObjectStandin::new(endpoints.clone());
+        for change in &saved {
+            let value = change.value.clone().unwrap_or_default();
+            standin.table.borrow_mut().put(&change.key, value.into());
+        }
+        if let Some(file) = file.clone() {
+            actix_rt::spawn(standin.clone().run_save(file));
+        }
+        rc::Rc::new(standin)
+    });
     http_server::start(listen, options, factory)
 }
