--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -30,6 +30,8 @@
     pub refuse: bool,
     /// Cut every stream whose prompt holds this text, each time.
     pub poison: Option<String>,
+    /// Tokens that a poisoned stream gives before it is cut.
+    pub poison_after_tokens: u32,
 }
 
 /// What an engine reports of its load, with a lag.
@@ -81,6 +83,8 @@
     attempt: String,
     prompt: String,
     sender: Option<mpsc::UnboundedSender<engine_model::MadeToken>>,
+    /// Index of the first token that it made itself.
+    first: u32,
     made: u32,
     end: u32,
     keep: time::Duration,
@@ -349,6 +353,7 @@
             attempt: attempt.to_owned(),
             prompt: prompt.to_owned(),
             sender: Some(sender),
+            first: first_token,
             made: first_token,
             end: end_token,
             keep,
@@ -394,11 +399,13 @@
             sequence.made = token.index + 1;
             let cut = self.faults.cut_after_tokens == Some(token.index)
                 && self.cut.insert(sequence.attempt.clone());
-            let poison = self
+            let poisoned = self
                 .faults
                 .poison
                 .as_ref()
                 .is_some_and(|p| sequence.prompt.contains(p));
+            let given = token.index - sequence.first;
+            let poison = poisoned && given >= self.faults.poison_after_tokens;
             let sent = sequence
                 .sender
                 .as_ref()
--- a/tests/batch_failures.rs
+++ b/tests/batch_failures.rs
@@ -13,9 +13,14 @@
 fn submitted(fleet: &support::ProcessFleet, count: usize, key: &str) -> (String, String) {
     let caller = fleet.caller(0);
     let file = caller.upload(&support::letters(count, TOKENS));
-    let job = caller.submit(&file, "/v1/chat/completions", key).expect("it is accepted");
+    let job = caller
+        .submit(&file, "/v1/chat/completions", key)
+        .expect("it is accepted");
     assert_eq!(job.status, 200, "{}", job.json());
-    (job.json()["id"].as_str().expect("it has a name").to_owned(), file)
+    (
+        job.json()["id"].as_str().expect("it has a name").to_owned(),
+        file,
+    )
 }
 
 fn wait_progress(fleet: &support::ProcessFleet, id: &str, least: u64) {
@@ -76,14 +81,25 @@
     let mut served = 0;
     while time::Instant::now() < until {
         let content = format!("note {served}");
-        let (text, whole) = fleet.caller(served % 2).stream(&content, 8).expect("it is streamed");
-        assert_eq!((text, whole), (jayhollow::smoke::expected_answer(&content, 8), true));
+        let (text, whole) = fleet
+            .caller(served % 2)
+            .stream(&content, 8)
+            .expect("it is streamed");
+        assert_eq!(
+            (text, whole),
+            (jayhollow::smoke::expected_answer(&content, 8), true)
+        );
         served += 1;
     }
     // Nothing is accepted that could not be kept.
-    let refused = fleet.caller(0).submit(&file, "/v1/chat/completions", "other");
+    let refused = fleet
+        .caller(0)
+        .submit(&file, "/v1/chat/completions", "other");
     let refused = refused.expect("it is answered");
-    assert_eq!((refused.status, refused.json()["error"]["ran"].as_str()), (503, Some("no")));
+    assert_eq!(
+        (refused.status, refused.json()["error"]["ran"].as_str()),
+        (503, Some("no"))
+    );
     assert!(refused.retry_after.is_some());
     fleet.object_faults(serde_json::json!({}));
     check_whole(&fleet, &id, 1200);
@@ -100,7 +116,9 @@
     let again = fleet.caller(0).submit(&copy, "/v1/chat/completions", "key");
     assert_eq!(again.expect("it is answered").json()["id"], id);
     let other = fleet.caller(0).upload(&support::letters(51, TOKENS));
-    let conflict = fleet.caller(0).submit(&other, "/v1/chat/completions", "key");
+    let conflict = fleet
+        .caller(0)
+        .submit(&other, "/v1/chat/completions", "key");
     let conflict = conflict.expect("it is answered");
     assert_eq!(conflict.status, 409);
     assert_eq!(conflict.json()["error"]["code"], "idempotency_conflict");
@@ -115,14 +133,19 @@
     let (id, _) = submitted(&fleet, 4000, "cancel");
     wait_progress(&fleet, &id, 1);
     let path = format!("/v1/batches/{id}/cancel");
-    let cancelling = fleet.caller(1).post(&path, Vec::new()).expect("it is cancelled");
+    let cancelling = fleet
+        .caller(1)
+        .post(&path, Vec::new())
+        .expect("it is cancelled");
     assert_eq!(cancelling["status"], "cancelling");
     let job = fleet.caller(0).wait_job(&id);
     assert_eq!(job["status"], "cancelled");
     let starts = || -> u64 {
         let of_engine = |engine: &support::FleetProcess| {
             let client = support::TestClient::new(engine.address("listen"), "");
-            client.get("/effects").expect("starts are told")["starts"].as_u64().unwrap_or(0)
+            client.get("/effects").expect("starts are told")["starts"]
+                .as_u64()
+                .unwrap_or(0)
         };
         fleet.engines.iter().map(of_engine).sum()
     };
@@ -131,7 +154,10 @@
     assert_eq!(starts(), before, "nothing starts after the end");
     // What was done stays readable, each item once.
     let results = fleet.caller(0).results(&job["output_file_id"]);
-    assert_eq!(job["request_counts"]["completed"].as_u64(), Some(results.len() as u64));
+    assert_eq!(
+        job["request_counts"]["completed"].as_u64(),
+        Some(results.len() as u64)
+    );
     assert!(results.len() < 4000);
 }
 
@@ -163,19 +189,29 @@
         .collect();
     let caller = fleet.caller(0);
     let file = caller.upload(&items);
-    let job = caller.submit(&file, "/services/print", "once").expect("it is accepted").json();
+    let job = caller
+        .submit(&file, "/services/print", "once")
+        .expect("it is accepted")
+        .json();
     let id = job["id"].as_str().expect("it has a name").to_owned();
     // The owner of the plain endpoint is in its failure domain: dispatcher 0.
-    support::wait_for("some items ran", || (fleet.plain_effects().len() > 40).then_some(()));
+    support::wait_for("some items ran", || {
+        (fleet.plain_effects().len() > 40).then_some(())
+    });
     fleet.dispatchers[0].signal(libc::SIGKILL);
     let job = caller.wait_job(&id);
     assert_eq!(job["status"], "completed");
     let effects = fleet.plain_effects();
-    assert!(effects.values().all(|n| *n == 1), "an item took effect twice: {effects:?}");
+    assert!(
+        effects.values().all(|n| *n == 1),
+        "an item took effect twice: {effects:?}"
+    );
     let answers = caller.results(&job["output_file_id"]);
     let errors = caller.results(&job["error_file_id"]);
     assert_eq!(answers.len() + errors.len(), 200);
-    assert!(errors.values().all(|e| e["error"]["code"] == "outcome_unknown"));
+    assert!(errors
+        .values()
+        .all(|e| e["error"]["code"] == "outcome_unknown"));
     // What is told as answered did take effect.
     assert!(effects.len() >= answers.len());
 }
@@ -190,6 +226,8 @@
     }
     fleet.wait_ready();
     check_whole(&fleet, &id, 300);
-    let listed = fleet.caller(1).send(Method::GET, "/v1/batches?limit=1", &[], Vec::new());
+    let listed = fleet
+        .caller(1)
+        .send(Method::GET, "/v1/batches?limit=1", &[], Vec::new());
     assert_eq!(listed.expect("jobs are listed").json()["data"][0]["id"], id);
 }
--- /dev/null
+++ b/tests/online_failures.rs
@@ -0,0 +1,311 @@
+//! Online requests under failure: whole answers, true refusals, once where once is asked.
+
+mod support;
+
+use std::{
+    sync::{atomic, Arc},
+    thread, time,
+};
+
+use actix_http::Method;
+use jayhollow::smoke;
+use rstest::rstest;
+
+fn small(engines: usize) -> support::FleetSize {
+    support::FleetSize {
+        engines,
+        step_us: 8_000,
+        ..support::FleetSize::default()
+    }
+}
+
+/// Streams through both gateways at once and checks each to the letter.
+fn check_streams(fleet: &support::ProcessFleet, count: usize, tokens: u32) {
+    thread::scope(|scope| {
+        for number in 0..count {
+            let caller = fleet.caller(number % fleet.gateways.len());
+            scope.spawn(move || {
+                let content = format!("stream {number}");
+                let (text, whole) = caller.stream(&content, tokens).expect("it is streamed");
+                assert_eq!(text, smoke::expected_answer(&content, tokens));
+                assert!(whole, "the answer says that it is whole");
+            });
+        }
+    });
+}
+
+#[test]
+fn cut_streams_are_resumed_with_each_letter_once() {
+    let fleet = support::ProcessFleet::start(&small(2));
+    for engine in 0..2 {
+        fleet.engine_faults(engine, serde_json::json!({"cut_after_tokens": 7}));
+    }
+    check_streams(&fleet, 16, 30);
+}
+
+#[rstest]
+#[case::killed(libc::SIGKILL)]
+#[case::frozen(libc::SIGSTOP)]
+fn streams_of_a_lost_engine_go_on_elsewhere(#[case] signal: libc::c_int) {
+    let fleet = support::ProcessFleet::start(&small(3));
+    let begun = Arc::new(atomic::AtomicBool::new(false));
+    thread::scope(|scope| {
+        let seen = begun.clone();
+        let engine = &fleet.engines[0];
+        scope.spawn(move || {
+            while !seen.load(atomic::Ordering::Relaxed) {
+                thread::sleep(time::Duration::from_millis(5));
+            }
+            // The streams of 60 tokens at 8 ms are under way.
+            thread::sleep(time::Duration::from_millis(200));
+            engine.signal(signal);
+        });
+        begun.store(true, atomic::Ordering::Relaxed);
+        check_streams(&fleet, 24, 60);
+    });
+}
+
+#[test]
+fn a_cut_that_cannot_be_mended_is_never_passed_as_whole() {
+    let fleet = support::ProcessFleet::start(&small(1));
+    fleet.engine_faults(
+        0,
+        serde_json::json!({"poison": "doomed", "poison_after_tokens": 3}),
+    );
+    let (text, whole) = fleet.caller(0).stream("doomed", 200).expect("it begins");
+    assert!(!whole);
+    assert!(!text.is_empty());
+    assert!(smoke::expected_answer("doomed", 200).starts_with(&text));
+}
+
+#[test]
+fn crossed_answers_are_discarded() {
+    let fleet = support::ProcessFleet::start(&small(2));
+    fleet.engine_faults(0, serde_json::json!({"cross": true}));
+    check_streams(&fleet, 12, 5);
+    for number in 0..12 {
+        let content = format!("whole {number}");
+        let answer = fleet
+            .caller(0)
+            .post("/v1/chat/completions", support::chat(&content, 5, false));
+        let answer = answer.expect("it is answered");
+        let text = answer["choices"][0]["message"]["content"].as_str();
+        assert_eq!(text, Some(smoke::expected_answer(&content, 5).as_str()));
+    }
+}
+
+#[test]
+fn a_refused_call_says_so_and_when_to_come_back() {
+    let fleet = support::ProcessFleet::start(&small(1));
+    support::set_faults(&fleet.plain, serde_json::json!({"refuse": true}));
+    let started = time::Instant::now();
+    let answer = fleet
+        .caller(0)
+        .send(Method::POST, "/services/print/x", &[], b"label".to_vec());
+    let answer = answer.expect("it is answered");
+    assert_eq!(
+        (answer.status, answer.json()["error"]["ran"].as_str()),
+        (503, Some("no"))
+    );
+    assert!(answer.retry_after.is_some());
+    // The default deadline is two minutes: the final answer does not wait for it.
+    assert!(started.elapsed() < support::PATIENCE);
+    assert!(fleet.plain_effects().is_empty());
+}
+
+#[test]
+fn a_call_that_may_not_be_repeated_runs_once_over_resends() {
+    let fleet = support::ProcessFleet::start(&small(1));
+    support::set_faults(&fleet.plain, serde_json::json!({"delay_ms": 300}));
+    let headers = [("idempotency-key", "label-1")];
+    let call = |gateway: usize, body: &str| {
+        let caller = fleet.caller(gateway);
+        let body = body.as_bytes().to_vec();
+        caller
+            .send(Method::POST, "/services/print/x", &headers, body)
+            .expect("it is answered")
+    };
+    let answers: Vec<support::TestAnswer> = thread::scope(|scope| {
+        let racing: Vec<_> = (0..6)
+            .map(|n| scope.spawn(move || call(n % 2, "label")))
+            .collect();
+        racing
+            .into_iter()
+            .map(|t| t.join().expect("it is answered"))
+            .collect()
+    });
+    let ok = answers.iter().filter(|a| a.status == 200).count();
+    assert_eq!(ok, 1, "one runs, the others learn that it is under way");
+    assert!(answers
+        .iter()
+        .all(|a| a.status == 200 || a.json()["error"]["code"] == "in_progress"));
+    let replayed = call(1, "label");
+    assert_eq!(
+        (replayed.status, replayed.json()["echo"].as_str()),
+        (200, Some("label"))
+    );
+    assert_eq!(call(0, "other label").status, 409);
+    let effects = fleet.plain_effects();
+    assert_eq!(effects.values().copied().collect::<Vec<u32>>(), [1]);
+}
+
+#[test]
+fn a_call_that_cannot_be_recorded_is_not_sent() {
+    let fleet = support::ProcessFleet::start(&small(1));
+    fleet.object_faults(serde_json::json!({"out": true}));
+    let headers = [("idempotency-key", "k"), ("x-deadline-ms", "1500")];
+    let answer = fleet.caller(0).send(
+        Method::POST,
+        "/services/print/x",
+        &headers,
+        b"label".to_vec(),
+    );
+    let answer = answer.expect("it is answered");
+    assert_eq!(
+        (answer.status, answer.json()["error"]["ran"].as_str()),
+        (503, Some("no"))
+    );
+    assert!(fleet.plain_effects().is_empty());
+}
+
+#[test]
+fn a_lost_gateway_leaves_the_outcome_unknown_and_the_call_once() {
+    let mut fleet = support::ProcessFleet::start(&small(1));
+    support::set_faults(&fleet.plain, serde_json::json!({"delay_ms": 500}));
+    let headers = [("idempotency-key", "lost"), ("x-deadline-ms", "1000")];
+    let first = fleet.caller(0);
+    let sent = thread::spawn(move || {
+        first.send(
+            Method::POST,
+            "/services/print/x",
+            &headers,
+            b"label".to_vec(),
+        )
+    });
+    support::wait_for("the call took effect", || {
+        (!fleet.plain_effects().is_empty()).then_some(())
+    });
+    fleet.gateways[0].kill();
+    assert!(sent.join().expect("the thread ends").is_err());
+    let answer = support::wait_for("the outcome is given", || {
+        let caller = fleet.caller(1);
+        let sent = caller.send(
+            Method::POST,
+            "/services/print/x",
+            &headers,
+            b"label".to_vec(),
+        );
+        sent.ok()
+            .filter(|a| a.json()["error"]["code"] != "in_progress")
+    });
+    assert_eq!(answer.json()["error"]["code"], "outcome_unknown");
+    assert_eq!(answer.json()["error"]["ran"], "unknown");
+    assert_eq!(
+        fleet
+            .plain_effects()
+            .values()
+            .copied()
+            .collect::<Vec<u32>>(),
+        [1]
+    );
+}
+
+#[test]
+fn planned_stops_cut_no_request() {
+    let mut fleet = support::ProcessFleet::start(&small(2));
+    let stopping = fleet.gateways[0].address("callers");
+    let streams: Vec<_> = (0..8)
+        .map(|number| {
+            let caller = support::TestClient::new(stopping, support::KEY);
+            thread::spawn(move || caller.stream(&format!("long {number}"), 200))
+        })
+        .collect();
+    thread::sleep(time::Duration::from_millis(300));
+    fleet.gateways[0].signal(libc::SIGTERM);
+    fleet.dispatchers[0].signal(libc::SIGTERM);
+    for (number, stream) in streams.into_iter().enumerate() {
+        let (text, whole) = stream
+            .join()
+            .expect("the thread ends")
+            .expect("it is streamed");
+        assert_eq!(text, smoke::expected_answer(&format!("long {number}"), 200));
+        assert!(whole);
+    }
+    assert!(fleet.gateways[0].wait_end(), "the gateway ends cleanly");
+    assert!(
+        fleet.dispatchers[0].wait_end(),
+        "the dispatcher ends cleanly"
+    );
+    let (text, whole) = fleet.caller(1).stream("after", 5).expect("it is streamed");
+    assert_eq!((text, whole), (smoke::expected_answer("after", 5), true));
+}
+
+#[test]
+fn an_operator_stops_an_instance() {
+    let mut fleet = support::ProcessFleet::start(&small(1));
+    let path = "/operator/v1/instances/gateway-0/stop";
+    fleet
+        .operator(1)
+        .post(path, Vec::new())
+        .expect("the stop is asked for");
+    assert!(fleet.gateways[0].wait_end());
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work() {
+    let fleet = support::ProcessFleet::start(&small(2));
+    let starts = || {
+        let client = support::TestClient::new(fleet.engines[0].address("listen"), "");
+        client.get("/effects").expect("starts are told")["starts"]
+            .as_u64()
+            .unwrap_or(0)
+    };
+    check_streams(&fleet, 12, 3);
+    assert!(starts() > 0);
+    let mut endpoints = fleet.endpoints.clone();
+    endpoints[0]["state"] = "leaving".into();
+    let objects = support::TestClient::new(fleet.objects.address("listen"), "");
+    let list = support::body(&serde_json::json!(endpoints));
+    let set = objects.send(Method::POST, "/endpoints", &[], list);
+    assert_eq!(set.expect("the list is set").status, 200);
+    // The list is read every 50 ms here.
+    thread::sleep(time::Duration::from_millis(500));
+    let before = starts();
+    check_streams(&fleet, 24, 3);
+    assert_eq!(starts(), before);
+}
+
+#[test]
+fn gateways_go_ahead_without_an_owner() {
+    let mut fleet = support::ProcessFleet::start(&small(2));
+    for dispatcher in &mut fleet.dispatchers {
+        dispatcher.kill();
+    }
+    check_streams(&fleet, 8, 5);
+}
+
+#[test]
+fn a_stranger_on_the_link_is_dropped_and_counted() {
+    use std::io::{Read as _, Write as _};
+    let fleet = support::ProcessFleet::start(&small(1));
+    let link = fleet.dispatchers[0].address("link");
+    let mut socket = std::net::TcpStream::connect(link).expect("it connects");
+    socket
+        .set_read_timeout(Some(support::PATIENCE))
+        .expect("the timeout is set");
+    let mut nonce = [0; 16];
+    socket.read_exact(&mut nonce).expect("a nonce comes");
+    socket.write_all(&[7; 32]).expect("a false proof goes");
+    let mut rest = Vec::new();
+    assert_eq!(
+        socket.read_to_end(&mut rest).unwrap_or(0),
+        0,
+        "nothing comes back"
+    );
+    let page = support::TestClient::new(fleet.dispatchers[0].address("metrics"), "");
+    support::wait_for("the stranger is counted", || {
+        let metrics = page.send(Method::GET, "/metrics", &[], Vec::new()).ok()?;
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        text.contains("jayhollow_strangers_total 1").then_some(())
+    });
+}
