--- a/src/bin/jayhollow-bench.rs
+++ b/src/bin/jayhollow-bench.rs
@@ -1,3 +1,5 @@
 //! The bench's program.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    jayhollow::bench::run()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! jayhollow serves online and batch inference on one fleet of model endpoints.
 pub mod batch_item;
+pub mod bench;
 pub mod bundle;
 pub mod cli;
 pub mod clock;
@@ -15,6 +16,7 @@
 pub mod ids;
 pub mod invariant;
 pub mod link;
+pub mod local_fleet;
 pub mod log_setup;
 pub mod metrics;
 pub mod outcome;
--- a/src/smoke.rs
+++ b/src/smoke.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     cli::{self, client, job_commands},
-    dev,
+    local_fleet,
     standin::engine_model,
 };
 
@@ -17,9 +17,9 @@
 ///
 /// # Errors
 /// A call went wrong.
-pub fn run(fleet: &dev::DevFleet) -> cli::CommandResult<()> {
+pub fn run(fleet: &local_fleet::LocalFleet) -> cli::CommandResult<()> {
     actix_rt::System::new().block_on(async {
-        let client = client::ApiClient::new(&fleet.reach(dev::DEV_KEY));
+        let client = client::ApiClient::new(&fleet.reach(local_fleet::CALLER_KEY));
         let mut all_right = true;
         all_right &= report("online", whole(&client)).await;
         all_right &= report("stream", stream(&client)).await;
@@ -53,7 +53,7 @@
 
 fn request(content: &str, stream: bool) -> Vec<u8> {
     serde_json::json!({
-        "model": dev::DEV_MODEL, "stream": stream, "max_tokens": TOKENS,
+        "model": local_fleet::MODEL, "stream": stream, "max_tokens": TOKENS,
         "messages": [{"role": "user", "content": content}],
     })
     .to_string()
@@ -118,7 +118,7 @@
 }
 
 async fn plain(client: &client::ApiClient) -> cli::CommandResult<String> {
-    let path = format!("/services/{}/check", dev::DEV_SERVICE);
+    let path = format!("/services/{}/check", local_fleet::SERVICE);
     let answer = client
         .post(&path, b"Vitosha Blvd 1, Sofia".to_vec())
         .await?;
@@ -136,7 +136,7 @@
             "custom_id": format!("letter-{number}"), "method": "POST",
             "url": "/v1/chat/completions",
             "body": {
-                "model": dev::DEV_MODEL, "max_tokens": TOKENS,
+                "model": local_fleet::MODEL, "max_tokens": TOKENS,
                 "messages": [{"role": "user", "content": format!("offer letter {number}")}],
             },
         });
