perf(batch): small first chunks and one chunk per dispatcher of a group

A job of 3000 items had 8 chunks of 400, and its group was two of six dispatchers, so two thirds of the engines got nothing. Ruled out: the admission limit (the uncontrolled policy was as slow) and the object service (no call waited). Change: the first chunks hold 50 items and double every 16 chunks up to 400; a job's group has a dispatcher for each chunk. Cost by arithmetic: a mean job of 22800 items has 91 chunks instead of 57.

--- a/src/decisions/job_plan.rs
+++ b/src/decisions/job_plan.rs
@@ -21,7 +21,10 @@
 }
 
 /// Chunks for each dispatcher of a job's group.
-const CHUNKS_PER_MEMBER: usize = 4;
+///
+/// One keeps every owner busy on a job of medium size; four left two thirds of
+/// the engines without batch work in the first harm run.
+const CHUNKS_PER_MEMBER: usize = 1;
 /// Dispatchers in a group at least, so that one may be lost.
 const MIN_GROUP: usize = 2;
 /// Pause between looks at a job by the first of its group.
--- a/src/gateway/files.rs
+++ b/src/gateway/files.rs
@@ -10,8 +10,12 @@
 use super::{caller_request, context};
 use crate::{batch_item, decisions::call_budget, error, http_server, ids, settle, store, wire};
 
+/// Items of the first chunks, so that a small job spreads over many dispatchers.
+const FIRST_CHUNK_ITEMS: usize = 50;
 /// Items in a chunk at most.
-const CHUNK_ITEMS: usize = 400;
+const LAST_CHUNK_ITEMS: usize = 400;
+/// Chunks after which the number of items doubles.
+const CHUNKS_PER_SIZE: usize = 16;
 /// Bytes in a chunk at most; below what the object service holds.
 const CHUNK_BYTES: usize = 900 << 10;
 /// Longest wait for a chunk to be stored.
@@ -224,6 +228,12 @@
     Ok(writer)
 }
 
+/// Items of the chunk with an index: few in the first chunks, more in later ones.
+fn chunk_items(index: usize) -> usize {
+    let doublings = (index / CHUNKS_PER_SIZE).min(usize::BITS as usize / 4);
+    (FIRST_CHUNK_ITEMS << doublings).min(LAST_CHUNK_ITEMS)
+}
+
 /// Cuts items into chunks and stores each when it is full.
 ///
 /// Invariant: `chunk` holds `in_chunk` lines, each with its end.
@@ -297,7 +307,7 @@
         let service = item.service().map_err(|e| self.fault(&e))?;
         self.services.insert(service);
         self.paths.insert(item.url.clone());
-        if self.in_chunk >= CHUNK_ITEMS || self.chunk.len() + line.len() + 1 > CHUNK_BYTES {
+        if self.in_chunk >= chunk_items(self.chunk_items.len()) || self.chunk.len() + line.len() + 1 > CHUNK_BYTES {
             self.flush().await?;
         }
         self.hasher.update(line);
