perf(batch): cancel a preempted stream by its name

Cause: with preemption the online first token's p95 was twice that without batch work, 99 against 51 ms: two steps. A closed connection is noticed by the engine only when its second write fails, so the place came free two steps late. Change: the owner sends DELETE /v1/streams/{attempt} as it drops the stream; gateways do the same when a caller goes.

--- a/src/dispatcher/item_run.rs
+++ b/src/dispatcher/item_run.rs
@@ -142,7 +142,12 @@
     };
     match reader.read(events).await {
         Ok(text) => ItemEnd::Settled(whole_result(item, &call, &text)),
-        Err(end) => end,
+        Err(end) => {
+            if matches!(end, ItemEnd::Preempted(_)) {
+                endpoint_client::cancel_stream(client, call.address, &call.attempt).await;
+            }
+            end
+        }
     }
 }
 
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -239,6 +239,23 @@
     })
 }
 
+/// Longest wait for a cancelled stream's engine to answer.
+const CANCEL_PATIENCE: time::Duration = time::Duration::from_secs(2);
+
+/// Tells an engine to drop a stream at once.
+///
+/// A closed connection says the same, but an engine notices that only at its
+/// second write afterwards, two steps later.
+pub async fn cancel_stream(
+    client: &awc::Client,
+    address: net::SocketAddr,
+    attempt: &ids::AttemptId,
+) {
+    let url = format!("http://{address}{}{attempt}", wire::STREAMS_PATH);
+    // Without an answer the closed connection still ends the stream.
+    let _ = client.delete(url).timeout(CANCEL_PATIENCE).send().await;
+}
+
 /// A client for endpoints, for the thread that it is made on.
 pub fn new_client() -> awc::Client {
     // No limit here: what an endpoint may get is the ledger's to say.
--- a/src/gateway/files.rs
+++ b/src/gateway/files.rs
@@ -307,7 +307,9 @@
         let service = item.service().map_err(|e| self.fault(&e))?;
         self.services.insert(service);
         self.paths.insert(item.url.clone());
-        if self.in_chunk >= chunk_items(self.chunk_items.len()) || self.chunk.len() + line.len() + 1 > CHUNK_BYTES {
+        if self.in_chunk >= chunk_items(self.chunk_items.len())
+            || self.chunk.len() + line.len() + 1 > CHUNK_BYTES
+        {
             self.flush().await?;
         }
         self.hasher.update(line);
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -256,7 +256,11 @@
         let ended = match opened {
             O::Completed(endpoint_client::OpenedStream::Events(events)) => {
                 self.may_have_run = true;
-                Ok(self.pump(hold, events).await)
+                let end = self.pump(hold, events).await;
+                if matches!(end, PumpEnd::CallerGone) {
+                    endpoint_client::cancel_stream(&self.client, call.address, &attempt).await;
+                }
+                Ok(end)
             }
             O::Completed(endpoint_client::OpenedStream::Whole(answer)) => {
                 let _ = self.sender.send(RelayItem::Whole(answer)).await;
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -186,6 +186,11 @@
             (Method::GET, "/orders") => {
                 http_server::json(StatusCode::OK, &self.state.borrow().order)
             }
+            (Method::DELETE, path) if path.starts_with(wire::STREAMS_PATH) => {
+                let attempt = &path[wire::STREAMS_PATH.len()..];
+                self.state.borrow_mut().cancel(attempt);
+                http_server::plain(StatusCode::OK, "cancelled")
+            }
             (Method::GET, "/effects") => {
                 let state = self.state.borrow();
                 let most = state.effects.values().max().copied().unwrap_or(0);
@@ -390,6 +395,15 @@
         true
     }
 
+    /// Drops a stream at once.
+    fn cancel(&mut self, attempt: &str) {
+        let found = self.open.iter().find(|(_, s)| s.attempt == attempt);
+        if let Some(number) = found.map(|(number, _)| *number) {
+            self.open.remove(&number);
+            self.model.cancel(number);
+        }
+    }
+
     fn deliver(&mut self, made: Vec<engine_model::MadeToken>) {
         self.made_tokens += made.len() as u64;
         for token in made {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -11,6 +11,8 @@
 pub const RAN_HEADER: &str = "x-ran";
 /// Header that resumes a stream after an event.
 pub const RESUME_HEADER: &str = "last-event-id";
+/// Path below which an engine's streams can be cancelled by the attempt's name.
+pub const STREAMS_PATH: &str = "/v1/streams/";
 /// Header that says how long an engine keeps a sequence whose reader left, in milliseconds.
 pub const KEEP_HEADER: &str = "x-keep-ms";
 
