--- a/src/dispatcher/chunk_work.rs
+++ b/src/dispatcher/chunk_work.rs
@@ -340,9 +340,10 @@
         self.state.holder.is_some()
     }
 
-    /// Notes that a planned commit could not be written yet.
-    pub fn note_uncommitted(&mut self) {
+    /// Notes that a planned commit was given up; it is planned anew on `revision`.
+    pub fn note_uncommitted(&mut self, revision: store::ObjectRevision) {
         self.committing = false;
+        self.revision = revision;
     }
 
     /// Whether all items have results that are stored.
