--- a/src/standin/objects.rs
+++ b/src/standin/objects.rs
@@ -7,7 +7,7 @@
 
 use std::{cell, collections, io, path, rc, time};
 
-use actix_http::{Method, StatusCode};
+use actix_http::{body, body::MessageBody as _, Method, StatusCode};
 use futures::{future, FutureExt as _};
 
 use crate::{http_server, platform};
@@ -44,6 +44,8 @@
     pub reads: u64,
     /// Calls refused for their rate.
     pub limited: u64,
+    /// Bytes of bodies in answers.
+    pub sent_bytes: u64,
     /// Objects held.
     pub objects: usize,
 }
@@ -248,7 +250,7 @@
         if !self.table.borrow_mut().admit(write, second) {
             return http_server::plain(StatusCode::TOO_MANY_REQUESTS, "rate");
         }
-        match path.as_str() {
+        let answer = match path.as_str() {
             "/watch" => self.watch(&request).await,
             "/list" => self.list(&request),
             "/endpoints" => http_server::json(StatusCode::OK, &self.table.borrow().endpoints),
@@ -256,7 +258,11 @@
                 Some(key) => self.object(key, &mut request).await,
                 None => http_server::plain(StatusCode::NOT_FOUND, "no such path"),
             },
+        };
+        if let body::BodySize::Sized(bytes) = answer.body().size() {
+            self.table.borrow_mut().stats.sent_bytes += bytes;
         }
+        answer
     }
 
     fn stats(&self) -> ObjectStats {
