--- a/src/cli/config_commands.rs
+++ b/src/cli/config_commands.rs
@@ -16,6 +16,12 @@
         /// The settings file.
         file: path::PathBuf,
     },
+    /// Print all keys of a kind of settings, as they stand in the docs.
+    Table {
+        /// Whose settings they are.
+        #[arg(value_enum)]
+        role: SettingsRole,
+    },
     /// Print the JSON schema of a kind of settings.
     Schema {
         /// Whose settings they are.
@@ -44,6 +50,7 @@
 pub fn run(command: &ConfigCommand) -> CommandResult<()> {
     match command {
         ConfigCommand::Show { role, file } => println!("{}", show(*role, file)?),
+        ConfigCommand::Table { role } => print!("{}", table(*role)),
         ConfigCommand::Schema { role } => println!("{}", schema(*role)),
     }
     Ok(())
@@ -64,6 +71,12 @@
     }
 }
 
+/// All keys of a kind of settings, as a table in Markdown.
+pub fn table(role: SettingsRole) -> String {
+    let schema = serde_json::from_str(&schema(role)).unwrap_or_default();
+    settings::table::markdown(&schema)
+}
+
 /// The JSON schema of a kind of settings, as it stands under `docs/schema/`.
 pub fn schema(role: SettingsRole) -> String {
     let schema = match role {
--- a/src/dispatcher/batch_runner.rs
+++ b/src/dispatcher/batch_runner.rs
@@ -9,7 +9,7 @@
 use crate::{
     batch_item, clock,
     decisions::{health, job, job_order, job_plan, ownership},
-    fleet, ids, platform, wire,
+    fleet, ids, platform, protection, wire,
 };
 
 /// Pause between rounds while chunks are in hand.
@@ -178,7 +178,7 @@
                 .jobs
                 .get(id)
                 .is_some_and(|j| j.cancelling_at.is_some());
-            if cancelled {
+            if cancelled && !protection::is_out("cancel") {
                 work.borrow_mut().release();
             }
         }
@@ -295,7 +295,7 @@
             item_run::ItemEnd::Failed(why, text) => {
                 pending.attempts += 1;
                 pending.text = text;
-                if pending.attempts >= max_attempts {
+                if pending.attempts >= max_attempts && !protection::is_out("attempts") {
                     let code = batch_item::ItemErrorCode::EndpointFailed;
                     work.settle_failed(pending.index, code, &why);
                     "failed"
--- a/src/dispatcher/claims.rs
+++ b/src/dispatcher/claims.rs
@@ -6,7 +6,7 @@
 use crate::{
     batch_item, bundle,
     decisions::{call_budget, chunk, job},
-    fleet, gateway, ids, settle, store,
+    fleet, gateway, ids, protection, settle, store,
 };
 
 /// Longest wait for a claim to be written.
@@ -78,6 +78,9 @@
 
 /// Whether an item may run more than once: by its own word, else by its service's.
 fn may_repeat(item: &batch_item::BatchItem, bundle: &bundle::BundleView) -> bool {
+    if protection::is_out("intent") {
+        return true;
+    }
     if let Some(repeatable) = item.repeatable {
         return repeatable;
     }
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -6,7 +6,7 @@
 use eventsource_stream::Eventsource as _;
 use futures::{stream, StreamExt as _};
 
-use crate::{http_client, ids, outcome, wire};
+use crate::{http_client, ids, outcome, protection, wire};
 
 /// Largest whole answer of an endpoint, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -102,7 +102,8 @@
         return Err(outcome::AttemptOutcome::NotRun(proof));
     }
     let echoed = header(wire::ATTEMPT_HEADER);
-    if echoed.is_some_and(|name| name != call.attempt.as_str()) {
+    let crossed = echoed.is_some_and(|name| name != call.attempt.as_str());
+    if crossed && !protection::is_out("echo") {
         return Err(outcome::AttemptOutcome::Unknown(CROSSED.into()));
     }
     Ok(response)
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::{
     bundle, clock,
     decisions::{bundle_steps, call_budget, job, lease, ownership},
-    ids, invariant, link, metrics, platform, settings, settle, store,
+    ids, invariant, link, metrics, platform, protection, settings, settle, store,
 };
 
 /// Longest wait of one watch.
@@ -348,7 +348,8 @@
     }
 
     fn snapshot(&mut self, options: &FleetOptions) -> FleetSnapshot {
-        let live = |id: &ids::InstanceId| self.leases.is_live(id);
+        let lapses = !protection::is_out("lapse");
+        let live = |id: &ids::InstanceId| self.leases.is_live(id) || !lapses;
         let instances: collections::BTreeMap<_, _> = self
             .records
             .iter()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,7 +18,7 @@
 
 use std::{io, rc, sync, time};
 
-use crate::{clock, fleet, http_server, link, metrics, settings, store, store_client};
+use crate::{clock, fleet, http_server, link, metrics, protection, settings, store, store_client};
 
 /// A running gateway.
 pub struct GatewayDaemon {
@@ -152,7 +152,7 @@
         self.context.fleet.leave();
         std::thread::sleep(UNREADY_SPAN);
         log::info!("event=gateway_stopping");
-        let outcome = self.server.stop(true);
+        let outcome = self.server.stop(!protection::is_out("graceful_stop"));
         log::info!("event=gateway_stopped");
         outcome
     }
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -6,7 +6,7 @@
 use crate::{
     bundle,
     decisions::{bundle_steps, call_budget},
-    error, fleet, http_server, ids, link, settle, store,
+    error, fleet, http_server, ids, link, protection, settle, store,
 };
 
 /// Longest wait for an operator's step to be stored.
@@ -137,7 +137,10 @@
             call_budget::CallClass::Control,
             fleet::BUNDLE_HEAD_KEY,
             store::encode(&wanted),
-            condition,
+            match protection::is_out("bundle_condition") {
+                true => store::WriteCondition::Always,
+                false => condition,
+            },
             deadline,
         )
         .await;
@@ -213,7 +216,7 @@
         None => None,
     };
     let head = step(context, |head| head.sign_off(generation, operator)).await?;
-    if let Some(document) = document {
+    if let Some(document) = document.filter(|_| !protection::is_out("push")) {
         push(context, generation, &document);
     }
     Ok(serde_json::json!({"accepted": head.accepted}))
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -5,7 +5,7 @@
 use super::context;
 use crate::{
     decisions::{admission, routing},
-    error, ids, link, platform,
+    error, ids, link, platform, protection,
 };
 
 /// Owners asked for one attempt before the request is refused.
@@ -134,6 +134,9 @@
         }
         Err(_) => {
             count(context, "unreachable");
+            if protection::is_out("go_ahead") {
+                return None;
+            }
             Some((0, hold))
         }
     }
@@ -152,7 +155,7 @@
     let serves = |e: &&platform::EndpointRecord| {
         e.service == *query.service
             && e.kind == query.kind
-            && e.state == platform::EndpointState::Live
+            && (e.state == platform::EndpointState::Live || protection::is_out("leaving"))
     };
     let live: Vec<&platform::EndpointRecord> = endpoints.iter().filter(serves).collect();
     let names: Vec<&ids::EndpointId> = live.iter().map(|e| &e.id).collect();
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -10,7 +10,7 @@
 use crate::{
     clock,
     decisions::{relay, retry},
-    endpoint_client, error, http_server, ids, outcome, wire,
+    endpoint_client, error, http_server, ids, outcome, protection, wire,
 };
 
 /// Events that may wait for a slow caller.
@@ -180,6 +180,9 @@
                         break;
                     }
                 };
+                if protection::is_out("take_up") {
+                    return Ok(());
+                }
                 let resumed = matches!(take_up, TakeUp::Resume(_));
                 if !resumed && self.cursor.last_index().is_some() {
                     take_up = TakeUp::Resume(attempt);
--- a/src/gateway/whole_call.rs
+++ b/src/gateway/whole_call.rs
@@ -3,7 +3,9 @@
 use std::{collections, sync};
 
 use super::{caller_request, context, once, route};
-use crate::{decisions::retry, endpoint_client, error, http_server, ids, outcome, platform};
+use crate::{
+    decisions::retry, endpoint_client, error, http_server, ids, outcome, platform, protection,
+};
 
 /// A call as it goes to an endpoint.
 #[derive(Clone)]
@@ -44,7 +46,8 @@
     terms: &caller_request::CallerTerms,
     call: WholeCall,
 ) -> error::ApiResult<endpoint_client::EndpointAnswer> {
-    let Some(key) = terms.key.as_ref().filter(|_| !call.repeatable) else {
+    let recorded = !call.repeatable && !protection::is_out("once_record");
+    let Some(key) = terms.key.as_ref().filter(|_| recorded) else {
         return run(context, client, terms, &call).await;
     };
     let path = format!("{}{}", call.service, call.path);
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -13,6 +13,8 @@
 use actix_tls::connect;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::protection;
+
 /// A connection whose end is an error.
 #[derive(Debug)]
 struct GuardedStream {
@@ -28,7 +30,7 @@
         let room = buffer.remaining();
         let before = buffer.filled().len();
         let read = pin::Pin::new(&mut self.inner).poll_read(context, buffer);
-        let ended = room > 0 && buffer.filled().len() == before;
+        let ended = room > 0 && buffer.filled().len() == before && !protection::is_out("cut");
         match read {
             task::Poll::Ready(Ok(())) if ended => {
                 task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod outcome;
 pub mod platform;
+pub mod protection;
 pub mod settings;
 pub mod settle;
 pub mod smoke;
--- a/src/link.rs
+++ b/src/link.rs
@@ -13,7 +13,7 @@
 };
 use tokio_util::codec::length_delimited;
 
-use crate::{bundle, decisions::admission, ids, metrics};
+use crate::{bundle, decisions::admission, ids, metrics, protection};
 
 /// Calls that may wait in the ring to the link thread.
 const RING_CALLS: usize = 4096;
@@ -229,7 +229,8 @@
     socket.write_all(&nonce).await?;
     let mut proof = [0; PROOF_BYTES];
     socket.read_exact(&mut proof).await?;
-    Ok(secret.mac(&nonce).verify_slice(&proof).is_ok())
+    let right = secret.mac(&nonce).verify_slice(&proof).is_ok();
+    Ok(right || protection::is_out("link_secret"))
 }
 
 async fn prove(socket: &mut tokio::net::TcpStream, secret: &LinkSecret) -> io::Result<()> {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 pub mod dispatcher;
 pub mod gateway;
 pub mod standin;
+pub mod table;
 
 use std::{fs, path};
 
--- a/src/settle.rs
+++ b/src/settle.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng as _;
 
-use crate::{decisions::call_budget, store};
+use crate::{decisions::call_budget, protection, store};
 
 /// How a settled write ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,10 +69,14 @@
             Err(e) => e,
         };
         // A conflict may be with our own earlier try.
-        if matches!(
+        let unclear = matches!(
             error,
             store::StoreError::Conflict | store::StoreError::Unknown
-        ) {
+        );
+        if error == store::StoreError::Conflict && protection::is_out("read_back") {
+            return Ok(SettledWrite::Lost(None));
+        }
+        if unclear {
             match store.get(class, key).await {
                 Ok(Some(found)) if found.value == value => {
                     return Ok(SettledWrite::Done(found.revision))
--- /dev/null
+++ b/tests/mutations.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Takes each protection out in turn and runs the test that must notice.
+# By hand, as it takes some minutes: tests/mutations.sh [NAME...]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+export CARGO_TARGET_DIR="${CARGO_TARGET_DIR:-target/mutations}"
+list='
+intent           batch_failures     items_that_may_not_be_repeated_run_at_most_once
+attempts         batch_failures     items_that_can_never_be_done_take_nothing_with_them
+cancel           batch_failures     a_cancelled_job_stops
+lapse            batch_failures     a_lost_dispatcher_loses_and_doubles_nothing::case_1_killed
+read_back        batch_failures     a_bad_object_service_loses_and_doubles_nothing::case_1_answers_lost
+once_record      online_failures    a_call_that_may_not_be_repeated_runs_once_over_resends
+echo             online_failures    crossed_answers_are_discarded
+take_up          online_failures    cut_streams_are_resumed_with_each_letter_once
+graceful_stop    online_failures    planned_stops_cut_no_request
+leaving          online_failures    a_leaving_endpoint_gets_no_new_work
+go_ahead         online_failures    gateways_go_ahead_without_an_owner
+link_secret      online_failures    a_stranger_on_the_link_is_dropped_and_counted
+cut              truncated_answers  only_whole_answers_complete
+push             bundles            an_accepted_bundle_survives_an_outage_and_restarts
+bundle_condition bundles            racing_operators_make_one_history
+'
+unnoticed=0
+while read -r name file test; do
+  [ -n "$name" ] || continue
+  [ $# -eq 0 ] || [[ " $* " == *" $name "* ]] || continue
+  if FAILPOINTS="$name=return" cargo test --quiet --features failpoints --test "$file" -- "$test" >/dev/null 2>&1; then
+    echo "NOT NOTICED  $name  $file::$test"
+    unnoticed=$((unnoticed + 1))
+  else
+    echo "noticed      $name  $file::$test"
+  fi
+done <<< "$list"
+[ "$unnoticed" -eq 0 ]
