--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -293,11 +293,21 @@
 
     /// Starts a gateway of the fleet.
     pub fn start_gateway(&self, number: usize) -> FleetProcess {
+        self.start_gateway_with(number, |_| {})
+    }
+
+    /// Starts a gateway of the fleet on changed settings.
+    pub fn start_gateway_with(
+        &self,
+        number: usize,
+        change: impl Fn(&mut serde_json::Value),
+    ) -> FleetProcess {
         let name = format!("gateway-{number}");
         let mut config = self.common_settings(&name, number);
         config["callers"] = serde_json::json!({"listen": "127.0.0.1:0"});
         config["online"] = serde_json::json!({"stream_silence_ms": 1000});
         config["operator_key_hashes"] = serde_json::json!([bundle::hash_key(OPERATOR_KEY)]);
+        change(&mut config);
         FleetProcess::start(&self.folder, "gateway", &name, &config)
     }
 
