--- a/src/dispatcher/batch_runner.rs
+++ b/src/dispatcher/batch_runner.rs
@@ -2,10 +2,9 @@
 
 use std::{cell, collections, rc, sync, time};
 
-use futures::FutureExt as _;
 use tokio::sync::{mpsc, oneshot};
 
-use super::{chunk_work, claims, commits, context, item_run, job_close};
+use super::{chunk_work, commits, context, item_run};
 use crate::{
     batch_item, clock,
     decisions::{admission, health, job, job_order, job_plan, ownership},
@@ -16,46 +15,44 @@
 const BUSY_PAUSE: time::Duration = time::Duration::from_millis(5);
 /// Pause between rounds otherwise, unless something wakes the thread.
 const IDLE_PAUSE: time::Duration = time::Duration::from_millis(500);
-/// Pause between plans while too little work is in hand.
-const LOW_PLAN_PAUSE: time::Duration = time::Duration::from_millis(10);
-/// Pause between plans otherwise.
-const PLAN_PAUSE: time::Duration = time::Duration::from_millis(200);
-/// Claims under way at once.
-const MAX_CLAIMS: usize = 4;
 /// Pause after a claim or a commit that the object service did not answer.
-const STORE_PAUSE: time::Duration = time::Duration::from_millis(500);
+pub(super) const STORE_PAUSE: time::Duration = time::Duration::from_millis(500);
 
-type ChunkKey = (ids::JobId, ids::ChunkIndex);
-type SharedChunk = rc::Rc<cell::RefCell<chunk_work::ChunkWork>>;
+/// Names a chunk across jobs.
+pub(super) type ChunkKey = (ids::JobId, ids::ChunkIndex);
+/// A chunk in hand, shared by the tasks of the batch thread.
+pub(super) type SharedChunk = rc::Rc<cell::RefCell<chunk_work::ChunkWork>>;
 
 /// Asks the batch thread to give up its work; answered when it has.
 pub type StopRequest = oneshot::Sender<()>;
 
+/// What the batch thread has in hand and knows of its jobs.
 #[derive(Default)]
-struct RunnerState {
-    chunks: collections::BTreeMap<ChunkKey, SharedChunk>,
-    plans: collections::HashMap<ids::JobId, job_plan::JobPlan>,
+pub(super) struct RunnerState {
+    pub(super) chunks: collections::BTreeMap<ChunkKey, SharedChunk>,
+    pub(super) plans: collections::HashMap<ids::JobId, job_plan::JobPlan>,
     /// Group of each job, and the epoch of the owners that it was made from.
-    groups: collections::HashMap<ids::JobId, (u64, rc::Rc<Vec<ownership::OwnerCandidate>>)>,
-    planned_at: clock::Moment,
+    pub(super) groups:
+        collections::HashMap<ids::JobId, (u64, rc::Rc<Vec<ownership::OwnerCandidate>>)>,
+    pub(super) planned_at: clock::Moment,
     /// Jobs that the plans were last compared with.
-    seen_jobs: sync::Arc<collections::BTreeMap<ids::JobId, sync::Arc<job::JobManifest>>>,
-    order: job_order::JobOrder,
+    pub(super) seen_jobs: sync::Arc<collections::BTreeMap<ids::JobId, sync::Arc<job::JobManifest>>>,
+    pub(super) order: job_order::JobOrder,
     /// Streams that run, and the chunk that each is for.
-    streams: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ChunkKey>,
-    health: health::HealthBoard,
-    claiming: collections::HashSet<ChunkKey>,
-    looking: collections::HashSet<ids::JobId>,
-    claim_again_at: clock::Moment,
-    round_at: clock::Moment,
+    pub(super) streams: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ChunkKey>,
+    pub(super) health: health::HealthBoard,
+    pub(super) claiming: collections::HashSet<ChunkKey>,
+    pub(super) looking: collections::HashSet<ids::JobId>,
+    pub(super) claim_again_at: clock::Moment,
+    pub(super) round_at: clock::Moment,
     /// When this process came back from a pause, until it has read the service again.
-    paused_until_read: Option<clock::Moment>,
-    stop: Option<StopRequest>,
+    pub(super) paused_until_read: Option<clock::Moment>,
+    pub(super) stop: Option<StopRequest>,
 }
 
 impl RunnerState {
     /// Items in hand that wait for room.
-    fn waiting_items(&self) -> usize {
+    pub(super) fn waiting_items(&self) -> usize {
         self.chunks.values().map(|w| w.borrow().waiting()).sum()
     }
 }
@@ -63,10 +60,10 @@
 /// The batch thread's loop and state.
 #[derive(Clone)]
 pub struct BatchRunner {
-    context: sync::Arc<context::DispatcherContext>,
-    client: awc::Client,
-    state: rc::Rc<cell::RefCell<RunnerState>>,
-    wake: rc::Rc<tokio::sync::Notify>,
+    pub(super) context: sync::Arc<context::DispatcherContext>,
+    pub(super) client: awc::Client,
+    pub(super) state: rc::Rc<cell::RefCell<RunnerState>>,
+    pub(super) wake: rc::Rc<tokio::sync::Notify>,
 }
 
 impl BatchRunner {
@@ -290,23 +287,22 @@
                 work.settle(pending.index, &result);
                 "settled"
             }
-            item_run::ItemEnd::Preempted(text) if may_repeat => {
-                pending.text = text;
-                work.put_back(pending);
-                "preempted"
-            }
             item_run::ItemEnd::NotRun => {
                 self.state.borrow_mut().health.note_failure(endpoint, now);
                 work.put_last(pending);
                 "not_run"
             }
-            item_run::ItemEnd::Preempted(_) | item_run::ItemEnd::Failed(..) if !may_repeat => {
+            _ if !may_repeat => {
                 let code = batch_item::ItemErrorCode::OutcomeUnknown;
                 let why = "it may have run and may not be repeated";
                 work.settle_failed(pending.index, code, why);
                 "unknown"
             }
-            item_run::ItemEnd::Preempted(_) => unreachable!("both cases stand above"),
+            item_run::ItemEnd::Preempted(text) => {
+                pending.text = text;
+                work.put_back(pending);
+                "preempted"
+            }
             item_run::ItemEnd::Failed(why, text) => {
                 pending.attempts += 1;
                 pending.text = text;
@@ -403,166 +399,4 @@
             plan.note(key.1, status);
         }
     }
-
-    /// Claims chunks while too little waits, and looks at jobs that may have ended.
-    fn plan_jobs(&self, snapshot: &sync::Arc<fleet::FleetSnapshot>, now: clock::Moment) {
-        if !self.is_time_to_plan(now) {
-            return;
-        }
-        let services = self.context.board.services();
-        let mut jobs: Vec<&job::JobManifest> = snapshot
-            .jobs
-            .values()
-            .map(|j| j.as_ref())
-            .filter(|j| j.services.iter().any(|s| services.contains(s)))
-            .collect();
-        let mut state = self.state.borrow_mut();
-        state.order.retain_active(&jobs);
-        state.order.sort(&mut jobs, wire::created());
-        drop(state);
-        for job in jobs {
-            let group = self.group_of(job);
-            let first = group.first().is_some_and(|c| c.id == *self.context.id());
-            if !group.iter().any(|c| c.id == *self.context.id()) {
-                continue;
-            }
-            if job.cancelling_at.is_none() {
-                self.claim_from(job, &group, snapshot, now);
-            }
-            self.look_at(job, first, now);
-        }
-    }
-
-    /// Planning takes time in proportion to the active jobs: seldom if enough work is in hand.
-    fn is_time_to_plan(&self, now: clock::Moment) -> bool {
-        let mut state = self.state.borrow_mut();
-        let low = state.waiting_items() < self.context.settings.batch.low_water_items;
-        let pause = if low { LOW_PLAN_PAUSE } else { PLAN_PAUSE };
-        if now.since(state.planned_at) < pause {
-            return false;
-        }
-        state.planned_at = now;
-        true
-    }
-
-    /// The dispatchers that work on a job: owners of endpoints that serve it.
-    fn group_of(&self, job: &job::JobManifest) -> rc::Rc<Vec<ownership::OwnerCandidate>> {
-        let epoch = self.context.board.epoch();
-        let mut state = self.state.borrow_mut();
-        let known = state.groups.get(&job.id).filter(|(at, _)| *at == epoch);
-        if let Some((_, group)) = known {
-            return group.clone();
-        }
-        let owners = self.context.board.owners_of(&job.services);
-        let group = job_plan::group(&job.id, job.chunk_items.len(), owners);
-        let group = rc::Rc::new(group);
-        state.groups.insert(job.id.clone(), (epoch, group.clone()));
-        group
-    }
-
-    fn claim_from(
-        &self,
-        job: &job::JobManifest,
-        group: &[ownership::OwnerCandidate],
-        snapshot: &fleet::FleetSnapshot,
-        now: clock::Moment,
-    ) {
-        loop {
-            let mut state = self.state.borrow_mut();
-            let batch = &self.context.settings.batch;
-            let enough = state.waiting_items() >= batch.low_water_items
-                || state.chunks.len() + state.claiming.len() >= batch.max_chunks
-                || state.claiming.len() >= MAX_CLAIMS
-                || now < state.claim_again_at;
-            if enough {
-                return;
-            }
-            let chunks = job.chunk_items.len();
-            let plan = state
-                .plans
-                .entry(job.id.clone())
-                .or_insert_with(|| job_plan::JobPlan::new(chunks));
-            let is_live = |id: &ids::InstanceId| snapshot.is_live(id);
-            let Some(index) = plan.next_chunk(&job.id, self.context.id(), group, is_live) else {
-                return;
-            };
-            plan.note(index, job_plan::ChunkStatus::Mine);
-            state.claiming.insert((job.id.clone(), index));
-            drop(state);
-            let Some(job) = snapshot.jobs.get(&job.id).cloned() else {
-                return;
-            };
-            actix_rt::spawn(self.clone().run_claim(job, index));
-        }
-    }
-
-    async fn run_claim(self, job: sync::Arc<job::JobManifest>, index: ids::ChunkIndex) {
-        let key = (job.id.clone(), index);
-        let outcome = claims::claim(&self.context, job, index).await;
-        let mut state = self.state.borrow_mut();
-        state.claiming.remove(&key);
-        let status = match outcome {
-            claims::ClaimOutcome::Claimed(mut work) => {
-                let snapshot = self.context.fleet.snapshot();
-                let job = snapshot.jobs.get(&key.0);
-                if state.stop.is_some() || job.is_none_or(|j| j.cancelling_at.is_some()) {
-                    work.release();
-                }
-                let work = rc::Rc::new(cell::RefCell::new(*work));
-                state.chunks.insert(key.clone(), work);
-                let mut held = self.context.held.lock().unwrap_or_else(|e| e.into_inner());
-                held.insert(key.clone());
-                job_plan::ChunkStatus::Mine
-            }
-            claims::ClaimOutcome::Done => job_plan::ChunkStatus::Done,
-            claims::ClaimOutcome::Held(holder) => job_plan::ChunkStatus::Held(holder),
-            claims::ClaimOutcome::Failed(e) => {
-                log::warn!("event=claim_failed job={} chunk={index} why=\"{e}\"", key.0);
-                state.claim_again_at = self.context.clock.now() + STORE_PAUSE;
-                job_plan::ChunkStatus::Unknown
-            }
-        };
-        if let Some(plan) = state.plans.get_mut(&key.0) {
-            plan.note(index, status);
-        }
-        drop(state);
-        self.wake.notify_one();
-    }
-
-    /// Reads a job's chunks when that may tell something new; the first ends the job.
-    fn look_at(&self, job: &job::JobManifest, first: bool, now: clock::Moment) {
-        let mut state = self.state.borrow_mut();
-        let chunks = job.chunk_items.len();
-        let plan = state
-            .plans
-            .entry(job.id.clone())
-            .or_insert_with(|| job_plan::JobPlan::new(chunks));
-        let cancelling = job.cancelling_at.is_some();
-        if !plan.wants_look(first, cancelling, now) {
-            return;
-        }
-        if !state.looking.insert(job.id.clone()) {
-            return;
-        }
-        let runner = self.clone();
-        let job = job.clone();
-        let looking = async move {
-            let looked = job_close::look(&runner.context, &job, first).await;
-            let mut state = runner.state.borrow_mut();
-            state.looking.remove(&job.id);
-            let now = runner.context.clock.now();
-            if let Some(plan) = state.plans.get_mut(&job.id) {
-                match looked {
-                    Ok(chunks) => plan.note_all(&chunks, runner.context.id(), now),
-                    Err(e) => {
-                        plan.note_look(now);
-                        log::warn!("event=look_failed job={} why=\"{e}\"", job.id);
-                    }
-                }
-            }
-            drop(state);
-            runner.wake.notify_one();
-        };
-        actix_rt::spawn(looking.boxed_local());
-    }
 }
--- a/src/dispatcher/claims.rs
+++ b/src/dispatcher/claims.rs
@@ -6,7 +6,7 @@
 use crate::{
     batch_item, bundle,
     decisions::{call_budget, chunk, job},
-    fleet, gateway, ids, protection, settle, store,
+    fleet, ids, job_store, protection, settle, store,
 };
 
 /// Longest wait for a claim to be written.
@@ -151,7 +151,7 @@
     job: &job::JobManifest,
     index: ids::ChunkIndex,
 ) -> store::StoreResult<Vec<batch_item::BatchItem>> {
-    let key = gateway::files::chunk_key(&job.input_file, index);
+    let key = job_store::chunk_key(&job.input_file, index);
     let object = context
         .store
         .get(call_budget::CallClass::Claim, &key)
--- a/src/dispatcher/job_close.rs
+++ b/src/dispatcher/job_close.rs
@@ -5,8 +5,7 @@
 use super::{claims, context};
 use crate::{
     decisions::{call_budget, chunk, job},
-    gateway::batches,
-    ids, settle, store, wire,
+    ids, job_store, settle, store, wire,
 };
 
 /// Longest wait for a write.
@@ -21,7 +20,7 @@
     manifest: &job::JobManifest,
     first: bool,
 ) -> store::StoreResult<collections::BTreeMap<u32, chunk::ChunkState>> {
-    let chunks = batches::read_chunks(context.store.as_ref(), &manifest.id).await?;
+    let chunks = job_store::read_chunks(context.store.as_ref(), &manifest.id).await?;
     if !first {
         return Ok(chunks);
     }
@@ -103,7 +102,7 @@
     let record = job::JobRecord {
         manifest: manifest.clone(),
         end,
-        counts: batches::sum_counts(manifest.items, chunks.values()),
+        counts: job_store::sum_counts(manifest.items, chunks.values()),
         ended_at: wire::created(),
     };
     let store = context.store.as_ref();
--- a/src/dispatcher/mod.rs
+++ b/src/dispatcher/mod.rs
@@ -1,5 +1,6 @@
 //! The dispatcher: owns endpoints, grants permits, runs batch work.
 
+pub mod batch_planner;
 pub mod batch_runner;
 pub mod chunk_work;
 pub mod claims;
@@ -14,7 +15,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{clock, fleet, http_server, link, metrics, settings, store, store_client};
+use crate::{daemon_parts, fleet, http_server, link, settings};
 
 /// Longest wait for chunks to be handed back at a planned stop.
 const STOP_PATIENCE: time::Duration = time::Duration::from_secs(30);
@@ -41,49 +42,27 @@
     secret: link::LinkSecret,
     policy: ledger_board::PolicyOverride,
 ) -> io::Result<DispatcherDaemon> {
-    let clock: sync::Arc<dyn clock::MonotonicClock> = sync::Arc::new(clock::SystemClock::default());
-    let metrics = sync::Arc::new(metrics::MetricSet::default());
-    let store_options = store_client::StoreOptions {
-        url: settings.store.url.clone(),
-        rate: settings.store.calls_per_second,
-    };
-    let client = store_client::StoreClient::start(store_options, clock.clone(), metrics.clone())?;
-    let store: sync::Arc<dyn store::ObjectStore> = sync::Arc::new(client);
-    let board = ledger_board::LedgerBoard::new(clock.clone(), metrics.clone(), policy);
+    let parts = daemon_parts::DaemonParts::start(&settings.store, &settings.link, secret)?;
+    let board = ledger_board::LedgerBoard::new(parts.clock.clone(), parts.metrics.clone(), policy);
     let board = sync::Arc::new(board);
-    let link = link::serve(
-        settings.link.listen,
-        secret.clone(),
-        board.clone(),
-        metrics.clone(),
-    )?;
-    let permit_timeout = time::Duration::from_millis(settings.link.permit_timeout_ms);
-    let link_client = link::LinkClient::start(secret, permit_timeout)?;
-    let options = fleet::FleetOptions {
-        id: settings.instance.id.clone(),
-        domain: settings.instance.domain.clone(),
-        role: fleet::InstanceRole::Dispatcher,
-        link: link.address,
-        pace: settings.pace.clone(),
-    };
-    let fleet = fleet::start(
-        options,
-        store.clone(),
-        clock.clone(),
-        metrics.clone(),
-        link_client,
-    )?;
+    let link = parts.serve_peers(settings.link.listen, board.clone())?;
+    let role = fleet::InstanceRole::Dispatcher;
+    let fleet = parts.watch_fleet(&settings.instance, &settings.pace, role, link.address)?;
     board.set_fleet(fleet.clone());
     let status_page = match settings.metrics_listen {
         None => None,
-        Some(listen) => Some(status_page::start(listen, fleet.clone(), metrics.clone())?),
+        Some(listen) => Some(status_page::start(
+            listen,
+            fleet.clone(),
+            parts.metrics.clone(),
+        )?),
     };
     let context = sync::Arc::new(context::DispatcherContext {
         settings,
-        clock,
-        store,
+        clock: parts.clock,
+        store: parts.store,
         fleet,
-        metrics,
+        metrics: parts.metrics,
         board,
         held: sync::Mutex::new(collections::HashSet::new()),
     });
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -4,8 +4,8 @@
 
 use super::{caller_request, context, files, once};
 use crate::{
-    decisions::{call_budget, chunk, job},
-    error, http_server, ids, settle, store, wire,
+    decisions::{call_budget, job},
+    error, http_server, ids, job_store, settle, store, wire,
 };
 
 /// Longest wait for a job to be accepted or cancelled.
@@ -314,24 +314,6 @@
         .ok_or_else(not_found)
 }
 
-/// States of a job's chunks, by their index.
-///
-/// # Errors
-/// The object service cannot be reached.
-pub async fn read_chunks(
-    store: &dyn store::ObjectStore,
-    id: &ids::JobId,
-) -> store::StoreResult<collections::BTreeMap<u32, chunk::ChunkState>> {
-    let prefix = format!("chunk/{id}/");
-    let items = store::list_all(store, &prefix).await?;
-    let read = |item: &crate::platform::ObjectChange| {
-        let index = item.key.strip_prefix(&prefix)?.parse().ok()?;
-        let state = serde_json::from_str(item.value.as_deref()?).ok()?;
-        Some((index, state))
-    };
-    Ok(items.iter().filter_map(read).collect())
-}
-
 async fn read_counts(
     context: &context::GatewayContext,
     manifest: &job::JobManifest,
@@ -339,30 +321,13 @@
     if let Some(counts) = context.cached_counts(&manifest.id) {
         return Ok(counts);
     }
-    let chunks = read_chunks(context.store.as_ref(), &manifest.id).await;
+    let chunks = job_store::read_chunks(context.store.as_ref(), &manifest.id).await;
     let chunks = chunks.map_err(|e| files::store_error(&e))?;
-    let counts = sum_counts(manifest.items, chunks.values());
+    let counts = job_store::sum_counts(manifest.items, chunks.values());
     context.cache_counts(&manifest.id, counts);
     Ok(counts)
 }
 
-/// Items by outcome over the chunks of a job.
-pub fn sum_counts<'a>(
-    total: u32,
-    chunks: impl Iterator<Item = &'a chunk::ChunkState>,
-) -> job::ItemCounts {
-    let mut counts = job::ItemCounts {
-        total,
-        ..job::ItemCounts::default()
-    };
-    for state in chunks {
-        let (completed, failed) = state.counts();
-        counts.completed += completed;
-        counts.failed += failed;
-    }
-    counts
-}
-
 /// Asks for a job's cancellation.
 ///
 /// # Errors
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    clock,
+    clock, daemon_parts,
     decisions::{health, job, retry, workspace_limit},
     fleet, ids, link, metrics, settings, store,
 };
@@ -51,19 +51,16 @@
     /// The shared parts of a new gateway.
     pub fn new(
         settings: settings::gateway::GatewaySettings,
-        clock: sync::Arc<dyn clock::MonotonicClock>,
-        store: sync::Arc<dyn store::ObjectStore>,
+        parts: daemon_parts::DaemonParts,
         fleet: fleet::FleetView,
-        link: link::LinkClient,
-        metrics: sync::Arc<metrics::MetricSet>,
     ) -> Self {
         Self {
             settings,
-            clock,
-            store,
+            clock: parts.clock,
+            store: parts.store,
             fleet,
-            link,
-            metrics,
+            link: parts.link_client,
+            metrics: parts.metrics,
             limits: sync::Mutex::default(),
             health: sync::Mutex::default(),
             retries: sync::Mutex::default(),
--- a/src/gateway/files.rs
+++ b/src/gateway/files.rs
@@ -8,7 +8,9 @@
 use xxhash_rust::xxh3;
 
 use super::{caller_request, context};
-use crate::{batch_item, decisions::call_budget, error, http_server, ids, settle, store, wire};
+use crate::{
+    batch_item, decisions::call_budget, error, http_server, ids, job_store, settle, store, wire,
+};
 
 /// Items of the first chunks, so that a small job spreads over many dispatchers.
 const FIRST_CHUNK_ITEMS: usize = 50;
@@ -51,11 +53,6 @@
     format!("file/{workspace}/{file}")
 }
 
-/// Key of a chunk of a file.
-pub fn chunk_key(file: &ids::FileId, chunk: ids::ChunkIndex) -> String {
-    format!("filechunk/{file}/{chunk}")
-}
-
 fn invalid(message: impl Into<String>) -> error::ApiError {
     error::ApiError::not_run(error::ErrorCode::InvalidRequest, message)
 }
@@ -326,7 +323,7 @@
             return Ok(());
         }
         let index = ids::ChunkIndex(self.chunk_items.len() as u32);
-        let key = chunk_key(&self.id, index);
+        let key = job_store::chunk_key(&self.id, index);
         let chunk = std::mem::take(&mut self.chunk);
         put(&self.context, &key, chunk.into()).await?;
         self.chunk_items.push(self.in_chunk as u32);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,7 +18,7 @@
 
 use std::{io, rc, sync, time};
 
-use crate::{clock, fleet, http_server, link, metrics, protection, settings, store, store_client};
+use crate::{daemon_parts, fleet, http_server, link, protection, settings};
 
 /// A running gateway.
 pub struct GatewayDaemon {
@@ -63,50 +63,17 @@
     settings: settings::gateway::GatewaySettings,
     secret: link::LinkSecret,
 ) -> io::Result<GatewayDaemon> {
-    let clock: sync::Arc<dyn clock::MonotonicClock> = sync::Arc::new(clock::SystemClock::default());
-    let metrics = sync::Arc::new(metrics::MetricSet::default());
-    let store_options = store_client::StoreOptions {
-        url: settings.store.url.clone(),
-        rate: settings.store.calls_per_second,
-    };
-    let client = store_client::StoreClient::start(store_options, clock.clone(), metrics.clone())?;
-    let store: sync::Arc<dyn store::ObjectStore> = sync::Arc::new(client);
-    let permit_timeout = time::Duration::from_millis(settings.link.permit_timeout_ms);
-    let link_client = link::LinkClient::start(secret.clone(), permit_timeout)?;
+    let parts = daemon_parts::DaemonParts::start(&settings.store, &settings.link, secret)?;
     let handler = sync::Arc::new(GatewayLink {
         fleet: sync::OnceLock::new(),
     });
-    let link = link::serve(
-        settings.link.listen,
-        secret,
-        handler.clone(),
-        metrics.clone(),
-    )?;
-    let fleet_options = fleet::FleetOptions {
-        id: settings.instance.id.clone(),
-        domain: settings.instance.domain.clone(),
-        role: fleet::InstanceRole::Gateway,
-        link: link.address,
-        pace: settings.pace.clone(),
-    };
-    let fleet = fleet::start(
-        fleet_options,
-        store.clone(),
-        clock.clone(),
-        metrics.clone(),
-        link_client.clone(),
-    )?;
+    let link = parts.serve_peers(settings.link.listen, handler.clone())?;
+    let role = fleet::InstanceRole::Gateway;
+    let fleet = parts.watch_fleet(&settings.instance, &settings.pace, role, link.address)?;
     let _ = handler.fleet.set(fleet.clone());
     let options = server_options(&settings)?;
     let listen = settings.callers.listen.to_string();
-    let context = sync::Arc::new(context::GatewayContext::new(
-        settings,
-        clock,
-        store,
-        fleet,
-        link_client,
-        metrics,
-    ));
+    let context = sync::Arc::new(context::GatewayContext::new(settings, parts, fleet));
     let shared = context.clone();
     let factory: http_server::HandlerFactory =
         sync::Arc::new(move || rc::Rc::new(router::CallerRouter::new(shared.clone())));
--- a/src/gateway/outputs.rs
+++ b/src/gateway/outputs.rs
@@ -8,7 +8,7 @@
 use super::{batches, context, files};
 use crate::{
     decisions::{call_budget, chunk, job},
-    error, http_server, ids, settle, store,
+    error, http_server, ids, job_store, settle, store,
 };
 
 /// Which lines of a job's results are wanted.
@@ -87,7 +87,7 @@
 fn input_parts(record: &files::FileRecord) -> Vec<ContentPart> {
     (0..record.chunk_items.len() as u32)
         .map(|i| ContentPart {
-            key: files::chunk_key(&record.id, ids::ChunkIndex(i)),
+            key: job_store::chunk_key(&record.id, ids::ChunkIndex(i)),
             skip: 0,
             take: usize::MAX,
         })
@@ -100,7 +100,7 @@
     kind: ResultKind,
 ) -> error::ApiResult<Vec<ContentPart>> {
     let id = &record.manifest.id;
-    let chunks = batches::read_chunks(context.store.as_ref(), id).await;
+    let chunks = job_store::read_chunks(context.store.as_ref(), id).await;
     let chunks = chunks.map_err(|e| files::store_error(&e))?;
     let part = |index: u32, segment: &chunk::SegmentRef| {
         let (skip, take) = match kind {
--- /dev/null
+++ b/src/job_store.rs
@@ -0,0 +1,48 @@
+//! Jobs and their chunks as gateways and dispatchers both read them.
+
+use std::collections;
+
+use crate::{
+    decisions::{chunk, job},
+    ids, platform, store,
+};
+
+/// Key of a chunk of a file.
+pub fn chunk_key(file: &ids::FileId, chunk: ids::ChunkIndex) -> String {
+    format!("filechunk/{file}/{chunk}")
+}
+
+/// States of a job's chunks, by their index.
+///
+/// # Errors
+/// The object service cannot be reached.
+pub async fn read_chunks(
+    store: &dyn store::ObjectStore,
+    id: &ids::JobId,
+) -> store::StoreResult<collections::BTreeMap<u32, chunk::ChunkState>> {
+    let prefix = format!("chunk/{id}/");
+    let items = store::list_all(store, &prefix).await?;
+    let read = |item: &platform::ObjectChange| {
+        let index = item.key.strip_prefix(&prefix)?.parse().ok()?;
+        let state = serde_json::from_str(item.value.as_deref()?).ok()?;
+        Some((index, state))
+    };
+    Ok(items.iter().filter_map(read).collect())
+}
+
+/// Items by outcome over the chunks of a job.
+pub fn sum_counts<'a>(
+    total: u32,
+    chunks: impl Iterator<Item = &'a chunk::ChunkState>,
+) -> job::ItemCounts {
+    let mut counts = job::ItemCounts {
+        total,
+        ..job::ItemCounts::default()
+    };
+    for state in chunks {
+        let (completed, failed) = state.counts();
+        counts.completed += completed;
+        counts.failed += failed;
+    }
+    counts
+}
--- /dev/null
+++ b/src/link/server.rs
@@ -0,0 +1,108 @@
+//! The side of a link that answers.
+
+use std::{io, net, sync, thread};
+
+use futures::StreamExt as _;
+use tarpc::server::Channel as _;
+use tokio::sync::mpsc;
+use tokio_util::codec::length_delimited;
+
+use super::{
+    secret, BundleOffer, LinkHandler, LinkSecret, PeerLink, PermitAnswer, PermitRelease,
+    PermitRequest, CONNECT_TIMEOUT,
+};
+use crate::{bundle, metrics};
+
+#[derive(Clone)]
+struct LinkServer(sync::Arc<dyn LinkHandler>);
+
+impl PeerLink for LinkServer {
+    async fn permit(self, _: tarpc::context::Context, request: PermitRequest) -> PermitAnswer {
+        self.0.permit(request)
+    }
+
+    async fn release(self, _: tarpc::context::Context, release: PermitRelease) {
+        self.0.release(release);
+    }
+
+    async fn offer_bundle(self, _: tarpc::context::Context, offer: BundleOffer) {
+        self.0.offer_bundle(offer);
+    }
+
+    async fn newer_bundle(
+        self,
+        _: tarpc::context::Context,
+        known: bundle::BundleGeneration,
+    ) -> Option<BundleOffer> {
+        self.0.newer_bundle(known)
+    }
+}
+
+/// A running link server; dropping it ends its thread.
+pub struct LinkGuard {
+    /// The address that it listens on.
+    pub address: net::SocketAddr,
+    _stop: mpsc::Sender<()>,
+}
+
+/// Serves peers on a thread of its own.
+///
+/// # Errors
+/// The address cannot be bound, or the thread cannot be started.
+pub fn serve(
+    listen: net::SocketAddr,
+    shared: LinkSecret,
+    handler: sync::Arc<dyn LinkHandler>,
+    metrics: sync::Arc<metrics::MetricSet>,
+) -> io::Result<LinkGuard> {
+    let listener = net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let (stop, mut stopped) = mpsc::channel::<()>(1);
+    thread::Builder::new().name("link-server".into()).spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+                return;
+            };
+            loop {
+                tokio::select! {
+                    _ = stopped.recv() => return,
+                    accepted = listener.accept() => {
+                        let Ok((socket, _)) = accepted else { continue };
+                        let server = LinkServer(handler.clone());
+                        actix_rt::spawn(serve_peer(socket, shared.clone(), server, metrics.clone()));
+                    }
+                }
+            }
+        });
+    })?;
+    Ok(LinkGuard {
+        address,
+        _stop: stop,
+    })
+}
+
+async fn serve_peer(
+    mut socket: tokio::net::TcpStream,
+    shared: LinkSecret,
+    server: LinkServer,
+    metrics: sync::Arc<metrics::MetricSet>,
+) {
+    let _ = socket.set_nodelay(true);
+    let proof =
+        tokio::time::timeout(CONNECT_TIMEOUT, secret::check_peer(&mut socket, &shared)).await;
+    if !matches!(proof, Ok(Ok(true))) {
+        metrics.strangers.inc();
+        log::warn!("event=stranger_dropped");
+        return;
+    }
+    let frames = length_delimited::LengthDelimitedCodec::builder().new_framed(socket);
+    let codec = tarpc::tokio_serde::formats::Bincode::default();
+    let transport = tarpc::serde_transport::new(frames, codec);
+    tarpc::server::BaseChannel::with_defaults(transport)
+        .execute(server.serve())
+        .for_each(|answer| async {
+            actix_rt::spawn(answer);
+        })
+        .await;
+}
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -1,12 +1,12 @@
 //! Stand-in model engine over HTTP: streams, resume, cancel, orders, load, faults.
 
-use std::{cell, collections, rc, sync, time};
+use std::{cell, rc, sync, time};
 
 use actix_http::{body, Method, StatusCode};
 use futures::{future, stream, FutureExt as _, StreamExt as _};
 use tokio::sync::mpsc;
 
-use super::engine_model;
+use super::{engine_model, engine_state};
 use crate::{http_server, wire};
 
 /// Longest that a sequence is kept for a reader that may come back.
@@ -79,64 +79,16 @@
     pub checks_fencing: bool,
 }
 
-struct OpenSequence {
-    attempt: String,
-    prompt: String,
-    sender: Option<mpsc::UnboundedSender<engine_model::MadeToken>>,
-    /// Index of the first token that it made itself.
-    first: u32,
-    made: u32,
-    end: u32,
-    keep: time::Duration,
-    left_at: Option<time::Instant>,
-}
-
-struct EngineState {
-    options: EngineOptions,
-    model: engine_model::EngineModel,
-    open: collections::HashMap<engine_model::SequenceNumber, OpenSequence>,
-    faults: EngineFaults,
-    cut: collections::HashSet<String>,
-    order: EngineOrder,
-    report: LoadReport,
-    reported_at: time::Instant,
-    made_tokens: u64,
-    starts: u64,
-    /// How often each prompt was begun from its first token, by hash.
-    effects: collections::HashMap<u64, u32>,
-}
-
 /// A stand-in engine on one worker thread.
 #[derive(Clone)]
 pub struct EngineStandin {
-    state: rc::Rc<cell::RefCell<EngineState>>,
+    state: rc::Rc<cell::RefCell<engine_state::EngineState>>,
     work: rc::Rc<tokio::sync::Notify>,
 }
 
-/// The body of a request as the engine reads it.
-#[derive(serde::Deserialize)]
-struct EngineRequest {
-    #[serde(flatten)]
-    request: wire::GenerationRequest,
-    #[serde(default)]
-    given_text: String,
-}
-
 impl EngineStandin {
     fn new(options: EngineOptions) -> Self {
-        let state = EngineState {
-            model: engine_model::EngineModel::new(options.spec.clone()),
-            options,
-            open: collections::HashMap::new(),
-            faults: EngineFaults::default(),
-            cut: collections::HashSet::new(),
-            order: EngineOrder::default(),
-            report: LoadReport::default(),
-            reported_at: time::Instant::now(),
-            made_tokens: 0,
-            starts: 0,
-            effects: collections::HashMap::new(),
-        };
+        let state = engine_state::EngineState::new(options);
         let standin = Self {
             state: rc::Rc::new(cell::RefCell::new(state)),
             work: rc::Rc::new(tokio::sync::Notify::new()),
@@ -213,7 +165,7 @@
             .and_then(|v| v.parse().ok())
             .map_or(KEEP_AFTER_CUT, time::Duration::from_millis);
         let chat = wire::is_chat(request.path());
-        let body: EngineRequest = match super::read_json(request).await {
+        let body: engine_state::EngineRequest = match super::read_json(request).await {
             Ok(body) => body,
             Err(answer) => return answer,
         };
@@ -330,167 +282,6 @@
     format!("id: {}\ndata: {data}\n\n{end}", token.index).into()
 }
 
-impl EngineState {
-    fn open(
-        &mut self,
-        attempt: &str,
-        prompt: &str,
-        body: &EngineRequest,
-        resume: Option<u32>,
-        keep: time::Duration,
-    ) -> Option<mpsc::UnboundedReceiver<engine_model::MadeToken>> {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        if let Some(after) = resume {
-            return self.reopen(attempt, after, sender).then_some(receiver);
-        }
-        let given = if body.given_text.is_empty() {
-            body.request.given_text()
-        } else {
-            body.given_text.clone()
-        };
-        let first_token = engine_model::answer_length(&given);
-        let end_token = body.request.token_limit().max(first_token + 1);
-        let request = engine_model::SequenceRequest {
-            prompt: prompt.to_owned(),
-            first_token,
-            end_token,
-        };
-        let number = self.model.submit(&request);
-        self.starts += 1;
-        if first_token == 0 {
-            let hash = xxhash_rust::xxh3::xxh3_64(prompt.as_bytes());
-            *self.effects.entry(hash).or_default() += 1;
-        }
-        let sequence = OpenSequence {
-            attempt: attempt.to_owned(),
-            prompt: prompt.to_owned(),
-            sender: Some(sender),
-            first: first_token,
-            made: first_token,
-            end: end_token,
-            keep,
-            left_at: None,
-        };
-        self.open.insert(number, sequence);
-        Some(receiver)
-    }
-
-    fn reopen(
-        &mut self,
-        attempt: &str,
-        after: u32,
-        sender: mpsc::UnboundedSender<engine_model::MadeToken>,
-    ) -> bool {
-        let found = self.open.iter_mut().find(|(_, s)| s.attempt == attempt);
-        let Some((&number, sequence)) = found else {
-            return false;
-        };
-        for index in after + 1..sequence.made {
-            let last = index + 1 == sequence.end;
-            let _ = sender.send(engine_model::MadeToken {
-                number,
-                index,
-                last,
-            });
-        }
-        if sequence.made == sequence.end {
-            self.open.remove(&number);
-            return true;
-        }
-        sequence.sender = Some(sender);
-        sequence.left_at = None;
-        true
-    }
-
-    /// Drops a stream at once.
-    fn cancel(&mut self, attempt: &str) {
-        let found = self.open.iter().find(|(_, s)| s.attempt == attempt);
-        if let Some(number) = found.map(|(number, _)| *number) {
-            self.open.remove(&number);
-            self.model.cancel(number);
-        }
-    }
-
-    fn deliver(&mut self, made: Vec<engine_model::MadeToken>) {
-        self.made_tokens += made.len() as u64;
-        for token in made {
-            let Some(sequence) = self.open.get_mut(&token.number) else {
-                continue;
-            };
-            sequence.made = token.index + 1;
-            let cut = self.faults.cut_after_tokens == Some(token.index)
-                && self.cut.insert(sequence.attempt.clone());
-            let poisoned = self
-                .faults
-                .poison
-                .as_ref()
-                .is_some_and(|p| sequence.prompt.contains(p));
-            let given = token.index - sequence.first;
-            let poison = poisoned && given >= self.faults.poison_after_tokens;
-            let sent = sequence
-                .sender
-                .as_ref()
-                .is_some_and(|s| s.send(token).is_ok());
-            if cut || poison || !sent {
-                sequence.sender = None;
-                sequence.left_at.get_or_insert_with(time::Instant::now);
-            } else if token.last {
-                self.open.remove(&token.number);
-            }
-        }
-        self.sweep();
-    }
-
-    fn sweep(&mut self) {
-        let model = &mut self.model;
-        self.open.retain(|number, sequence| {
-            let left = sequence.sender.as_ref().is_none_or(|s| s.is_closed());
-            if left {
-                sequence.left_at.get_or_insert_with(time::Instant::now);
-            }
-            let gone = sequence
-                .left_at
-                .is_some_and(|at| at.elapsed() >= sequence.keep);
-            if gone {
-                model.cancel(*number);
-            }
-            !gone
-        });
-    }
-
-    fn update_report(&mut self, step_us: u64) {
-        let lag = time::Duration::from_millis(self.options.report_lag_ms);
-        if self.reported_at.elapsed() < lag {
-            return;
-        }
-        self.reported_at = time::Instant::now();
-        self.report = LoadReport {
-            running: self.model.running(),
-            waiting: self.model.waiting(),
-            step_us,
-            cached_tokens: self.model.cached_tokens,
-            prompt_tokens: self.model.prompt_tokens,
-            made_tokens: self.made_tokens,
-        };
-    }
-
-    fn take_order(&mut self, order: EngineOrder) -> http_server::HttpAnswer {
-        if self.options.checks_fencing && order.fence < self.order.fence {
-            return http_server::plain(StatusCode::CONFLICT, "old fencing number");
-        }
-        self.order = order;
-        http_server::plain(StatusCode::OK, "taken")
-    }
-
-    /// The attempt that an answer names; under the fault `cross` often another one.
-    fn echo_name(&mut self, attempt: &str) -> String {
-        if self.faults.cross && self.starts.is_multiple_of(2) {
-            return "attempt-of-another".to_owned();
-        }
-        attempt.to_owned()
-    }
-}
-
 impl http_server::RequestHandler for EngineStandin {
     fn handle(
         &self,
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod engine_model;
+mod engine_state;
 pub mod objects;
 pub mod plain_service;
 
