test: the rate-limited case reaches its limit by the fleet's work, not by the test's own polling

The read limit of 40/s lay below what the test's fast paces alone ask for (80 polls/s), so that the time it took was luck: 7 to 37 s, with a deadline of 60 s. It is 130/s now, the write limit stays at 20/s, and the case asserts that limits were reached.

--- a/tests/batch_failures.rs
+++ b/tests/batch_failures.rs
@@ -56,10 +56,10 @@
 #[rstest]
 #[case::answers_lost(serde_json::json!({"lost_answers": 40}))]
 #[case::slow(serde_json::json!({"slow_ms": 150}))]
-#[case::rate_limited(serde_json::json!({"writes_per_second": 20, "reads_per_second": 40}))]
+#[case::rate_limited(serde_json::json!({"writes_per_second": 20, "reads_per_second": 130}))]
 fn a_bad_object_service_loses_and_doubles_nothing(#[case] faults: serde_json::Value) {
     let fleet = support::ProcessFleet::start(&support::FleetSize::default());
-    fleet.object_faults(faults);
+    fleet.object_faults(faults.clone());
     let caller = fleet.caller(0);
     let file = support::wait_for("the file is stored", || {
         let items = support::letters(600, TOKENS);
@@ -70,6 +70,11 @@
         job.json()["id"].as_str().map(str::to_owned)
     });
     check_whole(&fleet, &id, 600);
+    let objects = support::TestClient::new(fleet.objects.address("listen"), "");
+    let stats = objects.get("/stats").expect("calls are counted");
+    // The limits of this case were reached, not only set.
+    let limited = stats["limited"].as_u64().unwrap_or(0);
+    assert_eq!(limited > 0, faults["writes_per_second"].is_u64());
 }
 
 #[test]
