--- a/src/decisions/job_plan.rs
+++ b/src/decisions/job_plan.rs
@@ -47,11 +47,27 @@
     candidates
 }
 
+/// Pause between looks by the first without any other reason.
+const SPARE_LOOK_PAUSE: time::Duration = time::Duration::from_secs(60);
+
+/// What speaks for a look at a job.
+#[derive(Debug, Clone, Copy)]
+pub struct LookTerms {
+    /// The dispatcher is the first of the job's group.
+    pub first: bool,
+    /// The job's cancellation was asked for.
+    pub cancelling: bool,
+    /// The dispatcher has too little work in hand.
+    pub starving: bool,
+}
+
 /// What one dispatcher knows of one job.
 #[derive(Debug, Clone)]
 pub struct JobPlan {
     status: Vec<ChunkStatus>,
     looked_at: Option<clock::Moment>,
+    /// The last chunk in hand was done, and the job was not looked at since.
+    finished_own: bool,
 }
 
 impl JobPlan {
@@ -60,6 +76,7 @@
         Self {
             status: vec![ChunkStatus::Unknown; chunks],
             looked_at: None,
+            finished_own: false,
         }
     }
 
@@ -78,6 +95,7 @@
         now: clock::Moment,
     ) {
         self.looked_at = Some(now);
+        self.finished_own = false;
         for (index, known) in self.status.iter_mut().enumerate() {
             if *known == ChunkStatus::Mine {
                 continue;
@@ -92,22 +110,43 @@
     /// Notes a look that told nothing.
     pub fn note_look(&mut self, now: clock::Moment) {
         self.looked_at = Some(now);
+        self.finished_own = false;
+    }
+
+    /// Notes that a chunk in hand was done; the last one asks for a look.
+    pub fn note_done(&mut self, chunk: ids::ChunkIndex) {
+        self.note(chunk, ChunkStatus::Done);
+        self.finished_own = !self.status.contains(&ChunkStatus::Mine);
     }
 
     /// Whether it is time to look at the job's chunks anew.
-    pub fn wants_look(&self, first: bool, cancelling: bool, now: clock::Moment) -> bool {
-        let pause = if first {
+    ///
+    /// A look is a list of the object service. With thousands of jobs waiting
+    /// most must not be looked at: only where that may end the job, or give
+    /// work to a dispatcher that lacks it.
+    pub fn wants_look(&self, terms: LookTerms, now: clock::Moment) -> bool {
+        let rested = |pause| self.looked_at.is_none_or(|at| now.since(at) >= pause);
+        if terms.cancelling {
+            return terms.first && rested(FIRST_LOOK_PAUSE);
+        }
+        if self.finished_own {
+            return true;
+        }
+        if self.status.contains(&ChunkStatus::Mine) {
+            return false;
+        }
+        let settled = |s: &ChunkStatus| matches!(s, ChunkStatus::Held(_) | ChunkStatus::Done);
+        if terms.first && self.status.iter().all(settled) && rested(FIRST_LOOK_PAUSE) {
+            return true;
+        }
+        let pause = if terms.first {
             FIRST_LOOK_PAUSE
         } else {
             OTHER_LOOK_PAUSE
         };
-        let rested = self.looked_at.is_none_or(|at| now.since(at) >= pause);
-        if cancelling {
-            return rested && first;
-        }
-        // While preferred chunks are left to claim there is nothing to learn.
-        let mine = self.status.contains(&ChunkStatus::Mine);
-        rested && !mine
+        let starved = terms.starving && rested(pause);
+        // Whoever did the last chunk may have been lost before it ended the job.
+        starved || (terms.first && rested(SPARE_LOOK_PAUSE))
     }
 
     /// The chunk to claim next, if any.
--- a/src/dispatcher/batch_planner.rs
+++ b/src/dispatcher/batch_planner.rs
@@ -15,6 +15,8 @@
 const LOW_PLAN_PAUSE: time::Duration = time::Duration::from_millis(10);
 /// Pause between plans otherwise.
 const PLAN_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// Looks at jobs under way at once.
+const MAX_LOOKS: usize = 4;
 /// Claims under way at once.
 const MAX_CLAIMS: usize = 4;
 
@@ -147,13 +149,20 @@
     /// Reads a job's chunks when that may tell something new; the first ends the job.
     fn look_at(&self, job: &job::JobManifest, first: bool, now: clock::Moment) {
         let mut state = self.state.borrow_mut();
+        if state.looking.len() >= MAX_LOOKS {
+            return;
+        }
+        let terms = job_plan::LookTerms {
+            first,
+            cancelling: job.cancelling_at.is_some(),
+            starving: state.waiting_items() < self.context.settings.batch.low_water_items,
+        };
         let chunks = job.chunk_items.len();
         let plan = state
             .plans
             .entry(job.id.clone())
             .or_insert_with(|| job_plan::JobPlan::new(chunks));
-        let cancelling = job.cancelling_at.is_some();
-        if !plan.wants_look(first, cancelling, now) {
+        if !plan.wants_look(terms, now) {
             return;
         }
         if !state.looking.insert(job.id.clone()) {
--- a/src/dispatcher/batch_runner.rs
+++ b/src/dispatcher/batch_runner.rs
@@ -391,12 +391,11 @@
         state.chunks.remove(key);
         let mut held = self.context.held.lock().unwrap_or_else(|e| e.into_inner());
         held.remove(key);
-        let status = match done {
-            true => job_plan::ChunkStatus::Done,
-            false => job_plan::ChunkStatus::Unknown,
-        };
         if let Some(plan) = state.plans.get_mut(&key.0) {
-            plan.note(key.1, status);
+            match done {
+                true => plan.note_done(key.1),
+                false => plan.note(key.1, job_plan::ChunkStatus::Unknown),
+            }
         }
     }
 }
--- a/src/dispatcher/job_close.rs
+++ b/src/dispatcher/job_close.rs
@@ -21,13 +21,11 @@
     first: bool,
 ) -> store::StoreResult<collections::BTreeMap<u32, chunk::ChunkState>> {
     let chunks = job_store::read_chunks(context.store.as_ref(), &manifest.id).await?;
-    if !first {
-        return Ok(chunks);
-    }
     let done = chunks.values().filter(|c| c.is_done()).count();
+    let cancelling = first && manifest.cancelling_at.is_some();
     if done == manifest.chunk_items.len() {
         end(context, manifest, job::JobEnd::Completed, &chunks).await?;
-    } else if manifest.cancelling_at.is_some() && seal(context, manifest, &chunks).await? {
+    } else if cancelling && seal(context, manifest, &chunks).await? {
         end(context, manifest, job::JobEnd::Cancelled, &chunks).await?;
     }
     Ok(chunks)
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -53,6 +53,10 @@
         for change in &answer.changes {
             self.take_change(change);
         }
+        if self.revision == store::ObjectRevision(0) {
+            // Stops that stood before this process were for an earlier one of its name.
+            self.stops.clear();
+        }
         self.revision = store::ObjectRevision(answer.revision.max(self.revision.0));
         self.store_answers = true;
         self.read_at = now;
--- a/src/fleet/watcher.rs
+++ b/src/fleet/watcher.rs
@@ -29,6 +29,7 @@
 impl FleetWatcher {
     /// Runs until the last view is dropped.
     pub(super) async fn run(self, mut commands: mpsc::Receiver<FleetCommand>) {
+        actix_rt::spawn(self.clone().remove_old_stop());
         actix_rt::spawn(self.clone().run_watch());
         actix_rt::spawn(self.clone().run_endpoints());
         actix_rt::spawn(self.clone().run_heartbeat());
@@ -160,6 +161,16 @@
         }
     }
 
+    /// Removes a stop that was asked of an earlier process of this name, as it was done.
+    async fn remove_old_stop(self) {
+        let key = format!("stop/{}", self.options.id);
+        let class = call_budget::CallClass::Read;
+        if let Ok(Some(found)) = self.store.get(class, &key).await {
+            let condition = store::WriteCondition::Match(found.revision);
+            let _ = self.store.remove(class, &key, condition).await;
+        }
+    }
+
     async fn run_endpoints(self) {
         let pause = time::Duration::from_millis(self.options.pace.endpoints_poll_ms);
         let mut known = None;
--- a/tests/online_failures.rs
+++ b/tests/online_failures.rs
@@ -268,6 +268,11 @@
         .post(path, Vec::new())
         .expect("the stop is asked for");
     assert!(fleet.gateways[0].wait_end());
+    // The stop was for that process, not for the next one of the name.
+    fleet.gateways[0].restart();
+    fleet.wait_ready();
+    thread::sleep(time::Duration::from_millis(2500));
+    assert!(!fleet.gateways[0].has_ended());
 }
 
 #[test]
