--- a/src/gateway/caller_request.rs
+++ b/src/gateway/caller_request.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{bundle, error, http_server, ids};
+use crate::{bundle, error, http_server};
 
 /// Header with the milliseconds that the caller will wait.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -43,6 +43,8 @@
 pub struct CallerTerms {
     /// Name of the request in the logs.
     pub request_id: String,
+    /// When it arrived.
+    pub arrived: time::Instant,
     /// Whose it is.
     pub workspace: bundle::WorkspaceSpec,
     /// Its class.
@@ -84,11 +86,13 @@
 pub fn read_terms(
     head: &actix_http::RequestHead,
     bundle: &bundle::BundleView,
+    request_id: String,
     default_patience: time::Duration,
 ) -> error::ApiResult<CallerTerms> {
     let workspace = authenticate(head, bundle)?;
     Ok(CallerTerms {
-        request_id: ids::unique("req"),
+        request_id,
+        arrived: time::Instant::now(),
         workspace,
         class: read_class(head)?,
         patience: read_patience(head, default_patience)?,
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -34,14 +34,7 @@
     if wanted.stream {
         return stream_relay::serve(context, client, terms, call, place).await;
     }
-    let started = time::Instant::now();
     let answer = whole_call::run_once(context, client, &terms, call).await?;
-    let workspace = context.metrics.workspace_label(terms.workspace.id.as_str());
-    context
-        .metrics
-        .whole_answer
-        .with_label_values(&[workspace, terms.class.as_str()])
-        .observe(started.elapsed().as_secs_f64());
     drop(place);
     Ok(whole_call::to_http(&answer))
 }
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -6,7 +6,7 @@
 use futures::{future, FutureExt as _};
 
 use super::{batches, caller_request, context, files, generation, operators, outputs, plain_calls};
-use crate::{endpoint_client, error, http_server};
+use crate::{endpoint_client, error, http_server, ids};
 
 /// Answers callers and operators on one worker thread.
 pub struct CallerRouter {
@@ -32,45 +32,66 @@
         let context = self.context.clone();
         let client = self.client.clone();
         async move {
-            let started = time::Instant::now();
-            let method = request.method().clone();
-            let path = request.path().to_owned();
-            let outcome = route(&context, &client, request).await;
-            finish(&context, &method, &path, started, outcome)
+            let request_id = ids::unique("req");
+            let line = RequestLine::new(&request, request_id.clone());
+            let outcome = route(&context, &client, request, request_id).await;
+            line.finish(&context, outcome)
         }
         .boxed_local()
     }
 }
 
-/// Turns an outcome into the answer, counts it and logs it.
-fn finish(
-    context: &context::GatewayContext,
-    method: &Method,
-    path: &str,
+/// What the log's line of a request is made from.
+struct RequestLine {
+    request_id: String,
+    method: Method,
+    path: String,
     started: time::Instant,
-    outcome: error::ApiResult<http_server::HttpAnswer>,
-) -> http_server::HttpAnswer {
-    let (code, answer) = match outcome {
-        Ok(answer) => ("ok", answer),
-        Err(e) => {
-            let code = e.code.as_str();
-            let ms = started.elapsed().as_millis();
-            log::info!(
-                "event=refused method={method} path={path} code={code} ran={:?} ms={ms} why=\"{}\"",
-                e.ran,
-                e.message.replace('"', "'")
-            );
-            (code, e.answer())
+}
+
+impl RequestLine {
+    fn new(request: &actix_http::Request, request_id: String) -> Self {
+        Self {
+            request_id,
+            method: request.method().clone(),
+            path: request.path().to_owned(),
+            started: time::Instant::now(),
         }
-    };
-    context.metrics.answers.with_label_values(&[code]).inc();
-    answer
+    }
+
+    /// Turns an outcome into the answer, names the request in it, counts it and logs it.
+    fn finish(
+        self,
+        context: &context::GatewayContext,
+        outcome: error::ApiResult<http_server::HttpAnswer>,
+    ) -> http_server::HttpAnswer {
+        let (code, why, mut answer) = match outcome {
+            Ok(answer) => ("ok", String::new(), answer),
+            Err(e) => (e.code.as_str(), e.message.replace('"', "'"), e.answer()),
+        };
+        context.metrics.answers.with_label_values(&[code]).inc();
+        log::info!(
+            "event=answered request={} method={} path={} status={} code={code} ms={} why=\"{}\"",
+            self.request_id,
+            self.method,
+            self.path.escape_debug(),
+            answer.status().as_u16(),
+            self.started.elapsed().as_millis(),
+            why
+        );
+        let name = actix_http::header::HeaderName::from_static(caller_request::REQUEST_HEADER);
+        if let Ok(value) = self.request_id.parse() {
+            answer.headers_mut().insert(name, value);
+        }
+        answer
+    }
 }
 
 async fn route(
     context: &sync::Arc<context::GatewayContext>,
     client: &awc::Client,
     request: actix_http::Request,
+    request_id: String,
 ) -> error::ApiResult<http_server::HttpAnswer> {
     let path = request.path().to_owned();
     match path.as_str() {
@@ -85,22 +106,8 @@
     let bundle = context.fleet.snapshot().bundle.clone();
     let patience = context.settings.online.default_deadline_ms;
     let patience = time::Duration::from_millis(patience);
-    let terms = caller_request::read_terms(request.head(), &bundle, patience)?;
-    let request_id = terms.request_id.clone();
-    let started = time::Instant::now();
-    let mut answer = serve(context, client, terms, request).await;
-    if let Ok(answer) = &mut answer {
-        log::info!(
-            "event=answered request={request_id} path={path} status={} ms={}",
-            answer.status().as_u16(),
-            started.elapsed().as_millis()
-        );
-        let name = actix_http::header::HeaderName::from_static(caller_request::REQUEST_HEADER);
-        if let Ok(value) = request_id.parse() {
-            answer.headers_mut().insert(name, value);
-        }
-    }
-    answer
+    let terms = caller_request::read_terms(request.head(), &bundle, request_id, patience)?;
+    serve(context, client, terms, request).await
 }
 
 async fn serve(
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -164,6 +164,12 @@
     async fn relay(&mut self) -> error::ApiResult<()> {
         loop {
             let hold = self.choose().await?;
+            if self.attempts == 0 {
+                self.observe(
+                    &self.context.metrics.queue_time,
+                    self.terms.arrived.elapsed(),
+                );
+            }
             let mut take_up = match self.cursor.last_index() {
                 None => TakeUp::Begin,
                 Some(_) => TakeUp::Continue,
@@ -352,7 +358,8 @@
             }
             if self.cursor.is_finished() {
                 whole_call::note(&self.context, hold, &outcome::AttemptOutcome::Completed(()));
-                self.observe_whole();
+                let spent = self.context.clock.now().since(self.started);
+                self.observe(&self.context.metrics.whole_answer, spent);
                 return PumpEnd::Finished;
             }
         }
@@ -374,26 +381,19 @@
     fn observe_token(&mut self) {
         let now = self.context.clock.now();
         let metrics = &self.context.metrics;
-        let workspace = metrics.workspace_label(self.terms.workspace.id.as_str());
-        let labels = [workspace, self.terms.class.as_str()];
         let (histogram, since) = match self.latest {
             None => (&metrics.first_token, self.started),
             Some(latest) => (&metrics.between_tokens, latest),
         };
-        histogram
-            .with_label_values(&labels)
-            .observe(now.since(since).as_secs_f64());
+        self.observe(histogram, now.since(since));
         self.latest = Some(now);
     }
 
-    fn observe_whole(&self) {
-        let metrics = &self.context.metrics;
-        let workspace = metrics.workspace_label(self.terms.workspace.id.as_str());
-        let labels = [workspace, self.terms.class.as_str()];
-        let spent = self.context.clock.now().since(self.started);
-        metrics
-            .whole_answer
-            .with_label_values(&labels)
-            .observe(spent.as_secs_f64());
+    fn observe(&self, histogram: &prometheus::HistogramVec, span: time::Duration) {
+        let workspace = self.terms.workspace.id.as_str();
+        let class = self.terms.class.as_str();
+        self.context
+            .metrics
+            .observe(histogram, workspace, class, span);
     }
 }
--- a/src/gateway/whole_call.rs
+++ b/src/gateway/whole_call.rs
@@ -36,7 +36,7 @@
         .map_into_boxed_body()
 }
 
-/// Runs a call; one with a key that may not be repeated is recorded first.
+/// Runs a call, and counts its time.
 ///
 /// # Errors
 /// The final error to answer with.
@@ -45,6 +45,21 @@
     client: &awc::Client,
     terms: &caller_request::CallerTerms,
     call: WholeCall,
+) -> error::ApiResult<endpoint_client::EndpointAnswer> {
+    let answer = run_recorded(context, client, terms, call).await?;
+    let workspace = terms.workspace.id.as_str();
+    let span = terms.arrived.elapsed();
+    let metrics = &context.metrics;
+    metrics.observe(&metrics.whole_answer, workspace, terms.class.as_str(), span);
+    Ok(answer)
+}
+
+/// Runs a call; one with a key that may not be repeated is recorded first.
+async fn run_recorded(
+    context: &sync::Arc<context::GatewayContext>,
+    client: &awc::Client,
+    terms: &caller_request::CallerTerms,
+    call: WholeCall,
 ) -> error::ApiResult<endpoint_client::EndpointAnswer> {
     let recorded = !call.repeatable && !protection::is_out("once_record");
     let Some(key) = terms.key.as_ref().filter(|_| recorded) else {
@@ -101,6 +116,12 @@
             Ok(hold) => hold,
             Err(e) => return Err(with_history(e, may_have_run)),
         };
+        if attempts == 1 {
+            let workspace = terms.workspace.id.as_str();
+            let span = terms.arrived.elapsed();
+            let metrics = &context.metrics;
+            metrics.observe(&metrics.queue_time, workspace, terms.class.as_str(), span);
+        }
         let outcome = attempt(context, client, call, &hold, deadline).await;
         note(context, &hold, &outcome);
         if !matches!(outcome, outcome::AttemptOutcome::NotRun(_)) {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Counters and histograms, with a bound on the number of label values.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
 use prometheus::core::Collector;
 
+use crate::invariant;
+
 /// Workspaces that have series of their own; the others share `other`.
 pub const MAX_WORKSPACE_LABELS: usize = 200;
 /// Label of the workspaces beyond the bound.
@@ -129,8 +131,26 @@
         workspace
     }
 
+    /// Adds a time to a histogram of a workspace and class.
+    pub fn observe(
+        &self,
+        histogram: &prometheus::HistogramVec,
+        workspace: &str,
+        class: &str,
+        span: time::Duration,
+    ) {
+        let labels = [self.workspace_label(workspace), class];
+        histogram
+            .with_label_values(&labels)
+            .observe(span.as_secs_f64());
+    }
+
     /// All metrics in the text form that Prometheus reads.
     pub fn render(&self) -> String {
+        for (name, count) in invariant::broken() {
+            let counter = self.broken_invariants.with_label_values(&[name]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
         let families = self.registry.gather();
         prometheus::TextEncoder::new()
             .encode_to_string(&families)
