feat: stand-ins with KV transfer, cache events and a lagging list; a bound on requests at once; settings of the command line

The mutation read_back now takes out the reading back itself: the earlier one left it in for unknown writes.

--- a/src/cli/config_commands.rs
+++ b/src/cli/config_commands.rs
@@ -39,6 +39,8 @@
     Dispatcher,
     /// `jayhollow-standin`.
     Standin,
+    /// The command line `jayhollow`.
+    Client,
     /// Bundles; only their schema can be printed.
     Bundle,
 }
@@ -65,6 +67,7 @@
         SettingsRole::Gateway => load::<settings::gateway::GatewaySettings>(file),
         SettingsRole::Dispatcher => load::<settings::dispatcher::DispatcherSettings>(file),
         SettingsRole::Standin => load::<settings::standin::StandinSettings>(file),
+        SettingsRole::Client => load::<settings::client::ClientSettings>(file),
         SettingsRole::Bundle => Err(CommandError::failed(
             "a bundle has no settings; see 'jayhollow bundle check'",
         )),
@@ -83,6 +86,7 @@
         SettingsRole::Gateway => schemars::schema_for!(settings::gateway::GatewaySettings),
         SettingsRole::Dispatcher => schemars::schema_for!(settings::dispatcher::DispatcherSettings),
         SettingsRole::Standin => schemars::schema_for!(settings::standin::StandinSettings),
+        SettingsRole::Client => schemars::schema_for!(settings::client::ClientSettings),
         SettingsRole::Bundle => schemars::schema_for!(bundle::BundleDocument),
     };
     serde_json::to_string_pretty(&schema).unwrap_or_default()
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,7 +11,7 @@
 
 use clap::{CommandFactory as _, Parser};
 
-use crate::dev;
+use crate::{dev, log_setup, settings};
 
 /// Serves online and batch inference on one fleet of model endpoints.
 #[derive(Debug, Parser)]
@@ -19,42 +19,81 @@
 pub struct CommandLine {
     /// How to reach a gateway, and how to print.
     #[command(flatten)]
-    pub reach: GatewayReach,
+    pub reach: ReachFlags,
     /// What to do.
     #[command(subcommand)]
-    pub command: TopCommand,
+    pub command: Option<TopCommand>,
 }
 
 /// How a gateway is reached, and how answers are printed.
 #[derive(Debug, clap::Args)]
+pub struct ReachFlags {
+    /// Settings file of the command line, in JSON.
+    #[arg(long, global = true, value_name = "FILE", env = "JAYHOLLOW_CONFIG")]
+    pub config: Option<path::PathBuf>,
+    /// Check the settings file, print what would be in force, and exit.
+    #[arg(long, global = true)]
+    pub check_config: bool,
+    /// Least severe events to log.
+    #[arg(long, global = true, default_value = "warn")]
+    pub log_level: log::LevelFilter,
+    /// Address of a gateway; http://127.0.0.1:8080 if none is set.
+    #[arg(long, global = true, env = "JAYHOLLOW_URL")]
+    pub url: Option<String>,
+    /// API key of a workspace, or an operator's key for bundles and instances.
+    #[arg(long, global = true, env = "JAYHOLLOW_KEY", hide_env_values = true)]
+    pub key: Option<String>,
+    /// Name that goes on the record of bundle steps.
+    #[arg(long, global = true, env = "JAYHOLLOW_OPERATOR")]
+    pub operator: Option<String>,
+    /// Form of the output.
+    #[arg(long, global = true, value_enum, default_value_t = output::OutputForm::Table)]
+    pub output: output::OutputForm,
+}
+
+/// Address of a gateway if none is set.
+const DEFAULT_URL: &str = "http://127.0.0.1:8080";
+/// Name of an operator if none is set.
+const DEFAULT_OPERATOR: &str = "operator";
+
+impl ReachFlags {
+    fn settings(&self) -> CommandResult<settings::client::ClientSettings> {
+        match &self.config {
+            None => Ok(settings::client::ClientSettings::default()),
+            Some(file) => settings::load(file).map_err(CommandError::failed),
+        }
+    }
+
+    /// The reach that flags, environment, settings and defaults make together.
+    fn resolve(&self) -> CommandResult<GatewayReach> {
+        let settings = self.settings()?;
+        let read = |file: &path::PathBuf| {
+            let text = std::fs::read_to_string(file);
+            text.map_err(|e| CommandError::failed(format!("{}: {e}", file.display())))
+        };
+        let kept = settings.key_file.as_ref().map(read).transpose()?;
+        let key = self.key.clone().or(kept).unwrap_or_default();
+        let url = self.url.clone().or(settings.url);
+        let operator = self.operator.clone().or(settings.operator);
+        Ok(GatewayReach {
+            url: url.unwrap_or_else(|| DEFAULT_URL.into()),
+            key: key.trim().to_owned(),
+            operator: operator.unwrap_or_else(|| DEFAULT_OPERATOR.into()),
+            output: self.output,
+        })
+    }
+}
+
+/// How a gateway is reached, and how answers are printed.
+#[derive(Debug, Clone)]
 pub struct GatewayReach {
     /// Address of a gateway.
-    #[arg(
-        long,
-        global = true,
-        env = "JAYHOLLOW_URL",
-        default_value = "http://127.0.0.1:8080"
-    )]
     pub url: String,
-    /// API key of a workspace, or an operator's key for bundles and instances.
-    #[arg(
-        long,
-        global = true,
-        env = "JAYHOLLOW_KEY",
-        hide_env_values = true,
-        default_value = ""
-    )]
+    /// Key.
     pub key: String,
-    /// Name that goes on the record of bundle steps.
-    #[arg(
-        long,
-        global = true,
-        env = "JAYHOLLOW_OPERATOR",
-        default_value = "operator"
-    )]
+    /// Name of the operator.
     pub operator: String,
     /// Form of the output.
-    #[arg(long, global = true, value_enum, default_value_t = output::OutputForm::Table)]
     pub output: output::OutputForm,
 }
 
@@ -94,9 +133,6 @@
     /// Do one call of each kind, say how each went, and exit.
     #[arg(long)]
     pub smoke: bool,
-    /// Least severe events to log.
-    #[arg(long, default_value = "warn")]
-    pub log_level: log::LevelFilter,
 }
 
 /// Exit codes of the command line, beside 0 and clap's 2 for wrong usage.
@@ -149,8 +185,21 @@
 }
 
 fn dispatch(line: CommandLine) -> CommandResult<()> {
-    let reach = line.reach;
-    match line.command {
+    log_setup::start(line.reach.log_level);
+    if line.reach.check_config {
+        let settings = line.reach.settings()?;
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&settings).unwrap_or_default()
+        );
+        return Ok(());
+    }
+    let Some(command) = line.command else {
+        let mut command = CommandLine::command();
+        return command.print_help().map_err(CommandError::failed);
+    };
+    let reach = line.reach.resolve()?;
+    match command {
         TopCommand::Dev(flags) => dev::run(&flags),
         TopCommand::Config(command) => config_commands::run(&command),
         TopCommand::Completions { shell } => {
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -1,13 +1,12 @@
 //! `jayhollow dev`: everything in one process, on embedded stand-ins.
 
-use crate::{cli, daemon, local_fleet, log_setup, smoke};
+use crate::{cli, daemon, local_fleet, smoke};
 
 /// Runs `jayhollow dev`.
 ///
 /// # Errors
 /// The fleet cannot be started, or a call of the smoke run went wrong.
 pub fn run(flags: &cli::DevFlags) -> cli::CommandResult<()> {
-    log_setup::start(flags.log_level);
     let signals = daemon::StopSignals::listen().map_err(cli::CommandError::failed)?;
     let spec = local_fleet::LocalFleetSpec {
         listen: if flags.smoke {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -32,6 +32,7 @@
     outstanding: sync::Mutex<collections::HashMap<ids::EndpointId, u32>>,
     counts: sync::Mutex<CountsCache>,
     stopping: atomic::AtomicBool,
+    running: atomic::AtomicUsize,
 }
 
 /// Counts of running jobs as they were read a moment ago, so that one read serves many pollers.
@@ -67,6 +68,7 @@
             outstanding: sync::Mutex::default(),
             counts: sync::Mutex::new(lru::LruCache::new(COUNTS_JOBS)),
             stopping: atomic::AtomicBool::new(false),
+            running: atomic::AtomicUsize::new(0),
         }
     }
 
@@ -104,6 +106,17 @@
         lock(&self.counts).put(id.clone(), (time::Instant::now(), counts));
     }
 
+    /// Counts a request that began; false if there are too many.
+    pub fn begin_request(&self) -> bool {
+        let before = self.running.fetch_add(1, atomic::Ordering::Relaxed);
+        before < self.settings.callers.limits.requests
+    }
+
+    /// Counts a request that was answered.
+    pub fn end_request(&self) {
+        self.running.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+
     /// Turns the gateway unready for good.
     pub fn begin_stop(&self) {
         self.stopping.store(true, atomic::Ordering::Relaxed);
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -34,13 +34,51 @@
         async move {
             let request_id = ids::unique("req");
             let line = RequestLine::new(&request, request_id.clone());
-            let outcome = route(&context, &client, request, request_id).await;
+            let running = RunningRequest::begin(&context);
+            let outcome = match running.check() {
+                Ok(()) => route(&context, &client, request, request_id).await,
+                Err(e) => Err(e),
+            };
             line.finish(&context, outcome)
         }
         .boxed_local()
     }
 }
 
+/// A request under way; counted until it is answered or its caller goes.
+struct RunningRequest {
+    context: sync::Arc<context::GatewayContext>,
+    /// Whether there is room for it.
+    fits: bool,
+}
+
+impl RunningRequest {
+    fn begin(context: &sync::Arc<context::GatewayContext>) -> Self {
+        Self {
+            fits: context.begin_request(),
+            context: context.clone(),
+        }
+    }
+
+    /// Refuses a request that has no room.
+    fn check(&self) -> error::ApiResult<()> {
+        if self.fits {
+            return Ok(());
+        }
+        let message = "the gateway has too many requests at once";
+        Err(error::ApiError::not_run(
+            error::ErrorCode::Overloaded,
+            message,
+        ))
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.context.end_request();
+    }
+}
+
 /// What the log's line of a request is made from.
 struct RequestLine {
     request_id: String,
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -82,8 +82,10 @@
     pub head_timeout_ms: u64,
     /// Milliseconds to send an online request's body.
     pub body_timeout_ms: u64,
-    /// Connections at once for each thread.
+    /// Connections at once for each thread; further ones wait to be accepted.
     pub connections: usize,
+    /// Requests at once in all; further ones are refused.
+    pub requests: usize,
 }
 
 impl Default for InputLimits {
@@ -96,6 +98,7 @@
             head_timeout_ms: 5_000,
             body_timeout_ms: 30_000,
             connections: 4_096,
+            requests: 8_192,
         }
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings files: reading, checking, and errors that name file, key and what is allowed.
 
+pub mod client;
 pub mod common;
 pub mod dispatcher;
 pub mod gateway;
--- a/src/settle.rs
+++ b/src/settle.rs
@@ -73,10 +73,7 @@
             error,
             store::StoreError::Conflict | store::StoreError::Unknown
         );
-        if error == store::StoreError::Conflict && protection::is_out("read_back") {
-            return Ok(SettledWrite::Lost(None));
-        }
-        if unclear {
+        if unclear && !protection::is_out("read_back") {
             match store.get(class, key).await {
                 Ok(Some(found)) if found.value == value => {
                     return Ok(SettledWrite::Done(found.revision))
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -65,6 +65,18 @@
     pub role: Option<String>,
 }
 
+/// Asks which blocks of a prompt an engine can export.
+#[derive(Debug, serde::Deserialize)]
+struct KvQuery {
+    prompt: String,
+}
+
+/// Blocks of a KV cache on their way between engines.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+struct KvBlocks {
+    blocks: Vec<u64>,
+}
+
 /// How a stand-in engine behaves.
 #[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
 #[serde(default, deny_unknown_fields)]
@@ -75,6 +87,8 @@
     pub instant: bool,
     /// Age of the load reports, in milliseconds.
     pub report_lag_ms: u64,
+    /// Of the cache events each so many-th is lost; none if zero.
+    pub event_gap: u64,
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
 }
@@ -143,6 +157,23 @@
                 self.state.borrow_mut().cancel(attempt);
                 http_server::plain(StatusCode::OK, "cancelled")
             }
+            (Method::GET, "/cache-events") => self.cache_events(&request).await,
+            (Method::POST, "/kv/export") => match super::read_json::<KvQuery>(&mut request).await {
+                Ok(query) => {
+                    let blocks = self.state.borrow().model.export(&query.prompt);
+                    http_server::json(StatusCode::OK, &KvBlocks { blocks })
+                }
+                Err(answer) => answer,
+            },
+            (Method::POST, "/kv/import") => {
+                match super::read_json::<KvBlocks>(&mut request).await {
+                    Ok(kv) => {
+                        self.state.borrow_mut().model.import(&kv.blocks);
+                        http_server::plain(StatusCode::OK, "imported")
+                    }
+                    Err(answer) => answer,
+                }
+            }
             (Method::GET, "/effects") => {
                 let state = self.state.borrow();
                 let most = state.effects.values().max().copied().unwrap_or(0);
@@ -155,6 +186,21 @@
         }
     }
 
+    /// Cache events after a number: late, and with gaps.
+    async fn cache_events(&self, request: &actix_http::Request) -> http_server::HttpAnswer {
+        let after = http_server::query(request.uri(), "after").and_then(|v| v.parse().ok());
+        let events: Vec<engine_model::CacheEvent> = {
+            let state = self.state.borrow();
+            let gap = state.options.event_gap;
+            let lost = |e: &&engine_model::CacheEvent| gap > 0 && e.number.is_multiple_of(gap);
+            let events = state.model.events_after(after.unwrap_or(0));
+            events.filter(|e| !lost(e)).copied().collect()
+        };
+        let lag = self.state.borrow().options.report_lag_ms;
+        actix_rt::time::sleep(time::Duration::from_millis(lag)).await;
+        http_server::json(StatusCode::OK, &events)
+    }
+
     async fn generate(&self, request: &mut actix_http::Request) -> http_server::HttpAnswer {
         let head = request.head();
         let attempt = http_server::header(head, wire::ATTEMPT_HEADER)
--- a/src/standin/engine_model.rs
+++ b/src/standin/engine_model.rs
@@ -85,6 +85,9 @@
     waiting: collections::VecDeque<Sequence>,
     running: Vec<Sequence>,
     cache: lru::LruCache<u64, ()>,
+    /// Changes of the cache, the newest last; only so many are kept.
+    events: collections::VecDeque<CacheEvent>,
+    next_event: u64,
     next_number: SequenceNumber,
     /// Prompt tokens found in the cache since the start.
     pub cached_tokens: u64,
@@ -101,6 +104,8 @@
             waiting: collections::VecDeque::new(),
             running: Vec::new(),
             cache: lru::LruCache::new(blocks),
+            events: collections::VecDeque::new(),
+            next_event: 0,
             next_number: 0,
             cached_tokens: 0,
             prompt_tokens: 0,
@@ -125,17 +130,12 @@
 
     /// Prompt tokens at the front that the cache holds; the rest is put there.
     fn look_up(&mut self, prompt: &str) -> usize {
-        let mut hash = 0;
         let mut cached = 0;
         let mut unbroken = true;
-        for block in prompt
-            .as_bytes()
-            .chunks_exact(BLOCK_TOKENS * CHARS_PER_TOKEN)
-        {
-            hash = xxh3::xxh3_64_with_seed(block, hash);
+        for hash in block_hashes(prompt) {
             if self.cache.get(&hash).is_none() {
                 unbroken = false;
-                self.cache.put(hash, ());
+                self.store_block(hash);
             }
             if unbroken {
                 cached += BLOCK_TOKENS;
@@ -144,6 +144,46 @@
         cached
     }
 
+    fn store_block(&mut self, block: u64) {
+        if let Some((evicted, ())) = self.cache.push(block, ()) {
+            if evicted != block {
+                self.note_event(evicted, false);
+            }
+        }
+        self.note_event(block, true);
+    }
+
+    fn note_event(&mut self, block: u64, stored: bool) {
+        self.next_event += 1;
+        let number = self.next_event;
+        self.events.push_back(CacheEvent {
+            number,
+            block,
+            stored,
+        });
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Changes of the cache after a number; older ones than are kept are missing.
+    pub fn events_after(&self, number: u64) -> impl Iterator<Item = &CacheEvent> {
+        self.events.iter().filter(move |e| e.number > number)
+    }
+
+    /// The blocks of a prompt's front that the cache holds.
+    pub fn export(&self, prompt: &str) -> Vec<u64> {
+        let hashes = block_hashes(prompt).into_iter();
+        hashes.take_while(|h| self.cache.contains(h)).collect()
+    }
+
+    /// Puts blocks of another engine into the cache.
+    pub fn import(&mut self, blocks: &[u64]) {
+        for block in blocks {
+            self.store_block(*block);
+        }
+    }
+
     /// Forgets a sequence.
     pub fn cancel(&mut self, number: SequenceNumber) {
         self.waiting.retain(|s| s.number != number);
@@ -204,6 +244,34 @@
     }
 }
 
+/// Changes of the cache that are kept.
+const MAX_EVENTS: usize = 4096;
+
+/// A change of the prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct CacheEvent {
+    /// Its number, from 1.
+    pub number: u64,
+    /// The block.
+    pub block: u64,
+    /// Whether it was stored, or evicted.
+    pub stored: bool,
+}
+
+/// Hashes of a prompt's whole blocks, each over all before it.
+fn block_hashes(prompt: &str) -> Vec<u64> {
+    let mut hash = 0;
+    let blocks = prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_TOKENS * CHARS_PER_TOKEN);
+    blocks
+        .map(|block| {
+            hash = xxh3::xxh3_64_with_seed(block, hash);
+            hash
+        })
+        .collect()
+}
+
 /// Tokens that a prompt counts as.
 pub fn token_count(text: &str) -> usize {
     text.len().div_ceil(CHARS_PER_TOKEN)
--- a/src/standin/objects.rs
+++ b/src/standin/objects.rs
@@ -29,6 +29,8 @@
     pub slow_ms: u64,
     /// Of each 100 writes, how many take effect and lose their answer.
     pub lost_answers: u32,
+    /// Age of the list of endpoints, in milliseconds.
+    pub list_lag_ms: u64,
     /// Writes allowed a second; 0 is no limit.
     pub writes_per_second: u32,
     /// Reads allowed a second, a waiting watch counted as one; 0 is no limit.
@@ -65,6 +67,8 @@
     stats: ObjectStats,
     endpoints: Vec<platform::EndpointRecord>,
     endpoints_revision: u64,
+    /// The list before the newest change, and when that was.
+    old_endpoints: Option<(time::Instant, Vec<platform::EndpointRecord>)>,
     second: u64,
     writes_now: u32,
     reads_now: u32,
@@ -288,7 +292,8 @@
         match super::read_json(request).await {
             Ok(endpoints) => {
                 let mut table = self.table.borrow_mut();
-                table.endpoints = endpoints;
+                let old = std::mem::replace(&mut table.endpoints, endpoints);
+                table.old_endpoints = Some((time::Instant::now(), old));
                 table.endpoints_revision += 1;
                 http_server::plain(StatusCode::OK, "set")
             }
@@ -299,12 +304,21 @@
     /// The list of endpoints, unless the caller has it already.
     fn endpoints(&self, request: &actix_http::Request) -> http_server::HttpAnswer {
         let table = self.table.borrow();
-        let tag = format!("\"{}\"", table.endpoints_revision);
+        let lag = time::Duration::from_millis(table.faults.list_lag_ms);
+        let old = table
+            .old_endpoints
+            .as_ref()
+            .filter(|(at, _)| at.elapsed() < lag);
+        let (revision, endpoints) = match old {
+            Some((_, old)) => (table.endpoints_revision - 1, old),
+            None => (table.endpoints_revision, &table.endpoints),
+        };
+        let tag = format!("\"{revision}\"");
         if http_server::header(request.head(), "if-none-match") == Some(tag.as_str()) {
             return http_server::plain(StatusCode::NOT_MODIFIED, "");
         }
-        let text = serde_json::to_vec(&table.endpoints).unwrap_or_default();
-        tagged(StatusCode::OK, table.endpoints_revision, text.into())
+        let text = serde_json::to_vec(endpoints).unwrap_or_default();
+        tagged(StatusCode::OK, revision, text.into())
     }
 
     fn list(&self, request: &actix_http::Request) -> http_server::HttpAnswer {
--- a/tests/online_failures.rs
+++ b/tests/online_failures.rs
@@ -333,3 +333,57 @@
         text.contains("jayhollow_strangers_total 1").then_some(())
     });
 }
+
+#[test]
+fn gateways_are_replaced_one_after_another_under_load() {
+    let mut fleet = support::ProcessFleet::start(&small(3));
+    let addresses: Vec<_> = fleet
+        .gateways
+        .iter()
+        .map(|g| g.address("callers"))
+        .collect();
+    let current = Arc::new(std::sync::Mutex::new(addresses));
+    let done = Arc::new(atomic::AtomicBool::new(false));
+    let callers: Vec<_> = (0..6)
+        .map(|caller| {
+            let (current, done) = (current.clone(), done.clone());
+            thread::spawn(move || {
+                let mut served = 0;
+                while !done.load(atomic::Ordering::Relaxed) {
+                    // As a balancer does: only gateways that are ready.
+                    let all = current.lock().expect("the list is whole").clone();
+                    let ready = all.into_iter().find(|address| {
+                        let client = support::TestClient::new(*address, support::KEY);
+                        let ready = client.send(Method::GET, "/readyz", &[], Vec::new());
+                        ready.is_ok_and(|answer| answer.status == 200)
+                    });
+                    let Some(address) = ready else { continue };
+                    let client = support::TestClient::new(address, support::KEY);
+                    let content = format!("caller {caller} request {served}");
+                    let (text, whole) = client.stream(&content, 20).expect("it is streamed");
+                    assert_eq!(text, smoke::expected_answer(&content, 20));
+                    assert!(whole);
+                    served += 1;
+                }
+                served
+            })
+        })
+        .collect();
+    for number in 0..fleet.gateways.len() {
+        thread::sleep(time::Duration::from_millis(300));
+        fleet.gateways[number].signal(libc::SIGTERM);
+        assert!(fleet.gateways[number].wait_end());
+        fleet.gateways[number].restart();
+        let address = fleet.gateways[number].address("callers");
+        current.lock().expect("the list is whole")[number] = address;
+        support::wait_for("the new gateway is ready", || {
+            let client = support::TestClient::new(address, support::KEY);
+            let ready = client.send(Method::GET, "/readyz", &[], Vec::new()).ok()?;
+            (ready.status == 200).then_some(())
+        });
+    }
+    done.store(true, atomic::Ordering::Relaxed);
+    for caller in callers {
+        assert!(caller.join().expect("no request was cut") > 0);
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -55,6 +55,7 @@
 #[case(SettingsRole::Gateway, "gateway")]
 #[case(SettingsRole::Dispatcher, "dispatcher")]
 #[case(SettingsRole::Standin, "standin")]
+#[case(SettingsRole::Client, "client")]
 #[case(SettingsRole::Bundle, "bundle")]
 fn schema_and_table_are_as_committed(#[case] role: SettingsRole, #[case] name: &str) {
     let docs = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -88,3 +88,79 @@
     let large = vec![b' '; 5 << 20];
     assert_eq!(post(&caller, "/v1/completions", &large).0, 413);
 }
+
+#[test]
+fn a_workspace_sees_its_own_files_and_jobs_only() {
+    let fleet = support::ProcessFleet::start(&support::FleetSize::default());
+    let owner = fleet.caller(0);
+    let file = owner.upload(&support::letters(5, 2));
+    let job = owner
+        .submit(&file, "/v1/chat/completions", "own")
+        .expect("it is accepted")
+        .json();
+    let id = job["id"].as_str().expect("it has a name");
+    let job = owner.wait_job(id);
+    let output = job["output_file_id"].as_str().expect("it has an output");
+    let address = fleet.gateways[0].address("callers");
+    let other = support::TestClient::new(address, support::OTHER_KEY);
+    for path in [
+        format!("/v1/files/{file}"),
+        format!("/v1/files/{file}/content"),
+        format!("/v1/files/{output}/content"),
+        format!("/v1/batches/{id}"),
+    ] {
+        let answer = other
+            .send(Method::GET, &path, &[], Vec::new())
+            .expect("it is answered");
+        assert_eq!(answer.status, 404, "{path}");
+    }
+    let cancel = format!("/v1/batches/{id}/cancel");
+    let answer = other.send(Method::POST, &cancel, &[], Vec::new());
+    assert_eq!(answer.expect("it is answered").status, 404);
+    assert_eq!(
+        other.get("/v1/batches").expect("it is listed")["data"],
+        serde_json::json!([])
+    );
+    // The same key in another workspace is another job.
+    let theirs = other.upload(&support::letters(5, 2));
+    let theirs = other
+        .submit(&theirs, "/v1/chat/completions", "own")
+        .expect("it is accepted");
+    assert_ne!(theirs.json()["id"].as_str(), Some(id));
+}
+
+#[test]
+fn too_many_requests_at_once_are_refused_at_once() {
+    let mut fleet = support::ProcessFleet::start(&support::FleetSize {
+        engines: 1,
+        step_us: 20_000,
+        ..support::FleetSize::default()
+    });
+    let gateway = fleet.start_gateway_with(5, |config| {
+        config["callers"]["limits"] = serde_json::json!({"requests": 2});
+    });
+    fleet.gateways.push(gateway);
+    fleet.wait_ready();
+    let caller = fleet.caller(2);
+    let running: Vec<_> = (0..8)
+        .map(|number| {
+            let caller = caller.clone();
+            std::thread::spawn(move || {
+                let body = support::chat(&format!("n {number}"), 100, false);
+                caller.send(Method::POST, "/v1/chat/completions", &[], body)
+            })
+        })
+        .collect();
+    let answers: Vec<support::TestAnswer> = running
+        .into_iter()
+        .map(|r| r.join().expect("it ends").expect("it is answered"))
+        .collect();
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    let refused: Vec<_> = answers.iter().filter(|a| a.status == 503).collect();
+    assert_eq!(served + refused.len(), 8);
+    assert!(served >= 2 && !refused.is_empty());
+    for answer in refused {
+        assert_eq!(answer.json()["error"]["ran"], "no");
+        assert!(answer.retry_after.is_some());
+    }
+}
