fix(batch): an accepted job is never answered as refused

Cause: found by reading. After the manifest was written the gateway looked for an ended job of the same name; if that read failed it answered 'store unavailable, ran: no' for a job that then ran. And a write whose first try was lost and whose last try was refused was told as refused. Change: the look comes before the write; settle gives Unknown if any try may have taken effect, and callers are told 'ran: unknown'.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -5,6 +5,7 @@
 pub mod harm;
 pub mod load;
 pub mod overhead;
+pub mod overload;
 pub mod process_use;
 pub mod report;
 pub mod routing_bench;
@@ -33,6 +34,8 @@
     Harm(harm::HarmFlags),
     /// Cache hits and balance of the routing policies.
     Routing(routing_bench::RoutingFlags),
+    /// Goodput at half to four times the capacity.
+    Overload(overload::OverloadFlags),
     /// Long seeded runs of the decisions with faults and invariants.
     Soak(soak::SoakFlags),
     /// How time and memory of decisions grow with the fleet.
@@ -54,6 +57,7 @@
         BenchCommand::Overhead(flags) => overhead::run(&flags),
         BenchCommand::Harm(flags) => harm::run(&flags),
         BenchCommand::Routing(flags) => routing_bench::run(&flags),
+        BenchCommand::Overload(flags) => overload::run(&flags),
         BenchCommand::Soak(flags) => soak::run(&flags),
         BenchCommand::Slopes(flags) => slopes::run(&flags),
         BenchCommand::Process(flags) => process_use::run(&flags),
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -208,54 +208,51 @@
 const JOB_ID_DIGITS: usize = 32;
 
 /// Writes the manifest if the job is new; otherwise checks that it is the same.
+///
+/// Nothing is read after the manifest is written: once it stands, the job is
+/// accepted, and an error would say otherwise. Should a job of this name end
+/// between the look and the write, its chunks are done and it ends again.
 async fn accept(
     context: &context::GatewayContext,
     manifest: job::JobManifest,
 ) -> error::ApiResult<JobView> {
-    let key = manifest.active_key();
+    let ended = read_ended(context, &manifest.workspace, &manifest.id).await?;
+    if let Some(record) = ended {
+        return same_content(JobView::Ended(Box::new(record)), &manifest);
+    }
     let written = settle::put(
         context.store.as_ref(),
         call_budget::CallClass::Claim,
-        &key,
+        &manifest.active_key(),
         store::encode(&manifest),
         store::WriteCondition::Absent,
         time::Instant::now() + STORE_PATIENCE,
     )
     .await;
-    let view = match written {
+    match written {
         Ok(settle::SettledWrite::Done(_)) => {
-            // A job of this name may have ended before: then this one must not begin.
-            match read_ended(context, &manifest.workspace, &manifest.id).await? {
-                None => {
-                    let counts = job::ItemCounts {
-                        total: manifest.items,
-                        ..job::ItemCounts::default()
-                    };
-                    return Ok(JobView::Active(sync::Arc::new(manifest), counts));
-                }
-                Some(record) => {
-                    let deadline = time::Instant::now() + STORE_PATIENCE;
-                    let class = call_budget::CallClass::Claim;
-                    let store = context.store.as_ref();
-                    let removed = settle::remove(store, class, &key, deadline).await;
-                    removed.map_err(|e| files::store_error(&e))?;
-                    JobView::Ended(Box::new(record))
-                }
-            }
+            let counts = job::ItemCounts {
+                total: manifest.items,
+                ..job::ItemCounts::default()
+            };
+            Ok(JobView::Active(sync::Arc::new(manifest), counts))
         }
         Ok(settle::SettledWrite::Lost(_)) => {
-            read(context, &manifest.workspace, manifest.id.as_str()).await?
+            let view = read(context, &manifest.workspace, manifest.id.as_str()).await?;
+            same_content(view, &manifest)
         }
-        Err(e) => return Err(files::store_error(&e)),
-    };
-    if view.manifest().digest != manifest.digest {
-        let message = "this idempotency key came with other content before";
-        return Err(error::ApiError::not_run(
-            error::ErrorCode::IdempotencyConflict,
-            message,
-        ));
+        Err(e) => Err(files::store_error(&e)),
+    }
+}
+
+/// A resent submission must have the content that its key came with first.
+fn same_content(view: JobView, manifest: &job::JobManifest) -> error::ApiResult<JobView> {
+    if view.manifest().digest == manifest.digest {
+        return Ok(view);
     }
-    Ok(view)
+    let message = "this idempotency key came with other content before";
+    let code = error::ErrorCode::IdempotencyConflict;
+    Err(error::ApiError::not_run(code, message))
 }
 
 async fn read_ended(
@@ -360,7 +357,8 @@
         match written {
             Ok(settle::SettledWrite::Done(_)) => {
                 log::info!("event=job_cancelling job={}", cancelled.id);
-                let counts = read_counts(context, &cancelled).await?;
+                // The cancellation stands, whether its counts can be read or not.
+                let counts = read_counts(context, &cancelled).await.unwrap_or_default();
                 return Ok(JobView::Active(sync::Arc::new(cancelled), counts));
             }
             Ok(settle::SettledWrite::Lost(_)) => continue,
--- a/src/gateway/files.rs
+++ b/src/gateway/files.rs
@@ -59,7 +59,11 @@
 
 /// An error of the object service as callers see it.
 pub fn store_error(e: &store::StoreError) -> error::ApiError {
-    error::ApiError::not_run(error::ErrorCode::StoreUnavailable, e.to_string())
+    let mut error = error::ApiError::not_run(error::ErrorCode::StoreUnavailable, e.to_string());
+    if *e == store::StoreError::Unknown {
+        error.ran = error::RanReport::Unknown;
+    }
+    error
 }
 
 /// Reads a file's record.
--- a/src/settle.rs
+++ b/src/settle.rs
@@ -51,7 +51,8 @@
 /// read tells whether an earlier try took effect. Gives up at `deadline`.
 ///
 /// # Errors
-/// The outcome is still not known at `deadline`, or the value is too large.
+/// The outcome is still not known at `deadline`: [`store::StoreError::Unknown`]
+/// if any try may have taken effect. Or the value is too large.
 pub async fn put(
     store: &dyn store::ObjectStore,
     class: call_budget::CallClass,
@@ -61,6 +62,7 @@
     deadline: time::Instant,
 ) -> store::StoreResult<SettledWrite> {
     let mut backoff = JitteredBackoff::default();
+    let mut may_have_taken_effect = false;
     loop {
         let outcome = store.put(class, key, value.clone(), condition).await;
         let error = match outcome {
@@ -73,6 +75,7 @@
             error,
             store::StoreError::Conflict | store::StoreError::Unknown
         );
+        may_have_taken_effect |= error == store::StoreError::Unknown;
         if unclear && !protection::is_out("read_back") {
             match store.get(class, key).await {
                 Ok(Some(found)) if found.value == value => {
@@ -86,7 +89,11 @@
         }
         let pause = backoff.next_pause();
         if time::Instant::now() + pause >= deadline {
-            return Err(error);
+            // A refusal of the last try says nothing of the ones before.
+            return Err(match may_have_taken_effect {
+                true => store::StoreError::Unknown,
+                false => error,
+            });
         }
         actix_rt::time::sleep(pause).await;
     }
