--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -34,7 +34,7 @@
         async move {
             let request_id = ids::unique("req");
             let line = RequestLine::new(&request, request_id.clone());
-            let running = RunningRequest::begin(&context);
+            let running = RunningRequest::begin(&context, &request);
             let outcome = match running.check() {
                 Ok(()) => route(&context, &client, request, request_id).await,
                 Err(e) => Err(e),
@@ -48,31 +48,45 @@
 /// A request under way; counted until it is answered or its caller goes.
 struct RunningRequest {
     context: sync::Arc<context::GatewayContext>,
-    /// Whether there is room for it.
-    fits: bool,
+    /// What speaks against it, before it is looked at.
+    refusal: Option<error::ApiError>,
 }
 
 impl RunningRequest {
-    fn begin(context: &sync::Arc<context::GatewayContext>) -> Self {
+    fn begin(context: &sync::Arc<context::GatewayContext>, request: &actix_http::Request) -> Self {
+        let fits = context.begin_request();
+        let guard = request.conn_data::<http_server::ConnectionGuard>();
+        let overloaded = |message| error::ApiError::not_run(error::ErrorCode::Overloaded, message);
+        let refusal = if guard.is_some_and(|g| g.is_over) {
+            Some(overloaded("the gateway has too many connections"))
+        } else if !fits {
+            Some(overloaded("the gateway has too many requests at once"))
+        } else {
+            head_fault(request, context.settings.callers.limits.head_bytes)
+        };
         Self {
-            fits: context.begin_request(),
             context: context.clone(),
+            refusal,
         }
     }
 
-    /// Refuses a request that has no room.
+    /// Refuses a request that something speaks against.
     fn check(&self) -> error::ApiResult<()> {
-        if self.fits {
-            return Ok(());
-        }
-        let message = "the gateway has too many requests at once";
-        Err(error::ApiError::not_run(
-            error::ErrorCode::Overloaded,
-            message,
-        ))
+        self.refusal.clone().map_or(Ok(()), Err)
     }
 }
 
+/// What is wrong with the size of a request's head, if anything.
+fn head_fault(request: &actix_http::Request, limit: usize) -> Option<error::ApiError> {
+    let fields = request.head().headers().iter();
+    let size: usize = fields
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    let size = size + request.uri().path().len() + request.uri().query().map_or(0, str::len);
+    let message = format!("the head is larger than {limit} bytes");
+    (size > limit).then(|| error::ApiError::not_run(error::ErrorCode::TooLarge, message))
+}
+
 impl Drop for RunningRequest {
     fn drop(&mut self) {
         self.context.end_request();
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -1,6 +1,10 @@
 //! One HTTP server: listener, worker threads, limits, graceful shutdown.
 
-use std::{convert, io, net, rc, sync, thread, time};
+use std::{
+    convert, io, net, rc,
+    sync::{self, atomic},
+    thread, time,
+};
 
 use actix_http::body;
 use futures::{future, StreamExt as _};
@@ -17,6 +21,37 @@
 /// Makes the handler of each worker thread.
 pub type HandlerFactory = sync::Arc<dyn Fn() -> rc::Rc<dyn RequestHandler> + Send + Sync>;
 
+/// Connections that are open, over all workers of a server.
+#[derive(Debug, Default)]
+pub struct ConnectionCount(atomic::AtomicUsize);
+
+/// One connection, counted while it is open.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    count: sync::Arc<ConnectionCount>,
+    /// Whether it came when as many as allowed were open.
+    pub is_over: bool,
+}
+
+impl ConnectionGuard {
+    fn new(count: sync::Arc<ConnectionCount>, limit: usize) -> Self {
+        let before = count.0.fetch_add(1, atomic::Ordering::Relaxed);
+        Self {
+            count,
+            is_over: before >= limit,
+        }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.count.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Connections beyond the limit that are still accepted, to be told so.
+const SPARE_CONNECTIONS: usize = 256;
+
 /// How a server is run.
 #[derive(Debug, Clone)]
 pub struct ServerOptions {
@@ -24,7 +59,7 @@
     pub name: &'static str,
     /// Worker threads, at least 1.
     pub workers: usize,
-    /// Connections at once per worker; more wait in the listener's backlog.
+    /// Connections at once; requests of further ones are to be refused by the handler.
     pub max_connections: usize,
     /// Longest wait for a request's head.
     pub head_timeout: time::Duration,
@@ -100,13 +135,18 @@
 
 /// The HTTP service of one worker; a macro, as its type depends on the transport.
 macro_rules! http_service {
-    ($factory:expr, $head_timeout:expr) => {{
+    ($factory:expr, $head_timeout:expr, $count:expr, $limit:expr) => {{
+        let count = $count.clone();
+        let limit = $limit;
         let handler = $factory();
         actix_http::HttpService::build()
             .client_request_timeout($head_timeout)
             .client_disconnect_timeout(time::Duration::from_secs(1))
             .keep_alive(time::Duration::from_secs(75))
             .tcp_nodelay(true)
+            .on_connect_ext(move |_, data: &mut actix_http::Extensions| {
+                data.insert(ConnectionGuard::new(count.clone(), limit));
+            })
             .finish(move |request: actix_http::Request| {
                 let answer = handler.handle(request);
                 async move { Ok::<_, convert::Infallible>(answer.await) }
@@ -121,16 +161,18 @@
 ) -> io::Result<actix_server::Server> {
     let builder = actix_server::Server::build()
         .workers(options.workers.max(1))
-        .max_concurrent_connections(options.max_connections)
+        .max_concurrent_connections(options.max_connections + SPARE_CONNECTIONS)
         .shutdown_timeout(options.stop_timeout.as_secs())
         .disable_signals();
     let head_timeout = options.head_timeout;
+    let limit = options.max_connections;
+    let count = sync::Arc::new(ConnectionCount::default());
     let builder = match options.tls {
         Some(tls) => builder.listen(options.name, listener, move || {
-            http_service!(factory, head_timeout).rustls_0_23((*tls).clone())
+            http_service!(factory, head_timeout, count, limit).rustls_0_23((*tls).clone())
         })?,
         None => builder.listen(options.name, listener, move || {
-            http_service!(factory, head_timeout).tcp()
+            http_service!(factory, head_timeout, count, limit).tcp()
         })?,
     };
     Ok(builder.run())
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -82,7 +82,9 @@
     pub head_timeout_ms: u64,
     /// Milliseconds to send an online request's body.
     pub body_timeout_ms: u64,
-    /// Connections at once for each thread; further ones wait to be accepted.
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Connections at once; requests of further ones are refused.
     pub connections: usize,
     /// Requests at once in all; further ones are refused.
     pub requests: usize,
@@ -97,6 +99,7 @@
             file_items: 400_000,
             head_timeout_ms: 5_000,
             body_timeout_ms: 30_000,
+            head_bytes: 32 << 10,
             connections: 4_096,
             requests: 8_192,
         }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -164,3 +164,99 @@
         assert!(answer.retry_after.is_some());
     }
 }
+
+/// Sends bytes on a connection of their own and reads all that comes back.
+fn raw(address: std::net::SocketAddr, parts: &[&[u8]], pause: std::time::Duration) -> String {
+    use std::io::{Read as _, Write as _};
+    let mut socket = std::net::TcpStream::connect(address).expect("it connects");
+    socket
+        .set_read_timeout(Some(support::PATIENCE))
+        .expect("the timeout is set");
+    for part in parts {
+        let _ = socket.write_all(part);
+        std::thread::sleep(pause);
+    }
+    let mut answer = Vec::new();
+    let mut piece = [0; 4096];
+    while let Ok(count) = socket.read(&mut piece) {
+        answer.extend_from_slice(&piece[..count]);
+        // An error's JSON ends with two braces.
+        if count == 0 || answer.ends_with(b"}}") {
+            break;
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn bad_heads_slow_callers_and_too_many_connections_are_told_and_counted() {
+    let mut fleet = support::ProcessFleet::start(&support::FleetSize {
+        engines: 1,
+        ..support::FleetSize::default()
+    });
+    let gateway = fleet.start_gateway_with(5, |config| {
+        config["callers"]["limits"] = serde_json::json!({
+            "body_timeout_ms": 200, "head_timeout_ms": 300, "connections": 6, "line_bytes": 200,
+        });
+    });
+    fleet.gateways.push(gateway);
+    fleet.wait_ready();
+    let address = fleet.gateways[2].address("callers");
+    let none = std::time::Duration::ZERO;
+    let key = format!("host: x\r\nauthorization: Bearer {}\r\n", support::KEY);
+    let large = format!(
+        "GET /v1/models HTTP/1.1\r\n{key}x-large: {}\r\n\r\n",
+        "y".repeat(40_000)
+    );
+    let answer = raw(address, &[large.as_bytes()], none);
+    assert!(
+        answer.starts_with("HTTP/1.1 413") && answer.contains("too_large"),
+        "{answer}"
+    );
+    let slow = format!("POST /v1/completions HTTP/1.1\r\n{key}content-length: 100\r\n\r\n{{");
+    let answer = raw(address, &[slow.as_bytes()], none);
+    assert!(
+        answer.starts_with("HTTP/1.1 408") && answer.contains("request_timeout"),
+        "{answer}"
+    );
+    let pause = std::time::Duration::from_millis(500);
+    let answer = raw(
+        address,
+        &[b"GET /v1/models HTTP/1.1\r\nhost:", b" x\r\n"],
+        pause,
+    );
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    let long = format!("{{\"custom_id\":\"{}\"}}\n", "z".repeat(300));
+    let caller = fleet.caller(2);
+    let upload = std::panic::catch_unwind(|| caller.upload(&long));
+    assert!(upload.is_err(), "a long line is refused");
+    let open: Vec<_> = (0..6)
+        .map(|_| std::net::TcpStream::connect(address).expect("it connects"))
+        .collect();
+    // The open ones are counted once the gateway has taken them.
+    let request = format!("GET /v1/models HTTP/1.1\r\n{key}\r\n");
+    support::wait_for("a further connection is refused", || {
+        let _ = &open;
+        let answer = raw(address, &[request.as_bytes()], none);
+        (answer.starts_with("HTTP/1.1 503") && answer.contains("too many connections"))
+            .then_some(())
+    });
+    drop(open);
+    support::wait_for("the refusals are counted", || {
+        let metrics = fleet
+            .caller(2)
+            .send(Method::GET, "/metrics", &[], Vec::new())
+            .ok()?;
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        let counted = [
+            "too_large",
+            "request_timeout",
+            "overloaded",
+            "invalid_request",
+        ];
+        let all = counted
+            .iter()
+            .all(|c| text.contains(&format!("code=\"{c}\"")));
+        all.then_some(())
+    });
+}
