--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -71,7 +71,7 @@
     let role = fleet::InstanceRole::Gateway;
     let fleet = parts.watch_fleet(&settings.instance, &settings.pace, role, link.address)?;
     let _ = handler.fleet.set(fleet.clone());
-    let options = server_options(&settings)?;
+    let options = server_options(&settings, parts.metrics.unserved.clone())?;
     let listen = settings.callers.listen.to_string();
     let context = sync::Arc::new(context::GatewayContext::new(settings, parts, fleet));
     let shared = context.clone();
@@ -90,6 +90,7 @@
 
 fn server_options(
     settings: &settings::gateway::GatewaySettings,
+    unserved: prometheus::IntCounter,
 ) -> io::Result<http_server::ServerOptions> {
     let limits = &settings.callers.limits;
     let tls = match &settings.callers.tls {
@@ -100,6 +101,7 @@
         name: "callers",
         workers: settings.callers.workers,
         max_connections: limits.connections,
+        unserved: Some(unserved),
         head_timeout: time::Duration::from_millis(limits.head_timeout_ms),
         stop_timeout: time::Duration::from_millis(settings.callers.stop_timeout_ms),
         tls,
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -56,6 +56,9 @@
     fn begin(context: &sync::Arc<context::GatewayContext>, request: &actix_http::Request) -> Self {
         let fits = context.begin_request();
         let guard = request.conn_data::<http_server::ConnectionGuard>();
+        if let Some(guard) = guard {
+            guard.note_request();
+        }
         let overloaded = |message| error::ApiError::not_run(error::ErrorCode::Overloaded, message);
         let refusal = if guard.is_some_and(|g| g.is_over) {
             Some(overloaded("the gateway has too many connections"))
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -1,7 +1,7 @@
 //! One HTTP server: listener, worker threads, limits, graceful shutdown.
 
 use std::{
-    convert, io, net, rc,
+    cell, convert, io, net, rc,
     sync::{self, atomic},
     thread, time,
 };
@@ -29,26 +29,46 @@
 #[derive(Debug)]
 pub struct ConnectionGuard {
     count: sync::Arc<ConnectionCount>,
+    unserved: Option<prometheus::IntCounter>,
+    served: cell::Cell<bool>,
     /// Whether it came when as many as allowed were open.
     pub is_over: bool,
 }
 
 impl ConnectionGuard {
-    fn new(count: sync::Arc<ConnectionCount>, limit: usize) -> Self {
-        let before = count.0.fetch_add(1, atomic::Ordering::Relaxed);
+    fn new(terms: &ConnectionTerms) -> Self {
+        let before = terms.count.0.fetch_add(1, atomic::Ordering::Relaxed);
         Self {
-            count,
-            is_over: before >= limit,
+            count: terms.count.clone(),
+            unserved: terms.unserved.clone(),
+            served: cell::Cell::new(false),
+            is_over: before >= terms.limit,
         }
     }
+
+    /// Notes that a whole head came.
+    pub fn note_request(&self) {
+        self.served.set(true);
+    }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.count.0.fetch_sub(1, atomic::Ordering::Relaxed);
+        if let Some(unserved) = self.unserved.as_ref().filter(|_| !self.served.get()) {
+            unserved.inc();
+        }
     }
 }
 
+/// What the connections of a server share.
+#[derive(Clone)]
+struct ConnectionTerms {
+    count: sync::Arc<ConnectionCount>,
+    unserved: Option<prometheus::IntCounter>,
+    limit: usize,
+}
+
 /// Connections beyond the limit that are still accepted, to be told so.
 const SPARE_CONNECTIONS: usize = 256;
 
@@ -61,6 +81,8 @@
     pub workers: usize,
     /// Connections at once; requests of further ones are to be refused by the handler.
     pub max_connections: usize,
+    /// Counts connections that ended without a whole head of a request.
+    pub unserved: Option<prometheus::IntCounter>,
     /// Longest wait for a request's head.
     pub head_timeout: time::Duration,
     /// Longest wait for requests in flight at a graceful shutdown.
@@ -76,6 +98,7 @@
             name,
             workers: 1,
             max_connections: 4096,
+            unserved: None,
             head_timeout: time::Duration::from_secs(5),
             stop_timeout: time::Duration::from_secs(60),
             tls: None,
@@ -135,9 +158,8 @@
 
 /// The HTTP service of one worker; a macro, as its type depends on the transport.
 macro_rules! http_service {
-    ($factory:expr, $head_timeout:expr, $count:expr, $limit:expr) => {{
-        let count = $count.clone();
-        let limit = $limit;
+    ($factory:expr, $head_timeout:expr, $terms:expr) => {{
+        let terms = $terms.clone();
         let handler = $factory();
         actix_http::HttpService::build()
             .client_request_timeout($head_timeout)
@@ -145,7 +167,7 @@
             .keep_alive(time::Duration::from_secs(75))
             .tcp_nodelay(true)
             .on_connect_ext(move |_, data: &mut actix_http::Extensions| {
-                data.insert(ConnectionGuard::new(count.clone(), limit));
+                data.insert(ConnectionGuard::new(&terms));
             })
             .finish(move |request: actix_http::Request| {
                 let answer = handler.handle(request);
@@ -165,14 +187,17 @@
         .shutdown_timeout(options.stop_timeout.as_secs())
         .disable_signals();
     let head_timeout = options.head_timeout;
-    let limit = options.max_connections;
-    let count = sync::Arc::new(ConnectionCount::default());
+    let terms = ConnectionTerms {
+        count: sync::Arc::new(ConnectionCount::default()),
+        unserved: options.unserved.clone(),
+        limit: options.max_connections,
+    };
     let builder = match options.tls {
         Some(tls) => builder.listen(options.name, listener, move || {
-            http_service!(factory, head_timeout, count, limit).rustls_0_23((*tls).clone())
+            http_service!(factory, head_timeout, terms).rustls_0_23((*tls).clone())
         })?,
         None => builder.listen(options.name, listener, move || {
-            http_service!(factory, head_timeout, count, limit).tcp()
+            http_service!(factory, head_timeout, terms).tcp()
         })?,
     };
     Ok(builder.run())
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -44,6 +44,8 @@
     pub preempted: prometheus::IntCounter,
     /// Messages dropped because their sender did not know the link secret.
     pub strangers: prometheus::IntCounter,
+    /// Connections that ended without a whole head of a request.
+    pub unserved: prometheus::IntCounter,
     /// Answers discarded because they belonged to another attempt.
     pub crossed: prometheus::IntCounter,
     /// Broken invariants, by name.
@@ -100,6 +102,11 @@
             batch_items: counters(r, "jayhollow_batch_items_total", "Batch items", "outcome"),
             preempted: counter(r, "jayhollow_preempted_total", "Batch streams cancelled"),
             strangers: counter(r, "jayhollow_strangers_total", "Unknown peers dropped"),
+            unserved: counter(
+                r,
+                "jayhollow_unserved_connections_total",
+                "Connections that ended without a request",
+            ),
             crossed: counter(
                 r,
                 "jayhollow_crossed_answers_total",
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -254,9 +254,14 @@
             "overloaded",
             "invalid_request",
         ];
-        let all = counted
-            .iter()
-            .all(|c| text.contains(&format!("code=\"{c}\"")));
+        let unserved = text
+            .lines()
+            .find_map(|l| l.strip_prefix("jayhollow_unserved_connections_total "))
+            .is_some_and(|n| n != "0");
+        let all = unserved
+            && counted
+                .iter()
+                .all(|c| text.contains(&format!("code=\"{c}\"")));
         all.then_some(())
     });
 }
