--- a/src/bench/harm.rs
+++ b/src/bench/harm.rs
@@ -262,14 +262,14 @@
     let reach = fleet.reach(local_fleet::CALLER_KEY);
     actix_rt::System::new().block_on(async {
         let client = client::ApiClient::new(&reach);
-        let file = job_commands::upload(&client, lines.as_bytes()).await?;
-        let request = serde_json::json!({
-            "input_file_id": file["id"], "endpoint": "/v1/chat/completions",
-            "completion_window": "1h",
-        });
-        client
-            .post("/v1/batches", request.to_string().into_bytes())
-            .await
+        job_commands::submit_items(
+            &client,
+            lines.as_bytes(),
+            "/v1/chat/completions",
+            "1h",
+            None,
+        )
+        .await
     })?;
     Ok(())
 }
--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -422,14 +422,14 @@
     let reach = fleet.reach(local_fleet::CALLER_KEY);
     let job = actix_rt::System::new().block_on(async {
         let client = client::ApiClient::new(&reach);
-        let file = job_commands::upload(&client, lines.as_bytes()).await?;
-        let request = serde_json::json!({
-            "input_file_id": file["id"], "endpoint": "/v1/chat/completions",
-            "completion_window": "1h",
-        });
-        let job = client
-            .post("/v1/batches", request.to_string().into_bytes())
-            .await?;
+        let job = job_commands::submit_items(
+            &client,
+            lines.as_bytes(),
+            "/v1/chat/completions",
+            "1h",
+            None,
+        )
+        .await?;
         job_commands::wait(&client, &job).await
     })?;
     if job["request_counts"]["completed"].as_u64() != Some(items as u64) {
--- a/src/cli/job_commands.rs
+++ b/src/cli/job_commands.rs
@@ -115,17 +115,32 @@
 ) -> CommandResult<serde_json::Value> {
     let items = fs::read(&flags.file)
         .map_err(|e| CommandError::failed(format!("{}: {e}", flags.file.display())))?;
-    let file = upload(client, &items).await?;
+    let key = flags.idempotency_key.as_deref();
+    submit_items(client, &items, &flags.endpoint, &flags.window, key).await
+}
+
+/// Uploads items and creates a job from them.
+///
+/// # Errors
+/// The gateway cannot be reached or refuses.
+pub async fn submit_items(
+    client: &client::ApiClient,
+    items: &[u8],
+    endpoint: &str,
+    window: &str,
+    idempotency_key: Option<&str>,
+) -> CommandResult<serde_json::Value> {
+    let file = upload(client, items).await?;
     let request = serde_json::json!({
         "input_file_id": file["id"],
-        "endpoint": flags.endpoint,
-        "completion_window": flags.window,
+        "endpoint": endpoint,
+        "completion_window": window,
     });
     let call = client::ApiCall {
         method: actix_http::Method::POST,
         path: "/v1/batches",
         content_type: "application/json",
-        idempotency_key: flags.idempotency_key.as_deref(),
+        idempotency_key,
         body: request.to_string().into_bytes(),
     };
     client::parse(&client.send(call).await?)
--- a/src/smoke.rs
+++ b/src/smoke.rs
@@ -142,14 +142,9 @@
         });
         let _ = writeln!(items, "{item}");
     }
-    let file = job_commands::upload(client, items.as_bytes()).await?;
-    let request = serde_json::json!({
-        "input_file_id": file["id"], "endpoint": "/v1/chat/completions",
-        "completion_window": "1h",
-    });
-    let job = client
-        .post("/v1/batches", request.to_string().into_bytes())
-        .await?;
+    let job =
+        job_commands::submit_items(client, items.as_bytes(), "/v1/chat/completions", "1h", None)
+            .await?;
     let job = job_commands::wait(client, &job).await?;
     let output = job["output_file_id"].as_str().unwrap_or_default();
     let content = client.fetch(&format!("/v1/files/{output}/content")).await?;
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -44,6 +44,15 @@
     found: bool,
 }
 
+impl StoreAnswer {
+    /// What was read and its version, if there is anything new.
+    fn into_object(self) -> Option<store::VersionedObject> {
+        let revision = self.revision.filter(|_| self.found)?;
+        let value = self.body;
+        Some(store::VersionedObject { revision, value })
+    }
+}
+
 /// A handle to the thread that talks to the object service.
 ///
 /// The thread ends when the last handle is dropped.
@@ -143,12 +152,7 @@
         );
         async move {
             let answer = call.await?;
-            let revision = match answer.revision {
-                Some(revision) if answer.found => revision,
-                _ => return Ok(None),
-            };
-            let value = answer.body;
-            Ok(Some(store::VersionedObject { revision, value }))
+            Ok(answer.into_object())
         }
         .boxed()
     }
@@ -218,14 +222,12 @@
             CALL_TIMEOUT,
         );
         async move {
-            let answer = call.await?;
-            let revision = match answer.revision {
-                Some(revision) if answer.found => revision,
-                _ => return Ok(None),
+            let Some(object) = call.await?.into_object() else {
+                return Ok(None);
             };
-            let endpoints = decode(Ok(answer))?;
+            let endpoints = object.decode()?;
             Ok(Some(store::EndpointList {
-                revision,
+                revision: object.revision,
                 endpoints,
             }))
         }
