fix(serving): watch loops are paced, and one process reads the beliefs anew

Ruled out: short waits for every watch (9 processes x 2 watches x 0.1 a call). Change: failures elsewhere look again at most twice a second, loops wait while the store is away; the first owner reads state and list every 0.6 s, probes spread it.

--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, net, rc};
 
+use xxhash_rust::xxh3;
+
 use crate::{clock, ids};
 
 /// One listed endpoint.
@@ -121,6 +123,15 @@
         self.entries.values()
     }
 
+    /// A number that differs for lists that differ.
+    pub fn digest(&self) -> u64 {
+        let entries = self.entries.values().map(|entry| {
+            let text = format!("{} {} {}", entry.id, entry.address, entry.leaving);
+            xxh3::xxh3_64(text.as_bytes())
+        });
+        entries.fold(0, u64::wrapping_add)
+    }
+
     /// Number of entries.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -57,6 +57,11 @@
         self.revision.get()
     }
 
+    /// A number that differs for lists of endpoints that differ.
+    pub fn digest(&self) -> u64 {
+        self.directory.borrow().digest()
+    }
+
     /// Whether the source answers.
     pub fn is_reachable(&self) -> bool {
         self.reachable_since.get().is_some()
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -22,11 +22,27 @@
     Retire(ids::InstanceId),
 }
 
+/// What is to be read anew.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefreshKind {
+    /// The desired state.
+    State,
+    /// The list of endpoints.
+    Endpoints,
+}
+
 /// Where the desired state, the endpoints and orders to instances come from.
 pub trait FleetSource {
     /// Brings news until the process ends.
     fn run(&self, model: rc::Rc<fleet_model::FleetModel>) -> future::LocalBoxFuture<'static, ()>;
 
+    /// Reads beliefs anew, in case a watch missed something.
+    fn refresh(
+        &self,
+        what: RefreshKind,
+        model: rc::Rc<fleet_model::FleetModel>,
+    ) -> future::LocalBoxFuture<'static, ()>;
+
     /// Reports that an instance holds nothing that is needed.
     fn report_emptied(&self, id: ids::InstanceId) -> future::LocalBoxFuture<'static, bool>;
 }
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -507,7 +507,7 @@
     let mut since = store::ObjectRevision(0);
     loop {
         let is_owner = context.owners().iter().any(|o| o.id == *context.id());
-        if !is_owner {
+        if !is_owner || !context.fleet.is_reachable() {
             actix_rt::time::sleep(STORE_PAUSE).await;
             continue;
         }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -32,6 +32,8 @@
     pub version: route_table::StateVersion,
     /// Revision of its list of endpoints.
     pub revision: u64,
+    /// Digest of its list of endpoints.
+    pub digest: u64,
 }
 
 /// A wish for a place for an online request.
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -22,6 +22,13 @@
 const SWEEP_TICKS: u32 = 20;
 /// Longest wait for a peer's desired state or list.
 const BELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Pause between two readings of the beliefs; a change is to be in force within 2 s.
+const REFRESH_PAUSE: time::Duration = time::Duration::from_millis(600);
+/// Every so many of these readings is of the list, the others of the desired state.
+const LIST_ROUNDS: u32 = 3;
+/// How long a peer's newer list must differ before the own one is read anew:
+/// the own watch brings most changes at the same moment.
+const MISSED_AFTER: time::Duration = time::Duration::from_millis(400);
 /// Longest wait for the answer to a probe; a round trip takes 1 to 4 ms.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Pause before the store is asked again for the members.
@@ -90,6 +97,8 @@
     owners: cell::RefCell<rc::Rc<Vec<ownership::OwnerCandidate>>>,
     /// Places that owners said they could give.
     pub rooms: cell::RefCell<collections::HashMap<ids::InstanceId, u32>>,
+    /// Since when a peer has had a newer list of endpoints.
+    differing_since: cell::Cell<Option<clock::Moment>>,
     /// Whether the process was asked to stop.
     pub stopping: watch::Sender<bool>,
     /// Requests of callers under way.
@@ -137,6 +146,7 @@
             leaving: self.is_stopping(),
             version: self.fleet.table().version(),
             revision: self.fleet.revision(),
+            digest: self.fleet.digest(),
         }
     }
 }
@@ -167,6 +177,7 @@
         jobs: job_board::JobBoard::default(),
         owners: cell::RefCell::default(),
         rooms: cell::RefCell::default(),
+        differing_since: cell::Cell::new(None),
         stopping: watch::Sender::new(false),
         active: cell::Cell::new(0),
     });
@@ -182,6 +193,7 @@
     actix_rt::spawn(serve_peers(context.clone(), calls));
     actix_rt::spawn(watch_members(context.clone()));
     actix_rt::spawn(probe_peers(context.clone()));
+    actix_rt::spawn(refresh_beliefs(context.clone()));
     actix_rt::spawn(tick(context.clone()));
     job_runner::start(&context);
     if stop.recv().await.is_none() {
@@ -249,6 +261,10 @@
     let prefix = format!("{MEMBER_KIND}/");
     let mut since = store::ObjectRevision(0);
     while !context.is_stopping() {
+        if !context.fleet.is_reachable() {
+            actix_rt::time::sleep(MEMBER_RETRY).await;
+            continue;
+        }
         let answer = context.store.watch(&[&prefix], since, MEMBER_WAIT).await;
         match answer {
             Ok(answer) => {
@@ -358,20 +374,60 @@
             Err(e) => log::info!("event=peer_state_missing peer={} why=\"{e}\"", hello.id),
         }
     }
-    let starved = !context.fleet.is_reachable() && hello.revision > context.fleet.revision();
-    if starved {
-        match context.links.endpoints(peer, BELIEF_TIMEOUT).await {
-            Ok(copy) => {
-                log::info!(
-                    "event=endpoints_from_peer peer={} revision={}",
-                    hello.id,
-                    copy.revision
-                );
-                let news = fleet_source::FleetNews::Endpoints(copy.revision, copy.entries);
-                context.fleet.take(news);
-            }
-            Err(e) => log::info!("event=peer_endpoints_missing peer={} why=\"{e}\"", hello.id),
+    if hello.digest == context.fleet.digest() || hello.revision <= context.fleet.revision() {
+        context.differing_since.set(None);
+        return;
+    }
+    if context.fleet.is_reachable() {
+        read_missed(context).await;
+        return;
+    }
+    match context.links.endpoints(peer, BELIEF_TIMEOUT).await {
+        Ok(copy) => {
+            let (id, revision) = (&hello.id, copy.revision);
+            log::info!("event=endpoints_from_peer peer={id} revision={revision}");
+            let news = fleet_source::FleetNews::Endpoints(revision, copy.entries);
+            context.fleet.take(news);
+        }
+        Err(e) => log::info!("event=peer_endpoints_missing peer={} why=\"{e}\"", hello.id),
+    }
+}
+
+/// Reads the list anew when a peer has had a newer one for a while.
+async fn read_missed(context: &ProcessContext) {
+    let now = context.clock.now();
+    match context.differing_since.get() {
+        None => context.differing_since.set(Some(now)),
+        Some(since) if now.since(since) < MISSED_AFTER => {}
+        Some(_) => {
+            context.differing_since.set(None);
+            log::info!("event=endpoints_missed");
+            let model = context.fleet.clone();
+            let refresh = fleet_source::RefreshKind::Endpoints;
+            context.source.refresh(refresh, model).await;
+        }
+    }
+}
+
+/// Reads the beliefs anew at a steady pace, on one process for all.
+///
+/// A watch may stay silent without being cut; the others learn of what is
+/// found here by the probes.
+async fn refresh_beliefs(context: rc::Rc<ProcessContext>) {
+    let mut round = 0_u32;
+    loop {
+        actix_rt::time::sleep(REFRESH_PAUSE).await;
+        let first = context.owners().first().map(|o| o.id.clone());
+        let is_first = first.as_ref() == Some(context.id());
+        if !is_first || !context.fleet.is_reachable() {
+            continue;
         }
+        round = round.wrapping_add(1);
+        let what = match round.is_multiple_of(LIST_ROUNDS) {
+            true => fleet_source::RefreshKind::Endpoints,
+            false => fleet_source::RefreshKind::State,
+        };
+        context.source.refresh(what, context.fleet.clone()).await;
     }
 }
 
