fix(serving): no cascade of ejections, batch places lent between owners, honest stops

Change: ejection needs three failures in a row or a refused connection and is capped; owners lend batch places; gateways own only after 3 s; places of silent processes end; a stop refuses after 0.35 of the grace; a peer writes what the store does not take from a gateway.

--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -10,8 +10,8 @@
 
 /// Time that a caller is taken to wait if it does not say.
 const DEFAULT_PATIENCE: time::Duration = time::Duration::from_secs(30);
-/// When a caller may come back to a process that knows no desired state yet.
-const UNKNOWN_STATE_PAUSE: &str = "0.3";
+/// When a caller may come back, in seconds: tries go to another process.
+const COME_BACK_PAUSE: &str = "0.1";
 
 /// Answers the requests of callers.
 #[derive(Clone)]
@@ -53,7 +53,10 @@
     let arrived = time::Instant::now();
     let table = context.fleet.table();
     if !context.fleet.is_known() {
-        return unknown_state();
+        return come_back("no desired state is known yet\n");
+    }
+    if context.refuses_requests() {
+        return come_back("this process is about to stop\n");
     }
     let host = host_of(&request);
     let path = request.path().to_owned();
@@ -108,10 +111,11 @@
     relay::serve(context, request, active).await
 }
 
-fn unknown_state() -> http_server::HttpAnswer {
+/// Refuses a request that this process has not begun; another one will serve it.
+fn come_back(why: &'static str) -> http_server::HttpAnswer {
     actix_http::Response::build(StatusCode::SERVICE_UNAVAILABLE)
-        .insert_header((header::RETRY_AFTER, UNKNOWN_STATE_PAUSE))
-        .body("no desired state is known yet\n")
+        .insert_header((header::RETRY_AFTER, COME_BACK_PAUSE))
+        .body(why)
         .map_into_boxed_body()
 }
 
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -51,6 +51,11 @@
 }
 
 impl ItemProgress {
+    /// Whether it may start now.
+    pub fn is_ready(&self, now: time::Instant) -> bool {
+        self.phase == ItemPhase::Waiting && self.not_before <= now
+    }
+
     fn new() -> Self {
         Self {
             phase: ItemPhase::Waiting,
@@ -199,6 +204,8 @@
     streams: cell::RefCell<collections::HashMap<StreamKey, oneshot::Sender<()>>>,
     /// Told when there may be work: a new job, a free place.
     pub work: Notify,
+    /// Whether the other owners are being asked for places.
+    pub borrowing: cell::Cell<bool>,
     /// Told when the owners of jobs changed.
     pub owners_changed: Notify,
 }
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -9,6 +9,8 @@
 
 /// Longest time for the acceptance of a job, within the caller's patience.
 const ACCEPT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Peers that are asked to write what the store does not take from this process.
+const PEERS_ASKED: usize = 2;
 /// Pause between tries of a write whose outcome is not known.
 const ACCEPT_RETRY: time::Duration = time::Duration::from_millis(150);
 /// When a refused caller may come back.
@@ -117,7 +119,7 @@
             Ok(Ok(())) => return Acceptance::Accepted,
             Ok(Err(store::StoreError::Unavailable(why))) if !unknown => {
                 log::info!("event=acceptance_refused job={} why=\"{why}\"", record.id);
-                return Acceptance::Refused;
+                return accept_by_peer(context, record, until).await;
             }
             Ok(Err(store::StoreError::TooLarge)) => return Acceptance::Refused,
             Ok(Err(e)) => {
@@ -133,6 +135,51 @@
     }
 }
 
+/// Has a peer write a job that the store does not take from this process.
+async fn accept_by_peer(
+    context: &rc::Rc<process::ProcessContext>,
+    record: &job_records::JobRecord,
+    until: time::Instant,
+) -> Acceptance {
+    for owner in context.owners().iter().take(PEERS_ASKED) {
+        let address = context.members.borrow().address_of(&owner.id);
+        let Some(address) = address else { continue };
+        let left = until.saturating_duration_since(time::Instant::now());
+        let written = context.links.write_job(address, record.clone(), left).await;
+        log::info!(
+            "event=job_by_peer job={} peer={} outcome={written:?}",
+            record.id,
+            owner.id
+        );
+        match written {
+            Ok(peers::WriteOutcome::Written) => return Acceptance::Accepted,
+            Ok(peers::WriteOutcome::Refused) | Err(peers::PeerError::NotSent) => {}
+            Ok(peers::WriteOutcome::Unknown) | Err(_) => return Acceptance::Unknown,
+        }
+    }
+    Acceptance::Refused
+}
+
+/// Has a peer write the end of a job; says whether it did.
+async fn end_by_peer(context: &rc::Rc<process::ProcessContext>, job: &ids::JobId) -> bool {
+    for owner in context.owners().iter().take(PEERS_ASKED) {
+        let address = context.members.borrow().address_of(&owner.id);
+        let Some(address) = address else { continue };
+        let written = context
+            .links
+            .write_end(address, job.clone(), ACCEPT_TIMEOUT)
+            .await;
+        log::info!(
+            "event=end_by_peer job={job} peer={} outcome={written:?}",
+            owner.id
+        );
+        if written == Ok(peers::WriteOutcome::Written) {
+            return true;
+        }
+    }
+    false
+}
+
 /// Watches over a job until its owner has it, and hands it over anew if the owner is lost.
 fn sponsor(context: &rc::Rc<process::ProcessContext>, record: rc::Rc<job_records::JobRecord>) {
     let id = record.id.clone();
@@ -306,7 +353,9 @@
 ) -> http_server::HttpAnswer {
     if let Err(e) = job_records::end(context.store.as_ref(), job).await {
         log::info!("event=end_unwritten job={job} why=\"{e}\"");
-        return refused("the job cannot be ended now\n");
+        if !end_by_peer(context, job).await {
+            return refused("the job cannot be ended now\n");
+        }
     }
     log::info!("event=end_accepted job={job}");
     SPONSORED.with_borrow_mut(|jobs| jobs.remove(job));
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -5,7 +5,8 @@
 use futures::future;
 
 use super::{
-    attempt, connection, directory, event_split, job_board, job_records, process, route_table, wire,
+    attempt, connection, directory, event_split, job_board, job_records, peers, process,
+    route_table, wire,
 };
 use crate::{decisions::admission, ids, outcome, platform, store};
 
@@ -17,6 +18,12 @@
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 /// How often it is looked for work without a word of it.
 const IDLE_LOOK: time::Duration = time::Duration::from_millis(200);
+/// Longest wait for an owner that may lend places.
+const LOAN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+/// Pause between two rounds of asking for places.
+const LOAN_PAUSE: time::Duration = time::Duration::from_millis(60);
+/// Places that one owner is asked for at once.
+const MAX_LOAN: usize = 16;
 /// Wait after a change of owners before the store is searched for their jobs:
 /// the gateways that accepted them hand most of them over first.
 const ADOPT_PAUSE: time::Duration = time::Duration::from_millis(700);
@@ -106,6 +113,17 @@
 }
 
 fn start_items(context: &rc::Rc<process::ProcessContext>) {
+    let mut full = collections::HashMap::new();
+    for job in open_jobs(context) {
+        start_job_items(context, &job, &mut full);
+    }
+    for (service, waiting) in full {
+        borrow_places(context, service, waiting);
+    }
+}
+
+/// The open jobs that this process owns, the one that is due first first.
+fn open_jobs(context: &rc::Rc<process::ProcessContext>) -> Vec<job_board::SharedJob> {
     let mut jobs: Vec<_> = context
         .jobs
         .all()
@@ -117,27 +135,122 @@
         })
         .collect();
     jobs.sort_by_key(|job| job.borrow().due_ms);
-    let mut full = collections::HashSet::new();
-    for job in jobs {
-        start_job_items(context, &job, &mut full);
+    jobs
+}
+
+/// Asks the other owners for places for items that wait here.
+fn borrow_places(
+    context: &rc::Rc<process::ProcessContext>,
+    service: ids::ServiceName,
+    waiting: usize,
+) {
+    if context.jobs.borrowing.replace(true) {
+        return;
     }
+    let context = context.clone();
+    actix_rt::spawn(async move {
+        let mut waiting = waiting;
+        let mut owners = (*context.owners()).clone();
+        owners.retain(|o| o.id != *context.id());
+        for i in (1..owners.len()).rev() {
+            owners.swap(i, rand::random_range(0..=i));
+        }
+        for owner in owners {
+            if waiting == 0 {
+                break;
+            }
+            let address = context.members.borrow().address_of(&owner.id);
+            let Some(address) = address else { continue };
+            let ask = peers::LoanAsk {
+                instance: context.id().clone(),
+                service: service.clone(),
+                count: waiting.min(MAX_LOAN),
+            };
+            match context.links.lend(address, ask, LOAN_TIMEOUT).await {
+                Ok(loans) => {
+                    waiting = waiting.saturating_sub(loans.len());
+                    for loan in loans {
+                        use_loan(&context, address, loan);
+                    }
+                }
+                Err(e) => log::debug!("event=loan_failed owner={} why=\"{e}\"", owner.id),
+            }
+        }
+        actix_rt::time::sleep(LOAN_PAUSE).await;
+        context.jobs.borrowing.set(false);
+    });
 }
 
-/// Starts what can be started of a job; services without places go into `full`.
+/// Starts the first waiting item of the loan's service, or gives the place back.
+fn use_loan(
+    context: &rc::Rc<process::ProcessContext>,
+    lender: std::net::SocketAddr,
+    loan: peers::StreamLoan,
+) {
+    let endpoint = context
+        .fleet
+        .directory
+        .borrow()
+        .usable(&loan.endpoint)
+        .cloned();
+    let item = endpoint
+        .as_ref()
+        .and_then(|e| waiting_item(context, &e.service));
+    let (Some(endpoint), Some((job, index, route))) = (endpoint, item) else {
+        context.links.give_back(lender, loan);
+        return;
+    };
+    job.borrow_mut().items[index].phase = job_board::ItemPhase::Running;
+    let run = ItemRun {
+        context: context.clone(),
+        job,
+        index,
+        endpoint,
+        number: loan.number,
+        lender: Some(lender),
+        max_attempts: route.max_attempts,
+    };
+    actix_rt::spawn(run.run());
+}
+
+/// The first item that waits for a place at a service.
+fn waiting_item(
+    context: &rc::Rc<process::ProcessContext>,
+    service: &ids::ServiceName,
+) -> Option<(
+    job_board::SharedJob,
+    usize,
+    std::sync::Arc<route_table::Route>,
+)> {
+    let now = time::Instant::now();
+    for job in open_jobs(context) {
+        let count = job.borrow().items.len();
+        let ready = (0..count).find(|index| job.borrow().items[*index].is_ready(now));
+        let Some(index) = ready else { continue };
+        if let ItemRoute::Found(route) = route_of(context, &job, index) {
+            if route
+                .targets
+                .iter()
+                .any(|t| t.service == *service && t.weight > 0)
+            {
+                return Some((job, index, route));
+            }
+        }
+    }
+    None
+}
+
+/// Starts what can be started of a job; services without places go into `full`,
+/// with the number of items that wait for them.
 fn start_job_items(
     context: &rc::Rc<process::ProcessContext>,
     job: &job_board::SharedJob,
-    full: &mut collections::HashSet<ids::ServiceName>,
+    full: &mut collections::HashMap<ids::ServiceName, usize>,
 ) {
     let count = job.borrow().items.len();
     let now = time::Instant::now();
     for index in 0..count {
-        let ready = {
-            let job = job.borrow();
-            let item = &job.items[index];
-            item.phase == job_board::ItemPhase::Waiting && item.not_before <= now
-        };
-        if !ready {
+        if !job.borrow().items[index].is_ready(now) {
             continue;
         }
         match route_of(context, job, index) {
@@ -191,7 +304,7 @@
     job: &job_board::SharedJob,
     index: usize,
     route: &std::sync::Arc<route_table::Route>,
-    full: &mut collections::HashSet<ids::ServiceName>,
+    full: &mut collections::HashMap<ids::ServiceName, usize>,
 ) {
     let total: u32 = route.targets.iter().map(|t| t.weight.max(1)).sum();
     let mut point = rand::random_range(0..total.max(1));
@@ -201,18 +314,18 @@
         inside
     });
     let Some(target) = target else { return };
-    if full.contains(&target.service) {
+    if let Some(waiting) = full.get_mut(&target.service) {
+        *waiting += 1;
         return;
     }
     let now = context.clock.now();
     let place = {
-        let loads = context.loads.borrow();
-        let shunned = |id: &ids::EndpointId| loads.health.is_ejected(id, now);
         let mut permits = context.permits.borrow_mut();
-        permits.begin_batch(&target.service, shunned, now)
+        let shunned = context.loads.borrow().shunned(permits.owned(), now);
+        permits.begin_batch(&target.service, &shunned, now)
     };
     let Some((endpoint, number)) = place else {
-        full.insert(target.service.clone());
+        full.insert(target.service.clone(), 1);
         return;
     };
     job.borrow_mut().items[index].phase = job_board::ItemPhase::Running;
@@ -222,6 +335,7 @@
         index,
         endpoint,
         number,
+        lender: None,
         max_attempts: route.max_attempts,
     };
     actix_rt::spawn(run.run());
@@ -251,6 +365,8 @@
     index: usize,
     endpoint: rc::Rc<directory::EndpointEntry>,
     number: admission::StreamNumber,
+    /// The owner that lent the place, if it is another process.
+    lender: Option<std::net::SocketAddr>,
     max_attempts: u32,
 }
 
@@ -283,13 +399,25 @@
             }
         };
         self.context.jobs.end_stream(&key);
-        let mut permits = self.context.permits.borrow_mut();
-        permits.end_batch(&self.endpoint.id, self.number);
-        drop(permits);
+        self.leave_place();
         self.settle(end);
         self.context.jobs.work.notify_one();
     }
 
+    fn leave_place(&self) {
+        let loan = peers::StreamLoan {
+            endpoint: self.endpoint.id.clone(),
+            number: self.number,
+        };
+        match self.lender {
+            Some(lender) => self.context.links.give_back(lender, loan),
+            None => {
+                let mut permits = self.context.permits.borrow_mut();
+                permits.end_batch(&loan.endpoint, loan.number);
+            }
+        }
+    }
+
     /// Sends the item and reads its events into the job.
     async fn stream(&self) -> RunEnd {
         use outcome::AttemptOutcome as O;
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -83,6 +83,12 @@
         self.peers.get(id).map(|peer| peer.record.address)
     }
 
+    /// Whether a process that was heard before is silent, or is not known any more.
+    pub fn is_lost(&self, id: &ids::InstanceId, now: clock::Moment) -> bool {
+        let heard = self.peers.get(id).and_then(|peer| peer.heard);
+        heard.is_none_or(|at| now.since(at) > PEER_SILENCE * 2)
+    }
+
     /// Peers that answer and stay.
     pub fn live(&self, now: clock::Moment) -> impl Iterator<Item = &MemberRecord> {
         let alive = move |peer: &&PeerState| {
@@ -109,7 +115,9 @@
             });
             members.collect()
         };
-        let dispatchers = of_role(MemberRole::Dispatcher);
+        let mut dispatchers = of_role(MemberRole::Dispatcher);
+        // All processes name the same one first.
+        dispatchers.sort_by(|a, b| a.id.cmp(&b.id));
         match dispatchers.is_empty() {
             true => of_role(MemberRole::Gateway),
             false => dispatchers,
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -60,6 +60,37 @@
     pub room: u32,
 }
 
+/// A wish for places for batch streams.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct LoanAsk {
+    /// The asker.
+    pub instance: ids::InstanceId,
+    /// The service.
+    pub service: ids::ServiceName,
+    /// Places that the asker can use.
+    pub count: usize,
+}
+
+/// A batch stream at an endpoint of another owner.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StreamLoan {
+    /// The endpoint.
+    pub endpoint: ids::EndpointId,
+    /// Number of the stream in the owner's ledger.
+    pub number: admission::StreamNumber,
+}
+
+/// What came of a job that a peer wrote to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum WriteOutcome {
+    /// It is in the store.
+    Written,
+    /// It is certain that nothing was written.
+    Refused,
+    /// It may take effect yet.
+    Unknown,
+}
+
 /// A wish for results of a job.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct ResultAsk {
@@ -90,6 +121,16 @@
     async fn read_results(ask: ResultAsk) -> Option<wire::ResultPage>;
     /// Tells that a job was ended.
     async fn end_job(job: ids::JobId);
+    /// Asks for places for batch streams.
+    async fn lend(ask: LoanAsk) -> Option<Vec<StreamLoan>>;
+    /// Gives a place of a batch stream back.
+    async fn give_back(loan: StreamLoan);
+    /// Takes a place of a batch stream back for an online request.
+    async fn preempt(loan: StreamLoan);
+    /// Asks a peer to write an accepted job to the store.
+    async fn write_job(record: job_records::JobRecord) -> Option<WriteOutcome>;
+    /// Asks a peer to write the end of a job to the store.
+    async fn write_end(job: ids::JobId) -> Option<WriteOutcome>;
 }
 
 /// A call of a peer, and where its answer goes.
@@ -110,6 +151,16 @@
     ReadResults(ResultAsk, oneshot::Sender<wire::ResultPage>),
     /// See [`PeerService::end_job`].
     EndJob(ids::JobId),
+    /// See [`PeerService::lend`].
+    Lend(LoanAsk, oneshot::Sender<Vec<StreamLoan>>),
+    /// See [`PeerService::give_back`].
+    GiveBack(StreamLoan),
+    /// See [`PeerService::preempt`].
+    Preempt(StreamLoan),
+    /// See [`PeerService::write_job`].
+    WriteJob(job_records::JobRecord, oneshot::Sender<WriteOutcome>),
+    /// See [`PeerService::write_end`].
+    WriteEnd(ids::JobId, oneshot::Sender<WriteOutcome>),
 }
 
 /// Hands the calls of one peer to the process.
@@ -125,6 +176,13 @@
         self.ring.send(call(reply)).await.ok()?;
         answer.await.ok()
     }
+
+    /// Hands a message over that has no answer.
+    async fn tell(&self, call: PeerCall) {
+        if self.ring.send(call).await.is_err() {
+            log::debug!("event=message_unheard");
+        }
+    }
 }
 
 impl PeerService for PeerServer {
@@ -137,9 +195,7 @@
     }
 
     async fn release(self, _: tarpc::context::Context, number: admission::PermitNumber) {
-        if self.ring.send(PeerCall::Release(number)).await.is_err() {
-            log::debug!("event=release_unheard number={number}");
-        }
+        self.tell(PeerCall::Release(number)).await;
     }
 
     async fn desired_state(self, _: tarpc::context::Context) -> Option<String> {
@@ -167,9 +223,31 @@
     }
 
     async fn end_job(self, _: tarpc::context::Context, job: ids::JobId) {
-        if self.ring.send(PeerCall::EndJob(job)).await.is_err() {
-            log::debug!("event=end_unheard");
-        }
+        self.tell(PeerCall::EndJob(job)).await;
+    }
+
+    async fn lend(self, _: tarpc::context::Context, ask: LoanAsk) -> Option<Vec<StreamLoan>> {
+        self.ask(|reply| PeerCall::Lend(ask, reply)).await
+    }
+
+    async fn give_back(self, _: tarpc::context::Context, loan: StreamLoan) {
+        self.tell(PeerCall::GiveBack(loan)).await;
+    }
+
+    async fn preempt(self, _: tarpc::context::Context, loan: StreamLoan) {
+        self.tell(PeerCall::Preempt(loan)).await;
+    }
+
+    async fn write_job(
+        self,
+        _: tarpc::context::Context,
+        record: job_records::JobRecord,
+    ) -> Option<WriteOutcome> {
+        self.ask(|reply| PeerCall::WriteJob(record, reply)).await
+    }
+
+    async fn write_end(self, _: tarpc::context::Context, job: ids::JobId) -> Option<WriteOutcome> {
+        self.ask(|reply| PeerCall::WriteEnd(job, reply)).await
     }
 }
 
@@ -236,7 +314,10 @@
 /// Why a peer gave no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum PeerError {
-    /// There is no connection now.
+    /// There is no connection now, so nothing was sent.
+    #[error("there is no connection to the peer")]
+    NotSent,
+    /// The connection was lost before the answer.
     #[error("the peer cannot be reached")]
     Unreachable,
     /// The peer did not answer in time.
@@ -262,11 +343,29 @@
 /// Calls a peer, and says why there is no answer.
 macro_rules! call_peer {
     ($links:expr, $peer:expr, $patience:expr, $method:ident($($argument:expr),*)) => {{
-        let client = $links.connected($peer).ok_or(PeerError::Unreachable)?;
+        let client = $links.connected($peer).ok_or(PeerError::NotSent)?;
         outcome(client.$method(within($patience), $($argument),*).await)
     }};
 }
 
+/// Tells a peer something that has no answer; what is lost is made up for otherwise.
+macro_rules! tell_peer {
+    ($links:expr, $peer:expr, $method:ident($argument:expr)) => {{
+        let Some(client) = $links.connected($peer) else {
+            return;
+        };
+        actix_rt::spawn(async move {
+            let told = client.$method(within(members::PEER_SILENCE), $argument);
+            if let Err(e) = told.await {
+                log::debug!(
+                    "event=message_lost kind={} why=\"{e}\"",
+                    stringify!($method)
+                );
+            }
+        });
+    }};
+}
+
 impl PeerLinks {
     /// Exchanges signs of life.
     ///
@@ -296,15 +395,7 @@
 
     /// Gives a place back; a lost message is made up for by the permit's expiry.
     pub fn release(&self, peer: net::SocketAddr, number: admission::PermitNumber) {
-        let Some(client) = self.connected(peer) else {
-            return;
-        };
-        actix_rt::spawn(async move {
-            let released = client.release(within(members::PEER_SILENCE), number).await;
-            if let Err(e) = released {
-                log::debug!("event=release_lost number={number} why=\"{e}\"");
-            }
-        });
+        tell_peer!(self, peer, release(number));
     }
 
     /// Asks for the desired state.
@@ -359,15 +450,56 @@
 
     /// Tells that a job was ended; the mark in the store says the same.
     pub fn end_job(&self, peer: net::SocketAddr, job: ids::JobId) {
-        let Some(client) = self.connected(peer) else {
-            return;
-        };
-        actix_rt::spawn(async move {
-            let told = client.end_job(within(members::PEER_SILENCE), job).await;
-            if let Err(e) = told {
-                log::debug!("event=end_untold why=\"{e}\"");
-            }
-        });
+        tell_peer!(self, peer, end_job(job));
+    }
+
+    /// Asks an owner for places for batch streams.
+    ///
+    /// # Errors
+    /// The peer does not answer.
+    pub async fn lend(
+        &self,
+        peer: net::SocketAddr,
+        ask: LoanAsk,
+        patience: time::Duration,
+    ) -> Result<Vec<StreamLoan>, PeerError> {
+        call_peer!(self, peer, patience, lend(ask))
+    }
+
+    /// Gives a place of a batch stream back.
+    pub fn give_back(&self, peer: net::SocketAddr, loan: StreamLoan) {
+        tell_peer!(self, peer, give_back(loan));
+    }
+
+    /// Takes a place of a batch stream back.
+    pub fn preempt(&self, peer: net::SocketAddr, loan: StreamLoan) {
+        tell_peer!(self, peer, preempt(loan));
+    }
+
+    /// Has a peer write an accepted job.
+    ///
+    /// # Errors
+    /// The peer does not answer: it may write the job yet, unless it was never reached.
+    pub async fn write_job(
+        &self,
+        peer: net::SocketAddr,
+        record: job_records::JobRecord,
+        patience: time::Duration,
+    ) -> Result<WriteOutcome, PeerError> {
+        call_peer!(self, peer, patience, write_job(record))
+    }
+
+    /// Has a peer write the end of a job.
+    ///
+    /// # Errors
+    /// The peer does not answer: it may write the end yet.
+    pub async fn write_end(
+        &self,
+        peer: net::SocketAddr,
+        job: ids::JobId,
+        patience: time::Duration,
+    ) -> Result<WriteOutcome, PeerError> {
+        call_peer!(self, peer, patience, write_end(job))
     }
 
     /// Whether there is a connection to a peer now.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -8,11 +8,11 @@
 
 /// Longest life of a permit that is not released; above the longest request's time limit.
 const PERMIT_TTL: time::Duration = time::Duration::from_secs(15);
-/// Online requests that an endpoint may hold for each of its slots.
+/// Online requests that an endpoint may hold for each of its slots, in percent.
 ///
-/// At two a request waits for about one run of those before it, which still
-/// meets the objective; beyond, refusing early serves callers better.
-const ONLINE_PER_SLOT: u32 = 2;
+/// Runs last 0.75 s, so of eight one ends each 94 ms: two that wait still have
+/// their first event within 300 ms. Beyond, an early refusal serves callers better.
+const ONLINE_PERCENT: u32 = 125;
 /// Places that batch work leaves free at each endpoint.
 ///
 /// The next online request finds one without a cancellation; streams are
@@ -43,6 +43,8 @@
 pub struct PermitBoard {
     ledgers: collections::HashMap<ids::EndpointId, OwnedLedger>,
     holders: collections::HashMap<admission::PermitNumber, PermitHolder>,
+    /// Batch streams that other instances run here.
+    lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ids::InstanceId>,
 }
 
 #[derive(Debug)]
@@ -62,7 +64,7 @@
     admission::AdmissionSpec {
         policy: admission::BatchPolicy::FixedPreempt,
         max_sequences: entry.slots,
-        max_online: entry.slots * ONLINE_PER_SLOT,
+        max_online: (entry.slots * ONLINE_PERCENT).div_ceil(100),
         fixed_streams: entry.slots,
         permit_ttl: PERMIT_TTL,
         start_spacing: time::Duration::ZERO,
@@ -86,6 +88,8 @@
         let ledgers = &self.ledgers;
         self.holders
             .retain(|_, holder| ledgers.contains_key(&holder.endpoint));
+        self.lent
+            .retain(|(endpoint, _), _| ledgers.contains_key(endpoint));
         for entry in owned {
             let ledger = self.ledgers.entry(entry.id.clone());
             let ledger = ledger.or_insert_with(|| OwnedLedger {
@@ -105,7 +109,7 @@
         &mut self,
         service: &ids::ServiceName,
         tried: &[ids::EndpointId],
-        shunned: impl Fn(&ids::EndpointId) -> bool,
+        shunned: &collections::HashSet<ids::EndpointId>,
         holder: (&ids::InstanceId, &ids::DomainName),
         number: admission::PermitNumber,
         now: clock::Moment,
@@ -122,7 +126,7 @@
                 false => owned.ledger.online() + owned.ledger.batch(),
             };
             (
-                shunned(&owned.entry.id),
+                shunned.contains(&owned.entry.id),
                 full,
                 load,
                 owned.entry.domain != *domain,
@@ -153,13 +157,53 @@
         Some(holder.endpoint)
     }
 
-    /// Ends all permits of an instance that is gone.
-    pub fn release_all_of(&mut self, instance: &ids::InstanceId) {
-        let held = self.holders.iter().filter(|(_, h)| h.instance == *instance);
+    /// Ends all permits and batch streams of instances that are gone.
+    pub fn release_lost(&mut self, is_lost: impl Fn(&ids::InstanceId) -> bool) {
+        let held = self.holders.iter().filter(|(_, h)| is_lost(&h.instance));
         let held: Vec<_> = held.map(|(number, _)| *number).collect();
         for number in held {
             self.release(number);
         }
+        let lent = self.lent.iter().filter(|(_, holder)| is_lost(holder));
+        let lent: Vec<_> = lent.map(|(key, _)| key.clone()).collect();
+        for (endpoint, number) in lent {
+            self.end_batch(&endpoint, number);
+        }
+    }
+
+    /// Who holds a batch stream, if it is another instance.
+    pub fn borrower(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        number: admission::StreamNumber,
+    ) -> Option<ids::InstanceId> {
+        self.lent.remove(&(endpoint.clone(), number))
+    }
+
+    /// The owned endpoints.
+    pub fn owned(&self) -> impl Iterator<Item = &rc::Rc<directory::EndpointEntry>> {
+        self.ledgers.values().map(|owned| &owned.entry)
+    }
+
+    /// Batch streams that a peer may begin, up to `count`.
+    pub fn lend_batch(
+        &mut self,
+        service: &ids::ServiceName,
+        shunned: &collections::HashSet<ids::EndpointId>,
+        borrower: &ids::InstanceId,
+        count: usize,
+        now: clock::Moment,
+    ) -> Vec<(ids::EndpointId, admission::StreamNumber)> {
+        let mut lent = Vec::new();
+        while lent.len() < count {
+            let Some((entry, number)) = self.begin_batch(service, shunned, now) else {
+                break;
+            };
+            let key = (entry.id.clone(), number);
+            self.lent.insert(key.clone(), borrower.clone());
+            lent.push(key);
+        }
+        lent
     }
 
     /// Forgets the permits that expired.
@@ -179,13 +223,13 @@
     pub fn begin_batch(
         &mut self,
         service: &ids::ServiceName,
-        shunned: impl Fn(&ids::EndpointId) -> bool,
+        shunned: &collections::HashSet<ids::EndpointId>,
         now: clock::Moment,
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
         let usable = self
             .ledgers
             .values_mut()
-            .filter(|owned| owned.entry.service == *service && !shunned(&owned.entry.id));
+            .filter(|owned| owned.entry.service == *service && !shunned.contains(&owned.entry.id));
         let roomy = usable.filter_map(|owned| {
             let room = owned.ledger.batch_room(now);
             (room > 0).then_some(owned)
@@ -197,6 +241,7 @@
 
     /// Ends a batch stream; one that was taken back is not known any more.
     pub fn end_batch(&mut self, endpoint: &ids::EndpointId, number: admission::StreamNumber) {
+        self.lent.remove(&(endpoint.clone(), number));
         if let Some(owned) = self.ledgers.get_mut(endpoint) {
             owned.ledger.end_stream(number);
         }
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -86,7 +86,10 @@
 }
 
 /// Chooses on this process's own counts.
-fn go_ahead(
+///
+/// # Errors
+/// No endpoint is left.
+pub fn go_ahead(
     context: &rc::Rc<process::ProcessContext>,
     service: &ids::ServiceName,
     tried: &[ids::EndpointId],
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -5,8 +5,8 @@
 use tokio::sync::{mpsc, watch};
 
 use super::{
-    connection_pool, fleet_model, fleet_source, job_board, job_runner, listener, members,
-    metrics_page, peers, permits, selection, wire,
+    connection_pool, fleet_model, fleet_source, job_board, job_records, job_runner, listener,
+    members, metrics_page, peers, permits, selection, wire,
 };
 use crate::{
     clock,
@@ -18,6 +18,13 @@
 pub const MEMBER_KIND: &str = "members";
 /// How often beliefs with an age are looked at.
 const TICK: time::Duration = time::Duration::from_millis(50);
+/// Time after its start before a gateway may own anything.
+const SETTLE_TIME: time::Duration = time::Duration::from_secs(3);
+/// Part of the grace after which a stopping process refuses new requests: those
+/// that it takes must end before the grace does.
+const REFUSE_SHARE: f64 = 0.35;
+/// Part of the grace after which a stopping process ends in any case.
+const END_SHARE: f64 = 0.97;
 /// Ticks between two sweeps of idle connections.
 const SWEEP_TICKS: u32 = 20;
 /// Longest wait for a peer's desired state or list.
@@ -97,6 +104,10 @@
     owners: cell::RefCell<rc::Rc<Vec<ownership::OwnerCandidate>>>,
     /// Places that owners said they could give.
     pub rooms: cell::RefCell<collections::HashMap<ids::InstanceId, u32>>,
+    /// When the process was asked to stop.
+    stop_begun: cell::Cell<Option<time::Instant>>,
+    /// When the process began.
+    begun: clock::Moment,
     /// Since when a peer has had a newer list of endpoints.
     differing_since: cell::Cell<Option<clock::Moment>>,
     /// Whether the process was asked to stop.
@@ -126,6 +137,13 @@
         *self.stopping.borrow()
     }
 
+    /// Whether new requests are refused, as they might not end before the process does.
+    pub fn refuses_requests(&self) -> bool {
+        let refuse_after = self.options.grace.mul_f64(REFUSE_SHARE);
+        let begun = self.stop_begun.get();
+        begun.is_some_and(|begun| begun.elapsed() > refuse_after)
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.fleet.is_known()
@@ -161,6 +179,7 @@
     mut stop: mpsc::Receiver<()>,
 ) -> io::Result<()> {
     let calls = peers::serve(options.member.address)?;
+    let begun = borders.clock.now();
     let context = rc::Rc::new(ProcessContext {
         fleet: rc::Rc::new(fleet_model::FleetModel::new(borders.clock.clone())),
         options,
@@ -177,6 +196,8 @@
         jobs: job_board::JobBoard::default(),
         owners: cell::RefCell::default(),
         rooms: cell::RefCell::default(),
+        stop_begun: cell::Cell::new(None),
+        begun,
         differing_since: cell::Cell::new(None),
         stopping: watch::Sender::new(false),
         active: cell::Cell::new(0),
@@ -209,8 +230,9 @@
     context.stopping.send_replace(true);
     refresh_owners(context);
     let begun = time::Instant::now();
+    context.stop_begun.set(Some(begun));
     // The last moments are kept for the end itself.
-    let patience = context.options.grace.mul_f64(0.9);
+    let patience = context.options.grace.mul_f64(END_SHARE);
     // Peers and the readiness check learn of it before the process is gone.
     let least = members::PROBE_PAUSE * 2;
     let record_gone = remove_member(context);
@@ -346,7 +368,7 @@
         }
         Ok(hello) => log::warn!("event=peer_differs listed={} found={}", record.id, hello.id),
         Err(peers::PeerError::TimedOut) => context.links.forget(record.address),
-        Err(peers::PeerError::Unreachable) => {}
+        Err(peers::PeerError::Unreachable | peers::PeerError::NotSent) => {}
     }
 }
 
@@ -476,30 +498,90 @@
             });
         }
         C::EndJob(job) => job_runner::end_job(context, &job),
+        C::Lend(ask, sender) => reply(sender, lend(context, &ask)),
+        C::GiveBack(loan) => {
+            let mut permits = context.permits.borrow_mut();
+            permits.end_batch(&loan.endpoint, loan.number);
+            drop(permits);
+            context.jobs.work.notify_one();
+        }
+        C::Preempt(loan) => context.jobs.preempt(&loan.endpoint, loan.number),
+        C::WriteJob(record, sender) => {
+            let store = context.store.clone();
+            actix_rt::spawn(async move {
+                let written = job_records::accept(store.as_ref(), &record).await;
+                reply(sender, write_outcome(&written));
+            });
+        }
+        C::WriteEnd(job, sender) => {
+            let store = context.store.clone();
+            actix_rt::spawn(async move {
+                let written = job_records::end(store.as_ref(), &job).await;
+                reply(sender, write_outcome(&written));
+            });
+        }
+    }
+}
+
+/// What a write to the store came to, for a peer.
+fn write_outcome(written: &store::StoreResult<()>) -> peers::WriteOutcome {
+    match written {
+        Ok(()) => peers::WriteOutcome::Written,
+        Err(store::StoreError::Unavailable(_) | store::StoreError::TooLarge) => {
+            peers::WriteOutcome::Refused
+        }
+        Err(_) => peers::WriteOutcome::Unknown,
+    }
+}
+
+/// Lends places of batch streams at owned endpoints.
+fn lend(context: &ProcessContext, ask: &peers::LoanAsk) -> Vec<peers::StreamLoan> {
+    if context.is_stopping() {
+        return Vec::new();
     }
+    let now = context.clock.now();
+    let mut permits = context.permits.borrow_mut();
+    let shunned = context.loads.borrow().shunned(permits.owned(), now);
+    let lent = permits.lend_batch(&ask.service, &shunned, &ask.instance, ask.count, now);
+    let lent = lent.into_iter();
+    let loans = lent.map(|(endpoint, number)| peers::StreamLoan { endpoint, number });
+    loans.collect()
 }
 
 /// Gives a place at an owned endpoint, and takes batch streams back for it.
 pub fn grant(context: &rc::Rc<ProcessContext>, ask: &peers::PlaceAsk) -> peers::PlaceAnswer {
     let now = context.clock.now();
-    let loads = context.loads.borrow();
-    let shunned = |id: &ids::EndpointId| loads.health.is_ejected(id, now);
     let mut permits = context.permits.borrow_mut();
+    let shunned = context.loads.borrow().shunned(permits.owned(), now);
     let holder = (&ask.instance, &ask.domain);
-    let granted = permits.acquire(&ask.service, &ask.tried, shunned, holder, ask.number, now);
+    let granted = permits.acquire(&ask.service, &ask.tried, &shunned, holder, ask.number, now);
     let room = permits.online_room(&ask.service);
     drop(permits);
-    drop(loads);
     let endpoint = granted.map(|place| {
         for stream in &place.preempted {
-            context.metrics.preempted.inc();
-            context.jobs.preempt(&place.endpoint, *stream);
+            preempt(context, &place.endpoint, *stream);
         }
         place.endpoint
     });
     peers::PlaceAnswer { endpoint, room }
 }
 
+/// Takes a batch stream back, of this process or of the peer that runs it.
+fn preempt(context: &ProcessContext, endpoint: &ids::EndpointId, number: admission::StreamNumber) {
+    context.metrics.preempted.inc();
+    let borrower = context.permits.borrow_mut().borrower(endpoint, number);
+    let Some(borrower) = borrower else {
+        context.jobs.preempt(endpoint, number);
+        return;
+    };
+    let address = context.members.borrow().address_of(&borrower);
+    if let Some(address) = address {
+        let endpoint = endpoint.clone();
+        let loan = peers::StreamLoan { endpoint, number };
+        context.links.preempt(address, loan);
+    }
+}
+
 /// Takes a place back; batch work may use it.
 pub fn release(context: &ProcessContext, number: admission::PermitNumber) {
     let released = context.permits.borrow_mut().release(number);
@@ -520,6 +602,7 @@
             let now = context.clock.now();
             context.pool.sweep();
             context.permits.borrow_mut().expire(now);
+            release_lost(&context, now);
             let directory = context.fleet.directory.borrow();
             let listed = |id: &ids::EndpointId| directory.usable(id).is_some();
             context.loads.borrow_mut().retain(listed);
@@ -531,10 +614,24 @@
     }
 }
 
+/// Whether the process runs for long enough to have heard its live peers.
+fn is_settled(context: &ProcessContext) -> bool {
+    context.clock.now().since(context.begun) > SETTLE_TIME
+}
+
+/// Ends what processes hold that have not been heard for a while.
+fn release_lost(context: &ProcessContext, now: clock::Moment) {
+    let members = context.members.borrow();
+    let is_lost = |id: &ids::InstanceId| *id != *context.id() && members.is_lost(id, now);
+    context.permits.borrow_mut().release_lost(is_lost);
+}
+
 /// Works out who owns what, and tells the parts that hang on it.
 fn refresh_owners(context: &rc::Rc<ProcessContext>) {
     let now = context.clock.now();
     let own = (!context.is_stopping()).then_some(&context.options.member);
+    // A gateway that has just started has not heard the dispatchers yet.
+    let own = own.filter(|m| m.role == members::MemberRole::Dispatcher || is_settled(context));
     let owners = context.members.borrow().owners(own, now);
     let changed = **context.owners.borrow() != owners;
     if changed {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -13,7 +13,9 @@
 /// Largest whole answer that is held back until it is complete, in bytes.
 const MAX_HELD_BYTES: usize = 1 << 20;
 /// Part of an objective after which a silent attempt is taken for lost, if another is allowed.
-const SILENCE_SHARE: f64 = 0.5;
+const SILENCE_SHARE: f64 = 0.8;
+/// Part of the longest pause after which a stream is taken up elsewhere.
+const GAP_SHARE: f64 = 0.5;
 /// Share of a route's objective after which a caller who was refused may come back.
 const RETURN_SHARE: f64 = 1.0;
 
@@ -179,7 +181,7 @@
     fn gap_patience(&self) -> time::Duration {
         let left = self.left();
         match self.request.route.gap_objective {
-            Some(gap) if self.attempts_left() > 0 => left.min(gap.mul_f64(SILENCE_SHARE)),
+            Some(gap) if self.attempts_left() > 0 => left.min(gap.mul_f64(GAP_SHARE)),
             _ => left,
         }
     }
@@ -209,6 +211,13 @@
             let service =
                 service.ok_or_else(|| FinalError::Failed("the route has no service".into()))?;
             let place = places::acquire(&self.context, &service, &self.log.tried).await;
+            let place = match place {
+                // What has begun goes on, also where a new request would not begin.
+                Err(places::NoPlace::Full) if self.log.ran > 0 => {
+                    places::go_ahead(&self.context, &service, &self.log.tried)
+                }
+                place => place,
+            };
             let place = place.map_err(|e| self.no_place(e))?;
             match self.attempt(place).await {
                 Ok(answered) => return Ok(answered),
@@ -269,7 +278,8 @@
             O::Failed(why) | O::Unknown(why) => {
                 self.log.ran += 1;
                 self.note_attempt(&endpoint.id, "unknown", &why);
-                self.blame(&endpoint.id, true);
+                // A full queue is silent too: only several in a row eject it.
+                self.blame(&endpoint.id, false);
                 self.after_unknown(why)
             }
         }
@@ -419,7 +429,7 @@
                 EventEnd::Cut(why) => {
                     let id = answered.place.endpoint.id.clone();
                     self.note_attempt(&id, "cut", &why);
-                    self.blame(&id, true);
+                    self.blame(&id, false);
                     drop(answered);
                     match self.after_unknown(why) {
                         Err(NextStep::GiveUp(e)) => return Err(e),
@@ -471,6 +481,9 @@
     }
 
     fn observe_first(&self) {
+        if let Some(id) = self.log.tried.last() {
+            self.context.loads.borrow_mut().health.note_success(id);
+        }
         let span = self.request.arrived.elapsed();
         let metrics = &self.context.metrics;
         metrics.observe(
--- a/src/serving/selection.rs
+++ b/src/serving/selection.rs
@@ -10,6 +10,9 @@
 /// Age after which an endpoint's own report says nothing more: requests last about this long.
 const REPORT_AGE: time::Duration = time::Duration::from_millis(500);
 
+/// Share of a service's endpoints that may be left out at once, in percent.
+const MAX_SHUNNED_PERCENT: usize = 40;
+
 /// What is known of the load of one endpoint.
 #[derive(Debug, Clone, Default)]
 struct EndpointLoad {
@@ -77,6 +80,23 @@
         self.health.retain(listed);
     }
 
+    /// Endpoints of a list that are left out for failing; none if they are too
+    /// many, as then the fault is likely elsewhere and the others would be flooded.
+    pub fn shunned<'a>(
+        &self,
+        entries: impl Iterator<Item = &'a rc::Rc<directory::EndpointEntry>>,
+        now: clock::Moment,
+    ) -> collections::HashSet<ids::EndpointId> {
+        let mut count = 0;
+        let counted = entries.inspect(|_| count += 1);
+        let ejected = counted.filter(|e| self.health.is_ejected(&e.id, now));
+        let ejected: collections::HashSet<_> = ejected.map(|e| e.id.clone()).collect();
+        match ejected.len() * 100 > count * MAX_SHUNNED_PERCENT {
+            true => collections::HashSet::new(),
+            false => ejected,
+        }
+    }
+
     /// The endpoint with the least known load: healthy and untried ones first,
     /// near ones among equals, then any.
     pub fn choose(
@@ -87,10 +107,11 @@
         now: clock::Moment,
         rng: &mut impl Rng,
     ) -> Option<rc::Rc<directory::EndpointEntry>> {
+        let shunned = self.shunned(candidates.iter(), now);
         let untried = candidates.iter().filter(|e| !tried.contains(&e.id));
         let chosen = untried.min_by_key(|e| {
             (
-                self.health.is_ejected(&e.id, now),
+                shunned.contains(&e.id),
                 self.load_of(&e.id, now),
                 e.domain != *near,
                 rng.random::<u32>(),
