fix(jobs): nothing of a job runs or is read before its earlier results are known; retirements are answered

Ruled out: lost marks of ends (the watch had them). Change: a job is known only once parts and mark were read; marks of ends are kept from their watch; an instance asked to be emptied leaves, hands back, and says so.

--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -9,8 +9,8 @@
 
 /// How long results are gathered before they are committed, while their job has time.
 ///
-/// A commit costs a call of the store; a job of ten items ends with two or three.
-const GATHER: time::Duration = time::Duration::from_millis(700);
+/// A commit costs a call of the store, and a lost process the work since the last one.
+const GATHER: time::Duration = time::Duration::from_millis(1500);
 /// The same for a job that is nearly due.
 const GATHER_DUE: time::Duration = time::Duration::from_millis(100);
 /// Time before a job is due from which it counts as nearly due.
@@ -86,6 +86,8 @@
     pub ended: bool,
     /// When all results are due, in milliseconds since the epoch.
     pub due_ms: u64,
+    /// Whether the results of earlier owners are known; nothing runs before.
+    pub is_known: bool,
     committing: bool,
     read_at: Option<time::Instant>,
     changed: watch::Sender<usize>,
@@ -105,6 +107,7 @@
             items,
             ended: false,
             due_ms,
+            is_known: false,
             committing: false,
             read_at: None,
             changed: watch::Sender::new(0),
@@ -204,6 +207,8 @@
     streams: cell::RefCell<collections::HashMap<StreamKey, oneshot::Sender<()>>>,
     /// Told when there may be work: a new job, a free place.
     pub work: Notify,
+    /// Jobs that were ended, once all marks were read; kept up by the watch of the marks.
+    ended: cell::RefCell<Option<collections::HashSet<ids::JobId>>>,
     /// Whether the other owners are being asked for places.
     pub borrowing: cell::Cell<bool>,
     /// Told when the owners of jobs changed.
@@ -221,6 +226,22 @@
         self.jobs.borrow().values().cloned().collect()
     }
 
+    /// Whether a job was ended, if the marks are known.
+    fn is_ended(&self, id: &ids::JobId) -> Option<bool> {
+        self.ended.borrow().as_ref().map(|ended| ended.contains(id))
+    }
+
+    /// Notes the marks of ended jobs that a watch brought.
+    pub fn note_ended(&self, ids: impl Iterator<Item = ids::JobId>) {
+        let mut ended = self.ended.borrow_mut();
+        ended.get_or_insert_default().extend(ids);
+    }
+
+    /// Forgets the marks, as changes of them are not heard any more.
+    pub fn forget_ended(&self) {
+        *self.ended.borrow_mut() = None;
+    }
+
     /// Puts a job here unless it is; gives the one that is.
     pub fn put(&self, record: job_records::JobRecord, due_ms: u64) -> SharedJob {
         let mut jobs = self.jobs.borrow_mut();
@@ -307,14 +328,29 @@
     let Some(record) = record else {
         return Ok(None);
     };
-    let ended = job_records::is_ended(context.store.as_ref(), id).await?;
     let due_ms = due_of(context, &record);
     let job = context.jobs.put(record, due_ms);
-    job.borrow_mut().ended |= ended;
-    refresh(context, &job).await?;
+    learn(context, &job).await?;
     Ok(Some(job))
 }
 
+/// Learns what earlier owners did of a job, and whether it was ended.
+///
+/// # Errors
+/// The store does not answer.
+pub async fn learn(
+    context: &rc::Rc<process::ProcessContext>,
+    job: &SharedJob,
+) -> store::StoreResult<()> {
+    let id = job.borrow().record.id.clone();
+    let ended = match context.jobs.is_ended(&id) {
+        Some(ended) => ended,
+        None => job_records::is_ended(context.store.as_ref(), &id).await?,
+    };
+    job.borrow_mut().ended |= ended;
+    refresh(context, job).await
+}
+
 /// When a job is due: its route says how long after its submission.
 pub fn due_of(context: &process::ProcessContext, record: &job_records::JobRecord) -> u64 {
     let table = context.fleet.table();
@@ -352,7 +388,9 @@
             job.take_part(part);
         }
     }
-    job.borrow_mut().read_at = Some(time::Instant::now());
+    let mut job = job.borrow_mut();
+    job.read_at = Some(time::Instant::now());
+    job.is_known = true;
     Ok(())
 }
 
@@ -369,6 +407,9 @@
     };
     let owned = context.job_owner(&ask.job).as_ref() == Some(context.id());
     let until = time::Instant::now() + ask.wait;
+    if !job.borrow().is_known {
+        learn(context, &job).await?;
+    }
     loop {
         let (known, over, stale, mut changes) = {
             let job = job.borrow();
@@ -450,7 +491,7 @@
     const STEP: time::Duration = time::Duration::from_millis(50);
 
     let begun = time::Instant::now();
-    while !context.is_stopping() && begun.elapsed() < job.borrow().gather_time() {
+    while !context.is_leaving() && begun.elapsed() < job.borrow().gather_time() {
         actix_rt::time::sleep(STEP).await;
     }
 }
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -59,9 +59,9 @@
     let job = context.jobs.put(record, due_ms);
     if age > FRESH_JOB_MS {
         // It may have results of an earlier owner; a new one has none.
-        let context = context.clone();
-        actix_rt::spawn(async move { take_results(&context, &id, &job).await });
+        actix_rt::spawn(take_results(context.clone(), id, job));
     } else {
+        job.borrow_mut().is_known = true;
         context.jobs.work.notify_one();
     }
     false
@@ -70,19 +70,15 @@
 /// Age up to which a job is taken to have no results: no item is done so soon.
 const FRESH_JOB_MS: u64 = 300;
 
+/// Learns what earlier owners did, until the store answers; nothing runs before.
 async fn take_results(
-    context: &rc::Rc<process::ProcessContext>,
-    id: &ids::JobId,
-    job: &job_board::SharedJob,
+    context: rc::Rc<process::ProcessContext>,
+    id: ids::JobId,
+    job: job_board::SharedJob,
 ) {
-    let refreshed = job_board::refresh(context, job).await;
-    let ended = job_records::is_ended(context.store.as_ref(), id).await;
-    match ended {
-        Ok(ended) => job.borrow_mut().ended |= ended,
-        Err(e) => log::warn!("event=end_unread job={id} why=\"{e}\""),
-    }
-    if let Err(e) = refreshed {
-        log::warn!("event=parts_unread job={id} why=\"{e}\"");
+    while let Err(e) = job_board::learn(&context, &job).await {
+        log::warn!("event=job_unlearned job={id} why=\"{e}\"");
+        actix_rt::time::sleep(STORE_PAUSE).await;
     }
     context.jobs.work.notify_one();
 }
@@ -100,7 +96,7 @@
 /// Starts items while there are places.
 async fn run_items(context: rc::Rc<process::ProcessContext>) {
     loop {
-        if !context.is_stopping() {
+        if !context.is_leaving() {
             start_items(&context);
         } else {
             context.jobs.preempt_all();
@@ -128,7 +124,7 @@
         .jobs
         .all()
         .into_iter()
-        .filter(|job| !job.borrow().is_over())
+        .filter(|job| job.borrow().is_known && !job.borrow().is_over())
         .filter(|job| {
             let owner = context.job_owner(&job.borrow().record.id);
             owner.as_ref() == Some(context.id())
@@ -642,11 +638,16 @@
         match context.store.watch(&[&prefix], since, END_WAIT).await {
             Ok(answer) => {
                 since = store::ObjectRevision(answer.revision);
-                for change in &answer.changes {
-                    take_end(&context, &prefix, change);
+                let ended = answer.changes.iter();
+                let ended: Vec<_> = ended.filter_map(|c| ended_job(&prefix, c)).collect();
+                context.jobs.note_ended(ended.iter().cloned());
+                for id in &ended {
+                    end_job(&context, id);
                 }
             }
             Err(e) => {
+                context.jobs.forget_ended();
+                since = store::ObjectRevision(0);
                 log::info!("event=ends_unread why=\"{e}\"");
                 actix_rt::time::sleep(STORE_PAUSE).await;
             }
@@ -654,17 +655,13 @@
     }
 }
 
-fn take_end(
-    context: &rc::Rc<process::ProcessContext>,
-    prefix: &str,
-    change: &platform::ObjectChange,
-) {
+/// The job that a new mark ends.
+fn ended_job(prefix: &str, change: &platform::ObjectChange) -> Option<ids::JobId> {
+    change.value.as_ref()?;
     let name = change.key.strip_prefix(prefix).unwrap_or(&change.key);
-    match name.parse() {
-        Ok(id) if change.value.is_some() => end_job(context, &id),
-        Ok(_) => {}
-        Err(e) => log::warn!("event=end_unreadable key={} why=\"{e}\"", change.key),
-    }
+    name.parse()
+        .inspect_err(|e| log::warn!("event=end_unreadable key={} why=\"{e}\"", change.key))
+        .ok()
 }
 
 /// Removes owned jobs that nobody reads any more.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -206,6 +206,11 @@
         lent
     }
 
+    /// Whether nobody holds a place here.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty() && self.lent.is_empty()
+    }
+
     /// Forgets the permits that expired.
     pub fn expire(&mut self, now: clock::Moment) {
         self.holders.retain(|_, holder| holder.expiry > now);
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -18,6 +18,9 @@
 pub const MEMBER_KIND: &str = "members";
 /// How often beliefs with an age are looked at.
 const TICK: time::Duration = time::Duration::from_millis(50);
+/// How often orders to empty an instance are looked at; also the least time in
+/// which the peers learn that it is leaving.
+const ORDER_LOOK: time::Duration = time::Duration::from_millis(600);
 /// Time after its start before a gateway may own anything.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(3);
 /// Part of the grace after which a stopping process refuses new requests: those
@@ -104,6 +107,8 @@
     owners: cell::RefCell<rc::Rc<Vec<ownership::OwnerCandidate>>>,
     /// Places that owners said they could give.
     pub rooms: cell::RefCell<collections::HashMap<ids::InstanceId, u32>>,
+    /// Whether this instance is to be emptied.
+    retiring: cell::Cell<bool>,
     /// When the process was asked to stop.
     stop_begun: cell::Cell<Option<time::Instant>>,
     /// When the process began.
@@ -137,6 +142,11 @@
         *self.stopping.borrow()
     }
 
+    /// Whether it hands its work back, for a stop or as the instance is to be emptied.
+    pub fn is_leaving(&self) -> bool {
+        self.is_stopping() || self.retiring.get()
+    }
+
     /// Whether new requests are refused, as they might not end before the process does.
     pub fn refuses_requests(&self) -> bool {
         let refuse_after = self.options.grace.mul_f64(REFUSE_SHARE);
@@ -161,7 +171,7 @@
     fn hello(&self) -> peers::PeerHello {
         peers::PeerHello {
             id: self.id().clone(),
-            leaving: self.is_stopping(),
+            leaving: self.is_leaving(),
             version: self.fleet.table().version(),
             revision: self.fleet.revision(),
             digest: self.fleet.digest(),
@@ -196,6 +206,7 @@
         jobs: job_board::JobBoard::default(),
         owners: cell::RefCell::default(),
         rooms: cell::RefCell::default(),
+        retiring: cell::Cell::new(false),
         stop_begun: cell::Cell::new(None),
         begun,
         differing_since: cell::Cell::new(None),
@@ -216,6 +227,7 @@
     actix_rt::spawn(probe_peers(context.clone()));
     actix_rt::spawn(refresh_beliefs(context.clone()));
     actix_rt::spawn(tick(context.clone()));
+    actix_rt::spawn(follow_orders(context.clone()));
     job_runner::start(&context);
     if stop.recv().await.is_none() {
         log::warn!("event=stop_channel_closed");
@@ -453,6 +465,40 @@
     }
 }
 
+/// Empties this instance when it is asked to, and answers for instances that are gone.
+async fn follow_orders(context: rc::Rc<ProcessContext>) {
+    let mut answered = collections::BTreeSet::new();
+    loop {
+        actix_rt::time::sleep(ORDER_LOOK).await;
+        for id in context.fleet.retiring() {
+            if answered.contains(&id) {
+                continue;
+            }
+            if is_emptied(&context, &id) && context.source.report_emptied(id.clone()).await {
+                log::info!("event=retirement_answered instance={id}");
+                answered.insert(id);
+            }
+        }
+    }
+}
+
+/// Whether an instance that is to be emptied holds nothing that is needed.
+///
+/// What lasts is in the store, so only work under way counts. For an instance
+/// that does not answer any more, the first of the owners speaks.
+fn is_emptied(context: &ProcessContext, id: &ids::InstanceId) -> bool {
+    if id == context.id() {
+        let told = context.retiring.replace(true);
+        return told && context.jobs.is_handed_back() && context.permits.borrow().is_empty();
+    }
+    let is_lost = context.members.borrow().is_lost(id, context.clock.now());
+    let is_first = context
+        .owners()
+        .first()
+        .is_some_and(|o| o.id == *context.id());
+    is_lost && is_first && is_settled(context)
+}
+
 /// Answers the calls of peers.
 async fn serve_peers(context: rc::Rc<ProcessContext>, mut calls: mpsc::Receiver<peers::PeerCall>) {
     while let Some(call) = calls.recv().await {
@@ -536,7 +582,7 @@
 
 /// Lends places of batch streams at owned endpoints.
 fn lend(context: &ProcessContext, ask: &peers::LoanAsk) -> Vec<peers::StreamLoan> {
-    if context.is_stopping() {
+    if context.is_leaving() {
         return Vec::new();
     }
     let now = context.clock.now();
@@ -629,7 +675,7 @@
 /// Works out who owns what, and tells the parts that hang on it.
 fn refresh_owners(context: &rc::Rc<ProcessContext>) {
     let now = context.clock.now();
-    let own = (!context.is_stopping()).then_some(&context.options.member);
+    let own = (!context.is_leaving()).then_some(&context.options.member);
     // A gateway that has just started has not heard the dispatchers yet.
     let own = own.filter(|m| m.role == members::MemberRole::Dispatcher || is_settled(context));
     let owners = context.members.borrow().owners(own, now);
