--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -82,6 +82,8 @@
     pub pending: Vec<wire::ItemResult>,
     /// The work on each item.
     pub items: Vec<ItemProgress>,
+    /// Streams of its items that run.
+    pub streams: collections::HashSet<StreamKey>,
     /// Whether its caller ended it.
     pub ended: bool,
     /// When all results are due, in milliseconds since the epoch.
@@ -105,6 +107,7 @@
             parts: 0,
             pending: Vec::new(),
             items,
+            streams: collections::HashSet::new(),
             ended: false,
             due_ms,
             is_known: false,
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -88,8 +88,14 @@
     let Some(job) = context.jobs.get(id) else {
         return;
     };
+    if std::mem::replace(&mut job.borrow_mut().ended, true) {
+        return;
+    }
     log::info!("event=job_ended job={id}");
-    job.borrow_mut().ended = true;
+    let streams = std::mem::take(&mut job.borrow_mut().streams);
+    for (endpoint, number) in streams {
+        context.jobs.preempt(&endpoint, number);
+    }
     context.jobs.work.notify_one();
 }
 
@@ -386,6 +392,7 @@
     async fn run(self) {
         let key = (self.endpoint.id.clone(), self.number);
         let cancelled = self.context.jobs.begin_stream(key.clone());
+        self.job.borrow_mut().streams.insert(key.clone());
         let end = {
             let work = self.stream();
             futures::pin_mut!(work);
@@ -395,6 +402,7 @@
             }
         };
         self.context.jobs.end_stream(&key);
+        self.job.borrow_mut().streams.remove(&key);
         self.leave_place();
         self.settle(end);
         self.context.jobs.work.notify_one();
--- /dev/null
+++ b/tests/serving_beliefs.rs
@@ -0,0 +1,250 @@
+//! Beliefs about desired state, endpoints, peers and places, as plain values.
+
+use std::{net, rc, sync, time};
+
+use jayhollow::{
+    clock::{self, MonotonicClock as _},
+    ids,
+    serving::{
+        directory, event_split, fleet_model, fleet_source::FleetNews, members, permits,
+        route_table, selection,
+    },
+};
+
+/// A clock that the test moves.
+#[derive(Default)]
+struct TestClock(sync::atomic::AtomicU64);
+
+impl TestClock {
+    fn pass(&self, span: time::Duration) {
+        let span = span.as_micros() as u64;
+        self.0.fetch_add(span, sync::atomic::Ordering::Relaxed);
+    }
+}
+
+impl clock::MonotonicClock for TestClock {
+    fn now(&self) -> clock::Moment {
+        clock::Moment(self.0.load(sync::atomic::Ordering::Relaxed))
+    }
+}
+
+fn entry(id: &str, domain: &str) -> directory::EndpointEntry {
+    directory::EndpointEntry {
+        id: id.parse().expect("a name"),
+        service: "s".parse().expect("a name"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: domain.parse().expect("a name"),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+fn service() -> ids::ServiceName {
+    "s".parse().expect("a name")
+}
+
+fn count(model: &fleet_model::FleetModel) -> usize {
+    model.directory.borrow().of_service(&service()).len()
+}
+
+#[test]
+fn an_entry_that_lapsed_while_the_store_was_away_is_gone_only_after_a_while() {
+    let clock = sync::Arc::new(TestClock::default());
+    let model = fleet_model::FleetModel::new(clock.clone());
+    model.take(FleetNews::Reachable(true));
+    model.take(FleetNews::Endpoints(
+        1,
+        vec![entry("a", "z"), entry("b", "z"), entry("c", "z")],
+    ));
+    let removed = |id: &str| directory::ListChange::Removed(id.parse().expect("a name"));
+    // While the store is well, a removal counts at once.
+    model.take(FleetNews::EndpointChanges(2, vec![removed("c")]));
+    assert_eq!(count(&model), 2);
+    model.take(FleetNews::Reachable(false));
+    clock.pass(time::Duration::from_secs(5));
+    model.take(FleetNews::Reachable(true));
+    model.take(FleetNews::Endpoints(3, Vec::new()));
+    assert_eq!(count(&model), 2, "both lapsed, and may come back");
+    model.take(FleetNews::EndpointChanges(
+        4,
+        vec![directory::ListChange::Listed(entry("a", "z"))],
+    ));
+    clock.pass(time::Duration::from_millis(2400));
+    model.expire();
+    assert_eq!(count(&model), 2);
+    clock.pass(time::Duration::from_millis(200));
+    model.expire();
+    assert_eq!(count(&model), 1, "the one that came back stays");
+    clock.pass(time::Duration::from_secs(2));
+    model.take(FleetNews::EndpointChanges(5, vec![removed("a")]));
+    assert_eq!(count(&model), 0);
+}
+
+#[test]
+fn versions_and_revisions_never_go_down() {
+    let model = fleet_model::FleetModel::new(sync::Arc::new(TestClock::default()));
+    let state = |version| route_table::DesiredState {
+        version: route_table::StateVersion(version),
+        ..Default::default()
+    };
+    for (version, expected) in [(4, 4), (2, 4), (9, 9), (9, 9)] {
+        model.take(FleetNews::State(state(version)));
+        assert_eq!(model.table().version(), route_table::StateVersion(expected));
+    }
+    model.take(FleetNews::Endpoints(7, vec![entry("a", "z")]));
+    model.take(FleetNews::Endpoints(6, Vec::new()));
+    assert_eq!(count(&model), 1, "an older list is not taken");
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let route = |host: &str, prefix: &str| route_table::Route {
+        name: format!("{host}{prefix}"),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: route_table::RouteKind::Idempotent,
+        timeout: time::Duration::from_secs(1),
+        objective: time::Duration::from_secs(1),
+        gap_objective: None,
+        priority: 0,
+        targets: vec![],
+        max_attempts: 1,
+        completion_objective: time::Duration::ZERO,
+        retention: time::Duration::ZERO,
+    };
+    let table = route_table::RouteTable::new(route_table::DesiredState {
+        version: route_table::StateVersion(1),
+        routes: vec![
+            route("a.x", "/p/"),
+            route("a.x", "/p/q/"),
+            route("b.x", "/"),
+        ],
+        ..Default::default()
+    });
+    let found = |host: &str, path: &str| table.find(host, path).map(|r| r.name.clone());
+    assert_eq!(found("a.x", "/p/1"), Some("a.x/p/".into()));
+    assert_eq!(found("A.X:80", "/p/q/1"), Some("a.x/p/q/".into()));
+    assert_eq!(found("a.x", "/p"), None);
+    assert_eq!(found("b.x", "/p/1"), Some("b.x/".into()));
+    assert_eq!(found("c.x", "/p/1"), None);
+}
+
+#[test]
+fn events_are_cut_whole_whatever_the_pieces() {
+    let text = "id: 1\ndata: a\ndata: b\n\nversions: 2\nid: 2\ndata: c\n\n";
+    for size in 1..text.len() {
+        let mut splitter = event_split::EventSplitter::default();
+        let mut events = Vec::new();
+        for piece in text.as_bytes().chunks(size) {
+            splitter.push(piece);
+            while let Some(event) = splitter.next_event().expect("the events are valid") {
+                events.push(event);
+            }
+        }
+        assert!(!splitter.has_rest());
+        let ids: Vec<_> = events.iter().map(|e| e.id).collect();
+        assert_eq!(ids, [1, 2]);
+        assert_eq!(events[0].data(), "a\nb");
+        let bytes: Vec<u8> = events.iter().flat_map(|e| e.bytes.to_vec()).collect();
+        assert_eq!(bytes, text.as_bytes());
+    }
+}
+
+fn board(endpoints: &[directory::EndpointEntry]) -> permits::PermitBoard {
+    let mut board = permits::PermitBoard::default();
+    let owned: Vec<_> = endpoints.iter().cloned().map(rc::Rc::new).collect();
+    board.set_owned(&owned);
+    board
+}
+
+#[test]
+fn online_requests_take_places_back_and_are_refused_beyond_the_bound() {
+    let mut board = board(&[entry("a", "z"), entry("b", "z")]);
+    let now = clock::Moment(1);
+    let none = Default::default();
+    let mut batch = 0;
+    while board.begin_batch(&service(), &none, now).is_some() {
+        batch += 1;
+    }
+    assert_eq!(batch, 6, "one place of four is left free at each");
+    let holder: (ids::InstanceId, ids::DomainName) =
+        ("g".parse().expect("a name"), "z".parse().expect("a name"));
+    let mut preempted = 0;
+    let mut granted = 0;
+    for number in 0..20 {
+        let place = board.acquire(&service(), &[], &none, (&holder.0, &holder.1), number, now);
+        let Some(place) = place else { continue };
+        granted += 1;
+        preempted += place.preempted.len();
+    }
+    assert_eq!(preempted, 6, "all batch streams gave way");
+    assert_eq!(granted, 10, "five for each endpoint of four slots");
+    assert_eq!(board.totals(), (10, 0));
+    board.release_lost(|id| *id == holder.0);
+    assert_eq!(board.totals(), (0, 0), "a lost gateway holds nothing");
+}
+
+#[test]
+fn lent_places_come_back_from_a_lost_borrower() {
+    let mut board = board(&[entry("a", "z")]);
+    let now = clock::Moment(1);
+    let borrower = "d".parse().expect("a name");
+    let lent = board.lend_batch(&service(), &Default::default(), &borrower, 9, now);
+    assert_eq!(lent.len(), 3);
+    assert!(!board.is_empty());
+    board.release_lost(|id| *id == borrower);
+    assert!(board.is_empty());
+    assert_eq!(board.totals(), (0, 0));
+}
+
+#[test]
+fn one_silence_ejects_no_endpoint_and_most_are_never_left_out() {
+    let mut loads = selection::LoadBoard::default();
+    let entries: Vec<_> = (0..5)
+        .map(|n| rc::Rc::new(entry(&format!("e{n}"), "z")))
+        .collect();
+    let now = clock::Moment(1);
+    loads.health.note_failure(&entries[0].id, now);
+    assert!(loads.shunned(entries.iter(), now).is_empty());
+    for entry in &entries[..2] {
+        loads.health.note_silence(&entry.id, now);
+    }
+    assert_eq!(loads.shunned(entries.iter(), now).len(), 2);
+    loads.health.note_silence(&entries[2].id, now);
+    assert!(
+        loads.shunned(entries.iter(), now).is_empty(),
+        "too many: the fault is elsewhere"
+    );
+}
+
+#[test]
+fn owners_are_the_live_dispatchers_or_else_the_gateways() {
+    let clock = TestClock::default();
+    let record = |id: &str, role| members::MemberRecord {
+        id: id.parse().expect("a name"),
+        role,
+        domain: "z".parse().expect("a name"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+    };
+    let own = record("g0", members::MemberRole::Gateway);
+    let mut table = members::MemberTable::default();
+    table.take(record("d2", members::MemberRole::Dispatcher));
+    table.take(record("d1", members::MemberRole::Dispatcher));
+    let names = |table: &members::MemberTable, now| -> Vec<String> {
+        let owners = table.owners(Some(&own), now);
+        owners.into_iter().map(|o| o.id.to_string()).collect()
+    };
+    assert_eq!(names(&table, clock.now()), ["g0"], "nobody was heard yet");
+    for id in ["d1", "d2"] {
+        table.note_heard(&id.parse().expect("a name"), false, clock.now());
+    }
+    assert_eq!(names(&table, clock.now()), ["d1", "d2"]);
+    table.note_heard(&"d1".parse().expect("a name"), true, clock.now());
+    assert_eq!(
+        names(&table, clock.now()),
+        ["d2"],
+        "one that leaves owns nothing"
+    );
+    clock.pass(members::PEER_SILENCE);
+    assert_eq!(names(&table, clock.now()), ["g0"]);
+}
