feat(serving): a gateway that is cut off reaches the owners through another gateway

Ruled out: wrong counts at the owners (other domains were fine). Change: probes say whether a process hears dispatchers; one that hears none while others do asks for places, writes jobs and reads results through them.

--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -135,21 +135,32 @@
     }
 }
 
+/// Peers that may write what the store does not take from this process.
+fn writers(context: &process::ProcessContext) -> Vec<(ids::InstanceId, std::net::SocketAddr)> {
+    let relays = context.relays();
+    if !relays.is_empty() {
+        let relays = relays.into_iter().take(PEERS_ASKED);
+        return relays.map(|r| (r.id, r.address)).collect();
+    }
+    let members = context.members.borrow();
+    let owners = context.owners();
+    let others = owners.iter().filter(|o| o.id != *context.id());
+    let found = others.filter_map(|o| Some((o.id.clone(), members.address_of(&o.id)?)));
+    found.take(PEERS_ASKED).collect()
+}
+
 /// Has a peer write a job that the store does not take from this process.
 async fn accept_by_peer(
     context: &rc::Rc<process::ProcessContext>,
     record: &job_records::JobRecord,
     until: time::Instant,
 ) -> Acceptance {
-    for owner in context.owners().iter().take(PEERS_ASKED) {
-        let address = context.members.borrow().address_of(&owner.id);
-        let Some(address) = address else { continue };
+    for (peer, address) in writers(context) {
         let left = until.saturating_duration_since(time::Instant::now());
         let written = context.links.write_job(address, record.clone(), left).await;
         log::info!(
-            "event=job_by_peer job={} peer={} outcome={written:?}",
-            record.id,
-            owner.id
+            "event=job_by_peer job={} peer={peer} outcome={written:?}",
+            record.id
         );
         match written {
             Ok(peers::WriteOutcome::Written) => return Acceptance::Accepted,
@@ -162,17 +173,12 @@
 
 /// Has a peer write the end of a job; says whether it did.
 async fn end_by_peer(context: &rc::Rc<process::ProcessContext>, job: &ids::JobId) -> bool {
-    for owner in context.owners().iter().take(PEERS_ASKED) {
-        let address = context.members.borrow().address_of(&owner.id);
-        let Some(address) = address else { continue };
+    for (peer, address) in writers(context) {
         let written = context
             .links
             .write_end(address, job.clone(), ACCEPT_TIMEOUT)
             .await;
-        log::info!(
-            "event=end_by_peer job={job} peer={} outcome={written:?}",
-            owner.id
-        );
+        log::info!("event=end_by_peer job={job} peer={peer} outcome={written:?}");
         if written == Ok(peers::WriteOutcome::Written) {
             return true;
         }
@@ -181,7 +187,7 @@
 }
 
 /// Watches over a job until its owner has it, and hands it over anew if the owner is lost.
-fn sponsor(context: &rc::Rc<process::ProcessContext>, record: rc::Rc<job_records::JobRecord>) {
+pub fn sponsor(context: &rc::Rc<process::ProcessContext>, record: rc::Rc<job_records::JobRecord>) {
     let id = record.id.clone();
     let first = SPONSORED.with_borrow_mut(|jobs| {
         let first = jobs.is_empty();
@@ -260,7 +266,7 @@
     }
 }
 
-/// Reads results: from the owner, or from the store if the owner does not answer.
+/// Reads results for a caller.
 async fn read(
     context: &rc::Rc<process::ProcessContext>,
     job: ids::JobId,
@@ -268,10 +274,7 @@
     wait: time::Duration,
 ) -> http_server::HttpAnswer {
     let ask = peers::ResultAsk { job, after, wait };
-    if let Some(page) = read_from_owner(context, &ask).await {
-        return page_answer(context, &page);
-    }
-    match job_board::read_results(context, &ask).await {
+    match read_page(context, &ask).await {
         Ok(Some(page)) => page_answer(context, &page),
         Ok(None) => http_server::plain(StatusCode::NOT_FOUND, "there is no such job\n"),
         Err(e) => {
@@ -284,15 +287,41 @@
     }
 }
 
-async fn read_from_owner(
+/// Reads results: from the owner, or from the store if the owner does not answer.
+///
+/// # Errors
+/// The store does not answer either.
+pub async fn read_page(
     context: &rc::Rc<process::ProcessContext>,
     ask: &peers::ResultAsk,
-) -> Option<wire::ResultPage> {
-    let owner = context.job_owner(&ask.job)?;
+) -> store::StoreResult<Option<wire::ResultPage>> {
+    if let Some(page) = read_from_owner(context, ask).await {
+        return Ok(Some(page));
+    }
+    job_board::read_results(context, ask).await
+}
+
+/// The process that has a job's results at hand: its owner, or a way to it.
+fn reader_of(
+    context: &process::ProcessContext,
+    job: &ids::JobId,
+) -> Option<(ids::InstanceId, std::net::SocketAddr)> {
+    let Some(owner) = context.job_owner(job) else {
+        let relay = context.relays().into_iter().next()?;
+        return Some((relay.id, relay.address));
+    };
     if owner == *context.id() {
         return None;
     }
     let address = context.members.borrow().address_of(&owner)?;
+    Some((owner, address))
+}
+
+async fn read_from_owner(
+    context: &rc::Rc<process::ProcessContext>,
+    ask: &peers::ResultAsk,
+) -> Option<wire::ResultPage> {
+    let (owner, address) = reader_of(context, &ask.job)?;
     let patience = ask.wait + OWNER_SPARE;
     let answer = context
         .links
@@ -358,6 +387,12 @@
         }
     }
     log::info!("event=end_accepted job={job}");
+    tell_end(context, job);
+    http_server::plain(StatusCode::OK, "")
+}
+
+/// Tells this process and the owners that a job was ended.
+pub fn tell_end(context: &rc::Rc<process::ProcessContext>, job: &ids::JobId) {
     SPONSORED.with_borrow_mut(|jobs| jobs.remove(job));
     super::job_runner::end_job(context, job);
     for owner in context.owners().iter() {
@@ -366,5 +401,4 @@
             context.links.end_job(address, job.clone());
         }
     }
-    http_server::plain(StatusCode::OK, "")
 }
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -36,6 +36,8 @@
     record: MemberRecord,
     heard: Option<clock::Moment>,
     leaving: bool,
+    /// Whether it hears dispatchers itself.
+    hears_dispatchers: bool,
 }
 
 /// The peers of a process.
@@ -54,6 +56,7 @@
                     record,
                     heard: None,
                     leaving: false,
+                    hears_dispatchers: false,
                 };
                 self.peers.insert(peer.record.id.clone(), peer);
             }
@@ -66,11 +69,35 @@
     }
 
     /// Notes a sign of life.
-    pub fn note_heard(&mut self, id: &ids::InstanceId, leaving: bool, now: clock::Moment) {
+    pub fn note_heard(
+        &mut self,
+        id: &ids::InstanceId,
+        leaving: bool,
+        hears_dispatchers: bool,
+        now: clock::Moment,
+    ) {
         if let Some(peer) = self.peers.get_mut(id) {
             peer.heard = Some(now);
             peer.leaving = leaving;
+            peer.hears_dispatchers = hears_dispatchers;
+        }
+    }
+
+    /// Whether any dispatcher answers.
+    pub fn hears_dispatchers(&self, now: clock::Moment) -> bool {
+        let mut live = self.live(now);
+        live.any(|record| record.role == MemberRole::Dispatcher)
+    }
+
+    /// Live gateways that hear dispatchers: a process that hears none itself is
+    /// cut off, and reaches them through these.
+    pub fn relays(&self, now: clock::Moment) -> Vec<MemberRecord> {
+        if self.hears_dispatchers(now) {
+            return Vec::new();
         }
+        let live = self.live(now);
+        let relays = live.filter(|r| self.peers.get(&r.id).is_some_and(|p| p.hears_dispatchers));
+        relays.cloned().collect()
     }
 
     /// All records.
@@ -100,6 +127,7 @@
 
     /// Who may own endpoints and jobs: the live dispatchers, or else the live gateways.
     ///
+    /// None for a process that is cut off from dispatchers which others hear.
     /// `own` is this process, if it is not leaving.
     pub fn owners(
         &self,
@@ -118,9 +146,9 @@
         let mut dispatchers = of_role(MemberRole::Dispatcher);
         // All processes name the same one first.
         dispatchers.sort_by(|a, b| a.id.cmp(&b.id));
-        match dispatchers.is_empty() {
-            true => of_role(MemberRole::Gateway),
-            false => dispatchers,
+        if !dispatchers.is_empty() || !self.relays(now).is_empty() {
+            return dispatchers;
         }
+        of_role(MemberRole::Gateway)
     }
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -34,6 +34,8 @@
     pub revision: u64,
     /// Digest of its list of endpoints.
     pub digest: u64,
+    /// Whether it hears dispatchers.
+    pub hears_dispatchers: bool,
 }
 
 /// A wish for a place for an online request.
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -69,6 +69,9 @@
     let table = context.fleet.table();
     let is_engine = table.service(service).is_some_and(|s| s.is_engine);
     if is_engine {
+        if let Some(place) = ask_relay(context, service, tried).await {
+            return Ok(place);
+        }
         let mut full = 0;
         let owners = owners_by_room(context);
         for owner in owners.iter().take(OWNERS_ASKED) {
@@ -131,19 +134,81 @@
     owners.into_iter().map(|(_, _, _, id)| id).collect()
 }
 
-async fn ask(
-    context: &rc::Rc<process::ProcessContext>,
-    owner: &ids::InstanceId,
+fn place_ask(
+    context: &process::ProcessContext,
     service: &ids::ServiceName,
     tried: &[ids::EndpointId],
-) -> OwnerWord {
-    let wish = peers::PlaceAsk {
+) -> peers::PlaceAsk {
+    peers::PlaceAsk {
         number: rand::random(),
         instance: context.id().clone(),
         domain: context.domain().clone(),
         service: service.clone(),
         tried: tried.to_vec(),
-    };
+    }
+}
+
+/// Asks an owner through a gateway that hears it, if this process is cut off.
+async fn ask_relay(
+    context: &rc::Rc<process::ProcessContext>,
+    service: &ids::ServiceName,
+    tried: &[ids::EndpointId],
+) -> Option<HeldPlace> {
+    if !context.owners().is_empty() {
+        return None;
+    }
+    let relays = context.relays();
+    let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
+    let wish = place_ask(context, service, tried);
+    let permit = HeldPermit::Peer(relay.address, wish.number);
+    match context
+        .links
+        .acquire(relay.address, wish, OWNER_TIMEOUT * 2)
+        .await
+    {
+        Ok(answer) => take_answer(context, &relay.id, answer, permit),
+        Err(e) => {
+            log::info!("event=relay_silent relay={} why=\"{e}\"", relay.id);
+            drop_permit(context, permit);
+            None
+        }
+    }
+}
+
+/// Asks the owners for a peer that is cut off from them.
+pub async fn ask_for_peer(
+    context: &rc::Rc<process::ProcessContext>,
+    mut wish: peers::PlaceAsk,
+) -> Option<peers::PlaceAnswer> {
+    // The owners do not hear the peer, and would take its places back.
+    wish.instance = context.id().clone();
+    let number = wish.number;
+    for owner in owners_by_room(context).iter().take(OWNERS_ASKED) {
+        let address = context.members.borrow().address_of(owner);
+        let Some(address) = address else { continue };
+        let answer = context
+            .links
+            .acquire(address, wish.clone(), OWNER_TIMEOUT)
+            .await;
+        match answer {
+            Ok(answer) if answer.endpoint.is_some() => {
+                context.relayed.borrow_mut().put(number, address);
+                return Some(answer);
+            }
+            Ok(_) => {}
+            Err(_) => context.links.release(address, number),
+        }
+    }
+    None
+}
+
+async fn ask(
+    context: &rc::Rc<process::ProcessContext>,
+    owner: &ids::InstanceId,
+    service: &ids::ServiceName,
+    tried: &[ids::EndpointId],
+) -> OwnerWord {
+    let wish = place_ask(context, service, tried);
     let number = wish.number;
     let (answer, permit) = if owner == context.id() {
         (process::grant(context, &wish), HeldPermit::Here(number))
@@ -154,7 +219,7 @@
         match context.links.acquire(address, wish, OWNER_TIMEOUT).await {
             Ok(answer) => (answer, HeldPermit::Peer(address, number)),
             Err(e) => {
-                context.metrics.permits.with_label_values(&["silent"]).inc();
+                count_permit(context, "silent");
                 context.rooms.borrow_mut().insert(owner.clone(), 0);
                 // The grant may come late: it must not hold a place until it expires.
                 context.links.release(address, number);
@@ -167,23 +232,37 @@
         .rooms
         .borrow_mut()
         .insert(owner.clone(), answer.room);
-    let Some(id) = answer.endpoint else {
-        context.metrics.permits.with_label_values(&["full"]).inc();
+    if answer.endpoint.is_none() {
+        count_permit(context, "full");
         return OwnerWord::Full;
-    };
+    }
+    match take_answer(context, owner, answer, permit) {
+        Some(place) => OwnerWord::Place(place),
+        None => OwnerWord::Silent,
+    }
+}
+
+fn count_permit(context: &process::ProcessContext, outcome: &str) {
+    context.metrics.permits.with_label_values(&[outcome]).inc();
+}
+
+/// The place that an answer gives, if its endpoint is listed here.
+fn take_answer(
+    context: &rc::Rc<process::ProcessContext>,
+    from: &ids::InstanceId,
+    answer: peers::PlaceAnswer,
+    permit: HeldPermit,
+) -> Option<HeldPlace> {
+    let id = answer.endpoint?;
     let found = context.fleet.directory.borrow().usable(&id).cloned();
     let Some(endpoint) = found else {
-        log::info!("event=place_refused endpoint={id} owner={owner} why=\"not listed here\"");
+        log::info!("event=place_refused endpoint={id} from={from} why=\"not listed here\"");
         drop_permit(context, permit);
-        return OwnerWord::Silent;
+        return None;
     };
-    context
-        .metrics
-        .permits
-        .with_label_values(&["granted"])
-        .inc();
+    count_permit(context, "granted");
     context.loads.borrow_mut().begin(&endpoint.id);
-    OwnerWord::Place(HeldPlace {
+    Some(HeldPlace {
         context: context.clone(),
         endpoint,
         permit: Some(permit),
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -1,12 +1,12 @@
 //! One process of the system: its parts, its peers, its start and its stop.
 
-use std::{cell, collections, io, net, rc, sync, time};
+use std::{cell, collections, io, net, num, rc, sync, time};
 
 use tokio::sync::{mpsc, watch};
 
 use super::{
-    connection_pool, fleet_model, fleet_source, job_board, job_records, job_runner, listener,
-    members, metrics_page, peers, permits, selection, wire,
+    connection_pool, fleet_model, fleet_source, job_board, job_calls, job_records, job_runner,
+    listener, members, metrics_page, peers, permits, places, selection, wire,
 };
 use crate::{
     clock,
@@ -21,6 +21,8 @@
 /// How often orders to empty an instance are looked at; also the least time in
 /// which the peers learn that it is leaving.
 const ORDER_LOOK: time::Duration = time::Duration::from_millis(600);
+/// Places asked for on behalf of peers that are remembered until their release.
+const MAX_RELAYED: num::NonZeroUsize = num::NonZeroUsize::new(4096).expect("it is not zero");
 /// Time after its start before a gateway may own anything.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(3);
 /// Part of the grace after which a stopping process refuses new requests: those
@@ -107,6 +109,8 @@
     owners: cell::RefCell<rc::Rc<Vec<ownership::OwnerCandidate>>>,
     /// Places that owners said they could give.
     pub rooms: cell::RefCell<collections::HashMap<ids::InstanceId, u32>>,
+    /// Owners of places that were asked for on behalf of a peer that is cut off.
+    pub relayed: cell::RefCell<lru::LruCache<admission::PermitNumber, net::SocketAddr>>,
     /// Whether this instance is to be emptied.
     retiring: cell::Cell<bool>,
     /// When the process was asked to stop.
@@ -159,6 +163,11 @@
         !self.is_stopping() && self.fleet.is_known()
     }
 
+    /// Gateways through which a process that is cut off reaches the owners.
+    pub fn relays(&self) -> Vec<members::MemberRecord> {
+        self.members.borrow().relays(self.clock.now())
+    }
+
     /// The owner of a job among the live processes.
     pub fn job_owner(&self, job: &ids::JobId) -> Option<ids::InstanceId> {
         let owners = self.owners();
@@ -175,6 +184,7 @@
             version: self.fleet.table().version(),
             revision: self.fleet.revision(),
             digest: self.fleet.digest(),
+            hears_dispatchers: self.members.borrow().hears_dispatchers(self.clock.now()),
         }
     }
 }
@@ -206,6 +216,7 @@
         jobs: job_board::JobBoard::default(),
         owners: cell::RefCell::default(),
         rooms: cell::RefCell::default(),
+        relayed: cell::RefCell::new(lru::LruCache::new(MAX_RELAYED)),
         retiring: cell::Cell::new(false),
         stop_begun: cell::Cell::new(None),
         begun,
@@ -387,7 +398,7 @@
 fn hear(context: &ProcessContext, hello: &peers::PeerHello) {
     let now = context.clock.now();
     let mut members = context.members.borrow_mut();
-    members.note_heard(&hello.id, hello.leaving, now);
+    members.note_heard(&hello.id, hello.leaving, hello.hears_dispatchers, now);
 }
 
 /// Takes beliefs that a peer has newer than this process.
@@ -521,7 +532,18 @@
             hear(context, &hello);
             reply(sender, context.hello());
         }
-        C::Acquire(ask, sender) => reply(sender, grant(context, &ask)),
+        C::Acquire(ask, sender) => {
+            let is_owner = context.owners().iter().any(|o| o.id == *context.id());
+            if is_owner {
+                return reply(sender, grant(context, &ask));
+            }
+            let context = context.clone();
+            actix_rt::spawn(async move {
+                if let Some(answer) = places::ask_for_peer(&context, ask).await {
+                    reply(sender, answer);
+                }
+            });
+        }
         C::Release(number) => release(context, number),
         C::State(sender) => {
             let table = context.fleet.table();
@@ -536,7 +558,7 @@
         C::ReadResults(ask, sender) => {
             let context = context.clone();
             actix_rt::spawn(async move {
-                match job_board::read_results(&context, &ask).await {
+                match job_calls::read_page(&context, &ask).await {
                     Ok(Some(page)) => reply(sender, page),
                     Ok(None) => log::info!("event=results_unknown job={}", ask.job),
                     Err(e) => log::info!("event=results_unread job={} why=\"{e}\"", ask.job),
@@ -553,17 +575,23 @@
         }
         C::Preempt(loan) => context.jobs.preempt(&loan.endpoint, loan.number),
         C::WriteJob(record, sender) => {
-            let store = context.store.clone();
+            let context = context.clone();
             actix_rt::spawn(async move {
-                let written = job_records::accept(store.as_ref(), &record).await;
+                let written = job_records::accept(context.store.as_ref(), &record).await;
                 reply(sender, write_outcome(&written));
+                if written.is_ok() {
+                    job_calls::sponsor(&context, rc::Rc::new(record));
+                }
             });
         }
         C::WriteEnd(job, sender) => {
-            let store = context.store.clone();
+            let context = context.clone();
             actix_rt::spawn(async move {
-                let written = job_records::end(store.as_ref(), &job).await;
+                let written = job_records::end(context.store.as_ref(), &job).await;
                 reply(sender, write_outcome(&written));
+                if written.is_ok() {
+                    job_calls::tell_end(&context, &job);
+                }
             });
         }
     }
@@ -633,6 +661,11 @@
     let released = context.permits.borrow_mut().release(number);
     if released.is_some() {
         context.jobs.work.notify_one();
+        return;
+    }
+    let relayed = context.relayed.borrow_mut().pop(&number);
+    if let Some(owner) = relayed {
+        context.links.release(owner, number);
     }
 }
 
