perf(serving): few processes follow the store, the others learn from them by the probes

A test failed once: a request that may be repeated was lost on a kept connection that closed under it where its service has one endpoint only. Ruled out: longer waits (the returns are by changes, not by waits).

--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -48,36 +48,47 @@
 ) -> outcome::AttemptOutcome<OpenAnswer> {
     use outcome::AttemptOutcome as O;
 
-    let connection = match connect(context, endpoint, request.repeatable, head_patience).await {
-        Ok(connection) => connection,
-        Err(ended) => return ended,
-    };
-    let outgoing = outgoing(context, request, terms);
-    let exchange = connection.exchange(outgoing);
+    let exchange = exchange(context, endpoint, request, terms, head_patience);
     let incoming = match tokio::time::timeout(head_patience, exchange).await {
         Ok(Ok(incoming)) => incoming,
-        Ok(Err(e)) => return O::Unknown(e.to_string()),
+        Ok(Err(ended)) => return ended,
         Err(_) => return O::Unknown(format!("no answer within {} ms", head_patience.as_millis())),
     };
     classify(context, endpoint, request, incoming)
 }
 
-async fn connect(
+/// Sends the request on a kept connection where it may be repeated, or on a new one.
+///
+/// A kept connection may close while a request is on its way; one that may
+/// not run twice would be lost with it. Others go out once more.
+async fn exchange(
     context: &rc::Rc<process::ProcessContext>,
     endpoint: &directory::EndpointEntry,
-    repeatable: bool,
+    request: &ForwardedRequest,
+    terms: &wire::AttemptTerms<'_>,
     patience: time::Duration,
-) -> Result<connection::EndpointConnection, outcome::AttemptOutcome<OpenAnswer>> {
-    // A kept connection may close while a request is on its way; one that
-    // may not run twice would be lost with it.
-    if repeatable {
+) -> Result<connection::IncomingAnswer, outcome::AttemptOutcome<OpenAnswer>> {
+    use outcome::AttemptOutcome as O;
+
+    if request.repeatable {
         if let Some(kept) = context.pool.take(endpoint.address) {
-            return Ok(kept);
+            match kept.exchange(outgoing(context, request, terms)).await {
+                Ok(incoming) => return Ok(incoming),
+                Err(connection::ExchangeError::Broken(e)) => {
+                    log::debug!(
+                        "event=kept_connection_closed endpoint={} why=\"{e}\"",
+                        endpoint.id
+                    );
+                }
+                Err(e) => return Err(O::Unknown(e.to_string())),
+            }
         }
     }
     let patience = CONNECT_TIMEOUT.min(patience);
     let opened = connection::EndpointConnection::open(endpoint.address, patience).await;
-    opened.map_err(|e| outcome::AttemptOutcome::NotRun(outcome::NotRunProof::no_connection(&e)))
+    let opened = opened.map_err(|e| O::NotRun(outcome::NotRunProof::no_connection(&e)))?;
+    let exchanged = opened.exchange(outgoing(context, request, terms)).await;
+    exchanged.map_err(|e| O::Unknown(e.to_string()))
 }
 
 fn outgoing(
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -23,6 +23,7 @@
     revision: cell::Cell<u64>,
     reachable_since: cell::Cell<Option<clock::Moment>>,
     was_away: cell::Cell<bool>,
+    follows: cell::Cell<bool>,
     retiring: cell::RefCell<collections::BTreeSet<ids::InstanceId>>,
     changes: watch::Sender<u64>,
 }
@@ -37,6 +38,7 @@
             revision: cell::Cell::new(0),
             reachable_since: cell::Cell::new(None),
             was_away: cell::Cell::new(false),
+            follows: cell::Cell::new(true),
             retiring: cell::RefCell::default(),
             changes: watch::Sender::new(0),
         }
@@ -62,9 +64,26 @@
         self.directory.borrow().digest()
     }
 
-    /// Whether the source answers.
+    /// Whether the source answers, or a peer that follows it does.
     pub fn is_reachable(&self) -> bool {
-        self.reachable_since.get().is_some()
+        !self.follows.get() || self.reachable_since.get().is_some()
+    }
+
+    /// Whether this process follows the source itself, and the source answers.
+    pub fn is_following(&self) -> bool {
+        self.follows.get() && self.reachable_since.get().is_some()
+    }
+
+    /// Whether this process is to follow the source itself, and not through its peers.
+    pub fn follows(&self) -> bool {
+        self.follows.get()
+    }
+
+    /// Says whether this process is to follow the source itself.
+    pub fn set_follows(&self, follows: bool) {
+        if self.follows.replace(follows) != follows {
+            log::info!("event=follows_store now={follows}");
+        }
     }
 
     /// Counts the changes of the endpoints and the orders.
@@ -101,6 +120,11 @@
                 self.directory.borrow_mut().replace(entries, gone_at);
                 self.note_revision(revision);
             }
+            N::PeerEndpoints(revision, entries) => {
+                // The peer waits for entries that lapsed, so this process need not.
+                self.directory.borrow_mut().replace(entries, None);
+                self.note_revision(revision);
+            }
             N::EndpointChanges(revision, changes) => {
                 let gone_at = self.gone_at();
                 for change in changes {
@@ -135,7 +159,7 @@
     }
 
     fn note_reachable(&self, reachable: bool) {
-        if reachable == self.is_reachable() {
+        if reachable == self.reachable_since.get().is_some() {
             return;
         }
         log::warn!("event=store_reachable now={reachable}");
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -14,6 +14,8 @@
     State(route_table::DesiredState),
     /// All endpoints at a revision.
     Endpoints(u64, Vec<directory::EndpointEntry>),
+    /// All endpoints as a peer knows them, at its revision.
+    PeerEndpoints(u64, Vec<directory::EndpointEntry>),
     /// Changes of the endpoints up to a revision.
     EndpointChanges(u64, Vec<directory::ListChange>),
     /// The source answers, or does not.
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -22,6 +22,8 @@
 const LOAN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 /// Pause between two rounds of asking for places.
 const LOAN_PAUSE: time::Duration = time::Duration::from_millis(60);
+/// Owners that are asked in one round.
+const LENDERS_ASKED: usize = 4;
 /// Places that one owner is asked for at once.
 const MAX_LOAN: usize = 16;
 /// Wait after a change of owners before the store is searched for their jobs:
@@ -157,7 +159,7 @@
         for i in (1..owners.len()).rev() {
             owners.swap(i, rand::random_range(0..=i));
         }
-        for owner in owners {
+        for owner in owners.into_iter().take(LENDERS_ASKED) {
             if waiting == 0 {
                 break;
             }
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, net, time};
 
+use xxhash_rust::xxh3;
+
 use crate::{clock, decisions::ownership, ids};
 
 /// What a process does.
@@ -26,6 +28,17 @@
     pub address: net::SocketAddr,
 }
 
+/// What a process says of itself at each sign of life.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LifeSigns {
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it hears dispatchers.
+    pub hears_dispatchers: bool,
+    /// Whether it follows the store itself, and the store answers.
+    pub follows_store: bool,
+}
+
 /// How often a peer is probed.
 pub const PROBE_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// Silence after which a peer counts as lost: two probes and their longest answer.
@@ -35,9 +48,7 @@
 struct PeerState {
     record: MemberRecord,
     heard: Option<clock::Moment>,
-    leaving: bool,
-    /// Whether it hears dispatchers itself.
-    hears_dispatchers: bool,
+    signs: LifeSigns,
 }
 
 /// The peers of a process.
@@ -55,8 +66,7 @@
                 let peer = PeerState {
                     record,
                     heard: None,
-                    leaving: false,
-                    hears_dispatchers: false,
+                    signs: LifeSigns::default(),
                 };
                 self.peers.insert(peer.record.id.clone(), peer);
             }
@@ -68,21 +78,39 @@
         self.peers.remove(id);
     }
 
-    /// Notes a sign of life.
-    pub fn note_heard(
-        &mut self,
-        id: &ids::InstanceId,
-        leaving: bool,
-        hears_dispatchers: bool,
-        now: clock::Moment,
-    ) {
+    /// Notes a sign of life, and what the process says of itself.
+    pub fn note_heard(&mut self, id: &ids::InstanceId, signs: LifeSigns, now: clock::Moment) {
         if let Some(peer) = self.peers.get_mut(id) {
             peer.heard = Some(now);
-            peer.leaving = leaving;
-            peer.hears_dispatchers = hears_dispatchers;
+            peer.signs = signs;
+        }
+    }
+
+    /// Takes all records that a peer knows; those that it lacks are forgotten.
+    pub fn replace(&mut self, records: Vec<MemberRecord>) {
+        let known: collections::BTreeSet<_> = records.iter().map(|r| r.id.clone()).collect();
+        self.peers.retain(|id, _| known.contains(id));
+        for record in records {
+            self.take(record);
         }
     }
 
+    /// A number that differs for tables that differ, with `own` among them.
+    pub fn digest(&self, own: &MemberRecord) -> u64 {
+        let records = self.records().chain([own]);
+        let numbers = records.map(|r| {
+            let text = format!("{} {}", r.id, r.address);
+            xxh3::xxh3_64(text.as_bytes())
+        });
+        numbers.fold(0, u64::wrapping_add)
+    }
+
+    /// Whether a live peer follows the store.
+    pub fn hears_follower(&self, now: clock::Moment) -> bool {
+        let mut live = self.live(now);
+        live.any(|r| self.peers.get(&r.id).is_some_and(|p| p.signs.follows_store))
+    }
+
     /// Whether any dispatcher answers.
     pub fn hears_dispatchers(&self, now: clock::Moment) -> bool {
         let mut live = self.live(now);
@@ -96,7 +124,11 @@
             return Vec::new();
         }
         let live = self.live(now);
-        let relays = live.filter(|r| self.peers.get(&r.id).is_some_and(|p| p.hears_dispatchers));
+        let relays = live.filter(|r| {
+            self.peers
+                .get(&r.id)
+                .is_some_and(|p| p.signs.hears_dispatchers)
+        });
         relays.cloned().collect()
     }
 
@@ -120,7 +152,7 @@
     pub fn live(&self, now: clock::Moment) -> impl Iterator<Item = &MemberRecord> {
         let alive = move |peer: &&PeerState| {
             let heard = peer.heard.is_some_and(|at| now.since(at) < PEER_SILENCE);
-            heard && !peer.leaving
+            heard && !peer.signs.leaving
         };
         self.peers.values().filter(alive).map(|peer| &peer.record)
     }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -36,6 +36,12 @@
     pub digest: u64,
     /// Whether it hears dispatchers.
     pub hears_dispatchers: bool,
+    /// Whether it follows the store itself, and the store answers.
+    pub follows_store: bool,
+    /// Digest of the processes that it knows.
+    pub members: u64,
+    /// Places for online requests at the endpoints that it owns, by service.
+    pub rooms: Vec<(ids::ServiceName, u32)>,
 }
 
 /// A wish for a place for an online request.
@@ -117,6 +123,8 @@
     async fn desired_state() -> Option<String>;
     /// Asks for the list of endpoints.
     async fn endpoints() -> Option<directory::DirectoryCopy>;
+    /// Asks for the processes that the peer knows.
+    async fn members() -> Option<Vec<members::MemberRecord>>;
     /// Hands a job over; the answer says whether it is done already.
     async fn take_job(record: job_records::JobRecord) -> Option<bool>;
     /// Reads committed results.
@@ -147,6 +155,8 @@
     State(oneshot::Sender<String>),
     /// See [`PeerService::endpoints`].
     Endpoints(oneshot::Sender<directory::DirectoryCopy>),
+    /// See [`PeerService::members`].
+    Members(oneshot::Sender<Vec<members::MemberRecord>>),
     /// See [`PeerService::take_job`].
     TakeJob(job_records::JobRecord, oneshot::Sender<bool>),
     /// See [`PeerService::read_results`].
@@ -208,6 +218,10 @@
         self.ask(PeerCall::Endpoints).await
     }
 
+    async fn members(self, _: tarpc::context::Context) -> Option<Vec<members::MemberRecord>> {
+        self.ask(PeerCall::Members).await
+    }
+
     async fn take_job(
         self,
         _: tarpc::context::Context,
@@ -424,6 +438,18 @@
         call_peer!(self, peer, patience, endpoints())
     }
 
+    /// Asks for the processes that a peer knows.
+    ///
+    /// # Errors
+    /// The peer does not answer.
+    pub async fn members(
+        &self,
+        peer: net::SocketAddr,
+        patience: time::Duration,
+    ) -> Result<Vec<members::MemberRecord>, PeerError> {
+        call_peer!(self, peer, patience, members())
+    }
+
     /// Hands a job over; says whether it is done already.
     ///
     /// # Errors
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -224,6 +224,18 @@
         room.sum()
     }
 
+    /// The room of each service with owned endpoints.
+    pub fn rooms(&self) -> Vec<(ids::ServiceName, u32)> {
+        let mut services: Vec<_> = self.owned().map(|entry| entry.service.clone()).collect();
+        services.sort();
+        services.dedup();
+        let rooms = services.into_iter().map(|service| {
+            let room = self.online_room(&service);
+            (service, room)
+        });
+        rooms.collect()
+    }
+
     /// Begins a batch stream at the owned endpoint of `service` with the most free places.
     pub fn begin_batch(
         &mut self,
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -73,7 +73,7 @@
             return Ok(place);
         }
         let mut full = 0;
-        let owners = owners_by_room(context);
+        let owners = owners_by_room(context, service);
         for owner in owners.iter().take(OWNERS_ASKED) {
             match ask(context, owner, service, tried).await {
                 OwnerWord::Place(place) => return Ok(place),
@@ -113,14 +113,18 @@
 }
 
 /// The owners, the one with the most room first; near ones among equals.
-fn owners_by_room(context: &process::ProcessContext) -> Vec<ids::InstanceId> {
+fn owners_by_room(
+    context: &process::ProcessContext,
+    service: &ids::ServiceName,
+) -> Vec<ids::InstanceId> {
     let rooms = context.rooms.borrow();
     let mut rng = rand::rng();
     let mut owners: Vec<_> = context
         .owners()
         .iter()
         .map(|owner| {
-            let room = rooms.get(&owner.id).copied().unwrap_or(UNKNOWN_ROOM);
+            let key = (owner.id.clone(), service.clone());
+            let room = rooms.get(&key).copied().unwrap_or(UNKNOWN_ROOM);
             let far = owner.domain != *context.domain();
             (
                 std::cmp::Reverse(room),
@@ -183,7 +187,10 @@
     // The owners do not hear the peer, and would take its places back.
     wish.instance = context.id().clone();
     let number = wish.number;
-    for owner in owners_by_room(context).iter().take(OWNERS_ASKED) {
+    for owner in owners_by_room(context, &wish.service)
+        .iter()
+        .take(OWNERS_ASKED)
+    {
         let address = context.members.borrow().address_of(owner);
         let Some(address) = address else { continue };
         let answer = context
@@ -220,7 +227,7 @@
             Ok(answer) => (answer, HeldPermit::Peer(address, number)),
             Err(e) => {
                 count_permit(context, "silent");
-                context.rooms.borrow_mut().insert(owner.clone(), 0);
+                set_room(context, owner, service, 0);
                 // The grant may come late: it must not hold a place until it expires.
                 context.links.release(address, number);
                 log::info!("event=owner_silent owner={owner} why=\"{e}\"");
@@ -228,10 +235,7 @@
             }
         }
     };
-    context
-        .rooms
-        .borrow_mut()
-        .insert(owner.clone(), answer.room);
+    set_room(context, owner, service, answer.room);
     if answer.endpoint.is_none() {
         count_permit(context, "full");
         return OwnerWord::Full;
@@ -242,6 +246,16 @@
     }
 }
 
+fn set_room(
+    context: &process::ProcessContext,
+    owner: &ids::InstanceId,
+    service: &ids::ServiceName,
+    room: u32,
+) {
+    let key = (owner.clone(), service.clone());
+    context.rooms.borrow_mut().insert(key, room);
+}
+
 fn count_permit(context: &process::ProcessContext, outcome: &str) {
     context.metrics.permits.with_label_values(&[outcome]).inc();
 }
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -23,6 +23,10 @@
 const ORDER_LOOK: time::Duration = time::Duration::from_millis(600);
 /// Places asked for on behalf of peers that are remembered until their release.
 const MAX_RELAYED: num::NonZeroUsize = num::NonZeroUsize::new(4096).expect("it is not zero");
+/// Owners that follow the store; the others learn from them by the probes.
+///
+/// One would do; with three the loss of two at once is not noticed.
+const FOLLOWERS: usize = 3;
 /// Time after its start before a gateway may own anything.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(3);
 /// Part of the grace after which a stopping process refuses new requests: those
@@ -108,7 +112,7 @@
     /// Who may own endpoints and jobs now.
     owners: cell::RefCell<rc::Rc<Vec<ownership::OwnerCandidate>>>,
     /// Places that owners said they could give.
-    pub rooms: cell::RefCell<collections::HashMap<ids::InstanceId, u32>>,
+    pub rooms: cell::RefCell<collections::HashMap<(ids::InstanceId, ids::ServiceName), u32>>,
     /// Owners of places that were asked for on behalf of a peer that is cut off.
     pub relayed: cell::RefCell<lru::LruCache<admission::PermitNumber, net::SocketAddr>>,
     /// Whether this instance is to be emptied.
@@ -185,6 +189,9 @@
             revision: self.fleet.revision(),
             digest: self.fleet.digest(),
             hears_dispatchers: self.members.borrow().hears_dispatchers(self.clock.now()),
+            follows_store: self.fleet.is_following(),
+            members: self.members.borrow().digest(&self.options.member),
+            rooms: self.permits.borrow().rooms(),
         }
     }
 }
@@ -306,7 +313,8 @@
     let prefix = format!("{MEMBER_KIND}/");
     let mut since = store::ObjectRevision(0);
     while !context.is_stopping() {
-        if !context.fleet.is_reachable() {
+        let through_peers = since.0 > 0 && !context.fleet.follows();
+        if through_peers || !context.fleet.is_reachable() {
             actix_rt::time::sleep(MEMBER_RETRY).await;
             continue;
         }
@@ -397,8 +405,17 @@
 
 fn hear(context: &ProcessContext, hello: &peers::PeerHello) {
     let now = context.clock.now();
+    let signs = members::LifeSigns {
+        leaving: hello.leaving,
+        hears_dispatchers: hello.hears_dispatchers,
+        follows_store: hello.follows_store,
+    };
     let mut members = context.members.borrow_mut();
-    members.note_heard(&hello.id, hello.leaving, hello.hears_dispatchers, now);
+    members.note_heard(&hello.id, signs, now);
+    let mut rooms = context.rooms.borrow_mut();
+    for (service, room) in &hello.rooms {
+        rooms.insert((hello.id.clone(), service.clone()), *room);
+    }
 }
 
 /// Takes beliefs that a peer has newer than this process.
@@ -419,11 +436,17 @@
             Err(e) => log::info!("event=peer_state_missing peer={} why=\"{e}\"", hello.id),
         }
     }
+    if !hello.follows_store {
+        return;
+    }
+    if !context.fleet.follows() {
+        learn_members(context, peer, hello).await;
+    }
     if hello.digest == context.fleet.digest() || hello.revision <= context.fleet.revision() {
         context.differing_since.set(None);
         return;
     }
-    if context.fleet.is_reachable() {
+    if context.fleet.is_following() {
         read_missed(context).await;
         return;
     }
@@ -431,13 +454,33 @@
         Ok(copy) => {
             let (id, revision) = (&hello.id, copy.revision);
             log::info!("event=endpoints_from_peer peer={id} revision={revision}");
-            let news = fleet_source::FleetNews::Endpoints(revision, copy.entries);
+            let news = fleet_source::FleetNews::PeerEndpoints(revision, copy.entries);
             context.fleet.take(news);
         }
         Err(e) => log::info!("event=peer_endpoints_missing peer={} why=\"{e}\"", hello.id),
     }
 }
 
+/// Takes the records of processes from a peer that follows the store.
+async fn learn_members(context: &ProcessContext, peer: net::SocketAddr, hello: &peers::PeerHello) {
+    let own = &context.options.member;
+    if hello.members == context.members.borrow().digest(own) {
+        return;
+    }
+    match context.links.members(peer, BELIEF_TIMEOUT).await {
+        Ok(mut records) => {
+            log::info!(
+                "event=members_from_peer peer={} count={}",
+                hello.id,
+                records.len()
+            );
+            records.retain(|r| r.id != own.id);
+            context.members.borrow_mut().replace(records);
+        }
+        Err(e) => log::info!("event=peer_members_missing peer={} why=\"{e}\"", hello.id),
+    }
+}
+
 /// Reads the list anew when a peer has had a newer one for a while.
 async fn read_missed(context: &ProcessContext) {
     let now = context.clock.now();
@@ -464,7 +507,7 @@
         actix_rt::time::sleep(REFRESH_PAUSE).await;
         let first = context.owners().first().map(|o| o.id.clone());
         let is_first = first.as_ref() == Some(context.id());
-        if !is_first || !context.fleet.is_reachable() {
+        if !is_first || !context.fleet.is_following() {
             continue;
         }
         round = round.wrapping_add(1);
@@ -554,6 +597,13 @@
             }
         }
         C::Endpoints(sender) => reply(sender, context.fleet.copy()),
+        C::Members(sender) => {
+            let members = context.members.borrow();
+            let own = [&context.options.member];
+            let records = members.records().chain(own).cloned().collect();
+            drop(members);
+            reply(sender, records);
+        }
         C::TakeJob(record, sender) => reply(sender, job_runner::take_job(context, record)),
         C::ReadResults(ask, sender) => {
             let context = context.clone();
@@ -693,6 +743,14 @@
     }
 }
 
+/// Whether this process follows the store: the first few owners do, and any
+/// that hears none who does.
+fn is_follower(context: &ProcessContext, now: clock::Moment) -> bool {
+    let owners = context.owners();
+    let mut first = owners.iter().take(FOLLOWERS);
+    first.any(|o| o.id == *context.id()) || !context.members.borrow().hears_follower(now)
+}
+
 /// Whether the process runs for long enough to have heard its live peers.
 fn is_settled(context: &ProcessContext) -> bool {
     context.clock.now().since(context.begun) > SETTLE_TIME
@@ -717,7 +775,10 @@
         let names: Vec<_> = owners.iter().map(|o| o.id.as_str()).collect();
         log::info!("event=owners now=\"{}\"", names.join(","));
         for lost in context.owners().iter().filter(|o| !owners.contains(o)) {
-            context.rooms.borrow_mut().remove(&lost.id);
+            context
+                .rooms
+                .borrow_mut()
+                .retain(|(id, _), _| *id != lost.id);
         }
         *context.owners.borrow_mut() = rc::Rc::new(owners);
     }
@@ -734,4 +795,5 @@
     if changed {
         context.jobs.owners_changed.notify_one();
     }
+    context.fleet.set_follows(is_follower(context, now));
 }
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -236,10 +236,18 @@
     };
     assert_eq!(names(&table, clock.now()), ["g0"], "nobody was heard yet");
     for id in ["d1", "d2"] {
-        table.note_heard(&id.parse().expect("a name"), false, false, clock.now());
+        table.note_heard(
+            &id.parse().expect("a name"),
+            Default::default(),
+            clock.now(),
+        );
     }
     assert_eq!(names(&table, clock.now()), ["d1", "d2"]);
-    table.note_heard(&"d1".parse().expect("a name"), true, false, clock.now());
+    let leaving = members::LifeSigns {
+        leaving: true,
+        ..Default::default()
+    };
+    table.note_heard(&"d1".parse().expect("a name"), leaving, clock.now());
     assert_eq!(
         names(&table, clock.now()),
         ["d2"],
@@ -249,13 +257,17 @@
     assert_eq!(names(&table, clock.now()), ["g0"]);
     table.take(record("g1", members::MemberRole::Gateway));
     let g1 = "g1".parse().expect("a name");
-    table.note_heard(&g1, false, false, clock.now());
+    table.note_heard(&g1, Default::default(), clock.now());
     assert_eq!(
         names(&table, clock.now()),
         ["g1", "g0"],
         "no gateway hears a dispatcher"
     );
-    table.note_heard(&g1, false, true, clock.now());
+    let hears = members::LifeSigns {
+        hears_dispatchers: true,
+        ..Default::default()
+    };
+    table.note_heard(&g1, hears, clock.now());
     assert!(
         names(&table, clock.now()).is_empty(),
         "cut off: others hear dispatchers"
