--- a/src/decisions/admission.rs
+++ b/src/decisions/admission.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Makes the numbers of streams begin after `number`, so that they differ
+    /// from those of another ledger of the same endpoint.
+    pub fn number_after(&mut self, number: StreamNumber) {
+        self.next_stream = self.next_stream.max(number);
+    }
+
     /// Changes the limits from now on.
     pub fn set_spec(&mut self, spec: AdmissionSpec) {
         self.spec = spec;
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -203,11 +203,19 @@
 /// Names a batch stream: its endpoint and its number in the ledger there.
 pub type StreamKey = (ids::EndpointId, admission::StreamNumber);
 
+/// A stream that runs, and the way to stop it.
+struct RunningStream {
+    /// Whether another owner lent its place.
+    is_loan: bool,
+    /// Dropped as the word to stop.
+    _cancel: oneshot::Sender<()>,
+}
+
 /// All jobs of this process.
 #[derive(Default)]
 pub struct JobBoard {
     jobs: cell::RefCell<collections::HashMap<ids::JobId, SharedJob>>,
-    streams: cell::RefCell<collections::HashMap<StreamKey, oneshot::Sender<()>>>,
+    streams: cell::RefCell<collections::HashMap<StreamKey, RunningStream>>,
     /// Told when there may be work: a new job, a free place.
     pub work: Notify,
     /// Jobs that were ended, once all marks were read; kept up by the watch of the marks.
@@ -263,12 +271,22 @@
     }
 
     /// Names a stream that can be taken back.
-    pub fn begin_stream(&self, key: StreamKey) -> oneshot::Receiver<()> {
+    pub fn begin_stream(&self, key: StreamKey, is_loan: bool) -> oneshot::Receiver<()> {
         let (cancel, cancelled) = oneshot::channel();
-        self.streams.borrow_mut().insert(key, cancel);
+        let stream = RunningStream {
+            is_loan,
+            _cancel: cancel,
+        };
+        self.streams.borrow_mut().insert(key, stream);
         cancelled
     }
 
+    /// Takes the streams back that run at an endpoint which this process owned.
+    pub fn preempt_owned(&self, endpoint: &ids::EndpointId) {
+        let mut streams = self.streams.borrow_mut();
+        streams.retain(|(at, _), stream| at != endpoint || stream.is_loan);
+    }
+
     /// Forgets a stream that ended.
     pub fn end_stream(&self, key: &StreamKey) {
         self.streams.borrow_mut().remove(key);
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -306,13 +306,14 @@
     context: &process::ProcessContext,
     job: &ids::JobId,
 ) -> Option<(ids::InstanceId, std::net::SocketAddr)> {
-    let Some(owner) = context.job_owner(job) else {
-        let relay = context.relays().into_iter().next()?;
-        return Some((relay.id, relay.address));
-    };
+    let owner = context.job_owner(job)?;
     if owner == *context.id() {
         return None;
     }
+    if !context.hears(&owner) {
+        let relay = context.relays().into_iter().next()?;
+        return Some((relay.id, relay.address));
+    }
     let address = context.members.borrow().address_of(&owner)?;
     Some((owner, address))
 }
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -155,7 +155,7 @@
     actix_rt::spawn(async move {
         let mut waiting = waiting;
         let mut owners = (*context.owners()).clone();
-        owners.retain(|o| o.id != *context.id());
+        owners.retain(|o| o.id != *context.id() && context.hears(&o.id));
         for i in (1..owners.len()).rev() {
             owners.swap(i, rand::random_range(0..=i));
         }
@@ -393,7 +393,8 @@
 impl ItemRun {
     async fn run(self) {
         let key = (self.endpoint.id.clone(), self.number);
-        let cancelled = self.context.jobs.begin_stream(key.clone());
+        let is_loan = self.lender.is_some();
+        let cancelled = self.context.jobs.begin_stream(key.clone(), is_loan);
         self.job.borrow_mut().streams.insert(key.clone());
         let end = {
             let work = self.stream();
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -29,12 +29,12 @@
 }
 
 /// What a process says of itself at each sign of life.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LifeSigns {
     /// Whether it is leaving.
     pub leaving: bool,
-    /// Whether it hears dispatchers.
-    pub hears_dispatchers: bool,
+    /// Dispatchers that it hears itself.
+    pub hears: Vec<ids::InstanceId>,
     /// Whether it follows the store itself, and the store answers.
     pub follows_store: bool,
 }
@@ -111,23 +111,45 @@
         live.any(|r| self.peers.get(&r.id).is_some_and(|p| p.signs.follows_store))
     }
 
-    /// Whether any dispatcher answers.
-    pub fn hears_dispatchers(&self, now: clock::Moment) -> bool {
-        let mut live = self.live(now);
-        live.any(|record| record.role == MemberRole::Dispatcher)
+    /// Dispatchers that answer this process itself.
+    pub fn heard_dispatchers(&self, now: clock::Moment) -> Vec<ids::InstanceId> {
+        let live = self.live(now);
+        let live = live.filter(|record| record.role == MemberRole::Dispatcher);
+        live.map(|record| record.id.clone()).collect()
+    }
+
+    /// Whether a process answers this process itself.
+    pub fn hears(&self, id: &ids::InstanceId, now: clock::Moment) -> bool {
+        self.live(now).any(|record| record.id == *id)
+    }
+
+    /// Dispatchers that do not answer this process but are heard by live peers:
+    /// the path to them is cut, and they still own what they own.
+    fn vouched(&self, now: clock::Moment) -> Vec<&MemberRecord> {
+        let live = self
+            .live(now)
+            .filter_map(|record| self.peers.get(&record.id));
+        let named = live.flat_map(|peer| peer.signs.hears.iter());
+        let named: collections::BTreeSet<_> = named.collect();
+        let peers = named.into_iter().filter_map(|id| self.peers.get(id));
+        let cut = peers.filter(|peer| {
+            let heard = peer.heard.is_some_and(|at| now.since(at) < PEER_SILENCE);
+            let said_leaving = heard && peer.signs.leaving;
+            peer.record.role == MemberRole::Dispatcher && !heard && !said_leaving
+        });
+        cut.map(|peer| &peer.record).collect()
     }
 
     /// Live gateways that hear dispatchers: a process that hears none itself is
     /// cut off, and reaches them through these.
     pub fn relays(&self, now: clock::Moment) -> Vec<MemberRecord> {
-        if self.hears_dispatchers(now) {
+        if !self.heard_dispatchers(now).is_empty() {
             return Vec::new();
         }
         let live = self.live(now);
         let relays = live.filter(|r| {
-            self.peers
-                .get(&r.id)
-                .is_some_and(|p| p.signs.hears_dispatchers)
+            let peer = self.peers.get(&r.id);
+            peer.is_some_and(|p| !p.signs.hears.is_empty())
         });
         relays.cloned().collect()
     }
@@ -159,14 +181,14 @@
 
     /// Who may own endpoints and jobs: the live dispatchers, or else the live gateways.
     ///
-    /// None for a process that is cut off from dispatchers which others hear.
-    /// `own` is this process, if it is not leaving.
+    /// A dispatcher that live peers hear counts, so that a cut between some
+    /// processes does not give an endpoint two owners. `own` is this process, if it is not leaving.
     pub fn owners(
         &self,
         own: Option<&MemberRecord>,
         now: clock::Moment,
     ) -> Vec<ownership::OwnerCandidate> {
-        let live: Vec<&MemberRecord> = self.live(now).chain(own).collect();
+        let live: Vec<&MemberRecord> = self.live(now).chain(self.vouched(now)).chain(own).collect();
         let of_role = |role: MemberRole| -> Vec<ownership::OwnerCandidate> {
             let members = live.iter().filter(|m| m.role == role);
             let members = members.map(|m| ownership::OwnerCandidate {
@@ -178,9 +200,9 @@
         let mut dispatchers = of_role(MemberRole::Dispatcher);
         // All processes name the same one first.
         dispatchers.sort_by(|a, b| a.id.cmp(&b.id));
-        if !dispatchers.is_empty() || !self.relays(now).is_empty() {
-            return dispatchers;
+        match dispatchers.is_empty() {
+            true => of_role(MemberRole::Gateway),
+            false => dispatchers,
         }
-        of_role(MemberRole::Gateway)
     }
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -34,8 +34,8 @@
     pub revision: u64,
     /// Digest of its list of endpoints.
     pub digest: u64,
-    /// Whether it hears dispatchers.
-    pub hears_dispatchers: bool,
+    /// Dispatchers that it hears itself.
+    pub hears: Vec<ids::InstanceId>,
     /// Whether it follows the store itself, and the store answers.
     pub follows_store: bool,
     /// Digest of the processes that it knows.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -54,6 +54,15 @@
 }
 
 impl OwnedLedger {
+    fn new(entry: &rc::Rc<directory::EndpointEntry>) -> Self {
+        let mut ledger = admission::EndpointLedger::new(spec_of(entry));
+        ledger.number_after(u64::from(rand::random::<u32>()) << 16);
+        Self {
+            entry: entry.clone(),
+            ledger,
+        }
+    }
+
     fn free(&self) -> i64 {
         let held = self.ledger.online() + self.ledger.batch();
         i64::from(self.entry.slots) - i64::from(held)
@@ -74,7 +83,7 @@
 }
 
 impl PermitBoard {
-    /// Takes the list of owned endpoints; gives the batch streams of those that went.
+    /// Takes the list of owned endpoints; gives those that are owned no more.
     pub fn set_owned(
         &mut self,
         owned: &[rc::Rc<directory::EndpointEntry>],
@@ -92,10 +101,7 @@
             .retain(|(endpoint, _), _| ledgers.contains_key(endpoint));
         for entry in owned {
             let ledger = self.ledgers.entry(entry.id.clone());
-            let ledger = ledger.or_insert_with(|| OwnedLedger {
-                entry: entry.clone(),
-                ledger: admission::EndpointLedger::new(spec_of(entry)),
-            });
+            let ledger = ledger.or_insert_with(|| OwnedLedger::new(entry));
             ledger.entry = entry.clone();
         }
         gone
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -122,6 +122,7 @@
     let mut owners: Vec<_> = context
         .owners()
         .iter()
+        .filter(|owner| owner.id == *context.id() || context.hears(&owner.id))
         .map(|owner| {
             let key = (owner.id.clone(), service.clone());
             let room = rooms.get(&key).copied().unwrap_or(UNKNOWN_ROOM);
@@ -158,9 +159,6 @@
     service: &ids::ServiceName,
     tried: &[ids::EndpointId],
 ) -> Option<HeldPlace> {
-    if !context.owners().is_empty() {
-        return None;
-    }
     let relays = context.relays();
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
     let wish = place_ask(context, service, tried);
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -167,6 +167,11 @@
         !self.is_stopping() && self.fleet.is_known()
     }
 
+    /// Whether a process answers this process itself.
+    pub fn hears(&self, id: &ids::InstanceId) -> bool {
+        self.members.borrow().hears(id, self.clock.now())
+    }
+
     /// Gateways through which a process that is cut off reaches the owners.
     pub fn relays(&self) -> Vec<members::MemberRecord> {
         self.members.borrow().relays(self.clock.now())
@@ -188,7 +193,7 @@
             version: self.fleet.table().version(),
             revision: self.fleet.revision(),
             digest: self.fleet.digest(),
-            hears_dispatchers: self.members.borrow().hears_dispatchers(self.clock.now()),
+            hears: self.members.borrow().heard_dispatchers(self.clock.now()),
             follows_store: self.fleet.is_following(),
             members: self.members.borrow().digest(&self.options.member),
             rooms: self.permits.borrow().rooms(),
@@ -375,10 +380,7 @@
         .filter(|r| r.role == members::MemberRole::Dispatcher)
         .cloned()
         .collect();
-    let owners = context.owners();
-    let any_live = dispatchers
-        .iter()
-        .any(|d| owners.iter().any(|o| o.id == d.id));
+    let any_live = !members.heard_dispatchers(context.clock.now()).is_empty();
     let own_role = context.options.member.role;
     if any_live || own_role == members::MemberRole::Dispatcher {
         return dispatchers;
@@ -407,7 +409,7 @@
     let now = context.clock.now();
     let signs = members::LifeSigns {
         leaving: hello.leaving,
-        hears_dispatchers: hello.hears_dispatchers,
+        hears: hello.hears.clone(),
         follows_store: hello.follows_store,
     };
     let mut members = context.members.borrow_mut();
@@ -790,7 +792,10 @@
     });
     let owned: Vec<_> = owned.cloned().collect();
     drop(directory);
-    context.permits.borrow_mut().set_owned(&owned);
+    let gone = context.permits.borrow_mut().set_owned(&owned);
+    for endpoint in &gone {
+        context.jobs.preempt_owned(endpoint);
+    }
     context.jobs.work.notify_one();
     if changed {
         context.jobs.owners_changed.notify_one();
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -264,7 +264,7 @@
         "no gateway hears a dispatcher"
     );
     let hears = members::LifeSigns {
-        hears_dispatchers: true,
+        hears: vec!["d1".parse().expect("a name")],
         ..Default::default()
     };
     table.note_heard(&g1, hears, clock.now());
