--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -5,7 +5,7 @@
 use actix_http::{header, Method, StatusCode};
 
 use super::{connection, directory, process, wire};
-use crate::outcome;
+use crate::{outcome, protection};
 
 /// Longest wait for a connection; a round trip takes 1 to 4 ms, a dropped
 /// opening packet is sent again only after a second.
@@ -70,11 +70,11 @@
 ) -> Result<connection::IncomingAnswer, outcome::AttemptOutcome<OpenAnswer>> {
     use outcome::AttemptOutcome as O;
 
-    if request.repeatable {
+    if request.repeatable || protection::is_out("fresh_connection") {
         if let Some(kept) = context.pool.take(endpoint.address) {
             match kept.exchange(outgoing(context, request, terms)).await {
                 Ok(incoming) => return Ok(incoming),
-                Err(connection::ExchangeError::Broken(e)) => {
+                Err(connection::ExchangeError::Broken(e)) if request.repeatable => {
                     log::debug!(
                         "event=kept_connection_closed endpoint={} why=\"{e}\"",
                         endpoint.id
@@ -131,7 +131,8 @@
             "status {status} without the word that it did not run"
         ));
     }
-    if notes.id.is_some() && notes.id != request.id {
+    let crossed = notes.id.is_some() && notes.id != request.id;
+    if crossed && !protection::is_out("crossed_answer") {
         context.metrics.crossed.inc();
         return O::Unknown("the answer belongs to another request".into());
     }
--- /dev/null
+++ b/src/serving/beliefs.rs
@@ -0,0 +1,264 @@
+//! Keeps beliefs up to date: members from the store, signs of life, news from peers.
+
+use std::{net, rc, time};
+
+use super::{fleet_source, members, peer_links, peers, process};
+use crate::{decisions::call_budget::CallClass, store};
+
+/// Longest wait for a peer's desired state or list.
+const BELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Pause between two readings of the beliefs; a change is to be in force within 2 s.
+const REFRESH_PAUSE: time::Duration = time::Duration::from_millis(600);
+
+/// Every so many of these readings is of the list, the others of the desired state.
+const LIST_ROUNDS: u32 = 3;
+
+/// How long a peer's newer list must differ before the own one is read anew:
+/// the own watch brings most changes at the same moment.
+const MISSED_AFTER: time::Duration = time::Duration::from_millis(400);
+
+/// Longest wait for the answer to a probe; a round trip takes 1 to 4 ms.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// Pause before the store is asked again for the members.
+const MEMBER_RETRY: time::Duration = time::Duration::from_millis(500);
+
+/// Least time between two questions for the members.
+const MEMBERS_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// Longest wait of a watch of the members.
+const MEMBER_WAIT: time::Duration = time::Duration::from_secs(25);
+
+/// Shows this process in the store, and follows the records of the others.
+pub(super) async fn watch_members(context: rc::Rc<process::ProcessContext>) {
+    let key = format!("{}/{}", process::MEMBER_KIND, context.id());
+    let own = store::encode(&context.options.member);
+    let always = store::WriteCondition::Always;
+    while let Err(e) = context
+        .store
+        .put(CallClass::Control, &key, own.clone(), always)
+        .await
+    {
+        log::warn!("event=member_record_unwritten why=\"{e}\"");
+        actix_rt::time::sleep(MEMBER_RETRY).await;
+    }
+    let prefix = format!("{}/", process::MEMBER_KIND);
+    let mut since = store::ObjectRevision(0);
+    while !context.is_stopping() {
+        let through_peers = since.0 > 0 && !context.fleet.follows();
+        if through_peers || !context.fleet.is_reachable() {
+            actix_rt::time::sleep(MEMBER_RETRY).await;
+            continue;
+        }
+        let answer = context.store.watch(&[&prefix], since, MEMBER_WAIT).await;
+        match answer {
+            Ok(answer) => {
+                since = store::ObjectRevision(answer.revision);
+                context.members_known.set(true);
+                for change in answer.changes {
+                    take_member(&context, &prefix, change);
+                }
+            }
+            Err(e) => {
+                log::info!("event=members_unread why=\"{e}\"");
+                actix_rt::time::sleep(MEMBER_RETRY).await;
+            }
+        }
+    }
+}
+
+fn take_member(
+    context: &rc::Rc<process::ProcessContext>,
+    prefix: &str,
+    change: crate::platform::ObjectChange,
+) {
+    let name = change.key.strip_prefix(prefix).unwrap_or(&change.key);
+    let mut members = context.members.borrow_mut();
+    let Some(value) = change.value else {
+        if let Ok(id) = name.parse() {
+            log::info!("event=member_gone instance={name}");
+            members.remove(&id);
+        }
+        return;
+    };
+    match serde_json::from_str::<members::MemberRecord>(&value) {
+        Ok(record) if record.id == *context.id() => {}
+        Ok(record) => {
+            log::info!("event=member_listed instance={name} at={}", record.address);
+            members.take(record);
+        }
+        Err(e) => log::warn!("event=member_unreadable instance={name} why=\"{e}\""),
+    }
+}
+
+/// Probes the processes whose life matters here: dispatchers, or all where there is none.
+pub(super) async fn probe_peers(context: rc::Rc<process::ProcessContext>) {
+    loop {
+        for record in probed(&context) {
+            actix_rt::spawn(probe(context.clone(), record));
+        }
+        actix_rt::time::sleep(members::PROBE_PAUSE).await;
+    }
+}
+
+fn probed(context: &process::ProcessContext) -> Vec<members::MemberRecord> {
+    let members = context.members.borrow();
+    let dispatchers: Vec<_> = members
+        .records()
+        .filter(|r| r.role == members::MemberRole::Dispatcher)
+        .cloned()
+        .collect();
+    let any_live = !members.heard_dispatchers(context.clock.now()).is_empty();
+    let own_role = context.options.member.role;
+    if any_live || own_role == members::MemberRole::Dispatcher {
+        return dispatchers;
+    }
+    members.records().cloned().collect()
+}
+
+async fn probe(context: rc::Rc<process::ProcessContext>, record: members::MemberRecord) {
+    let hello = context.hello();
+    let answer = context
+        .links
+        .probe(record.address, hello, PROBE_TIMEOUT)
+        .await;
+    match answer {
+        Ok(hello) if hello.id == record.id => {
+            hear(&context, &hello);
+            catch_up(&context, record.address, &hello).await;
+        }
+        Ok(hello) => log::warn!("event=peer_differs listed={} found={}", record.id, hello.id),
+        Err(peer_links::PeerError::TimedOut) => context.links.forget(record.address),
+        Err(peer_links::PeerError::Unreachable | peer_links::PeerError::NotSent) => {}
+    }
+}
+
+pub(super) fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
+    let now = context.clock.now();
+    let signs = members::LifeSigns {
+        leaving: hello.leaving,
+        hears: hello.hears.clone(),
+        follows_store: hello.follows_store,
+    };
+    let mut members = context.members.borrow_mut();
+    members.note_heard(&hello.id, signs, now);
+    let mut rooms = context.rooms.borrow_mut();
+    for (service, room) in &hello.rooms {
+        rooms.insert((hello.id.clone(), service.clone()), *room);
+    }
+}
+
+/// Takes beliefs that a peer has newer than this process.
+async fn catch_up(
+    context: &process::ProcessContext,
+    peer: net::SocketAddr,
+    hello: &peers::PeerHello,
+) {
+    if hello.version > context.fleet.table().version() {
+        match context.links.desired_state(peer, BELIEF_TIMEOUT).await {
+            Ok(text) => match serde_json::from_str(&text) {
+                Ok(state) => {
+                    log::info!(
+                        "event=state_from_peer peer={} version={}",
+                        hello.id,
+                        hello.version
+                    );
+                    context.fleet.take(fleet_source::FleetNews::State(state));
+                }
+                Err(e) => log::warn!("event=peer_state_unreadable peer={} why=\"{e}\"", hello.id),
+            },
+            Err(e) => log::info!("event=peer_state_missing peer={} why=\"{e}\"", hello.id),
+        }
+    }
+    if !hello.follows_store {
+        return;
+    }
+    if !context.fleet.follows() {
+        learn_members(context, peer, hello).await;
+    }
+    if hello.digest == context.fleet.digest() || hello.revision <= context.fleet.revision() {
+        context.differing_since.set(None);
+        return;
+    }
+    if context.fleet.is_following() {
+        read_missed(context).await;
+        return;
+    }
+    match context.links.endpoints(peer, BELIEF_TIMEOUT).await {
+        Ok(copy) => {
+            let (id, revision) = (&hello.id, copy.revision);
+            log::info!("event=endpoints_from_peer peer={id} revision={revision}");
+            let news = fleet_source::FleetNews::PeerEndpoints(revision, copy.entries);
+            context.fleet.take(news);
+        }
+        Err(e) => log::info!("event=peer_endpoints_missing peer={} why=\"{e}\"", hello.id),
+    }
+}
+
+/// Takes the records of processes from a peer that follows the store.
+async fn learn_members(
+    context: &process::ProcessContext,
+    peer: net::SocketAddr,
+    hello: &peers::PeerHello,
+) {
+    let own = &context.options.member;
+    let now = context.clock.now();
+    let lately = |at| now.since(at) < MEMBERS_PAUSE;
+    let is_known = hello.members == context.members.borrow().digest(own);
+    if is_known || context.members_asked.get().is_some_and(lately) {
+        return;
+    }
+    context.members_asked.set(Some(now));
+    match context.links.members(peer, BELIEF_TIMEOUT).await {
+        Ok(mut records) => {
+            log::info!(
+                "event=members_from_peer peer={} count={}",
+                hello.id,
+                records.len()
+            );
+            records.retain(|r| r.id != own.id);
+            let now = context.clock.now();
+            context.members.borrow_mut().merge(records, now);
+        }
+        Err(e) => log::info!("event=peer_members_missing peer={} why=\"{e}\"", hello.id),
+    }
+}
+
+/// Reads the list anew when a peer has had a newer one for a while.
+async fn read_missed(context: &process::ProcessContext) {
+    let now = context.clock.now();
+    match context.differing_since.get() {
+        None => context.differing_since.set(Some(now)),
+        Some(since) if now.since(since) < MISSED_AFTER => {}
+        Some(_) => {
+            context.differing_since.set(None);
+            log::info!("event=endpoints_missed");
+            let model = context.fleet.clone();
+            let refresh = fleet_source::RefreshKind::Endpoints;
+            context.source.refresh(refresh, model).await;
+        }
+    }
+}
+
+/// Reads the beliefs anew at a steady pace, on one process for all.
+///
+/// A watch may stay silent without being cut; the others learn of what is
+/// found here by the probes.
+pub(super) async fn refresh_beliefs(context: rc::Rc<process::ProcessContext>) {
+    let mut round = 0_u32;
+    loop {
+        actix_rt::time::sleep(REFRESH_PAUSE).await;
+        let first = context.owners().first().map(|o| o.id.clone());
+        let is_first = first.as_ref() == Some(context.id());
+        if !is_first || !context.fleet.is_following() {
+            continue;
+        }
+        round = round.wrapping_add(1);
+        let what = match round.is_multiple_of(LIST_ROUNDS) {
+            true => fleet_source::RefreshKind::Endpoints,
+            false => fleet_source::RefreshKind::State,
+        };
+        context.source.refresh(what, context.fleet.clone()).await;
+    }
+}
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use crate::{clock, ids};
+use crate::{clock, ids, protection};
 
 /// One listed endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -99,7 +99,9 @@
 
     fn rebuild(&mut self) {
         self.services.clear();
-        for entry in self.entries.values().filter(|e| !e.leaving) {
+        let usable =
+            |e: &&rc::Rc<EndpointEntry>| !e.leaving || protection::is_out("leaving_endpoint");
+        for entry in self.entries.values().filter(usable) {
             let list = self.services.entry(entry.service.clone()).or_default();
             list.push(entry.clone());
         }
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -5,7 +5,7 @@
 use tokio::sync::watch;
 
 use super::{directory, fleet_source, route_table};
-use crate::{clock, ids};
+use crate::{clock, ids, protection};
 
 /// How long after the store's return an entry that lapsed meanwhile may still come back.
 const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2500);
@@ -149,7 +149,7 @@
 
     fn take_state(&self, state: route_table::DesiredState) {
         let before = self.table.borrow().version();
-        if state.version <= before {
+        if state.version <= before && !protection::is_out("state_up") {
             return;
         }
         let (version, routes) = (state.version, state.routes.len());
--- /dev/null
+++ b/src/serving/item_run.rs
@@ -0,0 +1,261 @@
+//! One run of an item at one endpoint.
+
+use std::{net, rc, time};
+
+use futures::future;
+
+use super::{
+    attempt, connection, directory, event_split, job_board, open_job, peers, process, wire,
+};
+use crate::{decisions::admission, outcome, protection};
+
+/// Longest wait for the head of an item's answer; it may wait for a slot.
+const HEAD_PATIENCE: time::Duration = time::Duration::from_millis(1500);
+
+/// Longest pause between events of an item; the engine's steps take 3 to 60 ms.
+const GAP_PATIENCE: time::Duration = time::Duration::from_millis(600);
+
+/// Pause before an item starts again after a failure.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+/// One run of an item at one endpoint.
+pub(super) struct ItemRun {
+    pub(super) context: rc::Rc<process::ProcessContext>,
+    pub(super) job: open_job::SharedJob,
+    pub(super) index: usize,
+    pub(super) endpoint: rc::Rc<directory::EndpointEntry>,
+    pub(super) number: admission::StreamNumber,
+    /// The owner that lent the place, if it is another process.
+    pub(super) lender: Option<net::SocketAddr>,
+    pub(super) max_attempts: u32,
+}
+
+/// How a run of an item ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum RunEnd {
+    Completed,
+    /// The endpoint says that the item can never be done.
+    Impossible,
+    /// The endpoint failed at it.
+    Failed,
+    /// The stream broke; it goes on elsewhere.
+    Cut(String),
+    /// The endpoint did not take it.
+    NotRun(bool),
+    /// The place was taken back, or the job was ended.
+    Preempted,
+}
+
+impl ItemRun {
+    /// Runs the item to the end of the stream.
+    pub(super) async fn run(self) {
+        let key = (self.endpoint.id.clone(), self.number);
+        let is_loan = self.lender.is_some();
+        let cancelled = self.context.jobs.begin_stream(key.clone(), is_loan);
+        self.job.borrow_mut().streams.insert(key.clone());
+        let end = {
+            let work = self.stream();
+            futures::pin_mut!(work);
+            match future::select(work, cancelled).await {
+                future::Either::Left((end, _)) => end,
+                future::Either::Right(_) => RunEnd::Preempted,
+            }
+        };
+        self.context.jobs.end_stream(&key);
+        self.job.borrow_mut().streams.remove(&key);
+        self.leave_place();
+        self.settle(end);
+        self.context.jobs.work.notify_one();
+    }
+
+    fn leave_place(&self) {
+        let loan = peers::StreamLoan {
+            endpoint: self.endpoint.id.clone(),
+            number: self.number,
+        };
+        match self.lender {
+            Some(lender) => self.context.links.give_back(lender, loan),
+            None => {
+                let mut permits = self.context.permits.borrow_mut();
+                permits.end_batch(&loan.endpoint, loan.number);
+            }
+        }
+    }
+
+    /// Sends the item and reads its events into the job.
+    async fn stream(&self) -> RunEnd {
+        use outcome::AttemptOutcome as O;
+
+        let (request, resume_after) = self.request();
+        let terms = wire::AttemptTerms {
+            endpoint: &self.endpoint.id,
+            patience: None,
+            resume_after,
+        };
+        let sent = attempt::send(
+            &self.context,
+            &self.endpoint,
+            &request,
+            &terms,
+            HEAD_PATIENCE,
+        );
+        let open = match sent.await {
+            O::Completed(open) => open,
+            O::NotRun(proof) => return RunEnd::NotRun(proof.is_refusal()),
+            O::Failed(why) | O::Unknown(why) => return RunEnd::Cut(why),
+        };
+        let status = open.incoming.head.status.as_u16();
+        match status {
+            200..=299 => {
+                self.read_events(open.incoming, resume_after, open.notes.idle_limit)
+                    .await
+            }
+            422 => RunEnd::Impossible,
+            500 => RunEnd::Failed,
+            other => RunEnd::Cut(format!("status {other}")),
+        }
+    }
+
+    fn request(&self) -> (attempt::ForwardedRequest, Option<u64>) {
+        let job = self.job.borrow();
+        let item = &job.record.items[self.index];
+        let mut headers = wire::HeaderMap::new();
+        for (name, value) in &item.headers {
+            let name = actix_http::header::HeaderName::try_from(name.as_str());
+            let value = actix_http::header::HeaderValue::try_from(value.as_str());
+            match (name, value) {
+                (Ok(name), Ok(value)) => headers.append(name, value),
+                _ => log::warn!("event=item_header_dropped item={}", item.id),
+            }
+        }
+        if let Ok(host) = actix_http::header::HeaderValue::try_from(job.record.host.as_str()) {
+            headers.insert(actix_http::header::HOST, host);
+        }
+        self.context.wire.write_item_id(&mut headers, &item.id);
+        let uri = actix_http::Uri::try_from(item.path.as_str()).unwrap_or_default();
+        let request = attempt::ForwardedRequest {
+            method: actix_http::Method::POST,
+            uri,
+            headers,
+            body: item.body.clone(),
+            id: Some(item.id.clone()),
+            repeatable: true,
+        };
+        (request, job.items[self.index].last_event)
+    }
+
+    async fn read_events(
+        &self,
+        mut incoming: connection::IncomingAnswer,
+        resumed_after: Option<u64>,
+        idle_limit: Option<time::Duration>,
+    ) -> RunEnd {
+        let mut splitter = event_split::EventSplitter::default();
+        let mut last = resumed_after;
+        loop {
+            loop {
+                match splitter.next_event() {
+                    Ok(None) => break,
+                    Ok(Some(event)) => {
+                        if last.is_some_and(|last| event.id != last + 1) {
+                            return RunEnd::Cut(format!("event {} after {last:?}", event.id));
+                        }
+                        last = Some(event.id);
+                        if !self.take_event(&event) {
+                            return RunEnd::Preempted;
+                        }
+                    }
+                    Err(e) => return RunEnd::Cut(e.to_string()),
+                }
+            }
+            match tokio::time::timeout(GAP_PATIENCE, incoming.next_bytes()).await {
+                Ok(Ok(Some(bytes))) => splitter.push(&bytes),
+                Ok(Ok(None)) if splitter.has_rest() => {
+                    return RunEnd::Cut("the stream ended within an event".into())
+                }
+                Ok(Ok(None)) => break,
+                Ok(Err(e)) => return RunEnd::Cut(e.to_string()),
+                Err(_) => return RunEnd::Cut("the endpoint was silent".into()),
+            }
+        }
+        if let Some(connection) = incoming.into_connection() {
+            self.context.pool.put(connection, idle_limit);
+        }
+        RunEnd::Completed
+    }
+
+    /// Adds an event to the item; says whether the item is still wanted.
+    fn take_event(&self, event: &event_split::RawEvent) -> bool {
+        let mut job = self.job.borrow_mut();
+        if job.ended {
+            return false;
+        }
+        let progress = &mut job.items[self.index];
+        if progress.phase != open_job::ItemPhase::Running {
+            return false;
+        }
+        progress.events.push(event.data());
+        progress.last_event = Some(event.id);
+        true
+    }
+
+    fn settle(&self, end: RunEnd) {
+        let label = match &end {
+            RunEnd::Completed => "completed",
+            RunEnd::Impossible => "impossible",
+            RunEnd::Failed => "failed",
+            RunEnd::Cut(_) => "cut",
+            RunEnd::NotRun(_) => "not_run",
+            RunEnd::Preempted => "preempted",
+        };
+        self.context
+            .metrics
+            .batch_items
+            .with_label_values(&[label])
+            .inc();
+        let now = self.context.clock.now();
+        let mut loads = self.context.loads.borrow_mut();
+        match &end {
+            RunEnd::Completed => loads.health.note_success(&self.endpoint.id),
+            RunEnd::Cut(_) | RunEnd::NotRun(false) => {
+                loads.health.note_silence(&self.endpoint.id, now);
+            }
+            _ => {}
+        }
+        drop(loads);
+        let mut job = self.job.borrow_mut();
+        log::info!(
+            "event=item_run job={} item={} endpoint={} end=\"{end:?}\" last_event={:?}",
+            job.record.id,
+            job.record.items[self.index].id,
+            self.endpoint.id,
+            job.items[self.index].last_event,
+        );
+        if job.items[self.index].phase != open_job::ItemPhase::Running {
+            return;
+        }
+        let progress = &mut job.items[self.index];
+        progress.phase = open_job::ItemPhase::Waiting;
+        match end {
+            RunEnd::Completed => job.finish(self.index, wire::ItemState::Completed),
+            RunEnd::Impossible => job.finish(self.index, wire::ItemState::GivenUp),
+            RunEnd::Failed => {
+                progress.failures += 1;
+                progress.not_before = time::Instant::now() + RETRY_PAUSE;
+                let spent = progress.failures >= self.max_attempts;
+                if spent && !protection::is_out("item_attempts") {
+                    job.finish(self.index, wire::ItemState::GivenUp);
+                }
+            }
+            RunEnd::Cut(_) | RunEnd::NotRun(_) => {
+                progress.not_before = time::Instant::now() + RETRY_PAUSE;
+            }
+            RunEnd::Preempted => {}
+        }
+        let pending = !job.pending.is_empty();
+        drop(job);
+        if pending {
+            job_board::commit(&self.context, &self.job);
+        }
+    }
+}
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -2,204 +2,21 @@
 
 use std::{cell, collections, rc, time};
 
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{oneshot, Notify};
 
-use super::{job_records, peers, process, wire};
+use super::{
+    job_records,
+    open_job::{OpenJob, SharedJob},
+    peers, process, wire,
+};
 use crate::{decisions::admission, ids, settle, store};
 
-/// How long results are gathered before they are committed, while their job has time.
-///
-/// A commit costs a call of the store, and a lost process the work since the last one.
-const GATHER: time::Duration = time::Duration::from_millis(1500);
-/// The same for a job that is nearly due.
-const GATHER_DUE: time::Duration = time::Duration::from_millis(100);
-/// Time before a job is due from which it counts as nearly due.
-const NEARLY_DUE_MS: u64 = 4000;
-/// Bytes of results in one part; an object of the store holds a megabyte of JSON.
-const PART_BYTES: usize = 600_000;
-/// Bytes of results in one answer to a reader.
-const PAGE_BYTES: usize = 900_000;
 /// How long results that were read from the store are taken to be all there are.
 const FRESH: time::Duration = time::Duration::from_millis(400);
+
 /// Bytes of jobs that are kept for readers after they are done.
 const KEPT_BYTES: usize = 24 << 20;
 
-/// How far an item is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ItemPhase {
-    /// It may start.
-    Waiting,
-    /// A stream of it runs.
-    Running,
-    /// Its result is there.
-    Done,
-}
-
-/// The work on one item.
-#[derive(Debug, Clone)]
-pub struct ItemProgress {
-    /// How far it is.
-    pub phase: ItemPhase,
-    /// Data of its events so far.
-    pub events: Vec<String>,
-    /// Index of its last event.
-    pub last_event: Option<u64>,
-    /// Runs that the endpoint ended with a failure of its own.
-    pub failures: u32,
-    /// When it may start again.
-    pub not_before: time::Instant,
-}
-
-impl ItemProgress {
-    /// Whether it may start now.
-    pub fn is_ready(&self, now: time::Instant) -> bool {
-        self.phase == ItemPhase::Waiting && self.not_before <= now
-    }
-
-    fn new() -> Self {
-        Self {
-            phase: ItemPhase::Waiting,
-            events: Vec::new(),
-            last_event: None,
-            failures: 0,
-            not_before: time::Instant::now(),
-        }
-    }
-}
-
-/// A job in this process.
-///
-/// Invariants: `committed` is what the first `parts` parts of the store hold,
-/// in order; an item is in `committed` and `pending` together at most once.
-pub struct OpenJob {
-    /// Its submission.
-    pub record: rc::Rc<job_records::JobRecord>,
-    /// Results that are in the store.
-    pub committed: Vec<wire::ItemResult>,
-    /// Parts of the store that hold them.
-    pub parts: usize,
-    /// Results that are not in the store yet.
-    pub pending: Vec<wire::ItemResult>,
-    /// The work on each item.
-    pub items: Vec<ItemProgress>,
-    /// Streams of its items that run.
-    pub streams: collections::HashSet<StreamKey>,
-    /// Whether its caller ended it.
-    pub ended: bool,
-    /// When all results are due, in milliseconds since the epoch.
-    pub due_ms: u64,
-    /// Whether the results of earlier owners are known; nothing runs before.
-    pub is_known: bool,
-    committing: bool,
-    read_at: Option<time::Instant>,
-    changed: watch::Sender<usize>,
-}
-
-/// A job that parts of the process share.
-pub type SharedJob = rc::Rc<cell::RefCell<OpenJob>>;
-
-impl OpenJob {
-    fn new(record: job_records::JobRecord, due_ms: u64) -> Self {
-        let items = record.items.iter().map(|_| ItemProgress::new()).collect();
-        Self {
-            record: rc::Rc::new(record),
-            committed: Vec::new(),
-            parts: 0,
-            pending: Vec::new(),
-            items,
-            streams: collections::HashSet::new(),
-            ended: false,
-            due_ms,
-            is_known: false,
-            committing: false,
-            read_at: None,
-            changed: watch::Sender::new(0),
-        }
-    }
-
-    /// Whether all results are in the store, or the job was ended.
-    pub fn is_over(&self) -> bool {
-        self.ended || self.committed.len() >= self.record.items.len()
-    }
-
-    /// Takes a part that is in the store.
-    fn take_part(&mut self, part: job_records::ResultPart) {
-        for result in part.results {
-            self.pending.retain(|p| p.id != result.id);
-            let index = self.record.items.iter().position(|i| i.id == result.id);
-            if let Some(progress) = index.and_then(|i| self.items.get_mut(i)) {
-                progress.phase = ItemPhase::Done;
-                progress.events = Vec::new();
-            }
-            self.committed.push(result);
-        }
-        self.parts += 1;
-        self.changed.send_replace(self.committed.len());
-    }
-
-    /// Takes the result of an item that this process ran.
-    pub fn finish(&mut self, index: usize, state: wire::ItemState) {
-        let progress = &mut self.items[index];
-        if progress.phase == ItemPhase::Done {
-            return;
-        }
-        progress.phase = ItemPhase::Done;
-        let events = std::mem::take(&mut progress.events);
-        let output = match state {
-            wire::ItemState::Completed => events.join("\n"),
-            wire::ItemState::GivenUp => String::new(),
-        };
-        let id = self.record.items[index].id.clone();
-        self.pending.push(wire::ItemResult { id, state, output });
-    }
-
-    fn page(&self, after: usize) -> wire::ResultPage {
-        let mut bytes = 0;
-        let rest = self.committed.iter().skip(after);
-        let results = rest.take_while(|result| {
-            let first = bytes == 0;
-            bytes += result.output.len() + result.id.len() + 64;
-            first || bytes <= PAGE_BYTES
-        });
-        let results: Vec<_> = results.cloned().collect();
-        wire::ResultPage {
-            total: self.record.items.len(),
-            next: after + results.len(),
-            results,
-        }
-    }
-
-    fn bytes(&self) -> usize {
-        let bodies = self.record.items.iter().map(|i| i.body.len() + 300);
-        let results = self.committed.iter().map(|r| r.output.len() + 100);
-        bodies.sum::<usize>() + results.sum::<usize>()
-    }
-
-    fn next_part(&self) -> job_records::ResultPart {
-        let mut bytes = 0;
-        let fitting = self.pending.iter().take_while(|result| {
-            let first = bytes == 0;
-            bytes += result.output.len() + result.id.len() + 64;
-            first || bytes <= PART_BYTES
-        });
-        job_records::ResultPart {
-            start: self.committed.len(),
-            results: fitting.cloned().collect(),
-        }
-    }
-
-    fn gather_time(&self) -> time::Duration {
-        let all_done = self.items.iter().all(|i| i.phase == ItemPhase::Done);
-        if all_done {
-            return time::Duration::ZERO;
-        }
-        match self.due_ms.saturating_sub(job_records::epoch_ms()) < NEARLY_DUE_MS {
-            true => GATHER_DUE,
-            false => GATHER,
-        }
-    }
-}
-
 /// Names a batch stream: its endpoint and its number in the ledger there.
 pub type StreamKey = (ids::EndpointId, admission::StreamNumber);
 
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{header, StatusCode};
 
-use super::{job_board, job_records, peers, process, route_table, wire};
+use super::{job_board, job_records, peer_links, peers, process, route_table, wire};
 use crate::{http_server, ids, store};
 
 /// Longest time for the acceptance of a job, within the caller's patience.
@@ -164,7 +164,7 @@
         );
         match written {
             Ok(peers::WriteOutcome::Written) => return Acceptance::Accepted,
-            Ok(peers::WriteOutcome::Refused) | Err(peers::PeerError::NotSent) => {}
+            Ok(peers::WriteOutcome::Refused) | Err(peer_links::PeerError::NotSent) => {}
             Ok(peers::WriteOutcome::Unknown) | Err(_) => return Acceptance::Unknown,
         }
     }
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -5,6 +5,7 @@
 use actix_service::{Service as _, ServiceFactory as _};
 
 use super::{caller_handler, process};
+use crate::protection;
 
 /// Connections of callers at once; further ones wait in the system's queue.
 ///
@@ -78,7 +79,7 @@
             .client_disconnect_timeout(time::Duration::from_secs(1))
             .keep_alive(KEEP_ALIVE)
             // A caller that closes is seen at once, also while it waits.
-            .h1_allow_half_closed(false)
+            .h1_allow_half_closed(protection::is_out("caller_close"))
             .h1_write_buffer_size(WRITE_BUFFER)
             .finish(move |request: actix_http::Request| {
                 let answer = handler.handle(request);
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -44,6 +44,9 @@
 /// Silence after which a peer counts as lost: two probes and their longest answer.
 pub const PEER_SILENCE: time::Duration = time::Duration::from_millis(800);
 
+/// How long a process that was heard is kept though a peer does not list it.
+const KEPT_SILENT: time::Duration = time::Duration::from_secs(10);
+
 #[derive(Debug, Clone)]
 struct PeerState {
     record: MemberRecord,
@@ -86,10 +89,13 @@
         }
     }
 
-    /// Takes all records that a peer knows; those that it lacks are forgotten.
-    pub fn replace(&mut self, records: Vec<MemberRecord>) {
+    /// Takes all records that a peer knows; those that it lacks are forgotten,
+    /// but for processes that answer: the peer may have just started itself.
+    pub fn merge(&mut self, records: Vec<MemberRecord>, now: clock::Moment) {
         let known: collections::BTreeSet<_> = records.iter().map(|r| r.id.clone()).collect();
-        self.peers.retain(|id, _| known.contains(id));
+        let recent = |peer: &PeerState| peer.heard.is_some_and(|at| now.since(at) < KEPT_SILENT);
+        self.peers
+            .retain(|id, peer| known.contains(id) || recent(peer));
         for record in records {
             self.take(record);
         }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -9,6 +9,7 @@
 //! hop between threads costs more than the work of a small request.
 
 pub mod attempt;
+pub mod beliefs;
 pub mod caller_handler;
 pub mod connection;
 pub mod connection_pool;
@@ -16,13 +17,20 @@
 pub mod event_split;
 pub mod fleet_model;
 pub mod fleet_source;
+pub mod item_run;
 pub mod job_board;
 pub mod job_calls;
 pub mod job_records;
 pub mod job_runner;
+pub mod job_upkeep;
 pub mod listener;
 pub mod members;
 pub mod metrics_page;
+pub mod open_job;
+pub mod owners;
+pub mod peer_calls;
+pub mod peer_links;
+pub mod peer_server;
 pub mod peers;
 pub mod permits;
 pub mod places;
--- /dev/null
+++ b/src/serving/owners.rs
@@ -0,0 +1,140 @@
+//! Works out who owns endpoints and jobs, and looks at all that has an age.
+
+use std::{collections, rc, time};
+
+use super::{members, process};
+use crate::{clock, decisions::ownership, ids};
+
+/// How often beliefs with an age are looked at.
+const TICK: time::Duration = time::Duration::from_millis(50);
+
+/// How often orders to empty an instance are looked at; also the least time in
+/// which the peers learn that it is leaving.
+const ORDER_LOOK: time::Duration = time::Duration::from_millis(600);
+
+/// Owners that follow the store; the others learn from them by the probes.
+///
+/// One would do; with three the loss of two at once is not noticed.
+const FOLLOWERS: usize = 3;
+
+/// Time after its start before a gateway may own anything.
+const SETTLE_TIME: time::Duration = time::Duration::from_secs(3);
+
+/// Ticks between two sweeps of idle connections.
+const SWEEP_TICKS: u32 = 20;
+
+/// Empties this instance when it is asked to, and answers for instances that are gone.
+pub(super) async fn follow_orders(context: rc::Rc<process::ProcessContext>) {
+    let mut answered = collections::BTreeSet::new();
+    loop {
+        actix_rt::time::sleep(ORDER_LOOK).await;
+        for id in context.fleet.retiring() {
+            if answered.contains(&id) {
+                continue;
+            }
+            if is_emptied(&context, &id) && context.source.report_emptied(id.clone()).await {
+                log::info!("event=retirement_answered instance={id}");
+                answered.insert(id);
+            }
+        }
+    }
+}
+
+/// Whether an instance that is to be emptied holds nothing that is needed.
+///
+/// What lasts is in the store, so only work under way counts. For an instance
+/// that does not answer any more, the first of the owners speaks.
+fn is_emptied(context: &process::ProcessContext, id: &ids::InstanceId) -> bool {
+    if id == context.id() {
+        let told = context.retiring.replace(true);
+        return told && context.jobs.is_handed_back() && context.permits.borrow().is_empty();
+    }
+    let is_lost = context.members.borrow().is_lost(id, context.clock.now());
+    let is_first = context
+        .owners()
+        .first()
+        .is_some_and(|o| o.id == *context.id());
+    is_lost && is_first && is_settled(context)
+}
+
+/// Looks at what has an age: owners, lapsed entries, idle connections, permits.
+pub(super) async fn tick(context: rc::Rc<process::ProcessContext>) {
+    let mut changes = context.fleet.subscribe();
+    let mut ticks = 0_u32;
+    loop {
+        ticks = ticks.wrapping_add(1);
+        context.fleet.expire();
+        refresh_owners(&context);
+        if ticks.is_multiple_of(SWEEP_TICKS) {
+            let now = context.clock.now();
+            context.pool.sweep();
+            context.permits.borrow_mut().expire(now);
+            release_lost(&context, now);
+            let directory = context.fleet.directory.borrow();
+            let listed = |id: &ids::EndpointId| directory.usable(id).is_some();
+            context.loads.borrow_mut().retain(listed);
+        }
+        tokio::select! {
+            () = actix_rt::time::sleep(TICK) => {}
+            changed = changes.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// Whether this process follows the store: the first few owners do, and any
+/// that hears none who does.
+fn is_follower(context: &process::ProcessContext, now: clock::Moment) -> bool {
+    let owners = context.owners();
+    let mut first = owners.iter().take(FOLLOWERS);
+    first.any(|o| o.id == *context.id()) || !context.members.borrow().hears_follower(now)
+}
+
+/// Whether the process runs for long enough to have heard its live peers.
+fn is_settled(context: &process::ProcessContext) -> bool {
+    context.clock.now().since(context.begun) > SETTLE_TIME
+}
+
+/// Ends what processes hold that have not been heard for a while.
+fn release_lost(context: &process::ProcessContext, now: clock::Moment) {
+    let members = context.members.borrow();
+    let is_lost = |id: &ids::InstanceId| *id != *context.id() && members.is_lost(id, now);
+    context.permits.borrow_mut().release_lost(is_lost);
+}
+
+/// Works out who owns what, and tells the parts that hang on it.
+pub(super) fn refresh_owners(context: &rc::Rc<process::ProcessContext>) {
+    let now = context.clock.now();
+    let own = (!context.is_leaving()).then_some(&context.options.member);
+    // A gateway that has just started has not heard the dispatchers yet.
+    let own = own.filter(|m| m.role == members::MemberRole::Dispatcher || is_settled(context));
+    let owners = context.members.borrow().owners(own, now);
+    let changed = **context.owners.borrow() != owners;
+    if changed {
+        let names: Vec<_> = owners.iter().map(|o| o.id.as_str()).collect();
+        log::info!("event=owners now=\"{}\"", names.join(","));
+        for lost in context.owners().iter().filter(|o| !owners.contains(o)) {
+            context
+                .rooms
+                .borrow_mut()
+                .retain(|(id, _), _| *id != lost.id);
+        }
+        *context.owners.borrow_mut() = rc::Rc::new(owners);
+    }
+    let directory = context.fleet.directory.borrow();
+    let owners = context.owners();
+    let owned = directory.entries().filter(|e| !e.leaving).filter(|e| {
+        let owner = ownership::owner_of(&e.id, &e.domain, &owners);
+        owner.is_some_and(|o| o.id == *context.id())
+    });
+    let owned: Vec<_> = owned.cloned().collect();
+    drop(directory);
+    let gone = context.permits.borrow_mut().set_owned(&owned);
+    for endpoint in &gone {
+        context.jobs.preempt_owned(endpoint);
+    }
+    context.jobs.work.notify_one();
+    if changed {
+        context.jobs.owners_changed.notify_one();
+    }
+    context.fleet.set_follows(is_follower(context, now));
+}
--- /dev/null
+++ b/src/serving/peer_calls.rs
@@ -0,0 +1,184 @@
+//! Answers the calls of peers.
+
+use std::rc;
+
+use tokio::sync::mpsc;
+
+use super::{beliefs, job_calls, job_records, job_runner, peers, places, process};
+use crate::{decisions::admission, ids, store};
+
+/// Answers the calls of peers.
+pub(super) async fn serve_peers(
+    context: rc::Rc<process::ProcessContext>,
+    mut calls: mpsc::Receiver<peers::PeerCall>,
+) {
+    while let Some(call) = calls.recv().await {
+        answer_peer(&context, call);
+    }
+}
+
+/// Gives an answer to a caller that may have gone.
+fn reply<T>(sender: tokio::sync::oneshot::Sender<T>, value: T) {
+    if sender.send(value).is_err() {
+        log::debug!("event=peer_left_before_answer");
+    }
+}
+
+fn answer_peer(context: &rc::Rc<process::ProcessContext>, call: peers::PeerCall) {
+    use peers::PeerCall as C;
+
+    match call {
+        C::Probe(hello, sender) => {
+            beliefs::hear(context, &hello);
+            reply(sender, context.hello());
+        }
+        C::Acquire(ask, sender) => {
+            let is_owner = context.owners().iter().any(|o| o.id == *context.id());
+            if is_owner {
+                return reply(sender, grant(context, &ask));
+            }
+            let context = context.clone();
+            actix_rt::spawn(async move {
+                if let Some(answer) = places::ask_for_peer(&context, ask).await {
+                    reply(sender, answer);
+                }
+            });
+        }
+        C::Release(number) => release(context, number),
+        C::State(sender) => {
+            let table = context.fleet.table();
+            let text = serde_json::to_string(table.state());
+            match text {
+                Ok(text) => reply(sender, text),
+                Err(e) => log::warn!("event=state_untold why=\"{e}\""),
+            }
+        }
+        C::Endpoints(sender) => reply(sender, context.fleet.copy()),
+        C::Members(sender) => {
+            let members = context.members.borrow();
+            let own = [&context.options.member];
+            let records = members.records().chain(own).cloned().collect();
+            drop(members);
+            reply(sender, records);
+        }
+        C::TakeJob(record, sender) => reply(sender, job_runner::take_job(context, record)),
+        C::ReadResults(ask, sender) => {
+            let context = context.clone();
+            actix_rt::spawn(async move {
+                match job_calls::read_page(&context, &ask).await {
+                    Ok(Some(page)) => reply(sender, page),
+                    Ok(None) => log::info!("event=results_unknown job={}", ask.job),
+                    Err(e) => log::info!("event=results_unread job={} why=\"{e}\"", ask.job),
+                }
+            });
+        }
+        C::EndJob(job) => job_runner::end_job(context, &job),
+        C::Lend(ask, sender) => reply(sender, lend(context, &ask)),
+        C::GiveBack(loan) => {
+            let mut permits = context.permits.borrow_mut();
+            permits.end_batch(&loan.endpoint, loan.number);
+            drop(permits);
+            context.jobs.work.notify_one();
+        }
+        C::Preempt(loan) => context.jobs.preempt(&loan.endpoint, loan.number),
+        C::WriteJob(record, sender) => {
+            let context = context.clone();
+            actix_rt::spawn(async move {
+                let written = job_records::accept(context.store.as_ref(), &record).await;
+                reply(sender, write_outcome(&written));
+                if written.is_ok() {
+                    job_calls::sponsor(&context, rc::Rc::new(record));
+                }
+            });
+        }
+        C::WriteEnd(job, sender) => {
+            let context = context.clone();
+            actix_rt::spawn(async move {
+                let written = job_records::end(context.store.as_ref(), &job).await;
+                reply(sender, write_outcome(&written));
+                if written.is_ok() {
+                    job_calls::tell_end(&context, &job);
+                }
+            });
+        }
+    }
+}
+
+/// What a write to the store came to, for a peer.
+fn write_outcome(written: &store::StoreResult<()>) -> peers::WriteOutcome {
+    match written {
+        Ok(()) => peers::WriteOutcome::Written,
+        Err(store::StoreError::Unavailable(_) | store::StoreError::TooLarge) => {
+            peers::WriteOutcome::Refused
+        }
+        Err(_) => peers::WriteOutcome::Unknown,
+    }
+}
+
+/// Lends places of batch streams at owned endpoints.
+fn lend(context: &process::ProcessContext, ask: &peers::LoanAsk) -> Vec<peers::StreamLoan> {
+    if context.is_leaving() {
+        return Vec::new();
+    }
+    let now = context.clock.now();
+    let mut permits = context.permits.borrow_mut();
+    let shunned = context.loads.borrow().shunned(permits.owned(), now);
+    let lent = permits.lend_batch(&ask.service, &shunned, &ask.instance, ask.count, now);
+    let lent = lent.into_iter();
+    let loans = lent.map(|(endpoint, number)| peers::StreamLoan { endpoint, number });
+    loans.collect()
+}
+
+/// Gives a place at an owned endpoint, and takes batch streams back for it.
+pub fn grant(
+    context: &rc::Rc<process::ProcessContext>,
+    ask: &peers::PlaceAsk,
+) -> peers::PlaceAnswer {
+    let now = context.clock.now();
+    let mut permits = context.permits.borrow_mut();
+    let shunned = context.loads.borrow().shunned(permits.owned(), now);
+    let holder = (&ask.instance, &ask.domain);
+    let granted = permits.acquire(&ask.service, &ask.tried, &shunned, holder, ask.number, now);
+    let room = permits.online_room(&ask.service);
+    drop(permits);
+    let endpoint = granted.map(|place| {
+        for stream in &place.preempted {
+            preempt(context, &place.endpoint, *stream);
+        }
+        place.endpoint
+    });
+    peers::PlaceAnswer { endpoint, room }
+}
+
+/// Takes a batch stream back, of this process or of the peer that runs it.
+fn preempt(
+    context: &process::ProcessContext,
+    endpoint: &ids::EndpointId,
+    number: admission::StreamNumber,
+) {
+    context.metrics.preempted.inc();
+    let borrower = context.permits.borrow_mut().borrower(endpoint, number);
+    let Some(borrower) = borrower else {
+        context.jobs.preempt(endpoint, number);
+        return;
+    };
+    let address = context.members.borrow().address_of(&borrower);
+    if let Some(address) = address {
+        let endpoint = endpoint.clone();
+        let loan = peers::StreamLoan { endpoint, number };
+        context.links.preempt(address, loan);
+    }
+}
+
+/// Takes a place back; batch work may use it.
+pub fn release(context: &process::ProcessContext, number: admission::PermitNumber) {
+    let released = context.permits.borrow_mut().release(number);
+    if released.is_some() {
+        context.jobs.work.notify_one();
+        return;
+    }
+    let relayed = context.relayed.borrow_mut().pop(&number);
+    if let Some(owner) = relayed {
+        context.links.release(owner, number);
+    }
+}
--- /dev/null
+++ b/src/serving/peer_server.rs
@@ -0,0 +1,153 @@
+//! The side of a link that answers.
+
+use std::{io, net};
+
+use futures::StreamExt as _;
+use tarpc::server::Channel as _;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{
+    directory, job_records, members,
+    peer_links::{frames, RECONNECT_PAUSE},
+    peers::{
+        LoanAsk, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk, ResultAsk, StreamLoan,
+        WriteOutcome,
+    },
+    wire,
+};
+use crate::{decisions::admission, ids};
+
+/// Calls of peers that may wait for the process; beyond, peers wait.
+const RING_CALLS: usize = 1024;
+
+/// Hands the calls of one peer to the process.
+#[derive(Clone)]
+struct PeerServer {
+    ring: mpsc::Sender<PeerCall>,
+}
+
+impl PeerServer {
+    /// Hands a call over and waits for its answer; nothing if the process ends.
+    async fn ask<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> PeerCall) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.ring.send(call(reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// Hands a message over that has no answer.
+    async fn tell(&self, call: PeerCall) {
+        if self.ring.send(call).await.is_err() {
+            log::debug!("event=message_unheard");
+        }
+    }
+}
+
+impl PeerService for PeerServer {
+    async fn probe(self, _: tarpc::context::Context, hello: PeerHello) -> Option<PeerHello> {
+        self.ask(|reply| PeerCall::Probe(hello, reply)).await
+    }
+
+    async fn acquire(self, _: tarpc::context::Context, ask: PlaceAsk) -> Option<PlaceAnswer> {
+        self.ask(|reply| PeerCall::Acquire(ask, reply)).await
+    }
+
+    async fn release(self, _: tarpc::context::Context, number: admission::PermitNumber) {
+        self.tell(PeerCall::Release(number)).await;
+    }
+
+    async fn desired_state(self, _: tarpc::context::Context) -> Option<String> {
+        self.ask(PeerCall::State).await
+    }
+
+    async fn endpoints(self, _: tarpc::context::Context) -> Option<directory::DirectoryCopy> {
+        self.ask(PeerCall::Endpoints).await
+    }
+
+    async fn members(self, _: tarpc::context::Context) -> Option<Vec<members::MemberRecord>> {
+        self.ask(PeerCall::Members).await
+    }
+
+    async fn take_job(
+        self,
+        _: tarpc::context::Context,
+        record: job_records::JobRecord,
+    ) -> Option<bool> {
+        self.ask(|reply| PeerCall::TakeJob(record, reply)).await
+    }
+
+    async fn read_results(
+        self,
+        _: tarpc::context::Context,
+        ask: ResultAsk,
+    ) -> Option<wire::ResultPage> {
+        self.ask(|reply| PeerCall::ReadResults(ask, reply)).await
+    }
+
+    async fn end_job(self, _: tarpc::context::Context, job: ids::JobId) {
+        self.tell(PeerCall::EndJob(job)).await;
+    }
+
+    async fn lend(self, _: tarpc::context::Context, ask: LoanAsk) -> Option<Vec<StreamLoan>> {
+        self.ask(|reply| PeerCall::Lend(ask, reply)).await
+    }
+
+    async fn give_back(self, _: tarpc::context::Context, loan: StreamLoan) {
+        self.tell(PeerCall::GiveBack(loan)).await;
+    }
+
+    async fn preempt(self, _: tarpc::context::Context, loan: StreamLoan) {
+        self.tell(PeerCall::Preempt(loan)).await;
+    }
+
+    async fn write_job(
+        self,
+        _: tarpc::context::Context,
+        record: job_records::JobRecord,
+    ) -> Option<WriteOutcome> {
+        self.ask(|reply| PeerCall::WriteJob(record, reply)).await
+    }
+
+    async fn write_end(self, _: tarpc::context::Context, job: ids::JobId) -> Option<WriteOutcome> {
+        self.ask(|reply| PeerCall::WriteEnd(job, reply)).await
+    }
+}
+
+/// Serves peers on this thread; the calls come out of the ring.
+///
+/// # Errors
+/// The address cannot be bound.
+pub fn serve(listen: net::SocketAddr) -> io::Result<mpsc::Receiver<PeerCall>> {
+    let listener = net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let (ring, calls) = mpsc::channel(RING_CALLS);
+    actix_rt::spawn(async move {
+        while !ring.is_closed() {
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    let server = PeerServer { ring: ring.clone() };
+                    actix_rt::spawn(serve_peer(socket, server));
+                }
+                Err(e) => {
+                    log::warn!("event=peer_accept_failed why=\"{e}\"");
+                    actix_rt::time::sleep(RECONNECT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(calls)
+}
+
+async fn serve_peer(socket: tokio::net::TcpStream, server: PeerServer) {
+    if let Err(e) = socket.set_nodelay(true) {
+        log::debug!("event=peer_socket why=\"{e}\"");
+    }
+    let codec = tarpc::tokio_serde::formats::Bincode::default();
+    let transport = tarpc::serde_transport::new(frames().new_framed(socket), codec);
+    tarpc::server::BaseChannel::with_defaults(transport)
+        .execute(server.serve())
+        .for_each(|answer| async {
+            actix_rt::spawn(answer);
+        })
+        .await;
+}
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng as _;
 
-use super::{directory, peers, process};
+use super::{directory, peer_calls, peers, process};
 use crate::{decisions::admission, ids};
 
 /// Longest wait for an owner; a round trip takes 1 to 4 ms, so it is lost or overloaded then.
@@ -33,7 +33,7 @@
         self.context.loads.borrow_mut().end(&self.endpoint.id);
         match self.permit {
             None => {}
-            Some(HeldPermit::Here(number)) => process::release(&self.context, number),
+            Some(HeldPermit::Here(number)) => peer_calls::release(&self.context, number),
             Some(HeldPermit::Peer(peer, number)) => self.context.links.release(peer, number),
         }
     }
@@ -216,7 +216,7 @@
     let wish = place_ask(context, service, tried);
     let number = wish.number;
     let (answer, permit) = if owner == context.id() {
-        (process::grant(context, &wish), HeldPermit::Here(number))
+        (peer_calls::grant(context, &wish), HeldPermit::Here(number))
     } else {
         let Some(address) = context.members.borrow().address_of(owner) else {
             return OwnerWord::Silent;
@@ -283,7 +283,7 @@
 
 fn drop_permit(context: &process::ProcessContext, permit: HeldPermit) {
     match permit {
-        HeldPermit::Here(number) => process::release(context, number),
+        HeldPermit::Here(number) => peer_calls::release(context, number),
         HeldPermit::Peer(peer, number) => context.links.release(peer, number),
     }
 }
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -20,12 +20,19 @@
 cut              truncated_answers  only_whole_answers_complete
 push             bundles            an_accepted_bundle_survives_an_outage_and_restarts
 bundle_condition bundles            racing_operators_make_one_history
+fresh_connection endpoint_faults    a_request_that_may_run_once_is_not_lost_on_a_connection_that_just_closed
+crossed_answer   endpoint_faults    an_answer_of_another_request_is_never_given
+caller_close     endpoint_faults    a_caller_who_leaves_before_the_first_event_ends_the_work
+leaving_endpoint endpoint_faults    an_endpoint_that_leaves_gets_nothing_new::case_1_leaving
+state_up         system_faults      the_desired_state_only_goes_up_and_a_missed_one_is_found
+drain            system_faults      a_stop_turns_unready_at_once_and_cuts_nothing
+item_attempts    system_faults      items_that_fail_are_given_up_after_the_allowed_attempts
 '
 unnoticed=0
 while read -r name file test; do
   [ -n "$name" ] || continue
   [ $# -eq 0 ] || [[ " $* " == *" $name "* ]] || continue
-  if FAILPOINTS="$name=return" cargo test --quiet --features failpoints --test "$file" -- "$test" >/dev/null 2>&1; then
+  if FAILPOINTS="$name=return" cargo test --quiet --workspace --features jayhollow/failpoints --test "$file" -- "$test" >/dev/null 2>&1; then
     echo "NOT NOTICED  $name  $file::$test"
     unnoticed=$((unnoticed + 1))
   else
