fix(jobs): an item whose path or headers cannot be sent is refused at submission

Cause: found by reading: a path that is no URI would have gone out as '/', and a header that is none would have been left out, so an endpoint would have run another request than the caller's. Change: the submission is refused with 400 and the item's name; a stored item that cannot be read is given up, never sent otherwise.

--- a/src/bench/harm.rs
+++ b/src/bench/harm.rs
@@ -130,10 +130,10 @@
         plains: 3,
         domains: 3,
         workers: 1,
-        engine: standin::engine::EngineOptions {
+        engine: standin::engine_terms::EngineOptions {
             spec: engine_spec(),
             report_lag_ms: 500,
-            ..standin::engine::EngineOptions::default()
+            ..standin::engine_terms::EngineOptions::default()
         },
         batch: settings::dispatcher::BatchSettings {
             engine_sequences: ENGINE_SEQUENCES as u32,
@@ -230,7 +230,7 @@
         for engine in engines {
             let answer = client.get(format!("http://{engine}/load")).send().await;
             let Ok(mut answer) = answer else { continue };
-            if let Ok(report) = answer.json::<standin::engine::LoadReport>().await {
+            if let Ok(report) = answer.json::<standin::engine_terms::LoadReport>().await {
                 total += report.made_tokens;
             }
         }
--- a/src/bench/overhead.rs
+++ b/src/bench/overhead.rs
@@ -33,9 +33,9 @@
     let spec = |permits| local_fleet::LocalFleetSpec {
         engines: 1,
         workers: 1,
-        engine: standin::engine::EngineOptions {
+        engine: standin::engine_terms::EngineOptions {
             instant: true,
-            ..standin::engine::EngineOptions::default()
+            ..standin::engine_terms::EngineOptions::default()
         },
         online: settings::gateway::OnlineSettings {
             permits,
--- a/src/bench/overload.rs
+++ b/src/bench/overload.rs
@@ -42,13 +42,13 @@
         engines: flags.engines,
         domains: 3,
         workers: 1,
-        engine: standin::engine::EngineOptions {
+        engine: standin::engine_terms::EngineOptions {
             spec: standin::engine_model::EngineSpec {
                 max_running: PLACES,
                 step_base_us: 20_000,
                 ..standin::engine_model::EngineSpec::default()
             },
-            ..standin::engine::EngineOptions::default()
+            ..standin::engine_terms::EngineOptions::default()
         },
         batch: settings::dispatcher::BatchSettings {
             engine_sequences: PLACES as u32,
--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -361,9 +361,9 @@
     for items in JOB_ITEMS {
         let spec = local_fleet::LocalFleetSpec {
             dispatchers: 2,
-            engine: standin::engine::EngineOptions {
+            engine: standin::engine_terms::EngineOptions {
                 instant: true,
-                ..standin::engine::EngineOptions::default()
+                ..standin::engine_terms::EngineOptions::default()
             },
             policy: Some(crate::decisions::admission::BatchPolicy::Uncontrolled),
             ..local_fleet::LocalFleetSpec::default()
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,7 +11,7 @@
 
 use clap::{CommandFactory as _, Parser};
 
-use crate::{dev, log_setup, settings};
+use crate::{log_setup, settings};
 
 /// Serves online and batch inference on one fleet of model endpoints.
 #[derive(Debug, Parser)]
@@ -171,10 +171,13 @@
 /// Outcome of a command.
 pub type CommandResult<T> = Result<T, CommandError>;
 
-/// Runs the command line; gives what to exit with.
-pub fn run() -> process::ExitCode {
+/// Runs the whole system in one process, for `dev`.
+pub type DevRunner = fn(&DevFlags) -> CommandResult<()>;
+
+/// Runs the command line, `dev` by `run_dev`; gives what to exit with.
+pub fn run(run_dev: DevRunner) -> process::ExitCode {
     let line = CommandLine::parse();
-    match dispatch(line) {
+    match dispatch(line, run_dev) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(e) => {
             let code = e.reason as u8;
@@ -184,7 +187,7 @@
     }
 }
 
-fn dispatch(line: CommandLine) -> CommandResult<()> {
+fn dispatch(line: CommandLine, run_dev: DevRunner) -> CommandResult<()> {
     log_setup::start(line.reach.log_level);
     if line.reach.check_config {
         let settings = line.reach.settings()?;
@@ -200,7 +203,7 @@
     };
     let reach = line.reach.resolve()?;
     match command {
-        TopCommand::Dev(flags) => dev::run(&flags),
+        TopCommand::Dev(flags) => run_dev(&flags),
         TopCommand::Config(command) => config_commands::run(&command),
         TopCommand::Completions { shell } => {
             let mut command = CommandLine::command();
--- a/src/local_fleet.rs
+++ b/src/local_fleet.rs
@@ -41,7 +41,7 @@
     /// Failure domains that all of them are spread over.
     pub domains: usize,
     /// How the engines behave.
-    pub engine: standin::engine::EngineOptions,
+    pub engine: standin::engine_terms::EngineOptions,
     /// How dispatchers run batch work.
     pub batch: settings::dispatcher::BatchSettings,
     /// Fixes the policy of batch work at engines.
@@ -66,7 +66,7 @@
             engines: 3,
             plains: 1,
             domains: 1,
-            engine: standin::engine::EngineOptions::default(),
+            engine: standin::engine_terms::EngineOptions::default(),
             batch: settings::dispatcher::BatchSettings::default(),
             policy: None,
             online: settings::gateway::OnlineSettings::default(),
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -86,7 +86,13 @@
     async fn stream(&self) -> RunEnd {
         use outcome::AttemptOutcome as O;
 
-        let (request, resume_after) = self.request();
+        let (request, resume_after) = match self.request() {
+            Ok(request) => request,
+            Err(why) => {
+                log::error!("event=item_unreadable why=\"{why}\"");
+                return RunEnd::Impossible;
+            }
+        };
         let terms = wire::AttemptTerms {
             endpoint: &self.endpoint.id,
             patience: None,
@@ -116,23 +122,14 @@
         }
     }
 
-    fn request(&self) -> (attempt::ForwardedRequest, Option<u64>) {
+    fn request(&self) -> Result<(attempt::ForwardedRequest, Option<u64>), String> {
         let job = self.job.borrow();
         let item = &job.record.items[self.index];
-        let mut headers = wire::HeaderMap::new();
-        for (name, value) in &item.headers {
-            let name = actix_http::header::HeaderName::try_from(name.as_str());
-            let value = actix_http::header::HeaderValue::try_from(value.as_str());
-            match (name, value) {
-                (Ok(name), Ok(value)) => headers.append(name, value),
-                _ => log::warn!("event=item_header_dropped item={}", item.id),
-            }
-        }
-        if let Ok(host) = actix_http::header::HeaderValue::try_from(job.record.host.as_str()) {
-            headers.insert(actix_http::header::HOST, host);
-        }
+        let (uri, mut headers) = read_item(item)?;
+        let host = actix_http::header::HeaderValue::try_from(job.record.host.as_str());
+        let host = host.map_err(|e| format!("the host of the job: {e}"))?;
+        headers.insert(actix_http::header::HOST, host);
         self.context.wire.write_item_id(&mut headers, &item.id);
-        let uri = actix_http::Uri::try_from(item.path.as_str()).unwrap_or_default();
         let request = attempt::ForwardedRequest {
             method: actix_http::Method::POST,
             uri,
@@ -141,7 +138,7 @@
             id: Some(item.id.clone()),
             repeatable: true,
         };
-        (request, job.items[self.index].last_event)
+        Ok((request, job.items[self.index].last_event))
     }
 
     async fn read_events(
@@ -259,3 +256,25 @@
         }
     }
 }
+
+/// Path and headers of an item's request, as they go to an endpoint.
+///
+/// # Errors
+/// What cannot be sent as it is; a request is never sent otherwise than it was given.
+pub fn read_item(item: &wire::JobItem) -> Result<(actix_http::Uri, wire::HeaderMap), String> {
+    let unreadable = |what: &str| format!("item {}: {what} cannot be sent", item.id);
+    let uri = actix_http::Uri::try_from(item.path.as_str());
+    let uri = uri.map_err(|_| unreadable("its path"))?;
+    if !item.path.starts_with('/') {
+        return Err(unreadable("its path"));
+    }
+    let mut headers = wire::HeaderMap::new();
+    for (name, value) in &item.headers {
+        let header = actix_http::header::HeaderName::try_from(name.as_str());
+        let header = header.map_err(|_| unreadable("the name of a header"))?;
+        let value = actix_http::header::HeaderValue::try_from(value.as_str());
+        let value = value.map_err(|_| unreadable("the value of a header"))?;
+        headers.append(header, value);
+    }
+    Ok((uri, headers))
+}
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{header, StatusCode};
 
-use super::{job_board, job_records, peer_links, peers, process, route_table, wire};
+use super::{item_run, job_board, job_records, peer_links, peers, process, route_table, wire};
 use crate::{http_server, ids, store};
 
 /// Longest time for the acceptance of a job, within the caller's patience.
@@ -51,7 +51,13 @@
     let Some(Ok(id)) = id else {
         return http_server::plain(StatusCode::BAD_REQUEST, "the job has no valid name\n");
     };
-    let items = match context.wire.job_items(&body) {
+    let items = context.wire.job_items(&body).and_then(|items| {
+        items
+            .iter()
+            .try_for_each(|i| item_run::read_item(i).map(drop))?;
+        Ok(items)
+    });
+    let items = match items {
         Ok(items) => items,
         Err(why) => {
             log::info!("event=job_invalid job={id} why=\"{why}\"");
--- a/src/settings/standin.rs
+++ b/src/settings/standin.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::{platform, standin::engine};
+use crate::{platform, standin::engine_terms};
 
 /// What a stand-in process plays.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
@@ -22,7 +22,7 @@
         listen: net::SocketAddr,
         /// Speed, size and kind.
         #[serde(default)]
-        options: engine::EngineOptions,
+        options: engine_terms::EngineOptions,
     },
     /// A plain service.
     Plain {
--- a/src/standin/engine_state.rs
+++ b/src/standin/engine_state.rs
@@ -6,8 +6,8 @@
 use tokio::sync::mpsc;
 
 use super::{
-    engine::{EngineFaults, EngineOptions, EngineOrder, LoadReport},
     engine_model,
+    engine_terms::{EngineFaults, EngineOptions, EngineOrder, LoadReport},
 };
 use crate::{http_server, wire};
 
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod engine_model;
 mod engine_state;
+pub mod engine_terms;
 pub mod objects;
 pub mod plain_service;
 
--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -3,7 +3,7 @@
 use actix_http::Method;
 use jayhollow::{
     http_client,
-    standin::{engine, engine_model, objects},
+    standin::{engine, engine_model, engine_terms, objects},
 };
 
 async fn send(method: Method, url: String, body: serde_json::Value) -> (u16, serde_json::Value) {
@@ -38,10 +38,10 @@
 
 #[test]
 fn cache_events_come_with_gaps_and_orders_are_fenced() {
-    let options = engine::EngineOptions {
+    let options = engine_terms::EngineOptions {
         event_gap: 3,
         checks_fencing: true,
-        ..engine::EngineOptions::default()
+        ..engine_terms::EngineOptions::default()
     };
     let server = engine::start("127.0.0.1:0", options).expect("it starts");
     let url = format!("http://{}", server.address);
