fix(jobs): a dispatcher that has just started does not run its peers' jobs

Cause: calm_path failed beside load, each item ran twice: a dispatcher that had not heard the other yet searched the store 0.7 s after its start and took a job that the other ran (logs: jobs_listed before owners named both). Six of seven runs of the test passed, the next one failed the same way. Ruled out: two submissions of one job (both gateways hand it to the same owner).

--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -9,6 +9,10 @@
 /// the gateways that accepted them hand most of them over first.
 const ADOPT_PAUSE: time::Duration = time::Duration::from_millis(700);
 
+/// Age from which a process searches the store: before, it has not heard its
+/// peers and would run their jobs a second time.
+const ADOPT_AGE: time::Duration = time::Duration::from_millis(1500);
+
 /// Pause after the store did not answer.
 pub(super) const STORE_PAUSE: time::Duration = time::Duration::from_millis(700);
 
@@ -26,6 +30,9 @@
     loop {
         context.jobs.owners_changed.notified().await;
         actix_rt::time::sleep(ADOPT_PAUSE).await;
+        while context.age() < ADOPT_AGE {
+            actix_rt::time::sleep(ADOPT_PAUSE).await;
+        }
         let is_owner = context.owners().iter().any(|o| o.id == *context.id());
         if !is_owner {
             continue;
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -91,7 +91,7 @@
 
 /// Whether the process runs for long enough to have heard its live peers.
 fn is_settled(context: &process::ProcessContext) -> bool {
-    context.clock.now().since(context.begun) > SETTLE_TIME
+    context.age() > SETTLE_TIME
 }
 
 /// Ends what processes hold that have not been heard for a while.
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -147,6 +147,11 @@
         !self.is_stopping() && self.fleet.is_known()
     }
 
+    /// How long the process has run.
+    pub fn age(&self) -> time::Duration {
+        self.clock.now().since(self.begun)
+    }
+
     /// Whether a process answers this process itself.
     pub fn hears(&self, id: &ids::InstanceId) -> bool {
         self.members.borrow().hears(id, self.clock.now())
