test(gateway): each look for a refused connection opens its own connections

Ruled out: the limit itself (the count of open connections is checked at accept). Change: each look opens six connections anew; as strict as before.

--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -230,18 +230,18 @@
     let caller = fleet.caller(2);
     let upload = std::panic::catch_unwind(|| caller.upload(&long));
     assert!(upload.is_err(), "a long line is refused");
-    let open: Vec<_> = (0..6)
-        .map(|_| std::net::TcpStream::connect(address).expect("it connects"))
-        .collect();
-    // The open ones are counted once the gateway has taken them.
     let request = format!("GET /v1/models HTTP/1.1\r\n{key}\r\n");
     support::wait_for("a further connection is refused", || {
-        let _ = &open;
+        // A connection without a head is closed after the head's timeout, so
+        // each look opens as many as are allowed anew. They are counted once
+        // the gateway has taken them.
+        let connect = || std::net::TcpStream::connect(address).expect("it connects");
+        let open: Vec<_> = std::iter::repeat_with(connect).take(6).collect();
         let answer = raw(address, &[request.as_bytes()], none);
+        drop(open);
         (answer.starts_with("HTTP/1.1 503") && answer.contains("too many connections"))
             .then_some(())
     });
-    drop(open);
     support::wait_for("the refusals are counted", || {
         let metrics = fleet
             .caller(2)
