fix(jobs): a later owner does not go on with a job that was ended meanwhile

Cause: a process that owned a job, lost it to another process and became its owner again went on from what it remembered. Owners were named in another order by each gateway, so without dispatchers no process was the first for all of them. Ruled out: the watch of marks (it was not running), the sponsor (it had forgotten the job at its end). Change: a job has a knowledge state; it is outdated while another owns the job, and the store is read before items start again. Marks are forgotten while a process owns nothing.

--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -43,13 +43,13 @@
     );
     let age = job_records::epoch_ms().saturating_sub(record.submitted_ms);
     let job = context.jobs.put(record, due_ms);
+    // An older one may have been ended, or have results of an earlier owner.
     if age <= FRESH_JOB_MS && context.jobs.is_ended(&id) == Some(false) {
-        job.borrow_mut().is_known = true;
-        context.jobs.work.notify_one();
-    } else {
-        // It may have been ended, or have results of an earlier owner.
-        actix_rt::spawn(take_results(context.clone(), id, job));
+        let mut job = job.borrow_mut();
+        job.is_known = true;
+        job.knowledge = open_job::OwnerKnowledge::Current;
     }
+    context.jobs.work.notify_one();
     false
 }
 
@@ -57,15 +57,13 @@
 const FRESH_JOB_MS: u64 = 300;
 
 /// Learns what earlier owners did, until the store answers; nothing runs before.
-async fn take_results(
-    context: rc::Rc<process::ProcessContext>,
-    id: ids::JobId,
-    job: open_job::SharedJob,
-) {
+async fn take_results(context: rc::Rc<process::ProcessContext>, job: open_job::SharedJob) {
     while let Err(e) = job_board::learn(&context, &job).await {
+        let id = job.borrow().record.id.clone();
         log::warn!("event=job_unlearned job={id} why=\"{e}\"");
         actix_rt::time::sleep(job_upkeep::STORE_PAUSE).await;
     }
+    job.borrow_mut().knowledge = open_job::OwnerKnowledge::Current;
     context.jobs.work.notify_one();
 }
 
@@ -118,16 +116,34 @@
         .jobs
         .all()
         .into_iter()
-        .filter(|job| job.borrow().is_known && !job.borrow().is_over())
-        .filter(|job| {
-            let owner = context.job_owner(&job.borrow().record.id);
-            owner.as_ref() == Some(context.id())
-        })
+        .filter(|job| !job.borrow().is_over())
+        .filter(|job| is_run_here(context, job))
         .collect();
     jobs.sort_by_key(|job| job.borrow().due_ms);
     jobs
 }
 
+/// Whether this process owns a job and knows what owners before it did.
+///
+/// While another owned it, it may have been ended and have got results.
+fn is_run_here(context: &rc::Rc<process::ProcessContext>, job: &open_job::SharedJob) -> bool {
+    use open_job::OwnerKnowledge as K;
+
+    let owner = context.job_owner(&job.borrow().record.id);
+    let is_owned = owner.as_ref() == Some(context.id());
+    let mut open = job.borrow_mut();
+    match open.knowledge {
+        K::Current if is_owned => return true,
+        K::Current => open.knowledge = K::Outdated,
+        K::Outdated if is_owned => {
+            open.knowledge = K::Reading;
+            actix_rt::spawn(take_results(context.clone(), job.clone()));
+        }
+        K::Outdated | K::Reading => {}
+    }
+    false
+}
+
 /// Asks the other owners for places for items that wait here.
 fn borrow_places(
     context: &rc::Rc<process::ProcessContext>,
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -68,6 +68,11 @@
     let mut since = store::ObjectRevision(0);
     loop {
         let is_owner = context.owners().iter().any(|o| o.id == *context.id());
+        if !is_owner {
+            // Others are told of new ends now, and the marks known here grow old.
+            context.jobs.forget_ended();
+            since = store::ObjectRevision(0);
+        }
         if !is_owner || !context.fleet.is_reachable() {
             actix_rt::time::sleep(STORE_PAUSE).await;
             continue;
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -203,12 +203,13 @@
             });
             members.collect()
         };
-        let mut dispatchers = of_role(MemberRole::Dispatcher);
-        // All processes name the same one first.
-        dispatchers.sort_by(|a, b| a.id.cmp(&b.id));
-        match dispatchers.is_empty() {
+        let dispatchers = of_role(MemberRole::Dispatcher);
+        let mut owners = match dispatchers.is_empty() {
             true => of_role(MemberRole::Gateway),
             false => dispatchers,
-        }
+        };
+        // All processes name the same one first.
+        owners.sort_by(|a, b| a.id.cmp(&b.id));
+        owners
     }
 }
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// What an owner knows of the work of the owners before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnerKnowledge {
+    /// Another process may own the job, end it and append results.
+    Outdated,
+    /// The store is being read.
+    Reading,
+    /// All is known since this process came to own the job.
+    Current,
+}
+
 /// A job in this process.
 ///
 /// Invariants: `committed` is what the first `parts` parts of the store hold,
@@ -87,8 +98,10 @@
     pub ended: bool,
     /// When all results are due, in milliseconds since the epoch.
     pub due_ms: u64,
-    /// Whether the results of earlier owners are known; nothing runs before.
+    /// Whether the results in the store were read.
     pub is_known: bool,
+    /// How far this process knows what earlier owners did; nothing runs before.
+    pub knowledge: OwnerKnowledge,
     pub(super) committing: bool,
     pub(super) read_at: Option<time::Instant>,
     pub(super) changed: watch::Sender<usize>,
@@ -110,6 +123,7 @@
             ended: false,
             due_ms,
             is_known: false,
+            knowledge: OwnerKnowledge::Outdated,
             committing: false,
             read_at: None,
             changed: watch::Sender::new(0),
