--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -35,6 +35,8 @@
 pub struct ProcessOptions {
     /// How it shows itself to its peers.
     pub member: members::MemberRecord,
+    /// Where it listens for its peers.
+    pub internal: net::SocketAddr,
     /// Where callers connect, if they do.
     pub front: Option<net::SocketAddr>,
     /// Where readiness is asked for, if it is.
@@ -196,7 +198,7 @@
     borders: ProcessBorders,
     mut stop: mpsc::Receiver<()>,
 ) -> io::Result<()> {
-    let calls = peer_server::serve(options.member.address)?;
+    let calls = peer_server::serve(options.internal)?;
     let begun = borders.clock.now();
     let context = rc::Rc::new(ProcessContext {
         fleet: rc::Rc::new(fleet_model::FleetModel::new(borders.clock.clone())),
