perf(serving): owners are drawn by their room, and queues used only when all are full

Cause: every gateway asked the owner with the most room first, by the same news of up to 250 ms. With 13 owners and 71 gateways all asked the same one in a burst; it queued requests at its full endpoints while others had free places. Ruled out: too few places (630 for 425 online requests and 20 batch streams at the peak), processor time (0.013 cores a gateway), the engines' speed (p50 as on calm seconds).

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -13,6 +13,7 @@
 pub mod job_order;
 pub mod job_plan;
 pub mod lease;
+pub mod owner_order;
 pub mod ownership;
 pub mod relay;
 pub mod retry;
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -137,9 +137,9 @@
     let now = context.clock.now();
     let mut permits = context.permits.borrow_mut();
     let shunned = context.loads.borrow().shunned(permits.owned(), now);
-    let holder = (&ask.instance, &ask.domain);
-    let granted = permits.acquire(&ask.service, &ask.tried, &shunned, holder, ask.number, now);
+    let granted = permits.acquire(ask, &shunned, now);
     let room = permits.online_room(&ask.service);
+    let queue_room = permits.queue_room(&ask.service);
     drop(permits);
     let endpoint = granted.map(|place| {
         for stream in &place.preempted {
@@ -147,7 +147,11 @@
         }
         place.endpoint
     });
-    peers::PlaceAnswer { endpoint, room }
+    peers::PlaceAnswer {
+        endpoint,
+        room,
+        queue_room,
+    }
 }
 
 /// Takes a batch stream back, of this process or of the peer that runs it.
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -45,6 +45,8 @@
     pub service: ids::ServiceName,
     /// Endpoints that are not wanted.
     pub tried: Vec<ids::EndpointId>,
+    /// Whether a place in the queue of a full endpoint is wanted as well.
+    pub may_queue: bool,
 }
 
 /// The owner's word on a place.
@@ -54,6 +56,8 @@
     pub endpoint: Option<ids::EndpointId>,
     /// Places that the owner could still give.
     pub room: u32,
+    /// Places in the queues of its endpoints that it could still give.
+    pub queue_room: u32,
 }
 
 /// A wish for places for batch streams.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, rc, time};
 
-use super::directory;
+use super::{directory, peers};
 use crate::{clock, decisions::admission, ids};
 
 /// Longest life of a permit that is not released; above the longest request's time limit.
@@ -63,6 +63,17 @@
         }
     }
 
+    /// Places that an online request could have now, those of batch streams included.
+    fn online_room(&self) -> u32 {
+        self.entry.slots.saturating_sub(self.ledger.online())
+    }
+
+    /// Places in the endpoint's queue that an online request could have now.
+    fn queue_room(&self) -> u32 {
+        let most = spec_of(&self.entry).max_online;
+        most.saturating_sub(self.ledger.online().max(self.entry.slots))
+    }
+
     fn free(&self) -> i64 {
         let held = self.ledger.online() + self.ledger.batch();
         i64::from(self.entry.slots) - i64::from(held)
@@ -107,24 +118,19 @@
         gone
     }
 
-    /// A place for an online request of `service`, unless all endpoints are full.
+    /// A place for an online request, unless all endpoints are full.
     ///
-    /// Prefers a free place near `domain`; where none is free, the endpoint
+    /// Prefers a free place near the asker; where none is free, the endpoint
     /// with the fewest online requests gives one up.
     pub fn acquire(
         &mut self,
-        service: &ids::ServiceName,
-        tried: &[ids::EndpointId],
+        ask: &peers::PlaceAsk,
         shunned: &collections::HashSet<ids::EndpointId>,
-        holder: (&ids::InstanceId, &ids::DomainName),
-        number: admission::PermitNumber,
         now: clock::Moment,
     ) -> Option<GrantedPlace> {
-        let (instance, domain) = holder;
-        let usable = self
-            .ledgers
-            .values()
-            .filter(|owned| owned.entry.service == *service && !tried.contains(&owned.entry.id));
+        let usable = self.ledgers.values().filter(|owned| {
+            owned.entry.service == ask.service && !ask.tried.contains(&owned.entry.id)
+        });
         let best = usable.min_by_key(|owned| {
             let full = owned.free() <= 0;
             let load = match full {
@@ -135,19 +141,22 @@
                 shunned.contains(&owned.entry.id),
                 full,
                 load,
-                owned.entry.domain != *domain,
+                owned.entry.domain != ask.domain,
                 owned.entry.id.clone(),
             )
         })?;
+        if best.online_room() == 0 && !ask.may_queue {
+            return None;
+        }
         let endpoint = best.entry.id.clone();
         let owned = self.ledgers.get_mut(&endpoint)?;
-        let grant = owned.ledger.request_permit(number, now)?;
+        let grant = owned.ledger.request_permit(ask.number, now)?;
         let holder = PermitHolder {
             endpoint: endpoint.clone(),
-            instance: instance.clone(),
+            instance: ask.instance.clone(),
             expiry: now + PERMIT_TTL,
         };
-        self.holders.insert(number, holder);
+        self.holders.insert(ask.number, holder);
         Some(GrantedPlace {
             endpoint,
             preempted: grant.preempt,
@@ -222,12 +231,22 @@
         self.holders.retain(|_, holder| holder.expiry > now);
     }
 
-    /// Places that an online request could have now, those of batch streams included.
+    /// Places that online requests of a service could have now.
     pub fn online_room(&self, service: &ids::ServiceName) -> u32 {
+        self.of_service(service).map(OwnedLedger::online_room).sum()
+    }
+
+    /// Places in queues that online requests of a service could have now.
+    pub fn queue_room(&self, service: &ids::ServiceName) -> u32 {
+        self.of_service(service).map(OwnedLedger::queue_room).sum()
+    }
+
+    fn of_service<'a>(
+        &'a self,
+        service: &'a ids::ServiceName,
+    ) -> impl Iterator<Item = &'a OwnedLedger> {
         let owned = self.ledgers.values();
-        let owned = owned.filter(|owned| owned.entry.service == *service);
-        let room = owned.map(|o| o.entry.slots.saturating_sub(o.ledger.online()));
-        room.sum()
+        owned.filter(move |owned| owned.entry.service == *service)
     }
 
     /// The room of each service with owned endpoints.
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -2,10 +2,11 @@
 
 use std::{net, rc, time};
 
-use rand::Rng as _;
-
 use super::{directory, peer_calls, peers, process};
-use crate::{decisions::admission, ids};
+use crate::{
+    decisions::{admission, owner_order},
+    ids,
+};
 
 /// Longest wait for an owner; a round trip takes 1 to 4 ms, so it is lost or overloaded then.
 const OWNER_TIMEOUT: time::Duration = time::Duration::from_millis(40);
@@ -53,7 +54,8 @@
 /// What one owner said.
 enum OwnerWord {
     Place(HeldPlace),
-    Full,
+    /// There is none; so many places are left in queues.
+    Full(u32),
     Silent,
 }
 
@@ -72,26 +74,52 @@
         if let Some(place) = ask_relay(context, service, tried).await {
             return Ok(place);
         }
-        let mut full = 0;
-        let owners = owners_by_room(context, service);
-        for owner in owners.iter().take(OWNERS_ASKED) {
-            match ask(context, owner, service, tried).await {
-                OwnerWord::Place(place) => return Ok(place),
-                OwnerWord::Full => full += 1,
-                OwnerWord::Silent => {}
-            }
-        }
-        if full > 0 && full == owners.len().min(OWNERS_ASKED) {
-            log::info!(
-                "event=no_place service={service} owners_asked={full} owners={}",
-                owners.len()
-            );
-            return Err(NoPlace::Full);
+        match ask_owners(context, service, tried).await {
+            OwnerWord::Place(place) => return Ok(place),
+            OwnerWord::Full(_) => return Err(NoPlace::Full),
+            OwnerWord::Silent => {}
         }
     }
     go_ahead(context, service, tried)
 }
 
+/// Asks a few owners for a free place, and if all are full for one in a queue.
+async fn ask_owners(
+    context: &rc::Rc<process::ProcessContext>,
+    service: &ids::ServiceName,
+    tried: &[ids::EndpointId],
+) -> OwnerWord {
+    let owners = owner_order(context, service);
+    let mut full = Vec::new();
+    for owner in owners.iter().take(OWNERS_ASKED) {
+        let wish = place_ask(context, service, tried);
+        match ask(context, owner, wish).await {
+            OwnerWord::Full(queue_room) => full.push((queue_room, owner)),
+            OwnerWord::Silent => {}
+            place => return place,
+        }
+    }
+    if full.is_empty() || full.len() < owners.len().min(OWNERS_ASKED) {
+        return OwnerWord::Silent;
+    }
+    let roomiest = full.iter().max().filter(|(queue_room, _)| *queue_room > 0);
+    if let Some((_, owner)) = roomiest {
+        let wish = peers::PlaceAsk {
+            may_queue: true,
+            ..place_ask(context, service, tried)
+        };
+        if let OwnerWord::Place(place) = ask(context, owner, wish).await {
+            return OwnerWord::Place(place);
+        }
+    }
+    log::info!(
+        "event=no_place service={service} owners_asked={} owners={}",
+        full.len(),
+        owners.len()
+    );
+    OwnerWord::Full(0)
+}
+
 /// Chooses on this process's own counts.
 ///
 /// # Errors
@@ -116,31 +144,25 @@
     })
 }
 
-/// The owners, the one with the most room first; near ones among equals.
-fn owners_by_room(
+/// The owners in the order in which they are asked.
+fn owner_order(
     context: &process::ProcessContext,
     service: &ids::ServiceName,
 ) -> Vec<ids::InstanceId> {
     let rooms = context.rooms.borrow();
-    let mut rng = rand::rng();
-    let mut owners: Vec<_> = context
-        .owners()
+    let owners = context.owners();
+    let heard = owners
         .iter()
-        .filter(|owner| owner.id == *context.id() || context.hears(&owner.id))
-        .map(|owner| {
-            let key = (owner.id.clone(), service.clone());
-            let room = rooms.get(&key).copied().unwrap_or(UNKNOWN_ROOM);
-            let far = owner.domain != *context.domain();
-            (
-                std::cmp::Reverse(room),
-                far,
-                rng.random::<u32>(),
-                owner.id.clone(),
-            )
-        })
-        .collect();
-    owners.sort();
-    owners.into_iter().map(|(_, _, _, id)| id).collect()
+        .filter(|owner| owner.id == *context.id() || context.hears(&owner.id));
+    let known = heard.map(|owner| {
+        let key = (owner.id.clone(), service.clone());
+        owner_order::KnownOwner {
+            id: owner.id.clone(),
+            room: rooms.get(&key).copied().unwrap_or(UNKNOWN_ROOM),
+            is_near: owner.domain == *context.domain(),
+        }
+    });
+    owner_order::draw_order(known.collect(), &mut rand::rng())
 }
 
 fn place_ask(
@@ -154,6 +176,7 @@
         domain: context.domain().clone(),
         service: service.clone(),
         tried: tried.to_vec(),
+        may_queue: false,
     }
 }
 
@@ -165,7 +188,10 @@
 ) -> Option<HeldPlace> {
     let relays = context.relays();
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
-    let wish = place_ask(context, service, tried);
+    let wish = peers::PlaceAsk {
+        may_queue: true,
+        ..place_ask(context, service, tried)
+    };
     let permit = HeldPermit::Peer(relay.address, wish.number);
     match context
         .links
@@ -189,10 +215,8 @@
     // The owners do not hear the peer, and would take its places back.
     wish.instance = context.id().clone();
     let number = wish.number;
-    for owner in owners_by_room(context, &wish.service)
-        .iter()
-        .take(OWNERS_ASKED)
-    {
+    let owners = owner_order(context, &wish.service);
+    for owner in owners.iter().take(OWNERS_ASKED) {
         let address = context.members.borrow().address_of(owner);
         let Some(address) = address else { continue };
         let answer = context
@@ -214,11 +238,10 @@
 async fn ask(
     context: &rc::Rc<process::ProcessContext>,
     owner: &ids::InstanceId,
-    service: &ids::ServiceName,
-    tried: &[ids::EndpointId],
+    wish: peers::PlaceAsk,
 ) -> OwnerWord {
-    let wish = place_ask(context, service, tried);
     let number = wish.number;
+    let service = &wish.service.clone();
     let (answer, permit) = if owner == context.id() {
         (peer_calls::grant(context, &wish), HeldPermit::Here(number))
     } else {
@@ -240,7 +263,7 @@
     set_room(context, owner, service, answer.room);
     if answer.endpoint.is_none() {
         count_permit(context, "full");
-        return OwnerWord::Full;
+        return OwnerWord::Full(answer.queue_room);
     }
     match take_answer(context, owner, answer, permit) {
         Some(place) => OwnerWord::Place(place),
