perf(serving): failures at endpoints are told to their owners, and owners spare them for all

Cause: each gateway learned alone which endpoints fail. An endpoint's own 500 counted as a success; a silent one was noticed at the caller's time limit. Change: a gateway tells the owner of each failure, and of each success with the end of its place. Owners leave an endpoint out on the word of two processes; one alone may be cut off, and spares the endpoint itself by naming it in its wishes. What counts is the share of failures among the latest outcomes instead of a row of three, so that one that fails four in ten is left out as well. A wait beyond the objective is a failure while it goes on.

--- a/src/decisions/health.rs
+++ b/src/decisions/health.rs
@@ -4,8 +4,18 @@
 
 use crate::{clock, ids};
 
-/// Failures in a row that eject an endpoint.
-const EJECT_AFTER: u32 = 3;
+/// Weight of the latest outcome in an endpoint's share of failures.
+///
+/// With the threshold below, three failures in a row eject a sound endpoint,
+/// and one that fails four in ten is out for most of the time, while one that
+/// fails one in twenty stays in (`tests/endpoint_health.rs`).
+const OUTCOME_WEIGHT: f64 = 0.15;
+/// Share of failures that ejects an endpoint.
+const EJECT_SHARE: f64 = 0.38;
+/// Share after two failures: the next one ejects.
+const NEARLY_OUT: f64 = 0.2775;
+/// Reporters without which a report ejects nothing: the path of one may be cut.
+const LEAST_REPORTERS: usize = 2;
 /// First time out.
 const FIRST_EJECTION: time::Duration = time::Duration::from_secs(2);
 /// Longest time out.
@@ -15,12 +25,52 @@
 
 #[derive(Debug, Clone, Default)]
 struct EndpointHealth {
-    failures: u32,
+    /// Share of failures among the latest outcomes, 0 to 1.
+    failing: f64,
     ejections: u32,
     until: clock::Moment,
+    /// The first few instances that reported failures since the last success.
+    reporters: Vec<ids::InstanceId>,
 }
 
-/// Health of endpoints as one gateway saw it.
+impl EndpointHealth {
+    fn note_failure(&mut self) {
+        self.failing += (1.0 - self.failing) * OUTCOME_WEIGHT;
+    }
+
+    fn note_silence(&mut self) {
+        self.failing = self.failing.max(NEARLY_OUT);
+        self.note_failure();
+    }
+
+    fn note_reporter(&mut self, reporter: &ids::InstanceId) {
+        if self.reporters.len() < LEAST_REPORTERS && !self.reporters.contains(reporter) {
+            self.reporters.push(reporter.clone());
+        }
+    }
+
+    fn eject_if_failing(&mut self, now: clock::Moment) {
+        if self.failing < EJECT_SHARE {
+            return;
+        }
+        let span = FIRST_EJECTION * 2_u32.saturating_pow(self.ejections.min(8));
+        self.until = now + span.min(LAST_EJECTION);
+        self.ejections += 1;
+        // One more failure after the return ejects again.
+        self.failing = NEARLY_OUT;
+    }
+}
+
+/// A failure that another instance saw at an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct FailureReport {
+    /// Who saw it.
+    pub reporter: ids::InstanceId,
+    /// Whether the endpoint did not answer at all.
+    pub is_silent: bool,
+}
+
+/// Health of endpoints as one instance sees it.
 #[derive(Debug, Clone, Default)]
 pub struct HealthBoard {
     endpoints: collections::HashMap<ids::EndpointId, EndpointHealth>,
@@ -30,30 +80,42 @@
     /// Notes an attempt that the endpoint answered.
     pub fn note_success(&mut self, id: &ids::EndpointId) {
         if let Some(health) = self.endpoints.get_mut(id) {
-            health.failures = 0;
+            health.failing -= health.failing * OUTCOME_WEIGHT;
+            health.reporters.clear();
             health.ejections = health.ejections.saturating_sub(1);
         }
     }
 
-    /// Notes an attempt that failed; ejects after several in a row.
+    /// Notes an attempt that failed; ejects when too many do.
     pub fn note_failure(&mut self, id: &ids::EndpointId, now: clock::Moment) {
         let health = self.endpoints.entry(id.clone()).or_default();
-        health.failures += 1;
-        if health.failures < EJECT_AFTER {
-            return;
+        health.note_failure();
+        health.eject_if_failing(now);
+    }
+
+    /// Notes a failure that another instance saw.
+    pub fn note_report(
+        &mut self,
+        id: &ids::EndpointId,
+        report: &FailureReport,
+        now: clock::Moment,
+    ) {
+        let health = self.endpoints.entry(id.clone()).or_default();
+        health.note_reporter(&report.reporter);
+        match report.is_silent {
+            true => health.note_silence(),
+            false => health.note_failure(),
+        }
+        if health.reporters.len() >= LEAST_REPORTERS {
+            health.eject_if_failing(now);
         }
-        let span = FIRST_EJECTION * 2_u32.saturating_pow(health.ejections.min(8));
-        health.until = now + span.min(LAST_EJECTION);
-        health.ejections += 1;
-        // One more failure after the return ejects again.
-        health.failures = EJECT_AFTER - 1;
     }
 
     /// Notes an endpoint that does not answer at all; ejects it at once.
     pub fn note_silence(&mut self, id: &ids::EndpointId, now: clock::Moment) {
         let health = self.endpoints.entry(id.clone()).or_default();
-        health.failures = health.failures.max(EJECT_AFTER - 1);
-        self.note_failure(id, now);
+        health.note_silence();
+        health.eject_if_failing(now);
     }
 
     /// Whether the endpoint is out now.
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -44,7 +44,8 @@
                 }
             });
         }
-        C::Release(number) => release(context, number),
+        C::Release(ended) => release(context, ended),
+        C::Report(report) => take_report(context, &report),
         C::State(sender) => {
             let table = context.fleet.table();
             let text = serde_json::to_string(table.state());
@@ -175,14 +176,32 @@
 }
 
 /// Takes a place back; batch work may use it.
-pub fn release(context: &process::ProcessContext, number: admission::PermitNumber) {
-    let released = context.permits.borrow_mut().release(number);
-    if released.is_some() {
+pub fn release(context: &process::ProcessContext, ended: peers::PlaceRelease) {
+    let released = context.permits.borrow_mut().release(ended.number);
+    if let Some(endpoint) = released {
+        if ended.is_served {
+            context.loads.borrow_mut().note_served(&endpoint);
+        }
         context.jobs.work.notify_one();
         return;
     }
-    let relayed = context.relayed.borrow_mut().pop(&number);
+    let relayed = context.relayed.borrow_mut().pop(&ended.number);
     if let Some(owner) = relayed {
-        context.links.release(owner, number);
+        context.links.release(owner, ended);
+    }
+}
+
+/// Takes the word of a peer that an endpoint failed.
+pub fn take_report(context: &process::ProcessContext, report: &peers::EndpointReport) {
+    let now = context.clock.now();
+    let mut loads = context.loads.borrow_mut();
+    let ejected = loads.note_peer_failure(&report.endpoint, &report.failure, now);
+    if ejected {
+        log::info!(
+            "event=endpoint_shunned endpoint={} last_reporter={} silent={}",
+            report.endpoint,
+            report.failure.reporter,
+            report.failure.is_silent
+        );
     }
 }
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -7,12 +7,12 @@
 use super::{
     directory, job_records, members,
     peers::{
-        LoanAsk, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk, ResultAsk, StreamLoan,
-        WriteOutcome,
+        EndpointReport, LoanAsk, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk, PlaceRelease,
+        ResultAsk, StreamLoan, WriteOutcome,
     },
     wire,
 };
-use crate::{decisions::admission, ids};
+use crate::ids;
 
 /// Longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -126,8 +126,13 @@
     }
 
     /// Gives a place back; a lost message is made up for by the permit's expiry.
-    pub fn release(&self, peer: net::SocketAddr, number: admission::PermitNumber) {
-        tell_peer!(self, peer, release(number));
+    pub fn release(&self, peer: net::SocketAddr, release: PlaceRelease) {
+        tell_peer!(self, peer, release(release));
+    }
+
+    /// Tells an owner of a failure at one of its endpoints.
+    pub fn report(&self, peer: net::SocketAddr, report: EndpointReport) {
+        tell_peer!(self, peer, report(report));
     }
 
     /// Asks for the desired state.
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -10,12 +10,12 @@
     directory, job_records, members,
     peer_links::{frames, RECONNECT_PAUSE},
     peers::{
-        LoanAsk, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk, ResultAsk, StreamLoan,
-        WriteOutcome,
+        EndpointReport, LoanAsk, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk,
+        PlaceRelease, ResultAsk, StreamLoan, WriteOutcome,
     },
     wire,
 };
-use crate::{decisions::admission, ids};
+use crate::ids;
 
 /// Calls of peers that may wait for the process; beyond, peers wait.
 const RING_CALLS: usize = 1024;
@@ -51,8 +51,12 @@
         self.ask(|reply| PeerCall::Acquire(ask, reply)).await
     }
 
-    async fn release(self, _: tarpc::context::Context, number: admission::PermitNumber) {
-        self.tell(PeerCall::Release(number)).await;
+    async fn release(self, _: tarpc::context::Context, release: PlaceRelease) {
+        self.tell(PeerCall::Release(release)).await;
+    }
+
+    async fn report(self, _: tarpc::context::Context, report: EndpointReport) {
+        self.tell(PeerCall::Report(report)).await;
     }
 
     async fn desired_state(self, _: tarpc::context::Context) -> Option<String> {
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -7,7 +7,10 @@
 use tokio::sync::oneshot;
 
 use super::{directory, job_records, members, route_table, wire};
-use crate::{decisions::admission, ids};
+use crate::{
+    decisions::{admission, health},
+    ids,
+};
 
 /// What a process says of itself at each probe.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
@@ -60,6 +63,24 @@
     pub queue_room: u32,
 }
 
+/// The end of a permit.
+#[derive(Debug, Clone, Copy, serde::Serialize, serde::Deserialize)]
+pub struct PlaceRelease {
+    /// Its number.
+    pub number: admission::PermitNumber,
+    /// Whether the endpoint served the request.
+    pub is_served: bool,
+}
+
+/// A failure at an endpoint, told to its owner at once.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct EndpointReport {
+    /// The endpoint.
+    pub endpoint: ids::EndpointId,
+    /// What was seen there.
+    pub failure: health::FailureReport,
+}
+
 /// A wish for places for batch streams.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct LoanAsk {
@@ -110,7 +131,9 @@
     /// Asks for a place for an online request.
     async fn acquire(ask: PlaceAsk) -> Option<PlaceAnswer>;
     /// Gives a place back.
-    async fn release(number: admission::PermitNumber);
+    async fn release(release: PlaceRelease);
+    /// Tells of a failure at an endpoint.
+    async fn report(report: EndpointReport);
     /// Asks for the desired state, as JSON.
     async fn desired_state() -> Option<String>;
     /// Asks for the list of endpoints.
@@ -142,7 +165,9 @@
     /// See [`PeerService::acquire`].
     Acquire(PlaceAsk, oneshot::Sender<PlaceAnswer>),
     /// See [`PeerService::release`].
-    Release(admission::PermitNumber),
+    Release(PlaceRelease),
+    /// See [`PeerService::report`].
+    Report(EndpointReport),
     /// See [`PeerService::desired_state`].
     State(oneshot::Sender<String>),
     /// See [`PeerService::endpoints`].
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -1,10 +1,10 @@
 //! A place for an online request: asked of an owner, or taken on this process's own counts.
 
-use std::{net, rc, time};
+use std::{cell, net, rc, time};
 
 use super::{directory, peer_calls, peers, process};
 use crate::{
-    decisions::{admission, owner_order},
+    decisions::{admission, health, owner_order},
     ids,
 };
 
@@ -21,6 +21,40 @@
     /// The endpoint.
     pub endpoint: rc::Rc<directory::EndpointEntry>,
     permit: Option<HeldPermit>,
+    is_served: cell::Cell<bool>,
+}
+
+impl HeldPlace {
+    /// Notes that the endpoint served the request, or goes on doing so.
+    pub fn note_served(&self) {
+        let mut loads = self.context.loads.borrow_mut();
+        loads.health.note_success(&self.endpoint.id);
+        self.is_served.set(true);
+    }
+
+    /// Notes that the endpoint failed, or did not answer at all, and tells its owner.
+    pub fn note_failed(&self, is_silent: bool) {
+        let (id, now) = (&self.endpoint.id, self.context.clock.now());
+        self.is_served.set(false);
+        let mut loads = self.context.loads.borrow_mut();
+        match is_silent {
+            true => loads.health.note_silence(id, now),
+            false => loads.health.note_failure(id, now),
+        }
+        drop(loads);
+        let report = peers::EndpointReport {
+            endpoint: id.clone(),
+            failure: health::FailureReport {
+                reporter: self.context.id().clone(),
+                is_silent,
+            },
+        };
+        match self.permit {
+            None => {}
+            Some(HeldPermit::Here(_)) => peer_calls::take_report(&self.context, &report),
+            Some(HeldPermit::Peer(owner, _)) => self.context.links.report(owner, report),
+        }
+    }
 }
 
 /// Where a permit is to be released.
@@ -32,10 +66,8 @@
 impl Drop for HeldPlace {
     fn drop(&mut self) {
         self.context.loads.borrow_mut().end(&self.endpoint.id);
-        match self.permit {
-            None => {}
-            Some(HeldPermit::Here(number)) => peer_calls::release(&self.context, number),
-            Some(HeldPermit::Peer(peer, number)) => self.context.links.release(peer, number),
+        if let Some(permit) = &self.permit {
+            end_permit(&self.context, permit, self.is_served.get());
         }
     }
 }
@@ -141,6 +173,7 @@
         context: context.clone(),
         endpoint,
         permit: None,
+        is_served: cell::Cell::new(false),
     })
 }
 
@@ -170,12 +203,19 @@
     service: &ids::ServiceName,
     tried: &[ids::EndpointId],
 ) -> peers::PlaceAsk {
+    let directory = context.fleet.directory.borrow();
+    let listed = directory.of_service(service).iter();
+    let loads = context.loads.borrow();
+    // What failed this process may serve others: its owner need not know.
+    let shunned = loads.shunned(listed, context.clock.now());
+    let mut unwanted = tried.to_vec();
+    unwanted.extend(shunned.into_iter().filter(|id| !tried.contains(id)));
     peers::PlaceAsk {
         number: rand::random(),
         instance: context.id().clone(),
         domain: context.domain().clone(),
         service: service.clone(),
-        tried: tried.to_vec(),
+        tried: unwanted,
         may_queue: false,
     }
 }
@@ -201,7 +241,7 @@
         Ok(answer) => take_answer(context, &relay.id, answer, permit),
         Err(e) => {
             log::info!("event=relay_silent relay={} why=\"{e}\"", relay.id);
-            drop_permit(context, permit);
+            end_permit(context, &permit, false);
             None
         }
     }
@@ -229,7 +269,7 @@
                 return Some(answer);
             }
             Ok(_) => {}
-            Err(_) => context.links.release(address, number),
+            Err(_) => end_permit(context, &HeldPermit::Peer(address, number), false),
         }
     }
     None
@@ -254,7 +294,7 @@
                 count_permit(context, "silent");
                 set_room(context, owner, service, 0);
                 // The grant may come late: it must not hold a place until it expires.
-                context.links.release(address, number);
+                end_permit(context, &HeldPermit::Peer(address, number), false);
                 log::info!("event=owner_silent owner={owner} why=\"{e}\"");
                 return OwnerWord::Silent;
             }
@@ -296,7 +336,7 @@
     let found = context.fleet.directory.borrow().usable(&id).cloned();
     let Some(endpoint) = found else {
         log::info!("event=place_refused endpoint={id} from={from} why=\"not listed here\"");
-        drop_permit(context, permit);
+        end_permit(context, &permit, false);
         return None;
     };
     count_permit(context, "granted");
@@ -305,12 +345,15 @@
         context: context.clone(),
         endpoint,
         permit: Some(permit),
+        is_served: cell::Cell::new(false),
     })
 }
 
-fn drop_permit(context: &process::ProcessContext, permit: HeldPermit) {
-    match permit {
-        HeldPermit::Here(number) => peer_calls::release(context, number),
-        HeldPermit::Peer(peer, number) => context.links.release(peer, number),
+/// Gives a permit back.
+fn end_permit(context: &process::ProcessContext, permit: &HeldPermit, is_served: bool) {
+    let release = |number| peers::PlaceRelease { number, is_served };
+    match *permit {
+        HeldPermit::Here(number) => peer_calls::release(context, release(number)),
+        HeldPermit::Peer(peer, number) => context.links.release(peer, release(number)),
     }
 }
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -238,6 +238,30 @@
         )
     }
 
+    /// Waits for an endpoint, and suspects it when it takes longer than the objective.
+    ///
+    /// A request that may run once has to go on waiting; others can be spared
+    /// the endpoint by then.
+    async fn suspecting<T>(
+        &self,
+        place: &places::HeldPlace,
+        waiting: impl std::future::Future<Output = T>,
+    ) -> T {
+        tokio::pin!(waiting);
+        let objective = self.request.route.objective;
+        if let Ok(done) = tokio::time::timeout(objective, &mut waiting).await {
+            return done;
+        }
+        log::info!(
+            "event=endpoint_suspected request={} endpoint={} silent_ms={}",
+            self.request.terms.id.as_deref().unwrap_or("-"),
+            place.endpoint.id,
+            objective.as_millis()
+        );
+        place.note_failed(false);
+        waiting.await
+    }
+
     /// Sends one attempt; on failure says how to go on.
     async fn attempt(&mut self, place: places::HeldPlace) -> Result<Answered, NextStep> {
         use outcome::AttemptOutcome as O;
@@ -250,16 +274,19 @@
         };
         let patience = self.head_patience();
         let forwarded = &self.request.forwarded;
-        let sent = attempt::send(&self.context, &endpoint, forwarded, &terms, patience).await;
+        let sending = attempt::send(&self.context, &endpoint, forwarded, &terms, patience);
+        let sent = self.suspecting(&place, sending).await;
         self.log.tried.push(endpoint.id.clone());
         match sent {
             O::Completed(open) => {
                 self.log.ran += 1;
                 let status = open.incoming.head.status;
                 let again = attempt::is_failure(status) && self.attempts_left() > 0;
+                if attempt::is_failure(status) {
+                    place.note_failed(false);
+                }
                 if again && self.may_repeat() {
                     self.note_attempt(&endpoint.id, "failed", status.as_str());
-                    self.blame(&endpoint.id, false);
                     return Err(NextStep::Again);
                 }
                 Ok(Answered { place, open })
@@ -268,7 +295,7 @@
                 self.log.not_run += 1;
                 self.note_attempt(&endpoint.id, "not_run", "");
                 if !proof.is_refusal() {
-                    self.blame(&endpoint.id, true);
+                    place.note_failed(true);
                 }
                 if self.log.not_run >= MAX_NOT_RUN {
                     return Err(NextStep::GiveUp(self.not_run()));
@@ -279,7 +306,7 @@
                 self.log.ran += 1;
                 self.note_attempt(&endpoint.id, "unknown", &why);
                 // A full queue is silent too: only several in a row eject it.
-                self.blame(&endpoint.id, false);
+                place.note_failed(false);
                 self.after_unknown(why)
             }
         }
@@ -303,16 +330,6 @@
         Err(NextStep::GiveUp(FinalError::Failed(why)))
     }
 
-    /// Notes an endpoint that failed, or that did not answer at all.
-    fn blame(&self, id: &ids::EndpointId, silent: bool) {
-        let now = self.context.clock.now();
-        let mut loads = self.context.loads.borrow_mut();
-        match silent {
-            true => loads.health.note_silence(id, now),
-            false => loads.health.note_failure(id, now),
-        }
-    }
-
     fn note_attempt(&self, id: &ids::EndpointId, outcome: &str, why: &str) {
         self.context
             .metrics
@@ -347,7 +364,7 @@
                 Err(e) => {
                     let id = answered.place.endpoint.id.clone();
                     self.note_attempt(&id, "cut", &e.to_string());
-                    self.blame(&id, false);
+                    answered.place.note_failed(false);
                     drop(answered);
                     match self.after_unknown(e.to_string()) {
                         Err(NextStep::GiveUp(e)) => return Err(e),
@@ -377,10 +394,9 @@
 
     /// Keeps the connection of an answer that is complete.
     fn give_back(&self, answered: Answered) {
-        let id = answered.place.endpoint.id.clone();
-        let mut loads = self.context.loads.borrow_mut();
-        loads.health.note_success(&id);
-        drop(loads);
+        if !attempt::is_failure(answered.open.incoming.head.status) {
+            answered.place.note_served();
+        }
         let limit = answered.open.notes.idle_limit;
         if let Some(connection) = answered.open.incoming.into_connection() {
             self.context.pool.put(connection, limit);
@@ -405,7 +421,9 @@
             }
             let mut splitter = event_split::EventSplitter::default();
             let patience = self.head_patience();
-            let first = next_event(&mut answered.open.incoming, &mut splitter, patience).await;
+            let Answered { place, open } = &mut answered;
+            let waiting = next_event(&mut open.incoming, &mut splitter, patience);
+            let first = self.suspecting(place, waiting).await;
             match self.accept(first) {
                 EventEnd::Event(event) => {
                     let head = copy_head(&answered.open.incoming.head);
@@ -429,7 +447,7 @@
                 EventEnd::Cut(why) => {
                     let id = answered.place.endpoint.id.clone();
                     self.note_attempt(&id, "cut", &why);
-                    self.blame(&id, false);
+                    answered.place.note_failed(false);
                     drop(answered);
                     match self.after_unknown(why) {
                         Err(NextStep::GiveUp(e)) => return Err(e),
@@ -466,6 +484,7 @@
         copy_headers(&self.context, &head, &mut answer);
         self.mark_close(&mut answer);
         self.started = true;
+        open.answered.place.note_served();
         self.observe_first();
         let flow = EventFlow {
             relay: self,
@@ -481,9 +500,6 @@
     }
 
     fn observe_first(&self) {
-        if let Some(id) = self.log.tried.last() {
-            self.context.loads.borrow_mut().health.note_success(id);
-        }
         let span = self.request.arrived.elapsed();
         let metrics = &self.context.metrics;
         metrics.observe(
@@ -579,7 +595,7 @@
                 EventEnd::Cut(why) => {
                     let id = open.answered.place.endpoint.id.clone();
                     self.relay.note_attempt(&id, "cut", &why);
-                    self.relay.blame(&id, true);
+                    open.answered.place.note_failed(true);
                     if let Err(why) = self.resume(why).await {
                         self.relay.note_end("cut", 0);
                         // The caller must not take what it has for the whole answer.
--- a/src/serving/selection.rs
+++ b/src/serving/selection.rs
@@ -27,8 +27,10 @@
 #[derive(Debug, Default)]
 pub struct LoadBoard {
     loads: collections::HashMap<ids::EndpointId, EndpointLoad>,
-    /// Which endpoints are left out for failing.
+    /// Which endpoints are left out for failing this process.
     pub health: health::HealthBoard,
+    /// Which owned endpoints are left out for failing those who got places there.
+    reported: health::HealthBoard,
 }
 
 impl LoadBoard {
@@ -40,6 +42,28 @@
         }
     }
 
+    /// Takes the word of a holder of a place that the endpoint served it.
+    pub fn note_served(&mut self, id: &ids::EndpointId) {
+        self.reported.note_success(id);
+    }
+
+    /// Takes the word of a holder of a place that the endpoint failed; says
+    /// whether the endpoint is left out for it from now on.
+    pub fn note_peer_failure(
+        &mut self,
+        id: &ids::EndpointId,
+        failure: &health::FailureReport,
+        now: clock::Moment,
+    ) -> bool {
+        let before = self.reported.is_ejected(id, now);
+        self.reported.note_report(id, failure, now);
+        !before && self.reported.is_ejected(id, now)
+    }
+
+    fn is_out(&self, id: &ids::EndpointId, now: clock::Moment) -> bool {
+        self.health.is_ejected(id, now) || self.reported.is_ejected(id, now)
+    }
+
     /// Counts the end of a request.
     pub fn end(&mut self, id: &ids::EndpointId) {
         if let Some(load) = self.loads.get_mut(id) {
@@ -77,7 +101,8 @@
     /// Forgets the endpoints that are no longer listed.
     pub fn retain(&mut self, listed: impl Fn(&ids::EndpointId) -> bool) {
         self.loads.retain(|id, load| load.own > 0 || listed(id));
-        self.health.retain(listed);
+        self.health.retain(&listed);
+        self.reported.retain(listed);
     }
 
     /// Endpoints of a list that are left out for failing; none if they are too
@@ -89,7 +114,7 @@
     ) -> collections::HashSet<ids::EndpointId> {
         let mut count = 0;
         let counted = entries.inspect(|_| count += 1);
-        let ejected = counted.filter(|e| self.health.is_ejected(&e.id, now));
+        let ejected = counted.filter(|e| self.is_out(&e.id, now));
         let ejected: collections::HashSet<_> = ejected.map(|e| e.id.clone()).collect();
         match ejected.len() * 100 > count * MAX_SHUNNED_PERCENT {
             true => collections::HashSet::new(),
--- /dev/null
+++ b/tests/endpoint_health.rs
@@ -0,0 +1,104 @@
+//! Which endpoints are left out for failing, as plain values.
+
+use std::time;
+
+use jayhollow::{
+    clock,
+    decisions::health::{FailureReport, HealthBoard},
+    ids,
+};
+use rand::{rngs, Rng as _, SeedableRng as _};
+use rstest::rstest;
+
+fn endpoint() -> ids::EndpointId {
+    "e".parse().expect("a name")
+}
+
+fn instance(name: &str) -> ids::InstanceId {
+    name.parse().expect("a name")
+}
+
+/// Share of the time that an endpoint is out which fails so often at ten requests a second.
+fn share_out(failing: f64) -> f64 {
+    let mut rng = rngs::SmallRng::seed_from_u64(3);
+    let mut board = HealthBoard::default();
+    let id = endpoint();
+    let mut out = 0;
+    const LOOKS: u64 = 20_000;
+    for look in 0..LOOKS {
+        let now = clock::Moment(1_000_000 + look * 100_000);
+        if board.is_ejected(&id, now) {
+            out += 1;
+        } else if rng.random_bool(failing) {
+            board.note_failure(&id, now);
+        } else {
+            board.note_success(&id);
+        }
+    }
+    f64::from(out) / LOOKS as f64
+}
+
+#[test]
+fn three_failures_in_a_row_eject_and_one_more_after_the_return() {
+    let mut board = HealthBoard::default();
+    let (id, now) = (endpoint(), clock::Moment(1));
+    board.note_failure(&id, now);
+    board.note_failure(&id, now);
+    assert!(!board.is_ejected(&id, now));
+    board.note_failure(&id, now);
+    assert!(board.is_ejected(&id, now));
+    let later = now + time::Duration::from_secs(3);
+    assert!(!board.is_ejected(&id, later), "it is tried again");
+    board.note_failure(&id, later);
+    assert!(board.is_ejected(&id, later));
+}
+
+#[rstest]
+#[case::dead(1.0, 0.9, 1.0)]
+#[case::fails_four_in_ten(0.4, 0.6, 1.0)]
+#[case::loses_one_in_twenty(0.05, 0.0, 0.02)]
+#[case::sound(0.0, 0.0, 0.0)]
+fn an_endpoint_is_out_by_how_often_it_fails(
+    #[case] failing: f64,
+    #[case] least: f64,
+    #[case] most: f64,
+) {
+    let share = share_out(failing);
+    assert!(
+        (least..=most).contains(&share),
+        "out for {share} of the time"
+    );
+}
+
+#[test]
+fn one_reporter_ejects_nothing_and_two_do() {
+    let mut board = HealthBoard::default();
+    let (id, now) = (endpoint(), clock::Moment(1));
+    let report = |reporter: &str| FailureReport {
+        reporter: instance(reporter),
+        is_silent: true,
+    };
+    for _ in 0..20 {
+        board.note_report(&id, &report("g1"), now);
+    }
+    assert!(!board.is_ejected(&id, now), "its own path may be cut");
+    board.note_report(&id, &report("g2"), now);
+    assert!(board.is_ejected(&id, now));
+}
+
+#[test]
+fn a_success_of_another_clears_what_one_reports() {
+    let mut board = HealthBoard::default();
+    let (id, now) = (endpoint(), clock::Moment(1));
+    for reporter in ["g1", "g2", "g1", "g2", "g1", "g2"] {
+        let report = FailureReport {
+            reporter: instance(reporter),
+            is_silent: false,
+        };
+        board.note_report(&id, &report, now);
+        for _ in 0..3 {
+            board.note_success(&id);
+        }
+    }
+    assert!(!board.is_ejected(&id, now));
+}
