perf(jobs): over capacity, items that cannot be in time go last

Ruled out: preemption (runs go on where they stopped), places (full all the time). Change: waiting items of all jobs are sorted together, those that cannot be in time behind the others; what an item needs is learned from the items that ended, and half of it is taken. A round over the waiting items comes every 5 ms at most.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod overhead;
 pub mod overload;
+pub mod placement;
 pub mod process_use;
 pub mod report;
 pub mod routing_bench;
@@ -36,6 +37,8 @@
     Routing(routing_bench::RoutingFlags),
     /// Goodput at half to four times the capacity.
     Overload(overload::OverloadFlags),
+    /// Orders of batch items on a trace of places in virtual time.
+    Placement(placement::PlacementFlags),
     /// Long seeded runs of the decisions with faults and invariants.
     Soak(soak::SoakFlags),
     /// How time and memory of decisions grow with the fleet.
@@ -58,6 +61,7 @@
         BenchCommand::Harm(flags) => harm::run(&flags),
         BenchCommand::Routing(flags) => routing_bench::run(&flags),
         BenchCommand::Overload(flags) => overload::run(&flags),
+        BenchCommand::Placement(flags) => placement::run(&flags),
         BenchCommand::Soak(flags) => soak::run(&flags),
         BenchCommand::Slopes(flags) => slopes::run(&flags),
         BenchCommand::Process(flags) => process_use::run(&flags),
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -9,6 +9,7 @@
 pub mod chunk;
 pub mod health;
 pub mod index_ranges;
+pub mod item_order;
 pub mod job;
 pub mod job_order;
 pub mod job_plan;
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -51,6 +51,7 @@
     pub(super) async fn run(self) {
         let key = (self.endpoint.id.clone(), self.number);
         let is_loan = self.lender.is_some();
+        let begun = time::Instant::now();
         let cancelled = self.context.jobs.begin_stream(key.clone(), is_loan);
         self.job.borrow_mut().streams.insert(key.clone());
         let end = {
@@ -64,10 +65,22 @@
         self.context.jobs.end_stream(&key);
         self.job.borrow_mut().streams.remove(&key);
         self.leave_place();
+        self.note_span(begun.elapsed(), &end);
         self.settle(end);
         self.context.jobs.work.notify_one();
     }
 
+    /// Notes how long the run held its place, and at the item's end how long all did.
+    fn note_span(&self, span: time::Duration, end: &RunEnd) {
+        let mut job = self.job.borrow_mut();
+        let progress = &mut job.items[self.index];
+        progress.spent += span;
+        if *end == RunEnd::Completed {
+            let spent = progress.spent;
+            self.context.jobs.note_span(&self.endpoint.service, spent);
+        }
+    }
+
     fn leave_place(&self) {
         let loan = peers::StreamLoan {
             endpoint: self.endpoint.id.clone(),
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -9,7 +9,10 @@
     open_job::{OpenJob, SharedJob},
     peers, process, wire,
 };
-use crate::{decisions::admission, ids, settle, store};
+use crate::{
+    decisions::{admission, item_order},
+    ids, settle, store,
+};
 
 /// How long results that were read from the store are taken to be all there are.
 const FRESH: time::Duration = time::Duration::from_millis(400);
@@ -39,6 +42,8 @@
     ended: cell::RefCell<Option<collections::HashSet<ids::JobId>>>,
     /// Whether the other owners are being asked for places.
     pub borrowing: cell::Cell<bool>,
+    /// How long items of a service hold places in all.
+    spans: cell::RefCell<collections::HashMap<ids::ServiceName, item_order::SpanEstimate>>,
     /// Told when the owners of jobs changed.
     pub owners_changed: Notify,
 }
@@ -94,6 +99,20 @@
         self.jobs.borrow_mut().remove(id);
     }
 
+    /// Notes how long an item held places, from its first run to its end.
+    pub fn note_span(&self, service: &ids::ServiceName, span: time::Duration) {
+        let mut spans = self.spans.borrow_mut();
+        let estimate = spans.entry(service.clone()).or_default();
+        estimate.note(span.as_millis() as u64);
+    }
+
+    /// How long an item needs that held places for a while; nothing while it is not known.
+    pub fn remaining_ms(&self, service: &ids::ServiceName, spent: time::Duration) -> u64 {
+        let spans = self.spans.borrow();
+        let estimate = spans.get(service);
+        estimate.map_or(0, |e| e.remaining_ms(spent.as_millis() as u64))
+    }
+
     /// Names a stream that can be taken back.
     pub fn begin_stream(&self, key: StreamKey, is_loan: bool) -> oneshot::Receiver<()> {
         let (cancel, cancelled) = oneshot::channel();
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -3,13 +3,21 @@
 use std::{collections, rc, time};
 
 use super::{
-    item_run, job_board, job_records, job_upkeep, open_job, peers, process, route_table, wire,
+    directory, item_run, job_board, job_records, job_upkeep, open_job, peers, process, route_table,
+    wire,
+};
+use crate::{
+    decisions::{admission, item_order},
+    ids,
 };
-use crate::ids;
 
 /// How often it is looked for work without a word of it.
 const IDLE_LOOK: time::Duration = time::Duration::from_millis(200);
 
+/// Least time between two rounds over the waiting items: each looks at all of
+/// them, and a place comes free every few milliseconds under load.
+const ROUND_PAUSE: time::Duration = time::Duration::from_millis(5);
+
 /// Longest wait for an owner that may lend places.
 const LOAN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
@@ -93,6 +101,7 @@
         } else {
             context.jobs.preempt_all();
         }
+        actix_rt::time::sleep(ROUND_PAUSE).await;
         let looked = context.jobs.work.notified();
         if tokio::time::timeout(IDLE_LOOK, looked).await.is_err() {
             log::trace!("event=idle_look");
@@ -102,14 +111,37 @@
 
 fn start_items(context: &rc::Rc<process::ProcessContext>) {
     let mut full = collections::HashMap::new();
-    for job in open_jobs(context) {
-        start_job_items(context, &job, &mut full);
+    for item in ready_items(context) {
+        start_item(context, &item, &mut full);
     }
     for (service, waiting) in full {
         borrow_places(context, service, waiting);
     }
 }
 
+/// An item that may start now.
+struct ReadyItem {
+    job: open_job::SharedJob,
+    index: usize,
+    route: std::sync::Arc<route_table::Route>,
+    key: item_order::StartKey,
+}
+
+/// How waiting items are ordered. Over capacity it brought 0.73 of the items in
+/// time where the earliest due time first brought 0.52 (`jayhollow-bench placement`).
+const ORDER: item_order::OrderPolicy = item_order::OrderPolicy::FeasibleFirst;
+
+/// The items that may start now, the first to start first; gives up those that
+/// cannot be done any more.
+fn ready_items(context: &rc::Rc<process::ProcessContext>) -> Vec<ReadyItem> {
+    let mut ready = Vec::new();
+    for job in open_jobs(context) {
+        add_ready_items(context, &job, &mut ready);
+    }
+    ready.sort_by_key(|item| item.key);
+    ready
+}
+
 /// The open jobs that this process owns, the one that is due first first.
 fn open_jobs(context: &rc::Rc<process::ProcessContext>) -> Vec<open_job::SharedJob> {
     let mut jobs: Vec<_> = context
@@ -175,9 +207,7 @@
             match context.links.lend(address, ask, LOAN_TIMEOUT).await {
                 Ok(loans) => {
                     waiting = waiting.saturating_sub(loans.len());
-                    for loan in loans {
-                        use_loan(&context, address, loan);
-                    }
+                    use_loans(&context, address, loans);
                 }
                 Err(e) => log::debug!("event=loan_failed owner={} why=\"{e}\"", owner.id),
             }
@@ -187,74 +217,51 @@
     });
 }
 
-/// Starts the first waiting item of the loan's service, or gives the place back.
-fn use_loan(
+/// Starts the first waiting items in lent places; gives the places left over back.
+fn use_loans(
     context: &rc::Rc<process::ProcessContext>,
     lender: std::net::SocketAddr,
-    loan: peers::StreamLoan,
+    loans: Vec<peers::StreamLoan>,
 ) {
-    let endpoint = context
-        .fleet
-        .directory
-        .borrow()
-        .usable(&loan.endpoint)
-        .cloned();
-    let item = endpoint
-        .as_ref()
-        .and_then(|e| waiting_item(context, &e.service));
-    let (Some(endpoint), Some((job, index, route))) = (endpoint, item) else {
-        context.links.give_back(lender, loan);
-        return;
-    };
-    job.borrow_mut().items[index].phase = open_job::ItemPhase::Running;
-    let run = item_run::ItemRun {
-        context: context.clone(),
-        job,
-        index,
-        endpoint,
-        number: loan.number,
-        lender: Some(lender),
-        max_attempts: route.max_attempts,
-    };
-    actix_rt::spawn(run.run());
+    let mut ready = ready_items(context);
+    for loan in loans {
+        let endpoint = context
+            .fleet
+            .directory
+            .borrow()
+            .usable(&loan.endpoint)
+            .cloned();
+        let fitting = endpoint.as_ref().and_then(|e| {
+            let goes_there = |item: &ReadyItem| is_target(&item.route, &e.service);
+            ready.iter().position(goes_there)
+        });
+        let (Some(endpoint), Some(position)) = (endpoint, fitting) else {
+            context.links.give_back(lender, loan);
+            continue;
+        };
+        let place = StreamPlace {
+            endpoint,
+            number: loan.number,
+            lender: Some(lender),
+        };
+        begin_run(context, &ready.remove(position), place);
+    }
 }
 
-/// The first item that waits for a place at a service.
-fn waiting_item(
-    context: &rc::Rc<process::ProcessContext>,
-    service: &ids::ServiceName,
-) -> Option<(
-    open_job::SharedJob,
-    usize,
-    std::sync::Arc<route_table::Route>,
-)> {
-    let now = time::Instant::now();
-    for job in open_jobs(context) {
-        let count = job.borrow().items.len();
-        let ready = (0..count).find(|index| job.borrow().items[*index].is_ready(now));
-        let Some(index) = ready else { continue };
-        if let ItemRoute::Found(route) = route_of(context, &job, index) {
-            if route
-                .targets
-                .iter()
-                .any(|t| t.service == *service && t.weight > 0)
-            {
-                return Some((job, index, route));
-            }
-        }
-    }
-    None
+fn is_target(route: &route_table::Route, service: &ids::ServiceName) -> bool {
+    let mut targets = route.targets.iter();
+    targets.any(|t| t.service == *service && t.weight > 0)
 }
 
-/// Starts what can be started of a job; services without places go into `full`,
-/// with the number of items that wait for them.
-fn start_job_items(
+/// Adds the items of a job that may start now, and gives up those that cannot be done any more.
+fn add_ready_items(
     context: &rc::Rc<process::ProcessContext>,
     job: &open_job::SharedJob,
-    full: &mut collections::HashMap<ids::ServiceName, usize>,
+    ready: &mut Vec<ReadyItem>,
 ) {
-    let count = job.borrow().items.len();
     let now = time::Instant::now();
+    let now_ms = job_records::epoch_ms();
+    let count = job.borrow().items.len();
     for index in 0..count {
         if !job.borrow().items[index].is_ready(now) {
             continue;
@@ -263,21 +270,41 @@
             ItemRoute::None => give_up(context, job, index, "its route is gone"),
             ItemRoute::Unknown => {}
             ItemRoute::Found(route) => {
-                let late = {
-                    let job = job.borrow();
-                    let age = job_records::epoch_ms().saturating_sub(job.record.submitted_ms);
-                    age > route.retention.as_millis() as u64
-                };
-                if late {
+                let age = now_ms.saturating_sub(job.borrow().record.submitted_ms);
+                if age > route.retention.as_millis() as u64 {
                     give_up(context, job, index, "its retention is over");
                     continue;
                 }
-                start_item(context, job, index, &route, full);
+                let key = start_key(context, &job.borrow(), index, &route, now_ms);
+                let job = job.clone();
+                ready.push(ReadyItem {
+                    job,
+                    index,
+                    route,
+                    key,
+                });
             }
         }
     }
 }
 
+fn start_key(
+    context: &process::ProcessContext,
+    job: &open_job::OpenJob,
+    index: usize,
+    route: &route_table::Route,
+    now_ms: u64,
+) -> item_order::StartKey {
+    let spent = job.items[index].spent;
+    let service = route.targets.first().map(|t| &t.service);
+    let remaining_ms = service.map_or(0, |s| context.jobs.remaining_ms(s, spent));
+    let outlook = item_order::ItemOutlook {
+        due_ms: job.due_ms,
+        remaining_ms,
+    };
+    ORDER.start_key(&outlook, now_ms)
+}
+
 /// What the desired state says of an item.
 enum ItemRoute {
     Found(std::sync::Arc<route_table::Route>),
@@ -305,16 +332,17 @@
     }
 }
 
+/// Starts an item if a place is free; services without places go into `full`,
+/// with the number of items that wait for them.
 fn start_item(
     context: &rc::Rc<process::ProcessContext>,
-    job: &open_job::SharedJob,
-    index: usize,
-    route: &std::sync::Arc<route_table::Route>,
+    item: &ReadyItem,
     full: &mut collections::HashMap<ids::ServiceName, usize>,
 ) {
-    let total: u32 = route.targets.iter().map(|t| t.weight.max(1)).sum();
+    let targets = &item.route.targets;
+    let total: u32 = targets.iter().map(|t| t.weight.max(1)).sum();
     let mut point = rand::random_range(0..total.max(1));
-    let target = route.targets.iter().find(|t| {
+    let target = targets.iter().find(|t| {
         let inside = point < t.weight.max(1);
         point = point.saturating_sub(t.weight.max(1));
         inside
@@ -334,15 +362,32 @@
         full.insert(target.service.clone(), 1);
         return;
     };
-    job.borrow_mut().items[index].phase = open_job::ItemPhase::Running;
-    let run = item_run::ItemRun {
-        context: context.clone(),
-        job: job.clone(),
-        index,
+    let place = StreamPlace {
         endpoint,
         number,
         lender: None,
-        max_attempts: route.max_attempts,
+    };
+    begin_run(context, item, place);
+}
+
+/// A place for a batch stream.
+struct StreamPlace {
+    endpoint: rc::Rc<directory::EndpointEntry>,
+    number: admission::StreamNumber,
+    /// The owner that lent it, if it is another process.
+    lender: Option<std::net::SocketAddr>,
+}
+
+fn begin_run(context: &rc::Rc<process::ProcessContext>, item: &ReadyItem, place: StreamPlace) {
+    item.job.borrow_mut().items[item.index].phase = open_job::ItemPhase::Running;
+    let run = item_run::ItemRun {
+        context: context.clone(),
+        job: item.job.clone(),
+        index: item.index,
+        endpoint: place.endpoint,
+        number: place.number,
+        lender: place.lender,
+        max_attempts: item.route.max_attempts,
     };
     actix_rt::spawn(run.run());
 }
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -45,6 +45,8 @@
     pub last_event: Option<u64>,
     /// Runs that the endpoint ended with a failure of its own.
     pub failures: u32,
+    /// How long its runs held places so far.
+    pub spent: time::Duration,
     /// When it may start again.
     pub not_before: time::Instant,
 }
@@ -61,6 +63,7 @@
             events: Vec::new(),
             last_event: None,
             failures: 0,
+            spent: time::Duration::ZERO,
             not_before: time::Instant::now(),
         }
     }
