fix(batches): an item for an unknown model gets its error line, and the others run

Cause: a job was refused whole with 404 when one of its items named a model or service that the bundle does not have. Ruled out: leaving such items waiting, as no dispatcher owns an endpoint for them. Change: the claim of a chunk settles them with the code not_found; a file of which nothing is served is still refused whole, as nothing of it can run.

--- a/src/bench/soak/chunk_world.rs
+++ b/src/bench/soak/chunk_world.rs
@@ -290,9 +290,11 @@
             revision: store::ObjectRevision(stored.revision),
             items: (0..ITEMS).map(new_item).collect(),
         };
-        let may_repeat =
-            |item: &batch_item::BatchItem| lacks_intent || item.repeatable != Some(false);
-        let work = chunk_work::ChunkWork::new(claimed, may_repeat, self.now);
+        let terms_of = |item: &batch_item::BatchItem| chunk_work::ItemTerms {
+            may_repeat: lacks_intent || item.repeatable != Some(false),
+            is_served: true,
+        };
+        let work = chunk_work::ChunkWork::new(claimed, terms_of, self.now);
         self.dispatchers[number].chunks.insert(chunk, work);
     }
 
--- a/src/bundle.rs
+++ b/src/bundle.rs
@@ -258,6 +258,11 @@
         self.document.models.iter().any(|m| &m.name == name)
     }
 
+    /// Whether there is a model or a plain service of that name.
+    pub fn serves(&self, name: &ids::ServiceName) -> bool {
+        self.has_model(name) || self.service(name).is_some()
+    }
+
     /// The plain service of that name.
     pub fn service(&self, name: &ids::ServiceName) -> Option<&ServiceSpec> {
         self.document.services.iter().find(|s| &s.name == name)
--- a/src/dispatcher/chunk_work.rs
+++ b/src/dispatcher/chunk_work.rs
@@ -15,6 +15,15 @@
 /// Largest line of a result; larger answers become errors.
 pub const MAX_RESULT_BYTES: usize = 400 << 10;
 
+/// What the bundle in force says of an item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ItemTerms {
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
+    /// Whether its model or service exists.
+    pub is_served: bool,
+}
+
 /// An item that waits, and what an earlier attempt left of it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PendingItem {
@@ -88,10 +97,10 @@
 impl ChunkWork {
     /// A chunk that was just claimed.
     ///
-    /// `may_repeat` says whether an item may run more than once.
+    /// Items that nobody serves get their results at once, the others run.
     pub fn new(
         claimed: ClaimedChunk,
-        may_repeat: impl Fn(&batch_item::BatchItem) -> bool,
+        terms_of: impl Fn(&batch_item::BatchItem) -> ItemTerms,
         now: clock::Moment,
     ) -> Self {
         let ClaimedChunk {
@@ -103,12 +112,15 @@
             items,
         } = claimed;
         let careful = state.is_careful();
-        let once = items.iter().map(|i| careful || !may_repeat(i)).collect();
+        let terms: Vec<_> = items.iter().map(terms_of).collect();
+        let once = terms.iter().map(|t| careful || !t.may_repeat).collect();
         let unknown = state.unknown_items();
-        let pending = state
-            .open_items()
-            .minus(&unknown)
+        let open = state.open_items().minus(&unknown);
+        let is_served = |index: &u32| terms[*index as usize].is_served;
+        let unserved: Vec<u32> = open.iter().filter(|index| !is_served(index)).collect();
+        let pending = open
             .iter()
+            .filter(is_served)
             .map(|index| PendingItem {
                 index,
                 ..PendingItem::default()
@@ -137,6 +149,10 @@
             let code = batch_item::ItemErrorCode::OutcomeUnknown;
             work.settle_failed(index, code, message);
         }
+        for index in unserved {
+            let code = batch_item::ItemErrorCode::NotFound;
+            work.settle_failed(index, code, "its model or service is not served");
+        }
         work
     }
 
--- a/src/dispatcher/claims.rs
+++ b/src/dispatcher/claims.rs
@@ -72,10 +72,17 @@
         items,
     };
     let now = context.clock.now();
-    let work = chunk_work::ChunkWork::new(claimed, |item| may_repeat(item, &bundle), now);
+    let work = chunk_work::ChunkWork::new(claimed, |item| terms_of(item, &bundle), now);
     ClaimOutcome::Claimed(Box::new(work))
 }
 
+fn terms_of(item: &batch_item::BatchItem, bundle: &bundle::BundleView) -> chunk_work::ItemTerms {
+    chunk_work::ItemTerms {
+        may_repeat: may_repeat(item, bundle),
+        is_served: item.service().is_ok_and(|name| bundle.serves(&name)),
+    }
+}
+
 /// Whether an item may run more than once: by its own word, else by its service's.
 fn may_repeat(item: &batch_item::BatchItem, bundle: &bundle::BundleView) -> bool {
     if protection::is_out("intent") {
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -128,22 +128,29 @@
     }
 }
 
+/// Refuses a file of which nothing can run; single items that nobody serves
+/// get their error lines when the job runs.
 fn check_services(
     context: &context::GatewayContext,
     file: &files::FileRecord,
 ) -> error::ApiResult<()> {
     let bundle = context.fleet.snapshot().bundle.clone();
-    let known = |name: &ids::ServiceName| bundle.has_model(name) || bundle.service(name).is_some();
-    match file.services.iter().find(|name| !known(name)) {
-        None => Ok(()),
-        Some(name) => {
-            let message = format!("the file has items for '{name}', which is not served");
-            Err(error::ApiError::not_run(
-                error::ErrorCode::NotFound,
-                message,
-            ))
-        }
+    if file.services.iter().any(|name| bundle.serves(name)) {
+        return Ok(());
     }
+    let names: Vec<_> = file
+        .services
+        .iter()
+        .map(|name| format!("'{name}'"))
+        .collect();
+    let message = format!(
+        "all items of the file are for {}, which nobody serves",
+        names.join(", ")
+    );
+    Err(error::ApiError::not_run(
+        error::ErrorCode::NotFound,
+        message,
+    ))
 }
 
 fn new_manifest(
--- a/tests/batch_failures.rs
+++ b/tests/batch_failures.rs
@@ -256,3 +256,33 @@
         .send(Method::GET, "/v1/batches?limit=1", &[], Vec::new());
     assert_eq!(listed.expect("jobs are listed").json()["data"][0]["id"], id);
 }
+
+#[test]
+fn an_item_for_an_unknown_model_gets_its_error_line_and_the_others_run() {
+    let fleet = support::ProcessFleet::start(&support::FleetSize::default());
+    let caller = fleet.caller(0);
+    let mut items = support::letters(20, TOKENS);
+    let unknown = serde_json::json!({
+        "custom_id": "nobody", "method": "POST", "url": "/v1/chat/completions",
+        "body": {"model": "no-such-model", "messages": [{"role": "user", "content": "x"}]},
+    });
+    items.push_str(&format!("{unknown}\n"));
+    let file = caller.upload(&items);
+    let job = caller
+        .submit(&file, "/v1/chat/completions", "unknown-model")
+        .expect("it is answered");
+    assert_eq!(job.status, 200, "{}", job.json());
+    let job = caller.wait_job(job.json()["id"].as_str().expect("it has a name"));
+    assert_eq!(job["status"], "completed");
+    let errors = caller.results(&job["error_file_id"]);
+    assert_eq!(errors.len(), 1);
+    assert_eq!(errors["nobody"]["error"]["code"], "not_found");
+    let results = caller.results(&job["output_file_id"]);
+    support::check_letters(&results, 20, TOKENS);
+    // A file of which nothing can run is refused whole.
+    let file = caller.upload(&format!("{unknown}\n"));
+    let refused = caller
+        .submit(&file, "/v1/chat/completions", "nothing-runs")
+        .expect("it is answered");
+    assert_eq!(refused.status, 404);
+}
