fix(serving): connections that fall silent are given up together

Cause: after a while without a reset, as behind a lost path, each idle connection to the store or an endpoint cost one timeout of its own: three of them took all of the 3 s that an acceptance has, which ended as 504. Ruled out: the writes themselves (on a new connection they were answered). Change: a connection that does not answer in time takes the idle ones to the same address with it.

--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -52,7 +52,11 @@
     let incoming = match tokio::time::timeout(head_patience, exchange).await {
         Ok(Ok(incoming)) => incoming,
         Ok(Err(ended)) => return ended,
-        Err(_) => return O::Unknown(format!("no answer within {} ms", head_patience.as_millis())),
+        Err(_) => {
+            context.pool.forget(endpoint.address);
+            let why = format!("no answer within {} ms", head_patience.as_millis());
+            return O::Unknown(why);
+        }
     };
     classify(context, endpoint, request, incoming)
 }
--- a/src/serving/connection_pool.rs
+++ b/src/serving/connection_pool.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Closes the idle connections to an address: one of them fell silent, and
+    /// the others may have with it.
+    pub fn forget(&self, address: net::SocketAddr) {
+        let list = self.idle.borrow_mut().remove(&address);
+        let closed = list.map_or(0, |list| list.len());
+        self.count.set(self.count.get() - closed);
+    }
+
     /// Closes the connections that will not be used again.
     pub fn sweep(&self) {
         let now = time::Instant::now();
