--- a/src/serving/job_acceptance.rs
+++ b/src/serving/job_acceptance.rs
@@ -11,6 +11,7 @@
 const PEERS_ASKED: usize = 2;
 /// Pause between tries of a write whose outcome is not known.
 const ACCEPT_RETRY: time::Duration = time::Duration::from_millis(150);
+
 /// What is known of a submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Acceptance {
