--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -206,7 +206,9 @@
         loads: &selection::LoadBoard,
         now: clock::Moment,
     ) -> collections::HashSet<ids::EndpointId> {
-        loads.shunned(self.ledgers.len(), |id| self.ledgers.contains_key(id), now)
+        let is_owned = |id: &ids::EndpointId| self.ledgers.contains_key(id);
+        let scope = selection::ShunScope::Owned(self.ledgers.len(), is_owned);
+        loads.shunned(scope, now)
     }
 
     /// Batch streams that a peer may begin, up to `count`.
