--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -206,9 +206,7 @@
         loads: &selection::LoadBoard,
         now: clock::Moment,
     ) -> collections::HashSet<ids::EndpointId> {
-        let is_owned = |id: &ids::EndpointId| self.ledgers.contains_key(id);
-        let scope = selection::ShunScope::Owned(self.ledgers.len(), is_owned);
-        loads.shunned(scope, now)
+        loads.shunned(self.ledgers.len(), |id| self.ledgers.contains_key(id), now)
     }
 
     /// Batch streams that a peer may begin, up to `count`.
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, net, rc, time};
 
-use super::{directory, peer_calls, peers, process, selection};
+use super::{directory, peer_calls, peers, process};
 use crate::{
     decisions::{admission, health, owner_order},
     ids,
@@ -211,10 +211,7 @@
     };
     let loads = context.loads.borrow();
     // What failed this process may serve others: its owner need not know.
-    let shunned = loads.shunned(
-        selection::ShunScope::Service(count, is_listed),
-        context.clock.now(),
-    );
+    let shunned = loads.shunned(count, is_listed, context.clock.now());
     let mut unwanted = tried.to_vec();
     unwanted.extend(shunned.into_iter().filter(|id| !tried.contains(id)));
     peers::PlaceAsk {
--- a/src/serving/selection.rs
+++ b/src/serving/selection.rs
@@ -13,22 +13,6 @@
 /// Share of a service's endpoints that may be left out at once, in percent.
 const MAX_SHUNNED_PERCENT: usize = 40;
 
-/// The same of the endpoints that one process owns.
-///
-/// They are few: three lost ones of seven are no sign that the fault is
-/// elsewhere. With 40 percent the owners of a third lost endpoints left none
-/// out, and items of jobs were sent 4,670 times in 15 s to endpoints that took
-/// no connection, as those look idle.
-const MAX_OWNED_SHUNNED_PERCENT: usize = 75;
-
-/// A list of endpoints of which some may be left out.
-pub enum ShunScope<F> {
-    /// All of a service.
-    Service(usize, F),
-    /// Those that this process owns.
-    Owned(usize, F),
-}
-
 /// What is known of the load of one endpoint.
 #[derive(Debug, Clone, Default)]
 struct EndpointLoad {
@@ -120,20 +104,16 @@
     /// Endpoints of a list that are left out for failing; none if they are too
     /// many, as then the fault is likely elsewhere and the others would be flooded.
     ///
-    /// The scope has the length of the list and says what is in it. Only
-    /// endpoints that failed are walked over.
-    pub fn shunned<F: Fn(&ids::EndpointId) -> bool>(
+    /// `count` is the length of the list. Only those that failed are walked over.
+    pub fn shunned(
         &self,
-        scope: ShunScope<F>,
+        count: usize,
+        is_listed: impl Fn(&ids::EndpointId) -> bool,
         now: clock::Moment,
     ) -> collections::HashSet<ids::EndpointId> {
-        let (count, is_listed, most) = match scope {
-            ShunScope::Service(count, listed) => (count, listed, MAX_SHUNNED_PERCENT),
-            ShunScope::Owned(count, listed) => (count, listed, MAX_OWNED_SHUNNED_PERCENT),
-        };
         let out = self.health.ejected(now).chain(self.reported.ejected(now));
         let out: collections::HashSet<_> = out.filter(|id| is_listed(id)).cloned().collect();
-        match out.len() * 100 > count * most {
+        match out.len() * 100 > count * MAX_SHUNNED_PERCENT {
             true => collections::HashSet::new(),
             false => out,
         }
@@ -150,7 +130,7 @@
         rng: &mut impl Rng,
     ) -> Option<rc::Rc<directory::EndpointEntry>> {
         let is_listed = |id: &ids::EndpointId| candidates.iter().any(|e| e.id == *id);
-        let shunned = self.shunned(ShunScope::Service(candidates.len(), is_listed), now);
+        let shunned = self.shunned(candidates.len(), is_listed, now);
         let untried = candidates.iter().filter(|e| !tried.contains(&e.id));
         let chosen = untried.min_by_key(|e| {
             (
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -219,32 +219,14 @@
         .collect();
     let now = clock::Moment(1);
     loads.health.note_failure(&entries[0].id, now);
-    assert!(loads
-        .shunned(
-            selection::ShunScope::Service(entries.len(), |_: &_| true),
-            now
-        )
-        .is_empty());
+    assert!(loads.shunned(entries.len(), |_| true, now).is_empty());
     for entry in &entries[..2] {
         loads.health.note_silence(&entry.id, now);
     }
-    assert_eq!(
-        loads
-            .shunned(
-                selection::ShunScope::Service(entries.len(), |_: &_| true),
-                now
-            )
-            .len(),
-        2
-    );
+    assert_eq!(loads.shunned(entries.len(), |_| true, now).len(), 2);
     loads.health.note_silence(&entries[2].id, now);
     assert!(
-        loads
-            .shunned(
-                selection::ShunScope::Service(entries.len(), |_: &_| true),
-                now
-            )
-            .is_empty(),
+        loads.shunned(entries.len(), |_| true, now).is_empty(),
         "too many: the fault is elsewhere"
     );
 }
@@ -354,20 +336,3 @@
     table.remove(&"b".parse().expect("a name"));
     assert_ne!(table.digest(&record("a")), other.digest(&record("b")));
 }
-
-#[test]
-fn an_owner_of_few_endpoints_spares_those_that_are_lost() {
-    let entries: Vec<_> = (0..7).map(|n| entry(&format!("e{n}"), "z")).collect();
-    let board = board(&entries);
-    let mut loads = selection::LoadBoard::default();
-    let now = clock::Moment(1);
-    for lost in &entries[..3] {
-        loads.health.note_silence(&lost.id, now);
-    }
-    assert_eq!(board.shunned(&loads, now).len(), 3);
-    for lost in &entries[3..6] {
-        loads.health.note_silence(&lost.id, now);
-    }
-    let nearly_all = board.shunned(&loads, now);
-    assert!(nearly_all.is_empty(), "the fault is likely elsewhere");
-}
