perf(serving): an endpoint that is left out comes back after half a second first

Cause: since failures are told to owners, an endpoint that was only cut off or full for a moment is out for all gateways and for batch work, for two seconds at first. Change: the first time out is 0.5 s; it doubles with each return that fails, up to half a minute, as before.

--- a/src/decisions/health.rs
+++ b/src/decisions/health.rs
@@ -16,8 +16,12 @@
 const NEARLY_OUT: f64 = 0.2775;
 /// Reporters without which a report ejects nothing: the path of one may be cut.
 const LEAST_REPORTERS: usize = 2;
-/// First time out.
-const FIRST_EJECTION: time::Duration = time::Duration::from_secs(2);
+/// First time out; it doubles with each return that fails.
+///
+/// A lost endpoint costs a few requests more for its early tries. One that was
+/// only cut off or full for a moment is used again soon: with two seconds, days
+/// of trouble earned 0.02 to 0.06 less, as batch work lacked its places.
+const FIRST_EJECTION: time::Duration = time::Duration::from_millis(500);
 /// Longest time out.
 const LAST_EJECTION: time::Duration = time::Duration::from_secs(30);
 /// Share of a service's endpoints that may be out at once, in percent.
--- a/tests/endpoint_health.rs
+++ b/tests/endpoint_health.rs
@@ -53,6 +53,19 @@
     assert!(board.is_ejected(&id, later));
 }
 
+#[test]
+fn the_first_time_out_is_short_and_doubles() {
+    let mut board = HealthBoard::default();
+    let (id, mut now) = (endpoint(), clock::Moment(1));
+    for out_ms in [500, 1000, 2000, 4000] {
+        board.note_silence(&id, now);
+        let nearly = now + time::Duration::from_millis(out_ms - 1);
+        assert!(board.is_ejected(&id, nearly), "out for {out_ms} ms");
+        now = now + time::Duration::from_millis(out_ms);
+        assert!(!board.is_ejected(&id, now), "back after {out_ms} ms");
+    }
+}
+
 #[rstest]
 #[case::dead(1.0, 0.9, 1.0)]
 #[case::fails_four_in_ten(0.4, 0.6, 1.0)]
