fix(platform): a store that comes back from silence is seen at once, and versions travel both ways

After a failure a follower asked again with a call that may wait 6 s; sent into the silent store it was never answered, and until its end the desired state was not read. Processes learned versions only from answers to their own probes, and only the first owner by name read for all. Ruled out: hang-ups (4 s later), lapsed watches of followers (linked and answering), digests (the version travels beside them).

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -8,10 +8,16 @@
 /// Longest wait for a peer's desired state or list.
 const BELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Pause between two readings of the beliefs; a change is to be in force within 2 s.
+/// Least time between two questions for the desired state. An answer takes 1 to
+/// 4 ms; a peer that gives none is passed over at the next sign of life.
+const STATE_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+/// Pause between two readings of the desired state; with a probe and a question
+/// a change is in force within a second though all watches stay silent, half of
+/// the least time that is allowed for it.
 const REFRESH_PAUSE: time::Duration = time::Duration::from_millis(600);
 
-/// Every so many of these readings is of the list, the others of the desired state.
+/// The list of endpoints is read at every so many of these readings too.
 const LIST_ROUNDS: u32 = 3;
 
 /// How long a peer's newer list must differ before the own one is read anew:
@@ -55,7 +61,11 @@
             actix_rt::time::sleep(MEMBER_RETRY).await;
             continue;
         }
-        let answer = context.store.watch(&[&prefix], since, MEMBER_WAIT).await;
+        let answer = context.store.watch(&[&prefix], since, MEMBER_WAIT);
+        let answer = tokio::select! {
+            answer = answer => answer,
+            () = context.fleet.source_return() => continue,
+        };
         match answer {
             Ok(answer) => {
                 let is_first = since.0 == 0;
@@ -164,7 +174,19 @@
     }
 }
 
-pub(super) fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
+/// Takes the signs of life of a peer that probes this process.
+pub(super) fn take_probe(context: &rc::Rc<process::ProcessContext>, hello: &peers::PeerHello) {
+    hear(context, hello);
+    if hello.version <= context.fleet.table().version() {
+        return;
+    }
+    let address = context.members.borrow().address_of(&hello.id);
+    let Some(address) = address else { return };
+    let (context, hello) = (context.clone(), hello.clone());
+    actix_rt::spawn(async move { learn_state(&context, address, &hello).await });
+}
+
+fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
     let now = context.clock.now();
     let signs = members::LifeSigns {
         leaving: hello.leaving,
@@ -185,22 +207,7 @@
     peer: net::SocketAddr,
     hello: &peers::PeerHello,
 ) {
-    if hello.version > context.fleet.table().version() {
-        match context.links.desired_state(peer, BELIEF_TIMEOUT).await {
-            Ok(text) => match serde_json::from_str(&text) {
-                Ok(state) => {
-                    log::info!(
-                        "event=state_from_peer peer={} version={}",
-                        hello.id,
-                        hello.version
-                    );
-                    context.fleet.take(fleet_source::FleetNews::State(state));
-                }
-                Err(e) => log::warn!("event=peer_state_unreadable peer={} why=\"{e}\"", hello.id),
-            },
-            Err(e) => log::info!("event=peer_state_missing peer={} why=\"{e}\"", hello.id),
-        }
-    }
+    learn_state(context, peer, hello).await;
     if !hello.follows_store {
         return;
     }
@@ -226,6 +233,36 @@
     }
 }
 
+/// Takes the desired state of a peer that has a newer one.
+async fn learn_state(
+    context: &process::ProcessContext,
+    peer: net::SocketAddr,
+    hello: &peers::PeerHello,
+) {
+    let now = context.clock.now();
+    let lately = |at| now.since(at) < STATE_PAUSE;
+    let is_known = hello.version <= context.fleet.table().version();
+    if is_known || context.state_asked.get().is_some_and(lately) {
+        return;
+    }
+    context.state_asked.set(Some(now));
+    let text = match context.links.desired_state(peer, BELIEF_TIMEOUT).await {
+        Ok(text) => text,
+        Err(e) => {
+            log::info!("event=peer_state_missing peer={} why=\"{e}\"", hello.id);
+            return;
+        }
+    };
+    match serde_json::from_str(&text) {
+        Ok(state) => {
+            let (id, version) = (&hello.id, hello.version);
+            log::info!("event=state_from_peer peer={id} version={version}");
+            context.fleet.take(fleet_source::FleetNews::State(state));
+        }
+        Err(e) => log::warn!("event=peer_state_unreadable peer={} why=\"{e}\"", hello.id),
+    }
+}
+
 /// Takes the records of processes from a peer that follows the store.
 async fn learn_members(
     context: &process::ProcessContext,
@@ -276,19 +313,34 @@
 /// A watch may stay silent without being cut; the others learn of what is
 /// found here by the probes.
 pub(super) async fn refresh_beliefs(context: rc::Rc<process::ProcessContext>) {
+    use fleet_source::RefreshKind as K;
+
     let mut round = 0_u32;
     loop {
         actix_rt::time::sleep(REFRESH_PAUSE).await;
-        let first = context.owners().first().map(|o| o.id.clone());
-        let is_first = first.as_ref() == Some(context.id());
-        if !is_first || !context.fleet.is_following() {
+        if !is_reader(&context) {
             continue;
         }
         round = round.wrapping_add(1);
-        let what = match round.is_multiple_of(LIST_ROUNDS) {
-            true => fleet_source::RefreshKind::Endpoints,
-            false => fleet_source::RefreshKind::State,
-        };
-        context.source.refresh(what, context.fleet.clone()).await;
+        let model = || context.fleet.clone();
+        context.source.refresh(K::State, model()).await;
+        if round.is_multiple_of(LIST_ROUNDS) {
+            context.source.refresh(K::Endpoints, model()).await;
+        }
     }
 }
+
+/// Whether this process reads for all: the first of the owners that follow the
+/// store, as the first of all may be cut off from it.
+fn is_reader(context: &process::ProcessContext) -> bool {
+    let owners = context.owners();
+    let now = context.clock.now();
+    let members = context.members.borrow();
+    let mut followers = owners
+        .iter()
+        .filter(|owner| match owner.id == *context.id() {
+            true => context.fleet.is_following(),
+            false => members.follows(&owner.id, now),
+        });
+    followers.next().is_some_and(|o| o.id == *context.id())
+}
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, collections, rc, sync, time};
 
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 use super::{directory, fleet_source, route_table};
 use crate::{clock, ids, protection};
@@ -26,6 +26,7 @@
     follows: cell::Cell<bool>,
     retiring: cell::RefCell<collections::BTreeSet<ids::InstanceId>>,
     changes: watch::Sender<u64>,
+    returned: Notify,
 }
 
 impl FleetModel {
@@ -41,6 +42,7 @@
             follows: cell::Cell::new(true),
             retiring: cell::RefCell::default(),
             changes: watch::Sender::new(0),
+            returned: Notify::new(),
         }
     }
 
@@ -86,6 +88,12 @@
         }
     }
 
+    /// Resolves when the source answers again after it failed: a watch that was
+    /// under way meanwhile may be dead without a reset, and is made anew.
+    pub async fn source_return(&self) {
+        self.returned.notified().await;
+    }
+
     /// Counts the changes of the endpoints and the orders.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
@@ -132,6 +140,7 @@
                 self.take_changes(revision, changes, gone_at);
             }
             N::Reachable(reachable) => self.note_reachable(reachable),
+            N::Returned => self.returned.notify_waiters(),
             N::Retire(id) => {
                 log::info!("event=retirement_asked instance={id}");
                 self.retiring.borrow_mut().insert(id);
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -77,7 +77,12 @@
             actix_rt::time::sleep(STORE_PAUSE).await;
             continue;
         }
-        match context.store.watch(&[&prefix], since, END_WAIT).await {
+        let answer = context.store.watch(&[&prefix], since, END_WAIT);
+        let answer = tokio::select! {
+            answer = answer => answer,
+            () = context.fleet.source_return() => continue,
+        };
+        match answer {
             Ok(answer) => {
                 since = store::ObjectRevision(answer.revision);
                 let ended = answer.changes.iter();
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -166,8 +166,14 @@
 
     /// Whether a live peer follows the store.
     pub fn hears_follower(&self, now: clock::Moment) -> bool {
-        let mut live = self.live(now);
-        live.any(|r| self.peers.get(&r.id).is_some_and(|p| p.signs.follows_store))
+        let mut peers = self.peers.keys();
+        peers.any(|id| self.follows(id, now))
+    }
+
+    /// Whether a peer is live and follows the store.
+    pub fn follows(&self, id: &ids::InstanceId, now: clock::Moment) -> bool {
+        let peer = self.peers.get(id);
+        peer.is_some_and(|peer| peer.signs.follows_store && self.is_live(peer, now))
     }
 
     /// Dispatchers that answer this process itself.
@@ -180,7 +186,7 @@
     /// Whether a process answers this process itself.
     pub fn hears(&self, id: &ids::InstanceId, now: clock::Moment) -> bool {
         let peer = self.peers.get(id);
-        peer.is_some_and(|peer| self.is_heard(peer, now) && !peer.signs.leaving)
+        peer.is_some_and(|peer| self.is_live(peer, now))
     }
 
     /// Dispatchers that do not answer this process but are heard by live peers:
@@ -244,9 +250,13 @@
         peer.heard.is_some_and(|at| now.since(at) < silence)
     }
 
+    fn is_live(&self, peer: &PeerState, now: clock::Moment) -> bool {
+        self.is_heard(peer, now) && !peer.signs.leaving
+    }
+
     /// Peers that answer and stay.
     pub fn live(&self, now: clock::Moment) -> impl Iterator<Item = &MemberRecord> {
-        let alive = move |peer: &&PeerState| self.is_heard(peer, now) && !peer.signs.leaving;
+        let alive = move |peer: &&PeerState| self.is_live(peer, now);
         self.peers.values().filter(alive).map(|peer| &peer.record)
     }
 
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -29,7 +29,7 @@
 
     match call {
         C::Probe(hello, sender) => {
-            beliefs::hear(context, &hello);
+            beliefs::take_probe(context, &hello);
             reply(sender, context.hello());
         }
         C::Acquire(ask, sender) => {
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -103,6 +103,8 @@
     pub(super) members_known: cell::Cell<bool>,
     /// When a peer was asked for the members.
     pub(super) members_asked: cell::Cell<Option<clock::Moment>>,
+    /// When a peer was asked for its desired state.
+    pub(super) state_asked: cell::Cell<Option<clock::Moment>>,
     /// Owners of places that were asked for on behalf of a peer that is cut off.
     pub relayed: cell::RefCell<lru::LruCache<admission::PermitNumber, net::SocketAddr>>,
     /// Whether this instance is to be emptied.
@@ -242,6 +244,7 @@
         owned_at: cell::Cell::new(None),
         members_known: cell::Cell::new(false),
         members_asked: cell::Cell::new(None),
+        state_asked: cell::Cell::new(None),
         relayed: cell::RefCell::new(lru::LruCache::new(MAX_RELAYED)),
         retiring: cell::Cell::new(false),
         stop_begun: cell::Cell::new(None),
