feat(jobs): the progress of items outlives their owner

The work began anew with 5 s of an 18 s window left. A restarted owner and its stand-in also ran the same jobs. Ruled out: admission of jobs (14 ms), places (free most of the time), commits (the store was away). Change: owners tell progress and uncommitted results every 0.5 s to the process that would own the job next, and to their own disk (whole file, hash, synced, thread of its own). A job that moves takes its progress along and stops at the old owner. A hint only: results count once they are in the store, chains of runs are never joined.

--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -3,8 +3,8 @@
 use std::{collections, rc, time};
 
 use super::{
-    directory, item_run, job_board, job_loans, job_records, job_upkeep, open_job, process,
-    ready_items,
+    directory, item_run, job_board, job_checkpoints, job_loans, job_records, job_upkeep, open_job,
+    process, ready_items,
 };
 use crate::{decisions::admission, ids};
 
@@ -60,6 +60,7 @@
         actix_rt::time::sleep(job_upkeep::STORE_PAUSE).await;
     }
     job.borrow_mut().knowledge = open_job::OwnerKnowledge::Current;
+    job_checkpoints::use_progress(&context, &job);
     context.jobs.work.notify_one();
 }
 
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -4,7 +4,8 @@
 
 use tokio::sync::watch;
 
-use super::{job_board::StreamKey, job_records, wire};
+use super::{job_board::StreamKey, job_checkpoints, job_records, wire};
+use crate::ids;
 
 /// How long results are gathered before they are committed, while their job has
 /// time: so long for each owner, between the least and the most.
@@ -27,6 +28,9 @@
 /// Bytes of results in one answer to a reader.
 const PAGE_BYTES: usize = 900_000;
 
+/// Stands for the events of an item whose result its reader has.
+const RESULT_TOLD: usize = usize::MAX;
+
 /// How far an item is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ItemPhase {
@@ -51,6 +55,10 @@
     pub failures: u32,
     /// How long its runs held places so far.
     pub spent: time::Duration,
+    /// Names the unbroken chain of runs that made `events`.
+    chain: u64,
+    /// Events that the process after the owner has as well.
+    pub(super) backed_up: usize,
     /// When it may start again.
     pub not_before: time::Instant,
 }
@@ -61,6 +69,21 @@
         self.phase == ItemPhase::Waiting && self.not_before <= now
     }
 
+    /// The progress beyond what its reader has, if there is any.
+    fn checkpoint(&self, index: usize, known: usize) -> Option<job_checkpoints::ItemCheckpoint> {
+        let news = self.events.get(known..).filter(|news| !news.is_empty())?;
+        Some(job_checkpoints::ItemCheckpoint {
+            index,
+            chain: self.chain,
+            skipped: known,
+            events: news.to_vec(),
+            state: None,
+            last_event: self.last_event,
+            failures: self.failures,
+            spent: self.spent,
+        })
+    }
+
     pub(super) fn new() -> Self {
         Self {
             phase: ItemPhase::Waiting,
@@ -68,6 +91,8 @@
             last_event: None,
             failures: 0,
             spent: time::Duration::ZERO,
+            chain: rand::random(),
+            backed_up: 0,
             not_before: time::Instant::now(),
         }
     }
@@ -110,6 +135,8 @@
     /// How far this process knows what earlier owners did; nothing runs before.
     pub knowledge: OwnerKnowledge,
     pub(super) committing: bool,
+    /// Who has the progress of the items as well.
+    backup: Option<ids::InstanceId>,
     pub(super) read_at: Option<time::Instant>,
     pub(super) changed: watch::Sender<usize>,
 }
@@ -132,6 +159,7 @@
             is_known: false,
             knowledge: OwnerKnowledge::Outdated,
             committing: false,
+            backup: None,
             read_at: None,
             changed: watch::Sender::new(0),
         }
@@ -173,6 +201,102 @@
         self.pending.push(wire::ItemResult { id, state, output });
     }
 
+    /// The progress of the items beyond what their reader has of each, and the
+    /// results that are not in the store yet.
+    pub fn checkpoint(
+        &self,
+        known: impl Fn(&ItemProgress) -> usize,
+    ) -> job_checkpoints::JobCheckpoint {
+        let items = self.items.iter().enumerate();
+        let news = items.filter_map(|(index, item)| match item.phase {
+            ItemPhase::Done => self.result_checkpoint(index, known(item)),
+            _ => item.checkpoint(index, known(item)),
+        });
+        job_checkpoints::JobCheckpoint {
+            job: self.record.id.clone(),
+            items: news.collect(),
+        }
+    }
+
+    /// The result of an item, unless it is in the store or its reader has it.
+    fn result_checkpoint(
+        &self,
+        index: usize,
+        known: usize,
+    ) -> Option<job_checkpoints::ItemCheckpoint> {
+        let item = &self.items[index];
+        if known == RESULT_TOLD {
+            return None;
+        }
+        let id = &self.record.items[index].id;
+        let result = self.pending.iter().find(|result| result.id == *id)?;
+        Some(job_checkpoints::ItemCheckpoint {
+            index,
+            chain: item.chain,
+            skipped: 0,
+            events: vec![result.output.clone()],
+            state: Some(result.state),
+            last_event: item.last_event,
+            failures: item.failures,
+            spent: item.spent,
+        })
+    }
+
+    /// Says who is told the progress of the items from now on.
+    pub(super) fn set_backup(&mut self, peer: &ids::InstanceId) {
+        if self.backup.as_ref() == Some(peer) {
+            return;
+        }
+        self.backup = Some(peer.clone());
+        for item in &mut self.items {
+            item.backed_up = 0;
+        }
+    }
+
+    /// Notes whether a peer took a checkpoint; what it did not take it has not at all.
+    pub(super) fn note_backed_up(
+        &mut self,
+        peer: &ids::InstanceId,
+        told: &[job_checkpoints::ToldItem],
+        is_kept: bool,
+    ) {
+        if self.backup.as_ref() != Some(peer) {
+            return;
+        }
+        for told in told {
+            if let Some(item) = self.items.get_mut(told.index) {
+                item.backed_up = match (is_kept, told.is_result) {
+                    (false, _) => 0,
+                    (true, true) => RESULT_TOLD,
+                    (true, false) => told.events,
+                };
+            }
+        }
+    }
+
+    /// Lets an item that waits go on from a checkpoint, if that is further;
+    /// says whether it does.
+    pub(super) fn go_on_from(&mut self, from: job_checkpoints::ItemCheckpoint) -> bool {
+        let index = from.index;
+        let Some(item) = self.items.get_mut(index) else {
+            return false;
+        };
+        let is_further = from.state.is_some() || from.events.len() > item.events.len();
+        if item.phase != ItemPhase::Waiting || !is_further || from.skipped > 0 {
+            return false;
+        }
+        item.events = from.events;
+        item.chain = from.chain;
+        item.backed_up = 0;
+        item.last_event = from.last_event;
+        item.failures = item.failures.max(from.failures);
+        item.spent = item.spent.max(from.spent);
+        if let Some(state) = from.state {
+            self.finish(index, state);
+        }
+        true
+    }
+
     pub(super) fn page(&self, after: usize) -> wire::ResultPage {
         let mut bytes = 0;
         let rest = self.committed.iter().skip(after);
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, rc, time};
 
-use super::{members, process};
+use super::{job_checkpoints, members, process};
 use crate::{clock, decisions::ownership, ids};
 
 /// How often beliefs with an age are looked at.
@@ -126,6 +126,7 @@
         refresh_owned(context);
     }
     if changed {
+        job_checkpoints::hand_over_moved(context);
         context.jobs.owners_changed.notify_one();
     }
 }
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -4,7 +4,10 @@
 
 use tokio::sync::mpsc;
 
-use super::{beliefs, job_calls, job_records, job_runner, job_sponsor, peers, places, process};
+use super::{
+    beliefs, job_calls, job_checkpoints, job_records, job_runner, job_sponsor, peers, places,
+    process,
+};
 use crate::{decisions::admission, ids, store};
 
 /// Answers the calls of peers.
@@ -63,6 +66,9 @@
             reply(sender, records);
         }
         C::TakeJob(record, sender) => reply(sender, job_runner::take_job(context, record)),
+        C::KeepProgress(news, sender) => {
+            reply(sender, job_checkpoints::take_progress(context, news));
+        }
         C::ReadResults(ask, sender) => {
             let context = context.clone();
             actix_rt::spawn(async move {
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -5,7 +5,7 @@
 use tokio_util::codec::length_delimited;
 
 use super::{
-    directory, job_records, members,
+    directory, job_checkpoints, job_records, members,
     peers::{
         EndpointReport, LoanAsk, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk, PlaceRelease,
         ResultAsk, StreamLoan, WriteOutcome,
@@ -184,6 +184,19 @@
         call_peer!(self, peer, patience, take_job(record))
     }
 
+    /// Hands the progress of a job over; says whether it fits to what came before.
+    ///
+    /// # Errors
+    /// The peer does not answer.
+    pub async fn keep_progress(
+        &self,
+        peer: net::SocketAddr,
+        news: job_checkpoints::JobCheckpoint,
+        patience: time::Duration,
+    ) -> Result<bool, PeerError> {
+        call_peer!(self, peer, patience, keep_progress(news))
+    }
+
     /// Reads committed results.
     ///
     /// # Errors
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -7,7 +7,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    directory, job_records, members,
+    directory, job_checkpoints, job_records, members,
     peer_links::{frames, RECONNECT_PAUSE},
     peers::{
         EndpointReport, LoanAsk, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk,
@@ -79,6 +79,14 @@
         self.ask(|reply| PeerCall::TakeJob(record, reply)).await
     }
 
+    async fn keep_progress(
+        self,
+        _: tarpc::context::Context,
+        news: job_checkpoints::JobCheckpoint,
+    ) -> Option<bool> {
+        self.ask(|reply| PeerCall::KeepProgress(news, reply)).await
+    }
+
     async fn read_results(
         self,
         _: tarpc::context::Context,
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -1,12 +1,13 @@
 //! One process of the system: its parts, its peers, its start and its stop.
 
-use std::{cell, collections, io, net, num, rc, sync, time};
+use std::{cell, collections, io, net, num, path, rc, sync, time};
 
 use tokio::sync::{mpsc, watch};
 
 use super::{
-    beliefs, connection_pool, fleet_model, fleet_source, job_board, job_runner, listener, members,
-    metrics_page, owners, peer_calls, peer_links, peer_server, peers, permits, selection, wire,
+    beliefs, checkpoint_file, connection_pool, fleet_model, fleet_source, job_board,
+    job_checkpoints, job_runner, listener, members, metrics_page, owners, peer_calls, peer_links,
+    peer_server, peers, permits, selection, wire,
 };
 use crate::{
     clock,
@@ -49,6 +50,8 @@
     pub metrics: Option<net::SocketAddr>,
     /// Time from the wish to stop to the end, at most.
     pub grace: time::Duration,
+    /// Folder on the instance's disk, if it has one.
+    pub data_folder: Option<path::PathBuf>,
 }
 
 /// The borders of a process.
@@ -91,6 +94,10 @@
     pub permits: cell::RefCell<permits::PermitBoard>,
     /// Jobs that are run or read here.
     pub jobs: job_board::JobBoard,
+    /// Progress of jobs that other processes run.
+    pub checkpoints: job_checkpoints::CheckpointBoard,
+    /// Where the progress of jobs that run here goes, on an instance with a disk.
+    pub(super) checkpoint_file: Option<checkpoint_file::CheckpointFile>,
     /// Who may own endpoints and jobs now.
     pub(super) owners: cell::RefCell<rc::Rc<Vec<ownership::OwnerCandidate>>>,
     /// Places that owners said they could give.
@@ -224,6 +231,8 @@
 ) -> io::Result<()> {
     let calls = peer_server::serve(options.internal)?;
     let begun = borders.clock.now();
+    let checkpoints = job_checkpoints::CheckpointBoard::default();
+    let checkpoint_file = open_checkpoints(&options, &checkpoints);
     let context = rc::Rc::new(ProcessContext {
         fleet: rc::Rc::new(fleet_model::FleetModel::new(borders.clock.clone())),
         options,
@@ -238,6 +247,8 @@
         links: peer_links::PeerLinks::default(),
         permits: cell::RefCell::default(),
         jobs: job_board::JobBoard::default(),
+        checkpoints,
+        checkpoint_file,
         owners: cell::RefCell::default(),
         rooms: cell::RefCell::default(),
         last_hello: cell::RefCell::default(),
@@ -269,6 +280,7 @@
     actix_rt::spawn(owners::tick(context.clone()));
     actix_rt::spawn(owners::follow_orders(context.clone()));
     job_runner::start(&context);
+    actix_rt::spawn(job_checkpoints::tell_progress(context.clone()));
     if stop.recv().await.is_none() {
         log::warn!("event=stop_channel_closed");
     }
@@ -276,6 +288,27 @@
     Ok(())
 }
 
+/// Reads the progress of the process before this one, and starts to keep its own.
+fn open_checkpoints(
+    options: &ProcessOptions,
+    board: &job_checkpoints::CheckpointBoard,
+) -> Option<checkpoint_file::CheckpointFile> {
+    let folder = options.data_folder.clone()?;
+    match checkpoint_file::read(&folder) {
+        Ok(jobs) => {
+            log::info!("event=progress_read jobs={}", jobs.len());
+            for job in jobs {
+                board.take(job);
+            }
+        }
+        Err(e) => log::info!("event=progress_unread why=\"{e}\""),
+    }
+    let started = checkpoint_file::CheckpointFile::start(folder);
+    started
+        .inspect_err(|e| log::warn!("event=progress_unwritten why=\"{e}\""))
+        .ok()
+}
+
 /// Ends once the last request ended and all jobs are handed back, or the grace is over.
 async fn stop_gracefully(context: &rc::Rc<ProcessContext>) {
     log::info!("event=stopping active={}", context.active.get());
--- /dev/null
+++ b/tests/job_checkpoints.rs
@@ -0,0 +1,56 @@
+//! Progress kept for peers: chains of runs are never joined, and memory is bounded.
+
+use std::time;
+
+use jayhollow::serving::job_checkpoints::{CheckpointBoard, ItemCheckpoint, JobCheckpoint};
+
+fn news(chain: u64, skipped: usize, events: usize) -> JobCheckpoint {
+    let data = |n: usize| format!("chain {chain} event {}", skipped + n + 1);
+    JobCheckpoint {
+        job: "job-1".parse().expect("a name"),
+        items: vec![ItemCheckpoint {
+            index: 0,
+            chain,
+            skipped,
+            events: (0..events).map(data).collect(),
+            state: None,
+            last_event: Some((skipped + events) as u64),
+            failures: 0,
+            spent: time::Duration::ZERO,
+        }],
+    }
+}
+
+#[rstest::rstest]
+#[case::first(&[(1, 0, 3)], true)]
+#[case::next(&[(1, 0, 3), (1, 3, 2)], true)]
+#[case::again(&[(1, 0, 3), (1, 2, 2)], true)]
+#[case::nothing_before(&[(1, 3, 2)], false)]
+#[case::a_gap(&[(1, 0, 3), (1, 4, 2)], false)]
+#[case::another_chain(&[(1, 0, 3), (2, 3, 2)], false)]
+#[case::another_chain_that_is_further(&[(1, 0, 3), (2, 0, 5)], true)]
+#[case::another_chain_that_is_not(&[(1, 0, 3), (2, 0, 2)], false)]
+#[case::after_it(&[(1, 0, 3), (2, 0, 2), (2, 2, 4)], false)]
+fn what_does_not_fit_is_asked_for_in_whole(
+    #[case] told: &[(u64, usize, usize)],
+    #[case] last_is_kept: bool,
+) {
+    let board = CheckpointBoard::default();
+    let kept = told.iter().map(|(c, s, e)| board.take(news(*c, *s, *e)));
+    assert_eq!(kept.last(), Some(last_is_kept));
+}
+
+#[test]
+fn what_is_kept_is_bounded() {
+    let board = CheckpointBoard::default();
+    for n in 0..40 {
+        let mut job = news(1, 0, 1);
+        job.job = format!("job-{n}").parse().expect("a name");
+        job.items[0].events = vec!["x".repeat(1 << 20)];
+        board.take(job);
+    }
+    board.trim();
+    assert!(board.len() < 8, "{} jobs of a megabyte each", board.len());
+    board.forget(&"job-39".parse().expect("a name"));
+    assert!(!board.is_empty());
+}
