perf(serving): a process that starts finds its peers and its jobs at once

Ruled out: reading the members (10 ms), the store (answered at once). Change: probes wait for their link and go out when members are learned; jobs are adopted as soon as all listed dispatchers were heard; a gateway owns nothing before it knows the members.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -74,6 +74,7 @@
                 for change in answer.changes {
                     take_member(&context, &prefix, change);
                 }
+                context.members_news.notify_one();
                 if is_first {
                     actix_rt::time::sleep(FIRST_WATCH_PAUSE).await;
                 }
@@ -121,7 +122,12 @@
             actix_rt::spawn(probe(context.clone(), record));
         }
         round = round.wrapping_add(1);
-        actix_rt::time::sleep(members::PROBE_PAUSE).await;
+        // New peers are probed at once: the first second after a start is spent
+        // without owners until they have answered.
+        tokio::select! {
+            () = actix_rt::time::sleep(members::PROBE_PAUSE) => {}
+            () = context.members_news.notified() => {}
+        }
     }
 }
 
@@ -158,6 +164,7 @@
 }
 
 async fn probe(context: rc::Rc<process::ProcessContext>, record: members::MemberRecord) {
+    context.links.settle(record.address).await;
     let hello = context.hello();
     let answer = context
         .links
@@ -287,6 +294,7 @@
             records.retain(|r| r.id != own.id);
             let now = context.clock.now();
             context.members.borrow_mut().merge(records, now);
+            context.members_news.notify_one();
         }
         Err(e) => log::info!("event=peer_members_missing peer={} why=\"{e}\"", hello.id),
     }
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -2,17 +2,21 @@
 
 use std::{rc, time};
 
-use super::{job_records, job_runner, open_job, process};
+use super::{job_records, job_runner, members, open_job, process};
 use crate::{ids, platform, store};
 
 /// Wait after a change of owners before the store is searched for their jobs:
 /// the gateways that accepted them hand most of them over first.
 const ADOPT_PAUSE: time::Duration = time::Duration::from_millis(700);
 
-/// Age from which a process searches the store: before, it has not heard its
-/// peers and would run their jobs a second time.
+/// Age from which a process searches the store though it has not heard all
+/// dispatchers that are listed: it would run their jobs a second time, unless
+/// they are lost.
 const ADOPT_AGE: time::Duration = time::Duration::from_millis(1500);
 
+/// How often a process that has just started looks whether it heard them.
+const ADOPT_LOOK: time::Duration = time::Duration::from_millis(25);
+
 /// Pause after the store did not answer.
 pub(super) const STORE_PAUSE: time::Duration = time::Duration::from_millis(700);
 
@@ -29,10 +33,7 @@
 pub(super) async fn adopt_jobs(context: rc::Rc<process::ProcessContext>) {
     loop {
         context.jobs.owners_changed.notified().await;
-        actix_rt::time::sleep(ADOPT_PAUSE).await;
-        while context.age() < ADOPT_AGE {
-            actix_rt::time::sleep(ADOPT_PAUSE).await;
-        }
+        wait_for_owners(&context).await;
         let is_owner = context.owners().iter().any(|o| o.id == *context.id());
         if !is_owner {
             continue;
@@ -44,6 +45,30 @@
     }
 }
 
+/// Waits until the owners of jobs are known, and handed over what they were handed.
+///
+/// Of a process that has just started, the others may have as well: then nobody
+/// hands jobs over, and each moment is one of work on none of them. When all
+/// had lost their power, jobs began 2.1 s after the start, and 0.9 s without
+/// the pause.
+async fn wait_for_owners(context: &rc::Rc<process::ProcessContext>) {
+    if context.age() >= ADOPT_AGE {
+        return actix_rt::time::sleep(ADOPT_PAUSE).await;
+    }
+    while context.age() < ADOPT_AGE && !hears_dispatchers(context) {
+        actix_rt::time::sleep(ADOPT_LOOK).await;
+    }
+}
+
+/// Whether all dispatchers that are listed have answered this process.
+fn hears_dispatchers(context: &process::ProcessContext) -> bool {
+    let members = context.members.borrow();
+    let mut dispatchers = members
+        .records()
+        .filter(|r| r.role == members::MemberRole::Dispatcher);
+    context.members_known.get() && dispatchers.all(|r| members.was_heard(&r.id))
+}
+
 async fn adopt(context: &rc::Rc<process::ProcessContext>) -> store::StoreResult<()> {
     let prefix = format!("{}/", job_records::JOB_KIND);
     let found = store::list_all(context.store.as_ref(), &prefix).await?;
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -105,8 +105,10 @@
 pub(super) fn refresh_owners(context: &rc::Rc<process::ProcessContext>) {
     let now = context.clock.now();
     let own = (!context.is_leaving()).then_some(&context.options.member);
-    // A gateway that has just started has not heard the dispatchers yet.
-    let own = own.filter(|m| m.role == members::MemberRole::Dispatcher || is_settled(context));
+    // A gateway that has just started has not heard the dispatchers yet, or
+    // knows of none as the store was away: it would run all their jobs again.
+    let may_own = is_settled(context) && context.members_known.get();
+    let own = own.filter(|m| m.role == members::MemberRole::Dispatcher || may_own);
     let owners = context.members.borrow().owners(own, now);
     let changed = **context.owners.borrow() != owners;
     if changed {
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Default)]
 pub struct PeerLinks {
     table: LinkTable,
+    /// Told when a connection was made or failed.
+    settled: rc::Rc<tokio::sync::Notify>,
 }
 
 /// Why a peer gave no answer.
@@ -283,10 +285,29 @@
         }
         table.insert(peer, LinkState::Connecting);
         drop(table);
-        actix_rt::spawn(connect(self.table.clone(), peer));
+        actix_rt::spawn(connect(self.clone(), peer));
         None
     }
 
+    /// Begins to connect to a peer if there is need, and waits for the outcome.
+    pub async fn settle(&self, peer: net::SocketAddr) {
+        if self.connected(peer).is_some() {
+            return;
+        }
+        let is_connecting = || {
+            let table = self.table.borrow();
+            matches!(table.get(&peer), Some(LinkState::Connecting))
+        };
+        while is_connecting() {
+            self.settled.notified().await;
+        }
+    }
+
+    fn note(&self, peer: net::SocketAddr, state: LinkState) {
+        self.table.borrow_mut().insert(peer, state);
+        self.settled.notify_waiters();
+    }
+
     /// Ends the connection to a peer that does not answer, so that a new one is made.
     pub fn forget(&self, peer: net::SocketAddr) {
         let failed = LinkState::Failed(time::Instant::now());
@@ -294,7 +315,8 @@
     }
 }
 
-async fn connect(table: LinkTable, peer: net::SocketAddr) {
+async fn connect(links: PeerLinks, peer: net::SocketAddr) {
+    let failed = || LinkState::Failed(time::Instant::now());
     let opening = async {
         let socket = tokio::net::TcpStream::connect(peer).await?;
         socket.set_nodelay(true)?;
@@ -302,20 +324,13 @@
     };
     let socket = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
         Ok(Ok(socket)) => socket,
-        _ => {
-            let failed = LinkState::Failed(time::Instant::now());
-            table.borrow_mut().insert(peer, failed);
-            return;
-        }
+        _ => return links.note(peer, failed()),
     };
     let codec = tarpc::tokio_serde::formats::Bincode::default();
     let transport = tarpc::serde_transport::new(frames().new_framed(socket), codec);
     let new = PeerServiceClient::new(tarpc::client::Config::default(), transport);
-    table
-        .borrow_mut()
-        .insert(peer, LinkState::Connected(new.client));
+    links.note(peer, LinkState::Connected(new.client));
     let ended = new.dispatch.await;
     log::info!("event=peer_link_lost peer={peer} why=\"{ended:?}\"");
-    let failed = LinkState::Failed(time::Instant::now());
-    table.borrow_mut().insert(peer, failed);
+    links.note(peer, failed());
 }
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -108,6 +108,8 @@
     pub(super) owned_at: cell::Cell<Option<u64>>,
     /// Whether the members were read from the store.
     pub(super) members_known: cell::Cell<bool>,
+    /// Told when records of members were learned.
+    pub(super) members_news: tokio::sync::Notify,
     /// When a peer was asked for the members.
     pub(super) members_asked: cell::Cell<Option<clock::Moment>>,
     /// When a peer was asked for its desired state.
@@ -254,6 +256,7 @@
         last_hello: cell::RefCell::default(),
         owned_at: cell::Cell::new(None),
         members_known: cell::Cell::new(false),
+        members_news: tokio::sync::Notify::new(),
         members_asked: cell::Cell::new(None),
         state_asked: cell::Cell::new(None),
         relayed: cell::RefCell::new(lru::LruCache::new(MAX_RELAYED)),
