feat(cli): jayhollow explain: the path of a request over all logs, and what was lost, by cause

On-call engineers had to search many logs by hand. The command takes the project's own lines apart and prints the path of a request, job, item or endpoint, or for a span of time the late and lost requests and jobs by cause, as a table or JSON. request_end tells the time to the first event and the objective.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 pub mod bundle_commands;
 pub mod client;
 pub mod config_commands;
+pub mod explain_command;
 pub mod instance_commands;
 pub mod job_commands;
 pub mod output;
@@ -114,6 +115,9 @@
     /// Show settings and their schemas.
     #[command(subcommand)]
     Config(config_commands::ConfigCommand),
+    /// Read logs: the path of one request or job over all processes, or what
+    /// was late or lost in a span of time, by cause.
+    Explain(explain_command::ExplainFlags),
     /// Print a completion script for a shell.
     Completions {
         /// The shell.
@@ -204,6 +208,7 @@
     let reach = line.reach.resolve()?;
     match command {
         TopCommand::Dev(flags) => run_dev(&flags),
+        TopCommand::Explain(flags) => explain_command::run(&flags, reach.output),
         TopCommand::Config(command) => config_commands::run(&command),
         TopCommand::Completions { shell } => {
             let mut command = CommandLine::command();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatcher;
 pub mod endpoint_client;
 pub mod error;
+pub mod explain;
 pub mod fleet;
 pub mod gateway;
 pub mod http_client;
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -88,6 +88,8 @@
     /// Index of the last event that went to the caller, or that it named itself.
     pub(super) last_event: Option<u64>,
     pub(super) started: bool,
+    /// Time from its arrival to the first event that went to the caller.
+    first_event: std::cell::Cell<Option<time::Duration>>,
     _active: ActiveRequest,
 }
 
@@ -108,6 +110,7 @@
         },
         last_event,
         started: false,
+        first_event: std::cell::Cell::new(None),
         _active: active,
     };
     let outcome = match relay.request.route.kind.is_stream() {
@@ -377,6 +380,7 @@
 
     pub(super) fn observe_first(&self) {
         let span = self.request.arrived.elapsed();
+        self.first_event.set(Some(span));
         let metrics = &self.context.metrics;
         metrics.observe(
             &metrics.first_token,
@@ -402,11 +406,13 @@
             spent,
         );
         log::info!(
-            "event=request_end request={} route={} version={} outcome={outcome} status={status} ms={} ran={} not_run={} endpoint={} last_event={}",
+            "event=request_end request={} route={} version={} outcome={outcome} status={status} ms={} first_ms={} objective_ms={} ran={} not_run={} endpoint={} last_event={}",
             self.request.terms.id.as_deref().unwrap_or("-"),
             self.request.route.name,
             self.context.fleet.table().version(),
             spent.as_millis(),
+            self.first_event.get().unwrap_or(spent).as_millis(),
+            self.request.route.objective.as_millis(),
             self.log.ran,
             self.log.not_run,
             self.log.tried.last().map_or("-", |id| id.as_str()),
