--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -138,8 +138,11 @@
             heard: time::Instant::now(),
         });
         job.heard = time::Instant::now();
-        let taken = news.items.into_iter().map(|item| job.take(item));
-        taken.fold(true, |all, taken| all && taken)
+        let mut all_kept = true;
+        for item in news.items {
+            all_kept &= job.take(item);
+        }
+        all_kept
     }
 
     /// Lets items that wait go on from what is kept, where that is further.
