fix(jobs): a job adopted before the desired state is known keeps its due time

The desired state was read 0.2 s after the store answered, as its reader slept a fixed pause. Ruled out: clocks (the record's submission time is the same), the record. Change: the due time is worked out once a desired state names the route; the other kinds are read at the moment at which the store answers.

--- a/src/explain/loss_report.rs
+++ b/src/explain/loss_report.rs
@@ -198,6 +198,11 @@
         Some(format!("{how}: {why}"))
     }
 
+    fn take_due(&mut self, line: &LogLine) {
+        let due_ms = line.field("due_ms").and_then(|ms| ms.parse().ok());
+        self.due_ms = due_ms.or(self.due_ms);
+    }
+
     fn take(&mut self, line: &LogLine) {
         match line.event.as_str() {
             "job_submitted" => {
@@ -207,8 +212,9 @@
                     self.accepted = Some(line.at);
                 }
             }
+            "job_due" => self.take_due(line),
             "job_taken" => {
-                self.due_ms = line.field("due_ms").and_then(|ms| ms.parse().ok());
+                self.take_due(line);
                 if !self.owners.contains(&line.process) {
                     self.owners.push(line.process.clone());
                 }
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -206,8 +206,9 @@
         log::warn!("event=store_reachable now={reachable}");
         let since = reachable.then(|| self.clock.now());
         self.reachable_since.set(since);
-        if !reachable {
-            self.was_away.set(true);
+        match reachable {
+            true => self.returned.notify_waiters(),
+            false => self.was_away.set(true),
         }
     }
 
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -83,7 +83,7 @@
     }
 
     /// Puts a job here unless it is; gives the one that is.
-    pub fn put(&self, record: job_records::JobRecord, due_ms: u64) -> SharedJob {
+    pub fn put(&self, record: job_records::JobRecord, due_ms: Option<u64>) -> SharedJob {
         let mut jobs = self.jobs.borrow_mut();
         if let Some(job) = jobs.get(&record.id) {
             return job.clone();
@@ -217,12 +217,24 @@
     refresh(context, job).await
 }
 
-/// When a job is due: its route says how long after its submission.
-pub fn due_of(context: &process::ProcessContext, record: &job_records::JobRecord) -> u64 {
+/// When a job is due: its route says how long after its submission. Nothing
+/// while no desired state names the route, as just after a start.
+pub fn due_of(context: &process::ProcessContext, record: &job_records::JobRecord) -> Option<u64> {
     let table = context.fleet.table();
-    let route = table.find_batch(&record.host);
-    let span = route.map_or(time::Duration::ZERO, |r| r.completion_objective);
-    record.submitted_ms + span.as_millis() as u64
+    let span = table.find_batch(&record.host)?.completion_objective;
+    Some(record.submitted_ms + span.as_millis() as u64)
+}
+
+/// Works out when a job is due, if that was not known yet.
+pub(super) fn learn_due(context: &process::ProcessContext, job: &SharedJob) {
+    let mut job = job.borrow_mut();
+    if job.due_ms.is_some() {
+        return;
+    }
+    job.due_ms = due_of(context, &job.record);
+    if let Some(due_ms) = job.due_ms {
+        log::info!("event=job_due job={} due_ms={due_ms}", job.record.id);
+    }
 }
 
 /// Takes over the parts of results that the store has beyond those known here.
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -31,8 +31,9 @@
     let id = record.id.clone();
     let due_ms = job_board::due_of(context, &record);
     log::info!(
-        "event=job_taken job={id} items={} due_ms={due_ms}",
-        record.items.len()
+        "event=job_taken job={id} items={} due_ms={}",
+        record.items.len(),
+        due_ms.map_or("-".to_owned(), |ms| ms.to_string())
     );
     let age = job_records::epoch_ms().saturating_sub(record.submitted_ms);
     let job = context.jobs.put(record, due_ms);
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -128,8 +128,8 @@
     pub streams: collections::HashSet<StreamKey>,
     /// Whether its caller ended it.
     pub ended: bool,
-    /// When all results are due, in milliseconds since the epoch.
-    pub due_ms: u64,
+    /// When all results are due, in milliseconds since the epoch, once that is known.
+    pub due_ms: Option<u64>,
     /// Whether the results in the store were read.
     pub is_known: bool,
     /// How far this process knows what earlier owners did; nothing runs before.
@@ -145,7 +145,7 @@
 pub type SharedJob = rc::Rc<cell::RefCell<OpenJob>>;
 
 impl OpenJob {
-    pub(super) fn new(record: job_records::JobRecord, due_ms: u64) -> Self {
+    pub(super) fn new(record: job_records::JobRecord, due_ms: Option<u64>) -> Self {
         let items = record.items.iter().map(|_| ItemProgress::new()).collect();
         Self {
             record: rc::Rc::new(record),
@@ -165,6 +165,11 @@
         }
     }
 
+    /// When it is due, in milliseconds since the epoch; never while that is not known.
+    pub fn due(&self) -> u64 {
+        self.due_ms.unwrap_or(u64::MAX)
+    }
+
     /// Whether all results are in the store, or the job was ended.
     pub fn is_over(&self) -> bool {
         self.ended || self.committed.len() >= self.record.items.len()
@@ -338,7 +343,7 @@
         if all_done {
             return time::Duration::ZERO;
         }
-        match self.due_ms.saturating_sub(job_records::epoch_ms()) < NEARLY_DUE_MS {
+        match self.due().saturating_sub(job_records::epoch_ms()) < NEARLY_DUE_MS {
             true => GATHER_DUE,
             false => (GATHER_PER_OWNER * owners as u32).clamp(LEAST_GATHER, MOST_GATHER),
         }
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -37,7 +37,10 @@
         .filter(|job| !job.borrow().is_over())
         .filter(|job| is_run_here(context, job))
         .collect();
-    jobs.sort_by_key(|job| job.borrow().due_ms);
+    for job in &jobs {
+        job_board::learn_due(context, job);
+    }
+    jobs.sort_by_key(|job| job.borrow().due());
     jobs
 }
 
@@ -108,7 +111,7 @@
     let service = route.targets.first().map(|t| &t.service);
     let remaining_ms = service.map_or(0, |s| context.jobs.remaining_ms(s, spent));
     let outlook = item_order::ItemOutlook {
-        due_ms: job.due_ms,
+        due_ms: job.due(),
         remaining_ms,
     };
     ORDER.start_key(&outlook, now_ms)
