feat(jobs): progress survives a lost disk, and a job that moves takes its progress along in any case

A test that passed before failed after adoption became faster: the new owner began anew before the progress came, which was then dropped, or the hand-over was never sent, as the link to a process that has just started was not made yet. Ruled out: the file (read in full), the board (holds what it is given). Change: the file holds what is kept for peers too, and is offered to the owners at the start; progress that comes late ends a run that began anew when five events or more are gained; a hand-over waits for its link; owners are worked out anew before jobs are adopted; what is kept of a job goes with its end.

--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -28,6 +28,8 @@
     /// The owner that lent the place, if it is another process.
     pub(super) lender: Option<net::SocketAddr>,
     pub(super) max_attempts: u32,
+    /// The chain of runs that it goes on with; given up when the item gets another.
+    pub(super) chain: u64,
 }
 
 /// How a run of an item ended.
@@ -194,6 +196,11 @@
         RunEnd::Completed
     }
 
+    /// Whether the item still is where this run goes on.
+    fn is_current(&self, progress: &open_job::ItemProgress) -> bool {
+        progress.phase == open_job::ItemPhase::Running && progress.chain == self.chain
+    }
+
     /// Adds an event to the item; says whether the item is still wanted.
     fn take_event(&self, event: &event_split::RawEvent) -> bool {
         let mut job = self.job.borrow_mut();
@@ -201,7 +208,7 @@
             return false;
         }
         let progress = &mut job.items[self.index];
-        if progress.phase != open_job::ItemPhase::Running {
+        if !self.is_current(progress) {
             return false;
         }
         progress.events.push(event.data());
@@ -241,7 +248,7 @@
             self.endpoint.id,
             job.items[self.index].last_event,
         );
-        if job.items[self.index].phase != open_job::ItemPhase::Running {
+        if !self.is_current(&job.items[self.index]) {
             return;
         }
         let progress = &mut job.items[self.index];
--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -17,6 +17,10 @@
 /// Longest wait for a peer to take a checkpoint.
 const CHECKPOINT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
+/// Longest wait for a link to the peer: one that has just started has none to
+/// this process yet, and a link that failed is made anew after 200 ms.
+const REACH_PATIENCE: time::Duration = time::Duration::from_millis(600);
+
 /// Bytes of progress kept for peers. Forty items of 200 events are 0.7 MB; the
 /// job that was heard of least recently is dropped beyond.
 const MAX_KEPT_BYTES: usize = 8 << 20;
@@ -130,8 +134,13 @@
 }
 
 impl CheckpointBoard {
-    /// Takes the progress of a job; says whether all of it is kept.
+    /// Takes the progress of a job; says whether all of it is kept. No items
+    /// mean that the job is over.
     pub fn take(&self, news: JobCheckpoint) -> bool {
+        if news.items.is_empty() {
+            self.forget(&news.job);
+            return true;
+        }
         let mut kept = self.kept.borrow_mut();
         let job = kept.entry(news.job).or_insert_with(|| KeptJob {
             items: collections::HashMap::new(),
@@ -169,6 +178,16 @@
         self.kept.borrow_mut().remove(job);
     }
 
+    /// All that is kept.
+    pub fn all(&self) -> Vec<JobCheckpoint> {
+        let kept = self.kept.borrow();
+        let jobs = kept.iter().map(|(job, known)| JobCheckpoint {
+            job: job.clone(),
+            items: known.items.values().cloned().collect(),
+        });
+        jobs.collect()
+    }
+
     /// Drops what is old, and what is beyond the bound of bytes.
     pub fn trim(&self) {
         let mut kept = self.kept.borrow_mut();
@@ -223,9 +242,12 @@
         actix_rt::time::sleep(CHECKPOINT_PAUSE).await;
         let jobs = run_here(&context);
         if let Some(file) = &context.checkpoint_file {
-            let all = jobs.iter().map(|job| job.borrow().checkpoint(|_| 0));
-            file.write(all.filter(|job| !job.items.is_empty()).collect());
+            let own = jobs.iter().map(|job| job.borrow().checkpoint(|_| 0));
+            let own = own.filter(|job| !job.items.is_empty());
+            // What is kept for peers too: their disks may be lost with all power.
+            file.write(own.chain(context.checkpoints.all()).collect());
         }
+        tell_ends(&context);
         let mut news: collections::HashMap<_, Vec<_>> = collections::HashMap::new();
         for job in jobs {
             let Some(peer) = successor(&context, &job.borrow().record.id) else {
@@ -241,6 +263,51 @@
     }
 }
 
+/// Tells those who keep the progress of a job that it is over.
+fn tell_ends(context: &rc::Rc<process::ProcessContext>) {
+    for job in context.jobs.all() {
+        let mut job = job.borrow_mut();
+        if !job.is_over() {
+            continue;
+        }
+        let address = job
+            .take_backup()
+            .and_then(|peer| context.members.borrow().address_of(&peer));
+        let Some(address) = address else { continue };
+        let end = JobCheckpoint {
+            job: job.record.id.clone(),
+            items: Vec::new(),
+        };
+        let links = context.links.clone();
+        actix_rt::spawn(async move {
+            let told = links.keep_progress(address, end, CHECKPOINT_TIMEOUT);
+            if let Err(e) = told.await {
+                log::debug!("event=job_end_untold why=\"{e}\"");
+            }
+        });
+    }
+}
+
+/// Hands the progress that was on this instance's disk to the owners of its
+/// jobs: their own disks may be lost.
+pub(super) async fn offer_kept(context: &rc::Rc<process::ProcessContext>) {
+    for kept in context.checkpoints.all() {
+        let owner = context.job_owner(&kept.job);
+        let Some(owner) = owner.filter(|owner| owner != context.id()) else {
+            continue;
+        };
+        let address = context.members.borrow().address_of(&owner);
+        let Some(address) = address else { continue };
+        context.links.reach(address, REACH_PATIENCE).await;
+        let job = kept.job.clone();
+        let told = context
+            .links
+            .keep_progress(address, kept, CHECKPOINT_TIMEOUT)
+            .await;
+        log::info!("event=progress_offered job={job} owner={owner} taken={told:?}");
+    }
+}
+
 /// Tells a peer what it does not have yet of some jobs.
 async fn tell_peer(
     context: rc::Rc<process::ProcessContext>,
@@ -249,6 +316,9 @@
 ) {
     let address = context.members.borrow().address_of(&peer);
     let Some(address) = address else { return };
+    if !context.links.reach(address, REACH_PATIENCE).await {
+        log::info!("event=progress_untold peer={peer} jobs={}", jobs.len());
+    }
     for job in jobs {
         let news = job.borrow().checkpoint(|item| item.backed_up);
         if news.items.is_empty() {
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -161,7 +161,11 @@
     item: &ready_items::ReadyItem,
     place: StreamPlace,
 ) {
-    item.job.borrow_mut().items[item.index].phase = open_job::ItemPhase::Running;
+    let mut job = item.job.borrow_mut();
+    let progress = &mut job.items[item.index];
+    progress.phase = open_job::ItemPhase::Running;
+    let chain = progress.chain;
+    drop(job);
     let run = item_run::ItemRun {
         context: context.clone(),
         job: item.job.clone(),
@@ -170,6 +174,7 @@
         number: place.number,
         lender: place.lender,
         max_attempts: item.route.max_attempts,
+        chain,
     };
     actix_rt::spawn(run.run());
 }
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use super::{job_records, job_runner, members, open_job, process};
+use super::{job_checkpoints, job_records, job_runner, members, open_job, owners, process};
 use crate::{ids, platform, store};
 
 /// Wait after a change of owners before the store is searched for their jobs:
@@ -31,9 +31,13 @@
 
 /// Searches the store for jobs of this process whenever the owners change.
 pub(super) async fn adopt_jobs(context: rc::Rc<process::ProcessContext>) {
+    let mut has_offered = false;
     loop {
         context.jobs.owners_changed.notified().await;
         wait_for_owners(&context).await;
+        if !std::mem::replace(&mut has_offered, true) {
+            job_checkpoints::offer_kept(&context).await;
+        }
         let is_owner = context.owners().iter().any(|o| o.id == *context.id());
         if !is_owner {
             continue;
@@ -58,6 +62,7 @@
     while context.age() < ADOPT_AGE && !hears_dispatchers(context) {
         actix_rt::time::sleep(ADOPT_LOOK).await;
     }
+    owners::refresh_owners(context);
 }
 
 /// Whether all dispatchers that are listed have answered this process.
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -28,6 +28,11 @@
 /// Bytes of results in one answer to a reader.
 const PAGE_BYTES: usize = 900_000;
 
+/// Events that must be gained for a run that began anew to be given up for a
+/// checkpoint that came late: the next run reads its prompt again, 5 to 30 ms,
+/// and an event takes 5 to 60 ms.
+const LEAST_GAIN: usize = 5;
+
 /// Stands for the events of an item whose result its reader has.
 const RESULT_TOLD: usize = usize::MAX;
 
@@ -56,7 +61,7 @@
     /// How long its runs held places so far.
     pub spent: time::Duration,
     /// Names the unbroken chain of runs that made `events`.
-    chain: u64,
+    pub(super) chain: u64,
     /// Events that the process after the owner has as well.
     pub(super) backed_up: usize,
     /// When it may start again.
@@ -258,6 +263,11 @@
         }
     }
 
+    /// Who was told the progress, if anybody; from now on nobody is.
+    pub(super) fn take_backup(&mut self) -> Option<ids::InstanceId> {
+        self.backup.take()
+    }
+
     /// Notes whether a peer took a checkpoint; what it did not take it has not at all.
     pub(super) fn note_backed_up(
         &mut self,
@@ -279,17 +289,23 @@
         }
     }
 
-    /// Lets an item that waits go on from a checkpoint, if that is further;
-    /// says whether it does.
+    /// Lets an item go on from a checkpoint, if that is further; says whether it
+    /// does. A run of it that began meanwhile ends at its next event.
     pub(super) fn go_on_from(&mut self, from: job_checkpoints::ItemCheckpoint) -> bool {
         let index = from.index;
         let Some(item) = self.items.get_mut(index) else {
             return false;
         };
-        let is_further = from.state.is_some() || from.events.len() > item.events.len();
-        if item.phase != ItemPhase::Waiting || !is_further || from.skipped > 0 {
+        let least = match item.phase {
+            ItemPhase::Waiting => item.events.len() + 1,
+            ItemPhase::Running => item.events.len() + LEAST_GAIN,
+            ItemPhase::Done => return false,
+        };
+        let is_further = from.state.is_some() || from.events.len() >= least;
+        if !is_further || from.skipped > 0 {
             return false;
         }
+        item.phase = ItemPhase::Waiting;
         item.events = from.events;
         item.chain = from.chain;
         item.backed_up = 0;
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -303,6 +303,19 @@
         }
     }
 
+    /// Connects to a peer that is about to answer, as it has just started: says
+    /// whether it does within a while.
+    pub async fn reach(&self, peer: net::SocketAddr, patience: time::Duration) -> bool {
+        let begun = time::Instant::now();
+        loop {
+            self.settle(peer).await;
+            if self.is_connected(peer) || begun.elapsed() >= patience {
+                return self.is_connected(peer);
+            }
+            actix_rt::time::sleep(RECONNECT_PAUSE / 4).await;
+        }
+    }
+
     fn note(&self, peer: net::SocketAddr, state: LinkState) {
         self.table.borrow_mut().insert(peer, state);
         self.settled.notify_waiters();
