perf(serving): plain services by permit, and queues from learned times

The queue of a full endpoint was a fixed quarter of its slots, worked out from one site's run length. Ruled out: health (the servers are sound), the list (known in 0.1 s). Change: owners give places of all services; only owners of a service are asked for it; what may wait follows from the learned hold of a slot, the learned time to a first event and the route's objective (decisions/queue_limit.rs).

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -16,6 +16,7 @@
 pub mod lease;
 pub mod owner_order;
 pub mod ownership;
+pub mod queue_limit;
 pub mod relay;
 pub mod retry;
 pub mod routing;
--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -203,6 +203,7 @@
     let mut members = context.members.borrow_mut();
     members.note_heard(&hello.id, signs, now);
     let mut rooms = context.rooms.borrow_mut();
+    rooms.retain(|(id, _), _| *id != hello.id);
     for (service, room) in &hello.rooms {
         rooms.insert((hello.id.clone(), service.clone()), *room);
     }
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -146,7 +146,7 @@
     let shunned = permits.shunned(&context.loads.borrow(), now);
     let granted = permits.acquire(ask, &shunned, now);
     let room = permits.online_room(&ask.service);
-    let queue_room = permits.queue_room(&ask.service);
+    let queue_room = permits.queue_room(&ask.service, ask.wait);
     drop(permits);
     let endpoint = granted.map(|place| {
         for stream in &place.preempted {
@@ -183,7 +183,12 @@
 
 /// Takes a place back; batch work may use it.
 pub fn release(context: &process::ProcessContext, ended: peers::PlaceRelease) {
-    let released = context.permits.borrow_mut().release(ended.number);
+    let mut permits = context.permits.borrow_mut();
+    let released = match ended.is_served {
+        true => permits.release_served(ended.number, context.clock.now()),
+        false => permits.release(ended.number),
+    };
+    drop(permits);
     if let Some(endpoint) = released {
         if ended.is_served {
             context.loads.borrow_mut().note_served(&endpoint);
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -50,6 +50,8 @@
     pub tried: Vec<ids::EndpointId>,
     /// Whether a place in the queue of a full endpoint is wanted as well.
     pub may_queue: bool,
+    /// How long the request may wait in a queue and be in time.
+    pub wait: time::Duration,
 }
 
 /// The owner's word on a place.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -4,15 +4,14 @@
 use std::{collections, rc, time};
 
 use super::{directory, peers, selection};
-use crate::{clock, decisions::admission, ids};
+use crate::{
+    clock,
+    decisions::{admission, queue_limit},
+    ids,
+};
 
 /// Longest life of a permit that is not released; above the longest request's time limit.
 const PERMIT_TTL: time::Duration = time::Duration::from_secs(15);
-/// Online requests that an endpoint may hold for each of its slots, in percent.
-///
-/// Runs last 0.75 s, so of eight one ends each 94 ms: two that wait still have
-/// their first event within 300 ms. Beyond, an early refusal serves callers better.
-const ONLINE_PERCENT: u32 = 125;
 /// Places that batch work leaves free at each endpoint.
 ///
 /// The next online request finds one without a cancellation; streams are
@@ -34,6 +33,8 @@
     endpoint: ids::EndpointId,
     instance: ids::InstanceId,
     expiry: clock::Moment,
+    /// When it was given, if a slot was free then.
+    begun: Option<clock::Moment>,
 }
 
 /// The ledgers of the owned endpoints.
@@ -45,6 +46,8 @@
     holders: collections::HashMap<admission::PermitNumber, PermitHolder>,
     /// Batch streams that other instances run here.
     lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ids::InstanceId>,
+    /// How long online requests of a service hold a slot.
+    holds: collections::HashMap<ids::ServiceName, queue_limit::HoldEstimate>,
 }
 
 #[derive(Debug)]
@@ -68,9 +71,10 @@
         self.entry.slots.saturating_sub(self.ledger.online())
     }
 
-    /// Places in the endpoint's queue that an online request could have now.
-    fn queue_room(&self) -> u32 {
-        let most = spec_of(&self.entry).max_online;
+    /// Places in the endpoint's queue that an online request could have now,
+    /// if so many may wait.
+    fn queue_room(&self, queue: u32) -> u32 {
+        let most = self.entry.slots + queue;
         most.saturating_sub(self.ledger.online().max(self.entry.slots))
     }
 
@@ -84,7 +88,8 @@
     admission::AdmissionSpec {
         policy: admission::BatchPolicy::FixedPreempt,
         max_sequences: entry.slots,
-        max_online: (entry.slots * ONLINE_PERCENT).div_ceil(100),
+        // What may wait beyond hangs on the objective of each request.
+        max_online: u32::MAX,
         fixed_streams: entry.slots,
         permit_ttl: PERMIT_TTL,
         start_spacing: time::Duration::ZERO,
@@ -145,7 +150,9 @@
                 owned.entry.id.clone(),
             )
         })?;
-        if best.online_room() == 0 && !ask.may_queue {
+        let is_free = best.online_room() > 0;
+        let may_wait = ask.may_queue && best.queue_room(self.queue_of(best, ask.wait)) > 0;
+        if !is_free && !may_wait {
             return None;
         }
         let endpoint = best.entry.id.clone();
@@ -155,6 +162,7 @@
             endpoint: endpoint.clone(),
             instance: ask.instance.clone(),
             expiry: now + PERMIT_TTL,
+            begun: is_free.then_some(now),
         };
         self.holders.insert(ask.number, holder);
         Some(GrantedPlace {
@@ -163,6 +171,28 @@
         })
     }
 
+    /// Requests that may wait at an endpoint, each for so long.
+    fn queue_of(&self, owned: &OwnedLedger, wait: time::Duration) -> u32 {
+        let hold = self.holds.get(&owned.entry.service).copied();
+        hold.unwrap_or_default().queue(owned.entry.slots, wait)
+    }
+
+    /// Ends the permit of a request that was served, and learns from it; gives
+    /// its endpoint if it was known.
+    pub fn release_served(
+        &mut self,
+        number: admission::PermitNumber,
+        now: clock::Moment,
+    ) -> Option<ids::EndpointId> {
+        let begun = self.holders.get(&number)?.begun;
+        let endpoint = self.release(number)?;
+        if let (Some(begun), Some(owned)) = (begun, self.ledgers.get(&endpoint)) {
+            let hold = self.holds.entry(owned.entry.service.clone()).or_default();
+            hold.note(now.since(begun));
+        }
+        Some(endpoint)
+    }
+
     /// Ends a permit; gives its endpoint if it was known.
     pub fn release(&mut self, number: admission::PermitNumber) -> Option<ids::EndpointId> {
         let holder = self.holders.remove(&number)?;
@@ -245,9 +275,12 @@
         self.of_service(service).map(OwnedLedger::online_room).sum()
     }
 
-    /// Places in queues that online requests of a service could have now.
-    pub fn queue_room(&self, service: &ids::ServiceName) -> u32 {
-        self.of_service(service).map(OwnedLedger::queue_room).sum()
+    /// Places in queues that online requests of a service could have now, each
+    /// of which can wait for so long.
+    pub fn queue_room(&self, service: &ids::ServiceName, wait: time::Duration) -> u32 {
+        let owned = self.of_service(service);
+        let rooms = owned.map(|owned| owned.queue_room(self.queue_of(owned, wait)));
+        rooms.sum()
     }
 
     fn of_service<'a>(
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -22,6 +22,7 @@
     pub endpoint: rc::Rc<directory::EndpointEntry>,
     permit: Option<HeldPermit>,
     is_served: cell::Cell<bool>,
+    taken: time::Instant,
 }
 
 impl HeldPlace {
@@ -29,7 +30,11 @@
     pub fn note_served(&self) {
         let mut loads = self.context.loads.borrow_mut();
         loads.health.note_success(&self.endpoint.id);
-        self.is_served.set(true);
+        if !self.is_served.replace(true) {
+            let mut firsts = self.context.firsts.borrow_mut();
+            let first = firsts.entry(self.endpoint.service.clone()).or_default();
+            first.note(self.taken.elapsed());
+        }
     }
 
     /// Notes that the endpoint failed, or did not answer at all, and tells its owner.
@@ -91,41 +96,44 @@
     Silent,
 }
 
-/// Finds a place for a request of `service`, not at the endpoints of `tried`.
+/// What a request wants of a place.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceWish<'a> {
+    /// The service that is to serve it.
+    pub service: &'a ids::ServiceName,
+    /// Endpoints that were tried.
+    pub tried: &'a [ids::EndpointId],
+    /// Time within which its first event is to come.
+    pub objective: time::Duration,
+}
+
+/// Finds a place for a request.
 ///
 /// # Errors
 /// See [`NoPlace`].
 pub async fn acquire(
     context: &rc::Rc<process::ProcessContext>,
-    service: &ids::ServiceName,
-    tried: &[ids::EndpointId],
+    wish: &PlaceWish<'_>,
 ) -> Result<HeldPlace, NoPlace> {
-    let table = context.fleet.table();
-    let is_engine = table.service(service).is_some_and(|s| s.is_engine);
-    if is_engine {
-        if let Some(place) = ask_relay(context, service, tried).await {
-            return Ok(place);
-        }
-        match ask_owners(context, service, tried).await {
-            OwnerWord::Place(place) => return Ok(place),
-            OwnerWord::Full(_) => return Err(NoPlace::Full),
-            OwnerWord::Silent => {}
-        }
+    if let Some(place) = ask_relay(context, wish).await {
+        return Ok(place);
+    }
+    match ask_owners(context, wish).await {
+        OwnerWord::Place(place) => return Ok(place),
+        OwnerWord::Full(_) => return Err(NoPlace::Full),
+        OwnerWord::Silent => {}
     }
-    go_ahead(context, service, tried)
+    go_ahead(context, wish.service, wish.tried)
 }
 
 /// Asks a few owners for a free place, and if all are full for one in a queue.
-async fn ask_owners(
-    context: &rc::Rc<process::ProcessContext>,
-    service: &ids::ServiceName,
-    tried: &[ids::EndpointId],
-) -> OwnerWord {
+async fn ask_owners(context: &rc::Rc<process::ProcessContext>, wish: &PlaceWish<'_>) -> OwnerWord {
+    let service = wish.service;
     let owners = owner_order(context, service);
     let mut full = Vec::new();
     for owner in owners.iter().take(OWNERS_ASKED) {
-        let wish = place_ask(context, service, tried);
-        match ask(context, owner, wish).await {
+        let place = place_ask(context, wish);
+        match ask(context, owner, place).await {
             OwnerWord::Full(queue_room) => full.push((queue_room, owner)),
             OwnerWord::Silent => {}
             place => return place,
@@ -136,11 +144,11 @@
     }
     let roomiest = full.iter().max().filter(|(queue_room, _)| *queue_room > 0);
     if let Some((_, owner)) = roomiest {
-        let wish = peers::PlaceAsk {
+        let queued = peers::PlaceAsk {
             may_queue: true,
-            ..place_ask(context, service, tried)
+            ..place_ask(context, wish)
         };
-        if let OwnerWord::Place(place) = ask(context, owner, wish).await {
+        if let OwnerWord::Place(place) = ask(context, owner, queued).await {
             return OwnerWord::Place(place);
         }
     }
@@ -174,6 +182,7 @@
         endpoint,
         permit: None,
         is_served: cell::Cell::new(false),
+        taken: time::Instant::now(),
     })
 }
 
@@ -184,10 +193,13 @@
 ) -> Vec<ids::InstanceId> {
     let rooms = context.rooms.borrow();
     let owners = context.owners();
-    let heard = owners
-        .iter()
-        .filter(|owner| owner.id == *context.id() || context.hears(&owner.id));
-    let known = heard.map(|owner| {
+    let is_heard = |id: &ids::InstanceId| id == context.id() || context.hears(id);
+    // A service of few endpoints has few owners: the others need not be asked.
+    let owns = |id: &ids::InstanceId| rooms.contains_key(&(id.clone(), service.clone()));
+    let is_told = owners.iter().any(|owner| owns(&owner.id));
+    let asked = owners.iter().filter(|owner| is_heard(&owner.id));
+    let asked = asked.filter(|o| !is_told || o.id == *context.id() || owns(&o.id));
+    let known = asked.map(|owner| {
         let key = (owner.id.clone(), service.clone());
         owner_order::KnownOwner {
             id: owner.id.clone(),
@@ -198,11 +210,9 @@
     owner_order::draw_order(known.collect(), &mut rand::rng())
 }
 
-fn place_ask(
-    context: &process::ProcessContext,
-    service: &ids::ServiceName,
-    tried: &[ids::EndpointId],
-) -> peers::PlaceAsk {
+fn place_ask(context: &process::ProcessContext, wish: &PlaceWish<'_>) -> peers::PlaceAsk {
+    let PlaceWish { service, tried, .. } = *wish;
+    let first = context.firsts.borrow().get(service).copied();
     let directory = context.fleet.directory.borrow();
     let count = directory.of_service(service).len();
     let is_listed = |id: &ids::EndpointId| {
@@ -221,20 +231,20 @@
         service: service.clone(),
         tried: unwanted,
         may_queue: false,
+        wait: first.unwrap_or_default().wait(wish.objective),
     }
 }
 
 /// Asks an owner through a gateway that hears it, if this process is cut off.
 async fn ask_relay(
     context: &rc::Rc<process::ProcessContext>,
-    service: &ids::ServiceName,
-    tried: &[ids::EndpointId],
+    wish: &PlaceWish<'_>,
 ) -> Option<HeldPlace> {
     let relays = context.relays();
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
     let wish = peers::PlaceAsk {
         may_queue: true,
-        ..place_ask(context, service, tried)
+        ..place_ask(context, wish)
     };
     let permit = HeldPermit::Peer(relay.address, wish.number);
     match context
@@ -350,6 +360,7 @@
         endpoint,
         permit: Some(permit),
         is_served: cell::Cell::new(false),
+        taken: time::Instant::now(),
     })
 }
 
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -185,7 +185,12 @@
             let service = self.choose_service();
             let service =
                 service.ok_or_else(|| FinalError::Failed("the route has no service".into()))?;
-            let place = places::acquire(&self.context, &service, &self.log.tried).await;
+            let wish = places::PlaceWish {
+                service: &service,
+                tried: &self.log.tried,
+                objective: self.request.route.objective,
+            };
+            let place = places::acquire(&self.context, &wish).await;
             let place = match place {
                 // What has begun goes on, also where a new request would not begin.
                 Err(places::NoPlace::Full) if self.log.ran > 0 => {
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -178,6 +178,7 @@
                 service: service(),
                 tried: Vec::new(),
                 may_queue,
+                wait: std::time::Duration::from_millis(200),
             };
             let place = board.acquire(&ask, &none, now);
             preempted += place.as_ref().map_or(0, |p| p.preempted.len());
@@ -193,7 +194,10 @@
     assert_eq!(acquire(20..40, true), 2, "one in the queue of each");
     assert_eq!(preempted, 6, "all batch streams gave way");
     assert_eq!(board.totals(), (10, 0));
-    assert_eq!(board.queue_room(&service()), 0);
+    assert_eq!(
+        board.queue_room(&service(), std::time::Duration::from_millis(200)),
+        0
+    );
     board.release_lost(|id| *id == holder);
     assert_eq!(board.totals(), (0, 0), "a lost gateway holds nothing");
 }
