fix(jobs): a run that began before a checkpoint came adds nothing any more

An owner lost its power, went on from its disk, and then got the progress of the process that had gone on meanwhile. Both went on from the same checkpoint, so both chains of runs had the same name: the run that went on from the disk still counted as the item's own, and two runs added events to one text. Ruled out: parts of results (each item once), the file (whole and of its time). Change: what goes on from a checkpoint is a chain of its own. The test plays the two checkpoints and fails without the change.

--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -196,11 +196,6 @@
         RunEnd::Completed
     }
 
-    /// Whether the item still is where this run goes on.
-    fn is_current(&self, progress: &open_job::ItemProgress) -> bool {
-        progress.phase == open_job::ItemPhase::Running && progress.chain == self.chain
-    }
-
     /// Adds an event to the item; says whether the item is still wanted.
     fn take_event(&self, event: &event_split::RawEvent) -> bool {
         let mut job = self.job.borrow_mut();
@@ -208,7 +203,7 @@
             return false;
         }
         let progress = &mut job.items[self.index];
-        if !self.is_current(progress) {
+        if !progress.is_run_by(self.chain) {
             return false;
         }
         progress.events.push(event.data());
@@ -248,7 +243,7 @@
             self.endpoint.id,
             job.items[self.index].last_event,
         );
-        if !self.is_current(&job.items[self.index]) {
+        if !job.items[self.index].is_run_by(self.chain) {
             return;
         }
         let progress = &mut job.items[self.index];
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -164,7 +164,7 @@
     let mut job = item.job.borrow_mut();
     let progress = &mut job.items[item.index];
     progress.phase = open_job::ItemPhase::Running;
-    let chain = progress.chain;
+    let chain = progress.chain();
     drop(job);
     let run = item_run::ItemRun {
         context: context.clone(),
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -60,8 +60,10 @@
     pub failures: u32,
     /// How long its runs held places so far.
     pub spent: time::Duration,
-    /// Names the unbroken chain of runs that made `events`.
-    pub(super) chain: u64,
+    /// Names the unbroken chain of runs that made `events`. A chain that goes on
+    /// from a checkpoint is a new one: the process that told the checkpoint may
+    /// go on with the old one too.
+    chain: u64,
     /// Events that the process after the owner has as well.
     pub(super) backed_up: usize,
     /// When it may start again.
@@ -69,6 +71,16 @@
 }
 
 impl ItemProgress {
+    /// The chain of runs that makes its events now.
+    pub fn chain(&self) -> u64 {
+        self.chain
+    }
+
+    /// Whether a run of a chain goes on with the item.
+    pub fn is_run_by(&self, chain: u64) -> bool {
+        self.phase == ItemPhase::Running && self.chain == chain
+    }
+
     /// Whether it may start now.
     pub fn is_ready(&self, now: time::Instant) -> bool {
         self.phase == ItemPhase::Waiting && self.not_before <= now
@@ -291,7 +303,7 @@
 
     /// Lets an item go on from a checkpoint, if that is further; says whether it
     /// does. A run of it that began meanwhile ends at its next event.
-    pub(super) fn go_on_from(&mut self, from: job_checkpoints::ItemCheckpoint) -> bool {
+    pub fn go_on_from(&mut self, from: job_checkpoints::ItemCheckpoint) -> bool {
         let index = from.index;
         let Some(item) = self.items.get_mut(index) else {
             return false;
@@ -307,7 +319,7 @@
         }
         item.phase = ItemPhase::Waiting;
         item.events = from.events;
-        item.chain = from.chain;
+        item.chain = rand::random();
         item.backed_up = 0;
         item.last_event = from.last_event;
         item.failures = item.failures.max(from.failures);
--- a/tests/job_checkpoints.rs
+++ b/tests/job_checkpoints.rs
@@ -2,7 +2,11 @@
 
 use std::time;
 
-use jayhollow::serving::job_checkpoints::{CheckpointBoard, ItemCheckpoint, JobCheckpoint};
+use jayhollow::serving::{
+    job_board,
+    job_checkpoints::{CheckpointBoard, ItemCheckpoint, JobCheckpoint},
+    job_records, open_job, wire,
+};
 
 fn news(chain: u64, skipped: usize, events: usize) -> JobCheckpoint {
     let data = |n: usize| format!("chain {chain} event {}", skipped + n + 1);
@@ -54,3 +58,39 @@
     board.forget(&"job-39".parse().expect("a name"));
     assert!(!board.is_empty());
 }
+
+#[test]
+fn a_run_that_began_before_a_checkpoint_came_adds_nothing_any_more() {
+    let item = wire::JobItem {
+        id: "i-1".into(),
+        path: "/p".into(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+    };
+    let record = job_records::JobRecord {
+        id: "job-1".parse().expect("a name"),
+        host: "h".into(),
+        submitted_ms: 1,
+        items: vec![item],
+    };
+    let board = job_board::JobBoard::default();
+    let shared = board.put(record, None);
+    let mut job = shared.borrow_mut();
+    // A run goes on from the disk, while another process goes on from the same
+    // checkpoint and is further: its chain has the same name.
+    let from_disk = news(7, 0, 10).items.remove(0);
+    assert!(job.go_on_from(from_disk));
+    job.items[0].phase = open_job::ItemPhase::Running;
+    let first = job.items[0].chain();
+    let mut further = news(7, 0, 30).items.remove(0);
+    further.chain = first;
+    assert!(job.go_on_from(further));
+    // The next run begins before the first one has noticed.
+    job.items[0].phase = open_job::ItemPhase::Running;
+    assert!(!job.items[0].is_run_by(first), "two runs would add events");
+    assert!(job.items[0].is_run_by(job.items[0].chain()));
+    assert_ne!(
+        first, 7,
+        "what goes on from a checkpoint is a chain of its own"
+    );
+}
