--- a/src/decisions/retry.rs
+++ b/src/decisions/retry.rs
@@ -33,9 +33,14 @@
         self.saved = (self.saved + RETRIES_PER_SUCCESS).min(MAX_SAVED_RETRIES);
     }
 
+    /// Whether a retry is left.
+    pub fn is_left(&self) -> bool {
+        self.saved >= 1.0
+    }
+
     /// Takes a retry if one is left.
     pub fn spend(&mut self) -> bool {
-        if self.saved < 1.0 {
+        if !self.is_left() {
             return false;
         }
         self.saved -= 1.0;
