--- a/src/decisions/retry.rs
+++ b/src/decisions/retry.rs
@@ -33,14 +33,9 @@
         self.saved = (self.saved + RETRIES_PER_SUCCESS).min(MAX_SAVED_RETRIES);
     }
 
-    /// Whether a retry is left.
-    pub fn is_left(&self) -> bool {
-        self.saved >= 1.0
-    }
-
     /// Takes a retry if one is left.
     pub fn spend(&mut self) -> bool {
-        if !self.is_left() {
+        if self.saved < 1.0 {
             return false;
         }
         self.saved -= 1.0;
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -7,7 +7,7 @@
 
 use super::{
     answer_copy, connection, event_split,
-    relay::{Answered, FinalError, NextStep, RequestRelay, Served, ANSWERED},
+    relay::{Answered, FinalError, NextStep, RequestRelay, Served},
 };
 use crate::http_server;
 
@@ -56,7 +56,6 @@
             }
             let mut splitter = event_split::EventSplitter::default();
             let patience = self.head_patience();
-            let begun = time::Instant::now();
             let Answered { place, open } = &mut answered;
             let waiting = next_event(&mut open.incoming, &mut splitter, patience);
             let first = self.suspecting(place, waiting).await;
@@ -83,7 +82,6 @@
                 EventEnd::Cut(why) => {
                     let id = answered.place.endpoint.id.clone();
                     self.note_attempt(&id, "cut", &why);
-                    self.note_silence(begun, patience);
                     answered.place.note_failed(false);
                     drop(answered);
                     match self.after_unknown(why) {
@@ -168,7 +166,7 @@
                     if let Some(open) = self.open.take() {
                         self.relay.give_back(open.answered);
                     }
-                    self.relay.note_end(ANSWERED, StatusCode::OK.as_u16());
+                    self.relay.note_end("answered", StatusCode::OK.as_u16());
                     return None;
                 }
                 EventEnd::Cut(why) => {
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     clock,
-    decisions::{admission, call_budget::CallClass, ownership, queue_limit, retry},
+    decisions::{admission, call_budget::CallClass, ownership, queue_limit},
     ids, metrics, protection, store,
 };
 
@@ -102,8 +102,6 @@
     pub(super) owners: cell::RefCell<rc::Rc<Vec<ownership::OwnerCandidate>>>,
     /// Places that owners said they could give.
     pub rooms: cell::RefCell<collections::HashMap<(ids::InstanceId, ids::ServiceName), u32>>,
-    /// What may be sent again though the first attempt may still run.
-    pub(super) resends: cell::RefCell<retry::RetryBudget>,
     /// How soon first events of a service come.
     pub firsts: cell::RefCell<collections::HashMap<ids::ServiceName, queue_limit::FirstEstimate>>,
     /// What it said of itself last, and when.
@@ -257,7 +255,6 @@
         checkpoint_file,
         owners: cell::RefCell::default(),
         rooms: cell::RefCell::default(),
-        resends: cell::RefCell::default(),
         firsts: cell::RefCell::default(),
         last_hello: cell::RefCell::default(),
         owned_at: cell::Cell::new(None),
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -14,9 +14,6 @@
 /// Share of a route's objective after which a caller who was refused may come back.
 const RETURN_SHARE: f64 = 1.0;
 
-/// Outcome of a request whose whole answer went out.
-pub(super) const ANSWERED: &str = "answered";
-
 /// A request of a caller under way.
 pub struct CallerRequest {
     /// Its route.
@@ -122,7 +119,7 @@
     };
     match outcome {
         Ok(Served::Whole(answer)) => {
-            relay.note_end(ANSWERED, answer.status().as_u16());
+            relay.note_end("answered", answer.status().as_u16());
             answer
         }
         Ok(Served::Stream(head, stream)) => relay.into_stream(head, stream),
@@ -156,13 +153,9 @@
     }
 
     /// Longest wait for the head of an answer, or for a first event.
-    ///
-    /// A request that is sent again takes a second slot while the first attempt
-    /// may still run: over capacity that makes all others late as well. So such
-    /// resends stay one for ten answers.
     pub(super) fn head_patience(&self) -> time::Duration {
         let left = self.left();
-        if self.attempts_left() < 2 || !self.context.resends.borrow().is_left() {
+        if self.attempts_left() < 2 {
             return left;
         }
         left.min(self.request.route.objective.mul_f64(SILENCE_SHARE))
@@ -261,7 +254,6 @@
         };
         let patience = self.head_patience();
         let forwarded = &self.request.forwarded;
-        let begun = time::Instant::now();
         let sending = attempt::send(&self.context, &endpoint, forwarded, &terms, patience);
         let sent = self.suspecting(&place, sending).await;
         self.log.tried.push(endpoint.id.clone());
@@ -293,7 +285,6 @@
             O::Failed(why) | O::Unknown(why) => {
                 self.log.ran += 1;
                 self.note_attempt(&endpoint.id, "unknown", &why);
-                self.note_silence(begun, patience);
                 // A full queue is silent too: only several in a row eject it.
                 place.note_failed(false);
                 self.after_unknown(why)
@@ -309,13 +300,6 @@
         FinalError::NotRun(pause, "no endpoint took the request".into())
     }
 
-    /// Notes that an attempt was given up for its silence, to be sent again.
-    pub(super) fn note_silence(&self, begun: time::Instant, patience: time::Duration) {
-        if begun.elapsed() >= patience && !self.left().is_zero() {
-            self.context.resends.borrow_mut().spend();
-        }
-    }
-
     pub(super) fn after_unknown(&self, why: String) -> Result<Answered, NextStep> {
         if self.left().is_zero() {
             return Err(NextStep::GiveUp(FinalError::Late));
@@ -418,9 +402,6 @@
     /// One line and one count for the end of a request.
     pub(super) fn note_end(&self, outcome: &str, status: u16) {
         let spent = self.request.arrived.elapsed();
-        if outcome == ANSWERED {
-            self.context.resends.borrow_mut().earn();
-        }
         let metrics = &self.context.metrics;
         metrics.answers.with_label_values(&[outcome]).inc();
         metrics.observe(
