fix(jobs): a start does not wait for a disk that hangs

Cause, found by reading: the file with the progress was read on the thread that serves, so a disk that hangs for seconds would have delayed the start. Change: the thread that writes the file reads it first; the start waits 250 ms. The test opens a pipe that nobody writes to, and hung before.

--- a/src/serving/checkpoint_file.rs
+++ b/src/serving/checkpoint_file.rs
@@ -7,7 +7,7 @@
 use std::{
     fs,
     io::{self, Write as _},
-    path, thread,
+    path, thread, time,
 };
 
 use xxhash_rust::xxh3;
@@ -20,6 +20,9 @@
 const NEXT_NAME: &str = "progress.next";
 /// First word of the file: what it holds, and in which format.
 const FORMAT: &str = "jayhollow-progress-1";
+/// Longest wait for the file at the start: a sound disk reads it in some
+/// milliseconds, and a process without it works as well.
+const READ_PATIENCE: time::Duration = time::Duration::from_millis(250);
 /// Largest file that is written or read, in bytes. Forty items are 0.7 MB.
 const MAX_FILE_BYTES: usize = 16 << 20;
 
@@ -31,32 +34,30 @@
 }
 
 impl CheckpointFile {
-    /// Starts the writer for a folder.
+    /// Starts the writer for a folder; gives what the file there holds.
     ///
     /// # Errors
     /// The thread cannot be started.
-    pub fn start(folder: path::PathBuf) -> io::Result<Self> {
-        // One round waits at most: what a slow disk does not take is replaced by the next.
-        let (ring, rounds) = crossbeam_channel::bounded::<Vec<_>>(1);
-        let write_rounds = move || {
-            let mut was_failing = false;
-            while let Ok(jobs) = rounds.recv() {
-                let written = write(&folder, &jobs);
-                if let Err(e) = &written {
-                    if !was_failing {
-                        log::warn!("event=progress_unwritten why=\"{e}\"");
-                    }
-                }
-                was_failing = written.is_err();
-            }
-        };
+    pub fn start(folder: path::PathBuf) -> io::Result<(Self, Vec<job_checkpoints::JobCheckpoint>)> {
+        // One round waits at most: while a slow disk takes it, later ones are skipped.
+        let (ring, rounds) = crossbeam_channel::bounded(1);
+        let (found, finding) = crossbeam_channel::bounded(1);
         thread::Builder::new()
             .name("progress".into())
-            .spawn(write_rounds)?;
-        Ok(Self {
+            .spawn(move || {
+                // Nobody waits any more if the disk was slow.
+                drop(found.send(read_or_log(&folder)));
+                write_rounds(&folder, &rounds);
+            })?;
+        let jobs = finding.recv_timeout(READ_PATIENCE).unwrap_or_else(|_| {
+            log::warn!("event=progress_unread why=\"the disk is slow\"");
+            Vec::new()
+        });
+        let file = Self {
             ring,
-            was_empty: std::cell::Cell::new(true),
-        })
+            was_empty: std::cell::Cell::new(jobs.is_empty()),
+        };
+        Ok((file, jobs))
     }
 
     /// Has the progress of all jobs written, in place of what the file holds.
@@ -72,6 +73,35 @@
     }
 }
 
+/// What the file holds; nothing, with a line on why, if it cannot be used.
+fn read_or_log(folder: &path::Path) -> Vec<job_checkpoints::JobCheckpoint> {
+    match read(folder) {
+        Ok(jobs) => {
+            log::info!("event=progress_read jobs={}", jobs.len());
+            jobs
+        }
+        Err(e) => {
+            log::info!("event=progress_unread why=\"{e}\"");
+            Vec::new()
+        }
+    }
+}
+
+/// Writes what comes out of the ring until it is closed.
+fn write_rounds(
+    folder: &path::Path,
+    rounds: &crossbeam_channel::Receiver<Vec<job_checkpoints::JobCheckpoint>>,
+) {
+    let mut was_failing = false;
+    while let Ok(jobs) = rounds.recv() {
+        let written = write(folder, &jobs);
+        if let (Err(e), false) = (&written, was_failing) {
+            log::warn!("event=progress_unwritten why=\"{e}\"");
+        }
+        was_failing = written.is_err();
+    }
+}
+
 /// The text of a file: a head with length and hash, and the jobs.
 fn encode(jobs: &[job_checkpoints::JobCheckpoint]) -> io::Result<Vec<u8>> {
     let body = serde_json::to_vec(jobs)?;
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -300,19 +300,18 @@
     board: &job_checkpoints::CheckpointBoard,
 ) -> Option<checkpoint_file::CheckpointFile> {
     let folder = options.data_folder.clone()?;
-    match checkpoint_file::read(&folder) {
-        Ok(jobs) => {
-            log::info!("event=progress_read jobs={}", jobs.len());
+    match checkpoint_file::CheckpointFile::start(folder) {
+        Ok((file, jobs)) => {
             for job in jobs {
                 board.take(job);
             }
+            Some(file)
+        }
+        Err(e) => {
+            log::warn!("event=progress_unwritten why=\"{e}\"");
+            None
         }
-        Err(e) => log::info!("event=progress_unread why=\"{e}\""),
     }
-    let started = checkpoint_file::CheckpointFile::start(folder);
-    started
-        .inspect_err(|e| log::warn!("event=progress_unwritten why=\"{e}\""))
-        .ok()
 }
 
 /// Ends once the last request ended and all jobs are handed back, or the grace is over.
--- a/tests/checkpoint_file.rs
+++ b/tests/checkpoint_file.rs
@@ -69,8 +69,28 @@
     let folder = folder();
     fs::remove_dir_all(&folder).expect("the folder is removed");
     assert!(checkpoint_file::write(&folder, &[job()]).is_err());
-    let file = checkpoint_file::CheckpointFile::start(folder).expect("the thread starts");
+    let started = checkpoint_file::CheckpointFile::start(folder);
+    let (file, jobs) = started.expect("the thread starts");
+    assert!(jobs.is_empty());
     for _ in 0..10 {
         file.write(vec![job()]);
     }
 }
+
+#[test]
+fn a_start_does_not_wait_for_a_disk_that_hangs() {
+    let folder = folder();
+    // A pipe that nobody writes to: opening it waits for ever.
+    let pipe = folder.join("progress");
+    let name = std::ffi::CString::new(pipe.to_str().expect("it is text")).expect("no zero");
+    // SAFETY: the name is a string that ends with a zero.
+    let made = unsafe { libc::mkfifo(name.as_ptr(), 0o600) };
+    assert_eq!(made, 0);
+    let started = checkpoint_file::CheckpointFile::start(folder.clone());
+    let (file, jobs) = started.expect("the thread starts");
+    assert!(jobs.is_empty());
+    for _ in 0..10 {
+        file.write(vec![job()]);
+    }
+    fs::remove_dir_all(folder).expect("the folder is removed");
+}
