fix(serving): who is probed can ask a prober that it does not know

Traced: the store turned the dispatcher away 0.5 s after its start, before it had read the gateway's record, so it heard a newer version in each probe and knew no address to ask for it, for good. The address stands in the probe now.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -187,10 +187,8 @@
     if hello.version <= context.fleet.table().version() {
         return;
     }
-    let address = context.members.borrow().address_of(&hello.id);
-    let Some(address) = address else { return };
     let (context, hello) = (context.clone(), hello.clone());
-    actix_rt::spawn(async move { learn_state(&context, address, &hello).await });
+    actix_rt::spawn(async move { learn_state(&context, hello.address, &hello).await });
 }
 
 fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
@@ -254,6 +252,8 @@
         return;
     }
     context.state_asked.set(Some(now));
+    // Who probes this process need not have been asked anything before.
+    context.links.settle(peer).await;
     let text = match context.links.desired_state(peer, BELIEF_TIMEOUT).await {
         Ok(text) => text,
         Err(e) => {
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -2,7 +2,7 @@
 //!
 //! All of it is a hint. What must hold is kept by the store.
 
-use std::time;
+use std::{net, time};
 
 use tokio::sync::oneshot;
 
@@ -17,6 +17,8 @@
 pub struct PeerHello {
     /// The process.
     pub id: ids::InstanceId,
+    /// Where it answers its peers: one that the store turns away may not know it.
+    pub address: net::SocketAddr,
     /// Whether it is leaving.
     pub leaving: bool,
     /// Version of its desired state.
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -212,6 +212,7 @@
         let heard = members.heard_dispatchers(now);
         peers::PeerHello {
             id: self.id().clone(),
+            address: self.options.member.address,
             leaving: self.is_leaving(),
             version: self.fleet.table().version(),
             revision: self.fleet.revision(),
