feat(metrics): the version in force, and what beliefs cost that come from peers

What told the hypotheses of the incident apart came from the users' monitoring: bytes a second on the links. The processes' own metrics had neither the version in force nor how often a state or list was asked of a peer in vain.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,8 +50,14 @@
     pub crossed: prometheus::IntCounter,
     /// Broken invariants, by name.
     pub broken_invariants: prometheus::IntCounterVec,
+    /// Beliefs asked of peers, by what and whether they came.
+    pub belief_reads: prometheus::IntCounterVec,
+    /// Bytes of desired states that came from peers, encoded.
+    pub state_bytes: prometheus::IntCounter,
     /// Generation of the bundle in use.
     pub bundle_generation: prometheus::IntGauge,
+    /// Version of the desired state in force.
+    pub state_version: prometheus::IntGauge,
 }
 
 fn register<C: Collector + Clone + 'static>(registry: &prometheus::Registry, metric: C) -> C {
@@ -83,11 +89,15 @@
     register(registry, metric.expect("the options are valid"))
 }
 
+fn gauge(registry: &prometheus::Registry, name: &str, help: &str) -> prometheus::IntGauge {
+    let metric = prometheus::IntGauge::new(name, help);
+    register(registry, metric.expect("the name is valid"))
+}
+
 impl Default for MetricSet {
     fn default() -> Self {
         let registry = prometheus::Registry::new();
         let r = &registry;
-        let generation = prometheus::IntGauge::new("jayhollow_bundle_generation", "Bundle in use");
         Self {
             labels: sync::Mutex::default(),
             first_token: histogram(r, "jayhollow_first_token_seconds", "Time to first token"),
@@ -118,7 +128,19 @@
                 "Broken invariants",
                 "name",
             ),
-            bundle_generation: register(r, generation.expect("the name is valid")),
+            belief_reads: counters(
+                r,
+                "jayhollow_belief_reads_total",
+                "Beliefs asked of peers",
+                "outcome",
+            ),
+            state_bytes: counter(
+                r,
+                "jayhollow_state_bytes_total",
+                "Bytes of desired states from peers",
+            ),
+            bundle_generation: gauge(r, "jayhollow_bundle_generation", "Bundle in use"),
+            state_version: gauge(r, "jayhollow_state_version", "Desired state in force"),
             registry,
         }
     }
--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -230,15 +230,26 @@
     }
     match context.links.endpoints(peer, BELIEF_TIMEOUT).await {
         Ok(copy) => {
+            count_read(context, "endpoints_taken", 0);
             let (id, revision) = (&hello.id, copy.revision);
             log::info!("event=endpoints_from_peer peer={id} revision={revision}");
             let news = fleet_source::FleetNews::PeerEndpoints(revision, copy.entries);
             context.fleet.take(news);
         }
-        Err(e) => log::info!("event=peer_endpoints_missing peer={} why=\"{e}\"", hello.id),
+        Err(e) => {
+            count_read(context, "endpoints_missing", 0);
+            log::info!("event=peer_endpoints_missing peer={} why=\"{e}\"", hello.id);
+        }
     }
 }
 
+/// Counts a belief that was asked of a peer, and the bytes that came.
+fn count_read(context: &process::ProcessContext, outcome: &str, bytes: usize) {
+    let metrics = &context.metrics;
+    metrics.belief_reads.with_label_values(&[outcome]).inc();
+    metrics.state_bytes.inc_by(bytes as u64);
+}
+
 /// Takes the desired state of a peer that has a newer one.
 async fn learn_state(
     context: &process::ProcessContext,
@@ -255,8 +266,12 @@
     // Who probes this process need not have been asked anything before.
     context.links.settle(peer).await;
     let text = match context.links.desired_state(peer, BELIEF_TIMEOUT).await {
-        Ok(text) => text,
+        Ok(text) => {
+            count_read(context, "state_taken", text.len());
+            text
+        }
         Err(e) => {
+            count_read(context, "state_missing", 0);
             log::info!("event=peer_state_missing peer={} why=\"{e}\"", hello.id);
             return;
         }
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -21,7 +21,12 @@
     }
     if let Some(address) = context.options.metrics {
         serve(context, address, |context, _| {
-            http_server::plain(StatusCode::OK, context.metrics.render())
+            let version = context.fleet.table().version().0;
+            let metrics = &context.metrics;
+            metrics
+                .state_version
+                .set(version.try_into().unwrap_or(i64::MAX));
+            http_server::plain(StatusCode::OK, metrics.render())
         })?;
     }
     Ok(())
