fix(serving): the desired state goes between processes in parts, one transfer at a time

Cause: a gateway asked a peer for the whole desired state and waited 500 ms, whatever its size. Each sign of life of each peer with a newer one began another such transfer, 150 ms apart. Of 4,249 routes a transfer had 1.58 MB (JSON), a link of 30 Mbit/s carries 1.9 MB in 500 ms: several at once never ended, all were begun anew, and their bytes stood before lists, places and callers' events. The list of endpoints was asked for only after the wait for the state.

A process has one transfer under way. What came stays over failures, goes on at another peer, and ends with the copy that it began with, also when newer versions come. The list of endpoints does not wait for it, and is asked of one peer at a time.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -2,16 +2,12 @@
 
 use std::{net, rc, time};
 
-use super::{fleet_source, members, owners, peer_links, peers, process};
+use super::{fleet_source, members, owners, peer_links, peers, process, state_transfer};
 use crate::{decisions::call_budget::CallClass, ids, store};
 
-/// Longest wait for a peer's desired state or list.
+/// Longest wait for a peer's list of endpoints or members.
 const BELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Least time between two questions for the desired state. An answer takes 1 to
-/// 4 ms; a peer that gives none is passed over at the next sign of life.
-const STATE_PAUSE: time::Duration = time::Duration::from_millis(150);
-
 /// Pause between two readings of the desired state; with a probe and a question
 /// a change is in force within a second though all watches stay silent, half of
 /// the least time that is allowed for it.
@@ -184,11 +180,7 @@
 /// Takes the signs of life of a peer that probes this process.
 pub(super) fn take_probe(context: &rc::Rc<process::ProcessContext>, hello: &peers::PeerHello) {
     hear(context, hello);
-    if hello.version <= context.fleet.table().version() {
-        return;
-    }
-    let (context, hello) = (context.clone(), hello.clone());
-    actix_rt::spawn(async move { learn_state(&context, hello.address, &hello).await });
+    learn_state(context, hello.address, hello);
 }
 
 fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
@@ -197,6 +189,7 @@
         leaving: hello.leaving,
         hears: hello.hears.clone(),
         follows_store: hello.follows_store,
+        version: hello.version,
     };
     let mut members = context.members.borrow_mut();
     members.note_heard(&hello.id, signs, now);
@@ -209,11 +202,11 @@
 
 /// Takes beliefs that a peer has newer than this process.
 async fn catch_up(
-    context: &process::ProcessContext,
+    context: &rc::Rc<process::ProcessContext>,
     peer: net::SocketAddr,
     hello: &peers::PeerHello,
 ) {
-    learn_state(context, peer, hello).await;
+    learn_state(context, peer, hello);
     if !hello.follows_store {
         return;
     }
@@ -228,61 +221,41 @@
         read_missed(context).await;
         return;
     }
+    let Some(_guard) = context.list_flight.begin() else {
+        return;
+    };
     match context.links.endpoints(peer, BELIEF_TIMEOUT).await {
         Ok(copy) => {
-            count_read(context, "endpoints_taken", 0);
+            count_read(context, "endpoints_taken");
             let (id, revision) = (&hello.id, copy.revision);
             log::info!("event=endpoints_from_peer peer={id} revision={revision}");
             let news = fleet_source::FleetNews::PeerEndpoints(revision, copy.entries);
             context.fleet.take(news);
         }
         Err(e) => {
-            count_read(context, "endpoints_missing", 0);
+            count_read(context, "endpoints_missing");
             log::info!("event=peer_endpoints_missing peer={} why=\"{e}\"", hello.id);
         }
     }
 }
 
-/// Counts a belief that was asked of a peer, and the bytes that came.
-fn count_read(context: &process::ProcessContext, outcome: &str, bytes: usize) {
-    let metrics = &context.metrics;
-    metrics.belief_reads.with_label_values(&[outcome]).inc();
-    metrics.state_bytes.inc_by(bytes as u64);
+/// Counts a list that was asked of a peer.
+fn count_read(context: &process::ProcessContext, outcome: &str) {
+    let reads = &context.metrics.belief_reads;
+    reads.with_label_values(&[outcome]).inc();
 }
 
-/// Takes the desired state of a peer that has a newer one.
-async fn learn_state(
-    context: &process::ProcessContext,
+/// Begins to fetch the desired state of a peer that has a newer one.
+///
+/// It may take seconds over a narrow link, and what hangs on a newer list of
+/// endpoints does not wait for it.
+fn learn_state(
+    context: &rc::Rc<process::ProcessContext>,
     peer: net::SocketAddr,
     hello: &peers::PeerHello,
 ) {
-    let now = context.clock.now();
-    let lately = |at| now.since(at) < STATE_PAUSE;
-    let is_known = hello.version <= context.fleet.table().version();
-    if is_known || context.state_asked.get().is_some_and(lately) {
-        return;
-    }
-    context.state_asked.set(Some(now));
-    // Who probes this process need not have been asked anything before.
-    context.links.settle(peer).await;
-    let text = match context.links.desired_state(peer, BELIEF_TIMEOUT).await {
-        Ok(text) => {
-            count_read(context, "state_taken", text.len());
-            text
-        }
-        Err(e) => {
-            count_read(context, "state_missing", 0);
-            log::info!("event=peer_state_missing peer={} why=\"{e}\"", hello.id);
-            return;
-        }
-    };
-    match serde_json::from_str(&text) {
-        Ok(state) => {
-            let (id, version) = (&hello.id, hello.version);
-            log::info!("event=state_from_peer peer={id} version={version}");
-            context.fleet.take(fleet_source::FleetNews::State(state));
-        }
-        Err(e) => log::warn!("event=peer_state_unreadable peer={} why=\"{e}\"", hello.id),
+    if hello.version > context.fleet.table().version() {
+        actix_rt::spawn(state_transfer::fetch(context.clone(), peer));
     }
 }
 
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3;
 
+use super::route_table;
 use crate::{clock, decisions::ownership, ids};
 
 /// What a process does.
@@ -48,6 +49,8 @@
     pub hears: Vec<MemberMark>,
     /// Whether it follows the store itself, and the store answers.
     pub follows_store: bool,
+    /// Version of its desired state.
+    pub version: route_table::StateVersion,
 }
 
 /// How often a peer is probed, while there are few.
@@ -254,6 +257,17 @@
         self.is_heard(peer, now) && !peer.signs.leaving
     }
 
+    /// Where live peers answer that have a newer desired state.
+    pub fn with_newer_state(
+        &self,
+        known: route_table::StateVersion,
+        now: clock::Moment,
+    ) -> impl Iterator<Item = net::SocketAddr> + '_ {
+        let peers = self.peers.values();
+        let newer = peers.filter(move |p| p.signs.version > known && self.is_heard(p, now));
+        newer.map(|peer| peer.record.address)
+    }
+
     /// Peers that answer and stay.
     pub fn live(&self, now: clock::Moment) -> impl Iterator<Item = &MemberRecord> {
         let alive = move |peer: &&PeerState| self.is_live(peer, now);
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -46,4 +46,7 @@
 pub mod relay;
 pub mod route_table;
 pub mod selection;
+pub mod single_flight;
+pub mod state_copy;
+pub mod state_transfer;
 pub mod wire;
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -49,11 +49,13 @@
         }
         C::Release(ended) => release(context, ended),
         C::Report(report) => take_report(context, &report),
-        C::State(sender) => {
+        C::StatePart(ask, sender) => {
             let table = context.fleet.table();
-            let text = serde_json::to_string(table.state());
-            match text {
-                Ok(text) => reply(sender, text),
+            if !table.is_known() {
+                return;
+            }
+            match context.state_transfer.shelf.part(ask, table.state()) {
+                Ok(part) => reply(sender, part),
                 Err(e) => log::warn!("event=state_untold why=\"{e}\""),
             }
         }
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -10,7 +10,7 @@
         EndpointReport, LoanAsk, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk, PlaceRelease,
         ResultAsk, StreamLoan, WriteOutcome,
     },
-    wire,
+    state_copy, wire,
 };
 use crate::ids;
 
@@ -137,16 +137,17 @@
         tell_peer!(self, peer, report(report));
     }
 
-    /// Asks for the desired state.
+    /// Asks for a part of the desired state.
     ///
     /// # Errors
-    /// The peer does not answer.
-    pub async fn desired_state(
+    /// The peer does not answer, or knows no desired state.
+    pub async fn state_part(
         &self,
         peer: net::SocketAddr,
+        ask: state_copy::StatePartAsk,
         patience: time::Duration,
-    ) -> Result<String, PeerError> {
-        call_peer!(self, peer, patience, desired_state())
+    ) -> Result<state_copy::StatePart, PeerError> {
+        call_peer!(self, peer, patience, state_part(ask))
     }
 
     /// Asks for the list of endpoints.
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -13,7 +13,7 @@
         EndpointReport, LoanAsk, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk,
         PlaceRelease, ResultAsk, StreamLoan, WriteOutcome,
     },
-    wire,
+    state_copy, wire,
 };
 use crate::ids;
 
@@ -59,8 +59,12 @@
         self.tell(PeerCall::Report(report)).await;
     }
 
-    async fn desired_state(self, _: tarpc::context::Context) -> Option<String> {
-        self.ask(PeerCall::State).await
+    async fn state_part(
+        self,
+        _: tarpc::context::Context,
+        ask: state_copy::StatePartAsk,
+    ) -> Option<state_copy::StatePart> {
+        self.ask(|reply| PeerCall::StatePart(ask, reply)).await
     }
 
     async fn endpoints(self, _: tarpc::context::Context) -> Option<directory::DirectoryCopy> {
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::oneshot;
 
-use super::{directory, job_checkpoints, job_records, members, route_table, wire};
+use super::{directory, job_checkpoints, job_records, members, route_table, state_copy, wire};
 use crate::{
     decisions::{admission, health},
     ids,
@@ -138,8 +138,8 @@
     async fn release(release: PlaceRelease);
     /// Tells of a failure at an endpoint.
     async fn report(report: EndpointReport);
-    /// Asks for the desired state, as JSON.
-    async fn desired_state() -> Option<String>;
+    /// Asks for a part of the desired state.
+    async fn state_part(ask: state_copy::StatePartAsk) -> Option<state_copy::StatePart>;
     /// Asks for the list of endpoints.
     async fn endpoints() -> Option<directory::DirectoryCopy>;
     /// Asks for the processes that the peer knows.
@@ -174,8 +174,11 @@
     Release(PlaceRelease),
     /// See [`PeerService::report`].
     Report(EndpointReport),
-    /// See [`PeerService::desired_state`].
-    State(oneshot::Sender<String>),
+    /// See [`PeerService::state_part`].
+    StatePart(
+        state_copy::StatePartAsk,
+        oneshot::Sender<state_copy::StatePart>,
+    ),
     /// See [`PeerService::endpoints`].
     Endpoints(oneshot::Sender<directory::DirectoryCopy>),
     /// See [`PeerService::members`].
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -7,7 +7,7 @@
 use super::{
     beliefs, checkpoint_file, connection_pool, fleet_model, fleet_source, job_board,
     job_checkpoints, job_runner, listener, members, metrics_page, owners, peer_calls, peer_links,
-    peer_server, peers, permits, selection, wire,
+    peer_server, peers, permits, selection, single_flight, state_transfer, wire,
 };
 use crate::{
     clock,
@@ -114,8 +114,10 @@
     pub(super) members_news: tokio::sync::Notify,
     /// When a peer was asked for the members.
     pub(super) members_asked: cell::Cell<Option<clock::Moment>>,
-    /// When a peer was asked for its desired state.
-    pub(super) state_asked: cell::Cell<Option<clock::Moment>>,
+    /// Desired states on their way from and to peers.
+    pub(super) state_transfer: state_transfer::StateTransfer,
+    /// Whether a peer is being asked for its list of endpoints.
+    pub(super) list_flight: single_flight::SingleFlight,
     /// Owners of places that were asked for on behalf of a peer that is cut off.
     pub relayed: cell::RefCell<lru::LruCache<admission::PermitNumber, net::SocketAddr>>,
     /// Whether this instance is to be emptied.
@@ -262,7 +264,8 @@
         members_known: cell::Cell::new(false),
         members_news: tokio::sync::Notify::new(),
         members_asked: cell::Cell::new(None),
-        state_asked: cell::Cell::new(None),
+        state_transfer: state_transfer::StateTransfer::default(),
+        list_flight: single_flight::SingleFlight::default(),
         relayed: cell::RefCell::new(lru::LruCache::new(MAX_RELAYED)),
         retiring: cell::Cell::new(false),
         stop_begun: cell::Cell::new(None),
--- /dev/null
+++ b/tests/state_copy.rs
@@ -0,0 +1,160 @@
+//! Parts of the desired state as plain values: lost, crossed, damaged, of several copies.
+
+use std::time;
+
+use jayhollow::serving::{
+    route_table,
+    state_copy::{CopyShelf, IncomingState, PartOutcome, StatePart, StatePartAsk, PART_BYTES},
+};
+
+fn route(number: usize) -> route_table::Route {
+    let word = |salt: usize| (number * 3 + salt + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 20;
+    route_table::Route {
+        name: format!("r-{:x}", word(0)),
+        host: format!("h{:x}.example", word(1)),
+        prefix: format!("/p{:x}/", word(2)),
+        kind: route_table::RouteKind::ResumableStream,
+        timeout: time::Duration::from_secs(3),
+        objective: time::Duration::from_millis(300),
+        gap_objective: Some(time::Duration::from_millis(300)),
+        priority: 0,
+        targets: vec![route_table::RouteTarget {
+            service: "engines".parse().expect("a name"),
+            weight: 100,
+        }],
+        max_attempts: 3,
+        completion_objective: time::Duration::from_secs(60),
+        retention: time::Duration::from_secs(3600),
+    }
+}
+
+fn state(version: u64, routes: usize) -> route_table::DesiredState {
+    route_table::DesiredState {
+        version: route_table::StateVersion(version),
+        routes: (0..routes).map(route).collect(),
+        ..Default::default()
+    }
+}
+
+fn version(outcome: &PartOutcome) -> Option<u64> {
+    match outcome {
+        PartOutcome::Whole(state) => Some(state.version.0),
+        _ => None,
+    }
+}
+
+/// Adds parts until the state is whole; gives its version and the parts it took.
+fn transfer(
+    incoming: &mut IncomingState,
+    mut tell: impl FnMut(StatePartAsk) -> StatePart,
+) -> (route_table::DesiredState, usize) {
+    for count in 1..1000 {
+        match incoming.add(tell(incoming.next_ask())) {
+            PartOutcome::Added => {}
+            PartOutcome::Whole(state) => return (state, count),
+            other => panic!("part {count}: {other:?}"),
+        }
+    }
+    panic!("the transfer does not end");
+}
+
+#[rstest::rstest]
+#[case::small(3, 1)]
+#[case::large(4000, 30)]
+fn a_state_arrives_whole_in_few_parts(#[case] routes: usize, #[case] most: usize) {
+    let (shelf, newest) = (CopyShelf::default(), state(7, routes));
+    let tell = |ask| shelf.part(ask, &newest).expect("it can be encoded");
+    let (arrived, parts) = transfer(&mut IncomingState::default(), tell);
+    assert_eq!(arrived.version, newest.version);
+    assert_eq!(arrived.routes.len(), routes);
+    assert_eq!(format!("{arrived:?}"), format!("{newest:?}"));
+    assert!(parts <= most, "{parts} parts of {PART_BYTES} bytes");
+}
+
+#[test]
+fn a_transfer_ends_with_the_copy_that_it_began_with() {
+    let shelf = CopyShelf::default();
+    let mut incoming = IncomingState::default();
+    let mut number = 7;
+    let tell = |ask| {
+        number += 1;
+        shelf
+            .part(ask, &state(number, 2000))
+            .expect("it can be encoded")
+    };
+    let (arrived, parts) = transfer(&mut incoming, tell);
+    assert!(parts > 5);
+    assert_eq!(
+        arrived.version.0, 8,
+        "versions that come meanwhile do not end it"
+    );
+}
+
+#[test]
+fn a_transfer_goes_on_at_another_peer() {
+    let shelves = [CopyShelf::default(), CopyShelf::default()];
+    let newest = state(7, 2000);
+    let whole = transfer(&mut IncomingState::default(), |ask| {
+        shelves[0].part(ask, &newest).expect("it can be encoded")
+    });
+    // The second peer encodes the copy itself, when it is first asked.
+    shelves[1]
+        .part(StatePartAsk::First, &newest)
+        .expect("it can be encoded");
+    let mut turn = 0;
+    let (arrived, parts) = transfer(&mut IncomingState::default(), |ask| {
+        turn += 1;
+        let shelf = &shelves[turn % 2];
+        shelf.part(ask, &newest).expect("it can be encoded")
+    });
+    assert_eq!(arrived.version, newest.version);
+    assert_eq!(parts, whole.1, "no part is told twice");
+}
+
+#[test]
+fn parts_of_another_copy_or_place_add_nothing() {
+    let shelf = CopyShelf::default();
+    let newest = state(7, 2000);
+    let first = shelf.part(StatePartAsk::First, &newest).expect("a part");
+    let second = shelf
+        .part(StatePartAsk::Next(first.copy, PART_BYTES), &newest)
+        .expect("a part");
+    let other = shelf.part(StatePartAsk::First, &state(8, 2000));
+    let other = other.expect("a part");
+    let mut incoming = IncomingState::default();
+    assert!(matches!(incoming.add(first.clone()), PartOutcome::Added));
+    for unfit in [first.clone(), other, third_of(&second)] {
+        assert!(matches!(incoming.add(unfit), PartOutcome::Unfit(_)));
+    }
+    let ask = StatePartAsk::Next(first.copy, PART_BYTES);
+    assert_eq!(incoming.next_ask(), ask, "it goes on where it was");
+    let (arrived, _) = transfer(&mut incoming, |ask| {
+        shelf.part(ask, &newest).expect("a part")
+    });
+    assert_eq!(arrived.version.0, 7);
+}
+
+/// The same bytes as of a later place.
+fn third_of(second: &StatePart) -> StatePart {
+    StatePart {
+        offset: 2 * PART_BYTES,
+        ..second.clone()
+    }
+}
+
+#[test]
+fn a_damaged_state_is_refused_and_the_next_one_taken() {
+    let shelf = CopyShelf::default();
+    let newest = state(7, 3);
+    let part = shelf.part(StatePartAsk::First, &newest).expect("a part");
+    let mut damaged = part.clone();
+    damaged.bytes[10] ^= 1;
+    let mut huge = part.clone();
+    huge.copy.total = usize::MAX;
+    let mut incoming = IncomingState::default();
+    for bad in [damaged, huge] {
+        assert!(matches!(incoming.add(bad), PartOutcome::Refused(_)));
+        assert_eq!(incoming.next_ask(), StatePartAsk::First);
+    }
+    assert_eq!(version(&incoming.add(part)), Some(7));
+}
