test(serving): an older list of a peer undoes a leave, and a lapsed entry stays

Two lists that reach a process in the wrong order, and an entry that its follower gives up without a new revision, leave an endpoint in use that leaves or is gone.

--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -96,6 +96,114 @@
     assert_eq!(count(&model), 1, "an older list is not taken");
 }
 
+/// What a process that learns from peers does at a sign of life of one that
+/// follows the store: it takes a newer list that differs.
+fn tell(from: &fleet_model::FleetModel, to: &fleet_model::FleetModel) {
+    if from.digest() != to.digest() && from.revision() > to.revision() {
+        let copy = from.copy();
+        to.take(FleetNews::PeerEndpoints(copy.revision, copy.entries));
+    }
+}
+
+/// A model over a clock, that follows the store or learns from peers.
+fn model(clock: &sync::Arc<TestClock>, follows: bool) -> fleet_model::FleetModel {
+    let model = fleet_model::FleetModel::new(clock.clone());
+    model.set_follows(follows);
+    if follows {
+        model.take(FleetNews::Reachable(true));
+    }
+    model
+}
+
+fn leaving(id: &str) -> directory::EndpointEntry {
+    directory::EndpointEntry {
+        leaving: true,
+        ..entry(id, "z")
+    }
+}
+
+/// Requests went to an endpoint for as long as the list did not change again,
+/// though all processes had heard that it leaves. Two endpoints changed shortly
+/// one after the other. A gateway asked two followers of the store for their
+/// lists at once: the one that had seen both changes answered first, the one
+/// that had seen the first change answered late. The gateway put the older list
+/// in the place of the newer one and kept the newer revision, so that no list
+/// of that revision corrected it.
+#[test]
+fn an_older_list_of_a_peer_undoes_no_leave() {
+    let clock = sync::Arc::default();
+    let [early, late, gateway] = [true, true, false].map(|follows| model(&clock, follows));
+    let both = || vec![entry("a", "z"), entry("b", "z")];
+    for follower in [&early, &late] {
+        follower.take(FleetNews::Endpoints(8, both()));
+    }
+    tell(&early, &gateway);
+    let listed = |entry| vec![directory::ListChange::Listed(entry)];
+    for follower in [&early, &late] {
+        follower.take(FleetNews::EndpointChanges(10, listed(entry("c", "z"))));
+    }
+    early.take(FleetNews::EndpointChanges(12, listed(leaving("a"))));
+    let [newer, older] = [&early, &late].map(fleet_model::FleetModel::copy);
+    for copy in [newer, older] {
+        gateway.take(FleetNews::PeerEndpoints(copy.revision, copy.entries));
+    }
+    assert_eq!(count(&gateway), 2, "the one that leaves gets no new work");
+    late.take(FleetNews::EndpointChanges(12, listed(leaving("a"))));
+    for follower in [&early, &late] {
+        tell(follower, &gateway);
+        assert_eq!(gateway.digest(), follower.digest());
+    }
+}
+
+/// An endpoint that had said that it leaves got work again. A follower of the
+/// store took a newer list from a peer while the answer to its own watch was on
+/// its way; the changes in that answer were older and undid the leave until the
+/// next answer.
+#[test]
+fn older_changes_undo_no_leave() {
+    let clock = sync::Arc::default();
+    let [follower, peer] = [true, true].map(|follows| model(&clock, follows));
+    follower.take(FleetNews::Endpoints(8, vec![entry("a", "z")]));
+    peer.take(FleetNews::Endpoints(12, vec![leaving("a")]));
+    tell(&peer, &follower);
+    let old = vec![directory::ListChange::Listed(entry("a", "z"))];
+    follower.take(FleetNews::EndpointChanges(10, old));
+    assert_eq!(count(&follower), 0);
+    let back = vec![directory::ListChange::Listed(entry("b", "z"))];
+    follower.take(FleetNews::EndpointChanges(13, back));
+    assert_eq!(count(&follower), 1, "newer changes are taken");
+}
+
+/// Gateways sent requests to an endpoint that was gone, until the list changed
+/// again. Its entry had lapsed while the store was away; the followers of the
+/// store waited for it to come back, and told it to the gateways meanwhile.
+/// When they gave it up, the revision of the list stayed the same, and the
+/// gateways took no list of a revision that they had.
+#[test]
+fn an_entry_that_lapsed_is_gone_at_processes_that_learn_from_peers() {
+    let clock = sync::Arc::new(TestClock::default());
+    let [follower, gateway] = [true, false].map(|follows| model(&clock, follows));
+    follower.take(FleetNews::Endpoints(
+        1,
+        vec![entry("a", "z"), entry("b", "z")],
+    ));
+    tell(&follower, &gateway);
+    follower.take(FleetNews::Reachable(false));
+    clock.pass(time::Duration::from_secs(5));
+    follower.take(FleetNews::Reachable(true));
+    // One lapsed, and another one came.
+    follower.take(FleetNews::Endpoints(
+        3,
+        vec![entry("b", "z"), entry("c", "z")],
+    ));
+    tell(&follower, &gateway);
+    assert_eq!(count(&gateway), 3, "the one that lapsed may come back");
+    clock.pass(time::Duration::from_millis(2600));
+    follower.expire();
+    tell(&follower, &gateway);
+    assert_eq!([count(&follower), count(&gateway)], [2, 2]);
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_decides() {
     let route = |host: &str, prefix: &str| route_table::Route {
