fix(serving): no older list of endpoints undoes a newer one

Cause: a process that learns from peers asks several followers of the store at once and took each answer, also one that came late and was older; its own revision is the highest seen, so no list of that revision corrected it. A follower did the same with older changes of its own watch. And a follower that gave entries up which had lapsed while the store was away changed its list without a new revision, so peers that had taken the entries over kept them until the list changed again.

Change: lists and changes older than the own list are refused. The number of a list is a thousand times the revision of the store, and the times since then that lapsed entries were given up; the higher one is newer.

--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -169,7 +169,7 @@
 /// A list as it is told between processes.
 #[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
 pub struct DirectoryCopy {
-    /// Revision of the store that it reflects.
+    /// Its number, see [`super::fleet_model::FleetModel::revision`].
     pub revision: u64,
     /// The entries.
     pub entries: Vec<EndpointEntry>,
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -11,16 +11,23 @@
 const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2500);
 /// How long the store must have answered before a removal is taken at its word.
 const SETTLED_AFTER: time::Duration = time::Duration::from_secs(3);
+/// Lists that one revision of the store can stand for, see [`FleetModel::revision`].
+///
+/// Entries that lapsed in one absence of the store are given up together, so
+/// few are used; a count of the store stays far below the bound that is left.
+const LISTS_PER_REVISION: u64 = 1000;
 
 /// The beliefs of a process.
 ///
-/// Invariant: the version of the desired state never goes down.
+/// Invariants: the version of the desired state never goes down, nor does
+/// `number`; the list of endpoints reflects all that its number stands for.
 pub struct FleetModel {
     clock: sync::Arc<dyn clock::MonotonicClock>,
     table: cell::RefCell<rc::Rc<route_table::RouteTable>>,
     /// The endpoints.
     pub directory: cell::RefCell<directory::EndpointDirectory>,
-    revision: cell::Cell<u64>,
+    /// See [`Self::revision`].
+    number: cell::Cell<u64>,
     reachable_since: cell::Cell<Option<clock::Moment>>,
     was_away: cell::Cell<bool>,
     follows: cell::Cell<bool>,
@@ -36,7 +43,7 @@
             clock,
             table: cell::RefCell::default(),
             directory: cell::RefCell::default(),
-            revision: cell::Cell::new(0),
+            number: cell::Cell::new(0),
             reachable_since: cell::Cell::new(None),
             was_away: cell::Cell::new(false),
             follows: cell::Cell::new(true),
@@ -56,9 +63,17 @@
         self.table.borrow().is_known() && !self.directory.borrow().is_empty()
     }
 
-    /// Revision of the list of endpoints.
+    /// Number of the list of endpoints, which is higher for a newer one.
+    ///
+    /// It is a thousand times the revision of the store, and the times since
+    /// then that lapsed entries were given up, which the store does not count.
     pub fn revision(&self) -> u64 {
-        self.revision.get()
+        self.number.get()
+    }
+
+    /// The revision of the store that the list reflects.
+    fn store_revision(&self) -> u64 {
+        self.number.get() / LISTS_PER_REVISION
     }
 
     /// A number that differs for lists of endpoints that differ.
@@ -109,7 +124,7 @@
         let directory = self.directory.borrow();
         let entries = directory.entries().map(|e| (**e).clone()).collect();
         directory::DirectoryCopy {
-            revision: self.revision.get(),
+            revision: self.revision(),
             entries,
         }
     }
@@ -126,18 +141,28 @@
         match news {
             N::State(state) => self.take_state(state),
             N::Endpoints(revision, entries) => {
-                if revision < self.revision.get() {
-                    return;
+                let number = revision * LISTS_PER_REVISION;
+                if revision >= self.store_revision() {
+                    self.take_list(number, entries, self.gone_at());
                 }
-                self.take_list(revision, entries, self.gone_at());
             }
-            N::PeerEndpoints(revision, entries) => {
+            N::PeerEndpoints(number, entries) => {
+                // Of two answers that cross, the later may be the older.
+                if number < self.revision() {
+                    log::info!("event=older_endpoints_refused revision={number}");
+                    return;
+                }
                 // The peer waits for entries that lapsed, so this process need not.
-                self.take_list(revision, entries, None);
+                self.take_list(number, entries, None);
             }
             N::EndpointChanges(revision, changes) => {
+                // All of them are in the list already, and newer ones besides.
+                if revision < self.store_revision() {
+                    log::info!("event=older_changes_refused revision={revision}");
+                    return;
+                }
                 let gone_at = self.gone_at();
-                self.take_changes(revision, changes, gone_at);
+                self.take_changes(revision * LISTS_PER_REVISION, changes, gone_at);
             }
             N::Reachable(reachable) => self.note_reachable(reachable),
             N::Returned => self.returned.notify_waiters(),
@@ -149,10 +174,10 @@
         }
     }
 
-    /// Takes a whole list.
+    /// Takes a whole list that has a number.
     fn take_list(
         &self,
-        revision: u64,
+        number: u64,
         entries: Vec<directory::EndpointEntry>,
         gone_at: Option<clock::Moment>,
     ) {
@@ -162,29 +187,32 @@
         drop(directory);
         if is_first {
             let count = changes.len();
+            let revision = number / LISTS_PER_REVISION;
             log::info!("event=endpoints_listed revision={revision} count={count}");
             self.directory.borrow_mut().apply(changes, gone_at);
-            self.note_revision(revision);
+            self.note_number(number);
             return;
         }
-        self.take_changes(revision, changes, gone_at);
+        self.take_changes(number, changes, gone_at);
     }
 
+    /// Takes changes that lead to the list of a number.
     fn take_changes(
         &self,
-        revision: u64,
+        number: u64,
         changes: Vec<directory::ListChange>,
         gone_at: Option<clock::Moment>,
     ) {
+        let revision = number / LISTS_PER_REVISION;
         for change in &changes {
             log::info!("event=endpoint_changed revision={revision} {change}");
         }
         self.directory.borrow_mut().apply(changes, gone_at);
-        self.note_revision(revision);
+        self.note_number(number);
     }
 
-    fn note_revision(&self, revision: u64) {
-        self.revision.set(self.revision.get().max(revision));
+    fn note_number(&self, number: u64) {
+        self.number.set(self.number.get().max(number));
         self.changes.send_modify(|n| *n += 1);
     }
 
@@ -223,7 +251,8 @@
     /// Removes what lapsed for good.
     pub fn expire(&self) {
         if self.is_reachable() && self.directory.borrow_mut().expire(self.clock.now()) {
-            self.changes.send_modify(|n| *n += 1);
+            // Peers that took the entries over take only what is newer.
+            self.note_number(self.number.get() + 1);
         }
     }
 }
