fix(serving): items of a route that is newer than the own state wait for it

Cause: an owner of a job took a route that it did not find for removed and gave the items up at once. The gateway that accepted the job may have a newer desired state, which has the route: the owner learns it by a probe, a question and a transfer later, and much later where the state is large.

Change: the record of a job names the version under which it was accepted. An owner with an older one waits with items whose route it does not find.

tests/job_checkpoints.rs names the new field; nothing else changed there.

--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -44,6 +44,7 @@
         id: id.clone(),
         host: route.host.clone(),
         submitted_ms: job_records::epoch_ms(),
+        version: context.fleet.table().version(),
         items,
     };
     let patience = terms.patience.unwrap_or(job_acceptance::ACCEPT_TIMEOUT);
--- a/src/serving/job_records.rs
+++ b/src/serving/job_records.rs
@@ -8,7 +8,7 @@
 
 use std::time;
 
-use super::wire;
+use super::{route_table, wire};
 use crate::{decisions::call_budget::CallClass, ids, store};
 
 /// Kind of the records of accepted jobs.
@@ -27,6 +27,9 @@
     pub host: String,
     /// When it was submitted, in milliseconds since the epoch.
     pub submitted_ms: u64,
+    /// Version of the desired state under which it was accepted; 0 if that is not known.
+    #[serde(default)]
+    pub version: route_table::StateVersion,
     /// Its items.
     pub items: Vec<wire::JobItem>,
 }
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -121,7 +121,7 @@
 enum ItemRoute {
     Found(std::sync::Arc<route_table::Route>),
     None,
-    /// No desired state is known.
+    /// No desired state is known that is as new as the one which allowed the job.
     Unknown,
 }
 
@@ -131,15 +131,14 @@
     index: usize,
 ) -> ItemRoute {
     let table = context.fleet.table();
-    if !table.is_known() {
-        return ItemRoute::Unknown;
-    }
     let job = job.borrow();
     let path = &job.record.items[index].path;
     match table.find(&job.record.host, path) {
         Some(route) if route.kind == route_table::RouteKind::Batch => {
             ItemRoute::Found(route.clone())
         }
+        // Its route may be newer than what is known here.
+        _ if !table.is_known() || table.version() < job.record.version => ItemRoute::Unknown,
         _ => ItemRoute::None,
     }
 }
--- a/tests/job_checkpoints.rs
+++ b/tests/job_checkpoints.rs
@@ -71,6 +71,7 @@
         id: "job-1".parse().expect("a name"),
         host: "h".into(),
         submitted_ms: 1,
+        version: Default::default(),
         items: vec![item],
     };
     let board = job_board::JobBoard::default();
