fix(serving): a stop waits for answers that their callers read slowly

Cause: a request counts as under way until its answer is made. What the system has not taken of it waits in the connection's own buffer, and a process that was asked to stop ended without looking at that: half a second after the signal if no other request was under way.

Change: callers' connections tell whether the system took all that was written; a stop waits for those on which something waits, within the grace.

--- /dev/null
+++ b/src/serving/caller_socket.rs
@@ -0,0 +1,79 @@
+//! A caller's connection that tells whether a part of an answer still waits in the process.
+
+use std::{cell, io, pin, rc, task};
+
+use tokio::{io as tokio_io, net};
+
+/// A caller's connection; counted while the system has not taken all that was written to it.
+///
+/// Invariant: `waiting` counts this connection exactly while `is_waiting`.
+pub(super) struct CallerSocket {
+    socket: net::TcpStream,
+    waiting: rc::Rc<cell::Cell<usize>>,
+    is_waiting: bool,
+}
+
+impl CallerSocket {
+    /// Wraps a connection that has no answer yet.
+    pub(super) fn new(socket: net::TcpStream, waiting: rc::Rc<cell::Cell<usize>>) -> Self {
+        Self {
+            socket,
+            waiting,
+            is_waiting: false,
+        }
+    }
+
+    fn set_waiting(&mut self, is_waiting: bool) {
+        let was_waiting = std::mem::replace(&mut self.is_waiting, is_waiting);
+        let others = self.waiting.get() - usize::from(was_waiting);
+        self.waiting.set(others + usize::from(is_waiting));
+    }
+}
+
+impl Drop for CallerSocket {
+    fn drop(&mut self) {
+        self.set_waiting(false);
+    }
+}
+
+impl tokio_io::AsyncRead for CallerSocket {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut tokio_io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_read(context, buffer)
+    }
+}
+
+impl tokio_io::AsyncWrite for CallerSocket {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let written = pin::Pin::new(&mut self.socket).poll_write(context, bytes);
+        let is_waiting = match &written {
+            task::Poll::Pending => true,
+            task::Poll::Ready(Ok(count)) => *count < bytes.len(),
+            // The caller is gone.
+            task::Poll::Ready(Err(_)) => false,
+        };
+        self.set_waiting(is_waiting);
+        written
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -4,7 +4,7 @@
 
 use actix_service::{Service as _, ServiceFactory as _};
 
-use super::{caller_handler, process};
+use super::{caller_handler, caller_socket, process};
 use crate::protection;
 
 /// Connections of callers at once; further ones wait in the system's queue.
@@ -73,6 +73,7 @@
     let listener = bind(address)?;
     let context = context.clone();
     actix_rt::spawn(async move {
+        let waiting = context.waiting_answers.clone();
         let handler = caller_handler::CallerHandler::new(context);
         let service = actix_http::HttpService::build()
             .client_request_timeout(HEAD_TIMEOUT)
@@ -84,16 +85,17 @@
             .finish(move |request: actix_http::Request| {
                 let answer = handler.handle(request);
                 async move { Ok::<_, convert::Infallible>(answer.await) }
-            })
-            .tcp();
+            });
         let service = match service.new_service(()).await {
             Ok(service) => rc::Rc::new(service),
             Err(()) => return log::error!("event=callers_not_served address={address}"),
         };
         accept_callers(&listener, |socket| {
             let service = service.clone();
+            let socket = caller_socket::CallerSocket::new(socket, waiting.clone());
             async move {
-                if let Err(e) = service.call(socket).await {
+                let call = service.call((socket, actix_http::Protocol::Http1, None));
+                if let Err(e) = call.await {
                     log::debug!("event=caller_connection why=\"{e}\"");
                 }
             }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -12,6 +12,7 @@
 pub mod attempt;
 pub mod beliefs;
 pub mod caller_handler;
+mod caller_socket;
 pub mod checkpoint_file;
 pub mod connection;
 pub mod connection_pool;
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -132,6 +132,8 @@
     pub stopping: watch::Sender<bool>,
     /// Requests of callers under way.
     pub active: cell::Cell<usize>,
+    /// Connections of callers on which a part of an answer waits to be sent.
+    pub(super) waiting_answers: rc::Rc<cell::Cell<usize>>,
 }
 
 impl ProcessContext {
@@ -172,6 +174,11 @@
         !self.is_stopping() && self.fleet.is_known()
     }
 
+    /// Whether no request is under way, and no answer waits for a slow caller.
+    fn is_idle(&self) -> bool {
+        self.active.get() == 0 && self.waiting_answers.get() == 0
+    }
+
     /// How long the process has run.
     pub fn age(&self) -> time::Duration {
         self.clock.now().since(self.begun)
@@ -273,6 +280,7 @@
         differing_since: cell::Cell::new(None),
         stopping: watch::Sender::new(false),
         active: cell::Cell::new(0),
+        waiting_answers: rc::Rc::default(),
     });
     log::info!(
         "event=started instance={} role={:?} domain={}",
@@ -318,7 +326,7 @@
     }
 }
 
-/// Ends once the last request ended and all jobs are handed back, or the grace is over.
+/// Ends once the last answer has gone and all jobs are handed back, or the grace is over.
 async fn stop_gracefully(context: &rc::Rc<ProcessContext>) {
     log::info!("event=stopping active={}", context.active.get());
     context.stopping.send_replace(true);
@@ -333,7 +341,7 @@
     tokio::pin!(record_gone);
     let mut removed = false;
     while begun.elapsed() < patience && !protection::is_out("drain") {
-        let idle = context.active.get() == 0 && context.jobs.is_handed_back();
+        let idle = context.is_idle() && context.jobs.is_handed_back();
         if removed && idle && begun.elapsed() > least {
             break;
         }
@@ -343,8 +351,9 @@
         }
     }
     log::info!(
-        "event=stopped active={} after_ms={}",
+        "event=stopped active={} unsent={} after_ms={}",
         context.active.get(),
+        context.waiting_answers.get(),
         begun.elapsed().as_millis()
     );
 }
