fix(serving): an answer made during a stop closes its connection

Cause: whether the connection closes was looked up when the request came. A read of results that waited when the stop began left its caller with a connection that ended under the next request.

Change: it is looked up when the answer is there.

Before: no word of it in the answer. After: "connection: close".

--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -33,9 +33,9 @@
         let context = self.context.clone();
         Box::pin(async move {
             let active = relay::ActiveRequest::begin(&context);
-            let stopping = context.is_stopping();
-            let mut answer = answer(context, request, active).await;
-            if stopping {
+            let mut answer = answer(context.clone(), request, active).await;
+            // Also where the stop came while the request was under way.
+            if context.is_stopping() {
                 answer
                     .head_mut()
                     .set_connection_type(actix_http::ConnectionType::Close);
