fix(serving): a link that was given up ends at once, and takes no other with it

Cause: a link that was given up lived on while a call held it, and its end was noted under the peer's address alone, so that the healthy link made meanwhile was dropped with it, and that one's end dropped the next. A probe without an answer ended a link also while other answers came on it.

Change: each link has a generation, and only its own end is noted. The table holds the closing channel of a link: dropped with it, it ends the link's task, closes the socket and fails the calls under way. A link on which bytes came within the last 400 ms is kept; so a probe on an old link cannot end a new one. The moment of the last bytes comes from tokio-util's InspectReader (its feature io, which was on already by way of h2).

--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -1,8 +1,9 @@
 //! The side of a link that asks.
 
-use std::{cell, collections, io, net, rc, time};
+use std::{cell, collections, convert, io, net, rc, time};
 
-use tokio_util::codec::length_delimited;
+use tokio::sync::oneshot;
+use tokio_util::{codec::length_delimited, io as io_util};
 
 use super::{
     directory, job_checkpoints, job_records, members,
@@ -17,6 +18,11 @@
 /// Longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// How long nothing may come on a link before a probe without an answer ends it:
+/// as long as a probe waits. A link that is busy with a large answer brings its
+/// bytes meanwhile, and a new one would have to begin anew.
+const LINK_SILENCE: time::Duration = time::Duration::from_millis(400);
+
 /// Pause after a failed connection.
 pub(super) const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -29,18 +35,48 @@
     builder
 }
 
+/// Tells the links to one peer apart, as an old one may end beside a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct LinkGeneration(u64);
+
+/// A connection that is open.
+struct OpenLink {
+    generation: LinkGeneration,
+    client: PeerServiceClient,
+    /// When bytes came on it last; at first when it was made.
+    heard_at: rc::Rc<cell::Cell<time::Instant>>,
+    /// Dropped with the link: the end of this channel ends its task.
+    _closing: oneshot::Sender<convert::Infallible>,
+}
+
 enum LinkState {
-    Connected(PeerServiceClient),
-    Connecting,
+    Connected(OpenLink),
+    Connecting(LinkGeneration),
     Failed(time::Instant),
 }
 
+impl LinkState {
+    fn failed() -> Self {
+        Self::Failed(time::Instant::now())
+    }
+
+    fn generation(&self) -> Option<LinkGeneration> {
+        match self {
+            Self::Connected(link) => Some(link.generation),
+            Self::Connecting(generation) => Some(*generation),
+            Self::Failed(_) => None,
+        }
+    }
+}
+
 type LinkTable = rc::Rc<cell::RefCell<collections::HashMap<net::SocketAddr, LinkState>>>;
 
 /// Connections to peers, made when first needed.
 #[derive(Clone, Default)]
 pub struct PeerLinks {
     table: LinkTable,
+    /// The generation of the latest link.
+    latest: rc::Rc<cell::Cell<u64>>,
     /// Told when a connection was made or failed.
     settled: rc::Rc<tokio::sync::Notify>,
 }
@@ -279,17 +315,23 @@
     fn connected(&self, peer: net::SocketAddr) -> Option<PeerServiceClient> {
         let mut table = self.table.borrow_mut();
         match table.get(&peer) {
-            Some(LinkState::Connected(client)) => return Some(client.clone()),
-            Some(LinkState::Connecting) => return None,
+            Some(LinkState::Connected(link)) => return Some(link.client.clone()),
+            Some(LinkState::Connecting(_)) => return None,
             Some(LinkState::Failed(at)) if at.elapsed() < RECONNECT_PAUSE => return None,
             _ => {}
         }
-        table.insert(peer, LinkState::Connecting);
+        let generation = self.next_generation();
+        table.insert(peer, LinkState::Connecting(generation));
         drop(table);
-        actix_rt::spawn(connect(self.clone(), peer));
+        actix_rt::spawn(connect(self.clone(), peer, generation));
         None
     }
 
+    fn next_generation(&self) -> LinkGeneration {
+        self.latest.set(self.latest.get() + 1);
+        LinkGeneration(self.latest.get())
+    }
+
     /// Begins to connect to a peer if there is need, and waits for the outcome.
     pub async fn settle(&self, peer: net::SocketAddr) {
         if self.connected(peer).is_some() {
@@ -297,7 +339,7 @@
         }
         let is_connecting = || {
             let table = self.table.borrow();
-            matches!(table.get(&peer), Some(LinkState::Connecting))
+            matches!(table.get(&peer), Some(LinkState::Connecting(_)))
         };
         while is_connecting() {
             self.settled.notified().await;
@@ -317,34 +359,79 @@
         }
     }
 
-    fn note(&self, peer: net::SocketAddr, state: LinkState) {
-        self.table.borrow_mut().insert(peer, state);
+    /// Notes what became of a link, unless another has taken its place.
+    fn note(&self, peer: net::SocketAddr, generation: LinkGeneration, state: LinkState) {
+        let mut table = self.table.borrow_mut();
+        let known = table.get(&peer).and_then(LinkState::generation);
+        if known != Some(generation) {
+            return;
+        }
+        table.insert(peer, state);
+        drop(table);
         self.settled.notify_waiters();
     }
 
-    /// Ends the connection to a peer that does not answer, so that a new one is made.
+    /// Ends the connection to a peer that left a probe without an answer, so that
+    /// a new one is made; calls under way on it fail at once.
+    ///
+    /// A connection on which something else came meanwhile is kept, and so is one
+    /// that was made after the probe went out.
     pub fn forget(&self, peer: net::SocketAddr) {
-        let failed = LinkState::Failed(time::Instant::now());
-        self.table.borrow_mut().insert(peer, failed);
+        let mut table = self.table.borrow_mut();
+        let Some(LinkState::Connected(link)) = table.get(&peer) else {
+            return;
+        };
+        let silence = link.heard_at.get().elapsed();
+        let generation = link.generation.0;
+        if silence < LINK_SILENCE {
+            log::debug!("event=peer_link_busy peer={peer} generation={generation}");
+            return;
+        }
+        let silent_ms = silence.as_millis();
+        log::info!("event=peer_link_silent peer={peer} generation={generation} ms={silent_ms}");
+        table.insert(peer, LinkState::failed());
     }
 }
 
-async fn connect(links: PeerLinks, peer: net::SocketAddr) {
-    let failed = || LinkState::Failed(time::Instant::now());
+async fn open(peer: net::SocketAddr) -> io::Result<tokio::net::TcpStream> {
     let opening = async {
         let socket = tokio::net::TcpStream::connect(peer).await?;
         socket.set_nodelay(true)?;
-        io::Result::Ok(socket)
+        Ok(socket)
     };
-    let socket = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
-        Ok(Ok(socket)) => socket,
-        _ => return links.note(peer, failed()),
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
+    opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Makes a link and carries it, until it is lost or given up.
+async fn connect(links: PeerLinks, peer: net::SocketAddr, generation: LinkGeneration) {
+    let socket = match open(peer).await {
+        Ok(socket) => socket,
+        Err(e) => {
+            log::debug!("event=peer_unreached peer={peer} why=\"{e}\"");
+            return links.note(peer, generation, LinkState::failed());
+        }
     };
+    let heard_at = rc::Rc::new(cell::Cell::new(time::Instant::now()));
+    let heard = heard_at.clone();
+    let socket = io_util::InspectReader::new(socket, move |_| heard.set(time::Instant::now()));
     let codec = tarpc::tokio_serde::formats::Bincode::default();
     let transport = tarpc::serde_transport::new(frames().new_framed(socket), codec);
     let new = PeerServiceClient::new(tarpc::client::Config::default(), transport);
-    links.note(peer, LinkState::Connected(new.client));
-    let ended = new.dispatch.await;
-    log::info!("event=peer_link_lost peer={peer} why=\"{ended:?}\"");
-    links.note(peer, failed());
+    let (closing, closed) = oneshot::channel();
+    let link = OpenLink {
+        generation,
+        client: new.client,
+        heard_at,
+        _closing: closing,
+    };
+    links.note(peer, generation, LinkState::Connected(link));
+    tokio::select! {
+        ended = new.dispatch => {
+            log::info!("event=peer_link_lost peer={peer} why=\"{ended:?}\"");
+            links.note(peer, generation, LinkState::failed());
+        }
+        // Given up; dropping the dispatch closes the socket.
+        _ = closed => {}
+    }
 }
