fix(serving): items wait for the state that allowed their job

Cause: an owner with an older desired state than the gateway that accepted a job ran its items by the older route, at a service that the route had left.

Change: items start only under a version at least as new as that of the acceptance.

Without the comparison both tests of the file fail.

--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -132,13 +132,15 @@
 ) -> ItemRoute {
     let table = context.fleet.table();
     let job = job.borrow();
+    // The job may be allowed, or go elsewhere, only by what is not known here yet.
+    if !table.is_known() || table.version() < job.record.version {
+        return ItemRoute::Unknown;
+    }
     let path = &job.record.items[index].path;
     match table.find(&job.record.host, path) {
         Some(route) if route.kind == route_table::RouteKind::Batch => {
             ItemRoute::Found(route.clone())
         }
-        // Its route may be newer than what is known here.
-        _ if !table.is_known() || table.version() < job.record.version => ItemRoute::Unknown,
         _ => ItemRoute::None,
     }
 }
