fix(serving): a stale peer does not end the wait for a missed list

Cause: a follower of the store reads the list anew when a peer has had a newer one for 0.4 s. Each sign of life of another follower with the same old list ended that wait, four times a second.

Change: only a new list of its own begins the wait anew.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -213,8 +213,8 @@
     if !context.fleet.follows() {
         learn_members(context, peer, hello).await;
     }
+    // Says nothing of the lists that other peers have, so it ends no difference.
     if hello.digest == context.fleet.digest() || hello.revision <= context.fleet.revision() {
-        context.differing_since.set(None);
         return;
     }
     if context.fleet.is_following() {
@@ -289,19 +289,21 @@
     }
 }
 
-/// Reads the list anew when a peer has had a newer one for a while.
+/// Reads the list anew when a peer has had a newer one for a while, in which
+/// the own list stayed the same.
 async fn read_missed(context: &process::ProcessContext) {
     let now = context.clock.now();
+    let own = context.fleet.revision();
     match context.differing_since.get() {
-        None => context.differing_since.set(Some(now)),
-        Some(since) if now.since(since) < MISSED_AFTER => {}
-        Some(_) => {
+        Some((since, of)) if of == own && now.since(since) < MISSED_AFTER => {}
+        Some((_, of)) if of == own => {
             context.differing_since.set(None);
             log::info!("event=endpoints_missed");
             let model = context.fleet.clone();
             let refresh = fleet_source::RefreshKind::Endpoints;
             context.source.refresh(refresh, model).await;
         }
+        _ => context.differing_since.set(Some((now, own))),
     }
 }
 
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -126,8 +126,8 @@
     pub(super) stop_begun: cell::Cell<Option<time::Instant>>,
     /// When the process began.
     pub(super) begun: clock::Moment,
-    /// Since when a peer has had a newer list of endpoints.
-    pub(super) differing_since: cell::Cell<Option<clock::Moment>>,
+    /// Since when a peer has had a newer list of endpoints, and the own number of it then.
+    pub(super) differing_since: cell::Cell<Option<(clock::Moment, u64)>>,
     /// Whether the process was asked to stop.
     pub stopping: watch::Sender<bool>,
     /// Requests of callers under way.
