fix(serving): who probes with a newer list is asked for it

Cause: a process took lists of endpoints only from those that it probes. Dispatchers probe no gateways: one that the store turned away while gateways follow it kept its list, and ran items at endpoints that leave or are gone.

Change: a process that does not follow the store asks a prober that does for its newer list, one at a time. For the desired state it was so already.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -181,6 +181,23 @@
 pub(super) fn take_probe(context: &rc::Rc<process::ProcessContext>, hello: &peers::PeerHello) {
     hear(context, hello);
     learn_state(context, hello.address, hello);
+    if may_tell_list(context, hello) {
+        let (context, hello) = (context.clone(), hello.clone());
+        actix_rt::spawn(async move { learn_list(&context, hello.address, &hello).await });
+    }
+}
+
+/// Whether a peer that probes this process is to be asked for its list: one that
+/// the store turns away may probe nobody who follows it.
+fn may_tell_list(context: &process::ProcessContext, hello: &peers::PeerHello) -> bool {
+    let is_turned_away = !context.fleet.is_following();
+    is_turned_away && hello.follows_store && has_newer_list(context, hello)
+}
+
+/// Whether a peer has a list of endpoints that is newer than the own one, and another.
+fn has_newer_list(context: &process::ProcessContext, hello: &peers::PeerHello) -> bool {
+    let fleet = &context.fleet;
+    hello.digest != fleet.digest() && hello.revision > fleet.revision()
 }
 
 fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
@@ -214,16 +231,26 @@
         learn_members(context, peer, hello).await;
     }
     // Says nothing of the lists that other peers have, so it ends no difference.
-    if hello.digest == context.fleet.digest() || hello.revision <= context.fleet.revision() {
+    if !has_newer_list(context, hello) {
         return;
     }
-    if context.fleet.is_following() {
-        read_missed(context).await;
-        return;
+    match context.fleet.is_following() {
+        true => read_missed(context).await,
+        false => learn_list(context, peer, hello).await,
     }
+}
+
+/// Takes the list of endpoints of a peer, unless another is being asked.
+async fn learn_list(
+    context: &process::ProcessContext,
+    peer: net::SocketAddr,
+    hello: &peers::PeerHello,
+) {
     let Some(_guard) = context.list_flight.begin() else {
         return;
     };
+    // Who probes this process need not have been asked anything before.
+    context.links.settle(peer).await;
     match context.links.endpoints(peer, BELIEF_TIMEOUT).await {
         Ok(copy) => {
             count_read(context, "endpoints_taken");
