fix(serving): no request goes to a leaving endpoint again

Cause: a request that may be repeated goes out on a kept connection first, and once more on a new one if that breaks. It may have waited for seconds by then, and the endpoint been listed as leaving.

--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -64,7 +64,8 @@
 /// Sends the request on a kept connection where it may be repeated, or on a new one.
 ///
 /// A kept connection may close while a request is on its way; one that may
-/// not run twice would be lost with it. Others go out once more.
+/// not run twice would be lost with it. Others go out once more, unless the
+/// endpoint leaves by now: the first try may have waited there for long.
 async fn exchange(
     context: &rc::Rc<process::ProcessContext>,
     endpoint: &directory::EndpointEntry,
@@ -83,6 +84,10 @@
                         "event=kept_connection_closed endpoint={} why=\"{e}\"",
                         endpoint.id
                     );
+                    if !is_usable(context, endpoint) {
+                        let why = format!("{e}, and the endpoint is leaving");
+                        return Err(O::Unknown(why));
+                    }
                 }
                 Err(e) => return Err(O::Unknown(e.to_string())),
             }
@@ -95,6 +100,12 @@
     exchanged.map_err(|e| O::Unknown(e.to_string()))
 }
 
+/// Whether an endpoint may still get requests.
+fn is_usable(context: &process::ProcessContext, endpoint: &directory::EndpointEntry) -> bool {
+    let directory = context.fleet.directory.borrow();
+    directory.usable(&endpoint.id).is_some()
+}
+
 fn outgoing(
     context: &rc::Rc<process::ProcessContext>,
     request: &ForwardedRequest,
