fix(serving): the list of endpoints is read as often as the desired state beside silent watches

Cause: the reading that makes up for watches that fell silent read the list at each third round, 1.8 s apart, as it read all of it. With a probe and a question that is over the 2 s in which requests to a leaving endpoint have to end.

Change: it asks for changes at each round, 0.6 s; all of the list each 9 s as before. Before: 4 readings of the state and at most 1 of the list; after: as many. One short call each 0.6 s more, on one process of all.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -8,14 +8,11 @@
 /// Longest wait for a peer's list of endpoints or members.
 const BELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Pause between two readings of the desired state; with a probe and a question
-/// a change is in force within a second though all watches stay silent, half of
-/// the least time that is allowed for it.
+/// Pause between two readings of the desired state and the list of endpoints;
+/// with a probe and a question a change is known everywhere within a second
+/// though all watches stay silent, half of the least time that is allowed for it.
 const REFRESH_PAUSE: time::Duration = time::Duration::from_millis(600);
 
-/// The list of endpoints is read at every so many of these readings too.
-const LIST_ROUNDS: u32 = 3;
-
 /// How long a peer's newer list must differ before the own one is read anew:
 /// the own watch brings most changes at the same moment.
 const MISSED_AFTER: time::Duration = time::Duration::from_millis(400);
@@ -341,17 +338,13 @@
 pub(super) async fn refresh_beliefs(context: rc::Rc<process::ProcessContext>) {
     use fleet_source::RefreshKind as K;
 
-    let mut round = 0_u32;
     loop {
         actix_rt::time::sleep(REFRESH_PAUSE).await;
         if !is_reader(&context) {
             continue;
         }
-        round = round.wrapping_add(1);
-        let model = || context.fleet.clone();
-        context.source.refresh(K::State, model()).await;
-        if round.is_multiple_of(LIST_ROUNDS) {
-            context.source.refresh(K::Endpoints, model()).await;
+        for kind in [K::Endpoints, K::State] {
+            context.source.refresh(kind, context.fleet.clone()).await;
         }
     }
 }
