fix(serving): a slow endpoint is left only for a place in hand, and a lost run is not given up early

Cause: a head later than 0.8 of the objective, or an event later than half of the pause that the route allows, cut the run at an endpoint that was at work, before any place elsewhere was in hand. The search for one ended with the first word that all endpoints were tried, or after four refusals.

Change, while an endpoint is slow (`slow_attempt.rs`): - after the patience its answer is waited for on, and an owner is asked for a free slot elsewhere beside it: no queue, and own counts only while no owner is heard. Whatever comes first counts; a place that comes too late is given back. - the next endpoint is connected to before the slow run is put aside.

Change, once a run is lost (`attempt_flow.rs`): a request that has begun, has attempts left and a listed endpoint is searched a place for at the same pace to the end of the caller's time; endpoints that refused, failed or ran it before are asked again in the next round. New requests are refused at once as before.

`event=stream_given_up` says why a stream ended and how much time was left. A caller who leaves during such a search is noted now as well.

relay.rs is split: what concerns attempts is in attempt_flow.rs.

--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -36,19 +36,39 @@
     pub notes: wire::AnswerNotes,
 }
 
+/// Connects to an endpoint for one attempt.
+///
+/// # Errors
+/// No connection is made in time: the attempt did not run.
+pub async fn connect(
+    endpoint: &directory::EndpointEntry,
+    patience: time::Duration,
+) -> Result<connection::EndpointConnection, outcome::NotRunProof> {
+    let patience = CONNECT_TIMEOUT.min(patience);
+    let opened = connection::EndpointConnection::open(endpoint.address, patience).await;
+    opened.map_err(|e| outcome::NotRunProof::no_connection(&e))
+}
+
 /// Sends one attempt and waits for the head of its answer.
 ///
+/// `opened` is a connection that was made for it, if there is one;
 /// `head_patience` bounds the wait after the request went out.
 pub async fn send(
     context: &rc::Rc<process::ProcessContext>,
     endpoint: &directory::EndpointEntry,
     request: &ForwardedRequest,
     terms: &wire::AttemptTerms<'_>,
+    opened: Option<connection::EndpointConnection>,
     head_patience: time::Duration,
 ) -> outcome::AttemptOutcome<OpenAnswer> {
     use outcome::AttemptOutcome as O;
 
-    let exchange = exchange(context, endpoint, request, terms, head_patience);
+    let exchange = async {
+        match opened {
+            Some(opened) => exchange_on(context, opened, request, terms).await,
+            None => exchange(context, endpoint, request, terms, head_patience).await,
+        }
+    };
     let incoming = match tokio::time::timeout(head_patience, exchange).await {
         Ok(Ok(incoming)) => incoming,
         Ok(Err(ended)) => return ended,
@@ -93,11 +113,19 @@
             }
         }
     }
-    let patience = CONNECT_TIMEOUT.min(patience);
-    let opened = connection::EndpointConnection::open(endpoint.address, patience).await;
-    let opened = opened.map_err(|e| O::NotRun(outcome::NotRunProof::no_connection(&e)))?;
+    let opened = connect(endpoint, patience).await.map_err(O::NotRun)?;
+    exchange_on(context, opened, request, terms).await
+}
+
+/// Sends the request on a new connection.
+async fn exchange_on(
+    context: &rc::Rc<process::ProcessContext>,
+    opened: connection::EndpointConnection,
+    request: &ForwardedRequest,
+    terms: &wire::AttemptTerms<'_>,
+) -> Result<connection::IncomingAnswer, outcome::AttemptOutcome<OpenAnswer>> {
     let exchanged = opened.exchange(outgoing(context, request, terms)).await;
-    exchanged.map_err(|e| O::Unknown(e.to_string()))
+    exchanged.map_err(|e| outcome::AttemptOutcome::Unknown(e.to_string()))
 }
 
 /// Whether an endpoint may still get requests.
--- /dev/null
+++ b/src/serving/attempt_flow.rs
@@ -0,0 +1,312 @@
+//! The attempts of a request: where the next one goes, and how each ended.
+
+use std::{cell, time};
+
+use futures::future::{self, FutureExt as _};
+
+use super::{attempt, connection, places, relay, search_pace, slow_attempt, wire};
+use crate::{ids, outcome};
+
+/// Attempts that did not run, beyond which a request that never ran is given
+/// up, and the search of one that did pauses.
+const MAX_NOT_RUN: u32 = 4;
+/// Share of a route's objective after which a caller who was refused may come back.
+const RETURN_SHARE: f64 = 1.0;
+
+/// Attempts of one request so far.
+#[derive(Default)]
+pub(super) struct AttemptLog {
+    /// Endpoints that were tried in this round of the search.
+    pub(super) tried: Vec<ids::EndpointId>,
+    /// The endpoint that was tried last.
+    pub(super) last: Option<ids::EndpointId>,
+    /// Attempts that ran or may have run.
+    pub(super) ran: u32,
+    /// Attempts that did not run.
+    pub(super) not_run: u32,
+    /// Of these, those since the search paused.
+    refused: u32,
+    pace: search_pace::SearchPace,
+    /// Pace of the search while the present run is slow, once it was.
+    pub(super) slow_pace: cell::Cell<Option<search_pace::SearchPace>>,
+}
+
+impl AttemptLog {
+    /// Notes that an endpoint is tried.
+    pub(super) fn begin(&mut self, id: &ids::EndpointId) {
+        self.tried.push(id.clone());
+        self.last = Some(id.clone());
+        self.slow_pace.set(None);
+    }
+
+    /// Notes the head of an answer: the next search begins anew.
+    fn end_search(&mut self) {
+        self.refused = 0;
+        self.pace = search_pace::SearchPace::default();
+        self.slow_pace.set(None);
+    }
+}
+
+/// How to go on after an attempt without an answer.
+pub(super) enum NextStep {
+    Again,
+    GiveUp(relay::FinalError),
+}
+
+/// An attempt that went out, and whose head is awaited.
+pub(super) struct SentAttempt {
+    pub(super) place: places::HeldPlace,
+    pub(super) sending:
+        future::LocalBoxFuture<'static, outcome::AttemptOutcome<attempt::OpenAnswer>>,
+}
+
+/// The answer of an attempt, with the place that it holds.
+pub(super) struct Answered {
+    pub(super) place: places::HeldPlace,
+    pub(super) open: attempt::OpenAnswer,
+}
+
+impl relay::RequestRelay {
+    /// The service of the next attempt.
+    pub(super) fn choose_service(&self) -> Option<ids::ServiceName> {
+        let targets = &self.request.route.targets;
+        let total: u32 = targets.iter().map(|t| t.weight).sum();
+        if total == 0 {
+            return targets.first().map(|t| t.service.clone());
+        }
+        let mut point = rand::random_range(0..total);
+        let chosen = targets.iter().find(|t| {
+            let inside = point < t.weight;
+            point = point.saturating_sub(t.weight);
+            inside
+        });
+        chosen.map(|t| t.service.clone())
+    }
+
+    /// The next answer with a head, over as many attempts as are allowed.
+    ///
+    /// `sent` is an attempt that went out already, if there is one.
+    pub(super) async fn next_answer(
+        &mut self,
+        mut sent: Option<Box<SentAttempt>>,
+    ) -> Result<Answered, relay::FinalError> {
+        loop {
+            let current = match sent.take() {
+                Some(current) => *current,
+                None => {
+                    let place = self.find_place().await?;
+                    self.log.begin(&place.endpoint.id);
+                    self.start(place, None)
+                }
+            };
+            match self.answer_of(current).await {
+                Ok(answered) => return Ok(answered),
+                Err(NextStep::Again) => {}
+                Err(NextStep::GiveUp(e)) => return Err(e),
+            }
+        }
+    }
+
+    /// A place for the next attempt.
+    ///
+    /// A request that has begun to run is not given up for want of a place
+    /// while its caller waits; a new one is refused at once.
+    async fn find_place(&mut self) -> Result<places::HeldPlace, relay::FinalError> {
+        if self.log.ran > 0 && self.log.refused >= MAX_NOT_RUN {
+            self.pause_search().await;
+        }
+        loop {
+            if self.left().is_zero() {
+                return Err(relay::FinalError::Late);
+            }
+            match self.ask_for_place().await? {
+                Ok(place) => return Ok(place),
+                Err(why) if !self.may_search() => return Err(self.no_place(why)),
+                Err(_) => {
+                    self.log.tried.clear();
+                    self.pause_search().await;
+                }
+            }
+        }
+    }
+
+    async fn pause_search(&mut self) {
+        self.log.refused = 0;
+        let pause = self.log.pace.next_pause().min(self.left());
+        tokio::time::sleep(pause).await;
+    }
+
+    async fn ask_for_place(
+        &self,
+    ) -> Result<Result<places::HeldPlace, places::NoPlace>, relay::FinalError> {
+        let service = self.choose_service();
+        let none = || relay::FinalError::Failed("the route has no service".into());
+        let service = service.ok_or_else(none)?;
+        let tried = &self.log.tried;
+        let wish = places::PlaceWish {
+            service: &service,
+            tried,
+            objective: self.request.route.objective,
+        };
+        let place = places::acquire(&self.context, &wish).await;
+        Ok(match place {
+            // What has begun goes on, also where a new request would not begin.
+            Err(places::NoPlace::Full) if self.log.ran > 0 => {
+                places::go_ahead(&self.context, &service, tried)
+            }
+            place => place,
+        })
+    }
+
+    /// Whether a request that has begun may still go on somewhere.
+    fn may_search(&self) -> bool {
+        let directory = self.context.fleet.directory.borrow();
+        let targets = &self.request.route.targets;
+        let is_listed = targets
+            .iter()
+            .any(|t| !directory.of_service(&t.service).is_empty());
+        is_listed && self.log.ran > 0 && self.attempts_left() > 0
+    }
+
+    /// The final word if no place is left: true to what happened before.
+    fn no_place(&self, why: places::NoPlace) -> relay::FinalError {
+        if self.log.ran > 0 {
+            return relay::FinalError::Failed(format!("an attempt failed, then: {why}"));
+        }
+        relay::FinalError::NotRun(
+            self.request.route.objective.mul_f64(RETURN_SHARE),
+            why.to_string(),
+        )
+    }
+
+    /// An attempt at a place, on a connection that was made for it if there is
+    /// one; it goes out when it is first awaited.
+    pub(super) fn start(
+        &self,
+        place: places::HeldPlace,
+        opened: Option<connection::EndpointConnection>,
+    ) -> SentAttempt {
+        let context = self.context.clone();
+        let endpoint = place.endpoint.clone();
+        let forwarded = self.request.forwarded.clone();
+        let (left, resume_after) = (self.left(), self.last_event);
+        let sending = async move {
+            let terms = wire::AttemptTerms {
+                endpoint: &endpoint.id,
+                patience: Some(left),
+                resume_after,
+            };
+            attempt::send(&context, &endpoint, &forwarded, &terms, opened, left).await
+        };
+        let sending = sending.boxed_local();
+        SentAttempt { place, sending }
+    }
+
+    /// The answer of an attempt, or of another that goes on in its place.
+    async fn answer_of(&mut self, mut sent: SentAttempt) -> Result<Answered, NextStep> {
+        use outcome::AttemptOutcome as O;
+        use slow_attempt::Waited as W;
+
+        loop {
+            let SentAttempt { place, sending } = &mut sent;
+            let awaited = slow_attempt::Awaited::Head;
+            let outcome = match self.wait_or_move(place, awaited, sending).await {
+                W::Came(outcome) => outcome,
+                W::Late(waited) => O::Unknown(no_answer(waited)),
+                W::Moved(next, waited) => {
+                    self.log.ran += 1;
+                    let id = sent.place.endpoint.id.clone();
+                    self.note_attempt(&id, "unknown", &no_answer(waited));
+                    sent = *next;
+                    continue;
+                }
+            };
+            return self.judge(sent.place, outcome);
+        }
+    }
+
+    /// Counts how an attempt ended; on failure says how to go on.
+    pub(super) fn judge(
+        &mut self,
+        place: places::HeldPlace,
+        outcome: outcome::AttemptOutcome<attempt::OpenAnswer>,
+    ) -> Result<Answered, NextStep> {
+        use outcome::AttemptOutcome as O;
+
+        let endpoint = place.endpoint.clone();
+        match outcome {
+            O::Completed(open) => {
+                self.log.ran += 1;
+                let status = open.incoming.head.status;
+                let again = attempt::is_failure(status) && self.attempts_left() > 0;
+                if attempt::is_failure(status) {
+                    place.note_failed(false);
+                }
+                if again && self.may_repeat() {
+                    self.note_attempt(&endpoint.id, "failed", status.as_str());
+                    return Err(NextStep::Again);
+                }
+                self.log.end_search();
+                Ok(Answered { place, open })
+            }
+            O::NotRun(proof) => {
+                self.log.not_run += 1;
+                self.log.refused += 1;
+                self.note_attempt(&endpoint.id, "not_run", "");
+                if !proof.is_refusal() {
+                    place.note_failed(true);
+                }
+                if self.log.refused >= MAX_NOT_RUN && !self.may_search() {
+                    return Err(NextStep::GiveUp(self.not_run()));
+                }
+                Err(NextStep::Again)
+            }
+            O::Failed(why) | O::Unknown(why) => {
+                self.log.ran += 1;
+                self.note_attempt(&endpoint.id, "unknown", &why);
+                // A full queue is silent too: only several in a row eject it.
+                place.note_failed(false);
+                Err(self.after_unknown(why))
+            }
+        }
+    }
+
+    fn not_run(&self) -> relay::FinalError {
+        if self.log.ran > 0 {
+            return relay::FinalError::Failed("no endpoint took the next attempt".into());
+        }
+        let pause = self.request.route.objective.mul_f64(RETURN_SHARE);
+        relay::FinalError::NotRun(pause, "no endpoint took the request".into())
+    }
+
+    /// How to go on after an attempt that may have run.
+    pub(super) fn after_unknown(&self, why: String) -> NextStep {
+        if self.left().is_zero() {
+            return NextStep::GiveUp(relay::FinalError::Late);
+        }
+        if self.may_repeat() && self.attempts_left() > 0 {
+            return NextStep::Again;
+        }
+        NextStep::GiveUp(relay::FinalError::Failed(why))
+    }
+
+    /// One line and one count for an attempt that gave no answer.
+    pub(super) fn note_attempt(&self, id: &ids::EndpointId, outcome: &str, why: &str) {
+        self.context
+            .metrics
+            .attempts
+            .with_label_values(&[outcome])
+            .inc();
+        log::info!(
+            "event=attempt request={} route={} endpoint={id} outcome={outcome} why=\"{why}\" ran={} left_ms={}",
+            self.request.terms.id.as_deref().unwrap_or("-"),
+            self.request.route.name,
+            self.log.ran,
+            self.left().as_millis(),
+        );
+    }
+}
+
+fn no_answer(waited: time::Duration) -> String {
+    format!("no answer within {} ms", waited.as_millis())
+}
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -103,7 +103,7 @@
     };
     let request = relay::CallerRequest {
         route,
-        forwarded,
+        forwarded: rc::Rc::new(forwarded),
         terms,
         deadline: arrived + patience,
         arrived,
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -6,17 +6,15 @@
 use futures::stream;
 
 use super::{
-    answer_copy, connection, event_split,
-    relay::{Answered, FinalError, NextStep, RequestRelay, Served},
+    answer_copy, attempt_flow, connection, event_split,
+    relay::{FinalError, RequestRelay, Served},
+    slow_attempt::{self, Waited},
 };
 use crate::http_server;
 
-/// Part of the longest pause after which a stream is taken up elsewhere.
-const GAP_SHARE: f64 = 0.5;
-
 /// A stream that is open, and its first event.
 pub(super) struct OpenStream {
-    answered: Answered,
+    answered: attempt_flow::Answered,
     splitter: event_split::EventSplitter,
     first: Option<event_split::RawEvent>,
 }
@@ -29,70 +27,69 @@
 }
 
 impl RequestRelay {
-    /// Longest wait for the next event of a stream.
-    fn gap_patience(&self) -> time::Duration {
-        let left = self.left();
-        match self.request.route.gap_objective {
-            Some(gap) if self.attempts_left() > 0 => left.min(gap.mul_f64(GAP_SHARE)),
-            _ => left,
-        }
-    }
-
     /// A stream whose first event is there, or another answer in whole.
-    pub(super) async fn open_stream(&mut self) -> Result<Served, FinalError> {
+    ///
+    /// `sent` is an attempt that went out already, if there is one.
+    pub(super) async fn open_stream(
+        &mut self,
+        mut sent: Option<Box<attempt_flow::SentAttempt>>,
+    ) -> Result<Served, FinalError> {
         loop {
-            let mut answered = self.next_answer().await?;
+            let mut answered = self.next_answer(sent.take()).await?;
             if !answered.open.incoming.head.status.is_success() {
-                let reading = answer_copy::read_whole(&mut answered.open.incoming);
-                let read = tokio::time::timeout(self.left(), reading).await;
-                let body = match read {
-                    Ok(Ok(body)) => body,
-                    Ok(Err(e)) => return Err(FinalError::Failed(e.to_string())),
-                    Err(_) => return Err(FinalError::Late),
-                };
-                let answer = self.whole(&answered.open.incoming.head, body);
-                self.give_back(answered);
-                return Ok(Served::Whole(answer));
+                return self.other_answer(answered).await;
             }
             let mut splitter = event_split::EventSplitter::default();
-            let patience = self.head_patience();
-            let Answered { place, open } = &mut answered;
-            let waiting = next_event(&mut open.incoming, &mut splitter, patience);
-            let first = self.suspecting(place, waiting).await;
-            match self.accept(first) {
-                EventEnd::Event(event) => {
-                    let head = answer_copy::copy_head(&answered.open.incoming.head);
-                    let first = Some(event);
-                    let stream = Box::new(OpenStream {
-                        answered,
-                        splitter,
-                        first,
-                    });
-                    return Ok(Served::Stream(head, stream));
-                }
-                EventEnd::Finished => {
-                    let head = answer_copy::copy_head(&answered.open.incoming.head);
-                    let stream = Box::new(OpenStream {
-                        answered,
-                        splitter,
-                        first: None,
-                    });
-                    return Ok(Served::Stream(head, stream));
+            let attempt_flow::Answered { place, open } = &mut answered;
+            let waiting = next_event(&mut open.incoming, &mut splitter);
+            let awaited = slow_attempt::Awaited::FirstEvent;
+            let first = match self.wait_or_move(place, awaited, waiting).await {
+                Waited::Came(end) => self.accept(end),
+                Waited::Late(waited) => EventEnd::Cut(no_event(waited)),
+                Waited::Moved(next, waited) => {
+                    self.note_attempt(&place.endpoint.id, "cut", &no_event(waited));
+                    sent = Some(next);
+                    continue;
                 }
+            };
+            let first = match first {
+                EventEnd::Event(event) => Some(event),
+                EventEnd::Finished => None,
                 EventEnd::Cut(why) => {
-                    let id = answered.place.endpoint.id.clone();
-                    self.note_attempt(&id, "cut", &why);
-                    answered.place.note_failed(false);
-                    drop(answered);
+                    self.note_attempt(&place.endpoint.id, "cut", &why);
+                    place.note_failed(false);
                     match self.after_unknown(why) {
-                        Err(NextStep::GiveUp(e)) => return Err(e),
-                        _ => continue,
+                        attempt_flow::NextStep::GiveUp(e) => return Err(e),
+                        attempt_flow::NextStep::Again => continue,
                     }
                 }
-            }
+            };
+            let head = answer_copy::copy_head(&answered.open.incoming.head);
+            let stream = Box::new(OpenStream {
+                answered,
+                splitter,
+                first,
+            });
+            return Ok(Served::Stream(head, stream));
         }
     }
 
+    /// An answer that is no stream, in whole.
+    async fn other_answer(
+        &self,
+        mut answered: attempt_flow::Answered,
+    ) -> Result<Served, FinalError> {
+        let reading = answer_copy::read_whole(&mut answered.open.incoming);
+        let body = match tokio::time::timeout(self.left(), reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(e)) => return Err(FinalError::Failed(e.to_string())),
+            Err(_) => return Err(FinalError::Late),
+        };
+        let answer = self.whole(&answered.open.incoming.head, body);
+        self.give_back(answered);
+        Ok(Served::Whole(answer))
+    }
+
     /// Checks that an event is the next one.
     fn accept(&mut self, end: EventEnd) -> EventEnd {
         let EventEnd::Event(event) = end else {
@@ -124,6 +121,7 @@
         let flow = EventFlow {
             relay: self,
             open: Some(open),
+            is_over: false,
         };
         let pieces = stream::unfold(flow, |mut flow| async move {
             let piece = flow.next_piece().await?;
@@ -139,11 +137,13 @@
 struct EventFlow {
     relay: RequestRelay,
     open: Option<Box<OpenStream>>,
+    /// Whether its end was noted.
+    is_over: bool,
 }
 
 impl Drop for EventFlow {
     fn drop(&mut self) {
-        if self.open.is_some() {
+        if !self.is_over {
             self.relay.note_end("caller_left", 0);
         }
     }
@@ -157,39 +157,74 @@
             if let Some(first) = open.first.take() {
                 return Some(Ok(first.bytes));
             }
-            let patience = self.relay.gap_patience();
-            let incoming = &mut open.answered.open.incoming;
-            let next = next_event(incoming, &mut open.splitter, patience).await;
-            match self.relay.accept(next) {
-                EventEnd::Event(event) => return Some(Ok(event.bytes)),
+            let attempt_flow::Answered {
+                place,
+                open: answer,
+            } = &mut open.answered;
+            let waiting = next_event(&mut answer.incoming, &mut open.splitter);
+            let awaited = slow_attempt::Awaited::NextEvent;
+            let next = match self.relay.wait_or_move(place, awaited, waiting).await {
+                Waited::Came(end) => self.relay.accept(end),
+                Waited::Late(waited) => EventEnd::Cut(no_event(waited)),
+                Waited::Moved(next, waited) => {
+                    let why = no_event(waited);
+                    self.relay.note_attempt(&place.endpoint.id, "cut", &why);
+                    self.open = None;
+                    if let Err(why) = self.resume(Some(next)).await {
+                        return Some(Err(self.give_up(&why)));
+                    }
+                    continue;
+                }
+            };
+            match next {
+                EventEnd::Event(event) => {
+                    place.note_going_on();
+                    return Some(Ok(event.bytes));
+                }
                 EventEnd::Finished => {
                     if let Some(open) = self.open.take() {
                         self.relay.give_back(open.answered);
                     }
+                    self.is_over = true;
                     self.relay.note_end("answered", StatusCode::OK.as_u16());
                     return None;
                 }
                 EventEnd::Cut(why) => {
-                    let id = open.answered.place.endpoint.id.clone();
-                    self.relay.note_attempt(&id, "cut", &why);
-                    open.answered.place.note_failed(true);
-                    if let Err(why) = self.resume(why).await {
-                        self.relay.note_end("cut", 0);
-                        // The caller must not take what it has for the whole answer.
-                        return Some(Err(io::Error::other(why)));
+                    self.relay.note_attempt(&place.endpoint.id, "cut", &why);
+                    place.note_failed(true);
+                    self.open = None;
+                    if let Err(why) = self.go_on_after(why).await {
+                        return Some(Err(self.give_up(&why)));
                     }
                 }
             }
         }
     }
 
-    /// Takes the stream up at another endpoint, after the last event that went out.
-    async fn resume(&mut self, why: String) -> Result<(), String> {
-        self.open = None;
-        if let Err(NextStep::GiveUp(e)) = self.relay.after_unknown(why) {
-            return Err(format!("{e:?}"));
+    /// Ends the answer so that the caller does not take what it has for all of it.
+    fn give_up(&mut self, why: &str) -> io::Error {
+        let relay = &self.relay;
+        log::info!(
+            "event=stream_given_up request={} why=\"{why}\" left_ms={}",
+            relay.request.terms.id.as_deref().unwrap_or("-"),
+            relay.left().as_millis(),
+        );
+        self.is_over = true;
+        relay.note_end("cut", 0);
+        io::Error::other(why.to_owned())
+    }
+
+    /// Takes the stream up at another endpoint after its run was lost.
+    async fn go_on_after(&mut self, why: String) -> Result<(), String> {
+        match self.relay.after_unknown(why) {
+            attempt_flow::NextStep::GiveUp(e) => Err(format!("{e:?}")),
+            attempt_flow::NextStep::Again => self.resume(None).await,
         }
-        let served = self.relay.open_stream().await;
+    }
+
+    /// Takes the stream up after the last event that went out.
+    async fn resume(&mut self, sent: Option<Box<attempt_flow::SentAttempt>>) -> Result<(), String> {
+        let served = self.relay.open_stream(sent).await;
         match served {
             Ok(Served::Stream(_, open)) => {
                 self.open = Some(open);
@@ -205,27 +240,24 @@
 async fn next_event(
     incoming: &mut connection::IncomingAnswer,
     splitter: &mut event_split::EventSplitter,
-    patience: time::Duration,
 ) -> EventEnd {
-    let reading = async {
-        loop {
-            match splitter.next_event() {
-                Ok(Some(event)) => return EventEnd::Event(event),
-                Ok(None) => {}
-                Err(e) => return EventEnd::Cut(e.to_string()),
-            }
-            match incoming.next_bytes().await {
-                Ok(Some(bytes)) => splitter.push(&bytes),
-                Ok(None) if splitter.has_rest() => {
-                    return EventEnd::Cut("the stream ended within an event".into())
-                }
-                Ok(None) => return EventEnd::Finished,
-                Err(e) => return EventEnd::Cut(e.to_string()),
+    loop {
+        match splitter.next_event() {
+            Ok(Some(event)) => return EventEnd::Event(event),
+            Ok(None) => {}
+            Err(e) => return EventEnd::Cut(e.to_string()),
+        }
+        match incoming.next_bytes().await {
+            Ok(Some(bytes)) => splitter.push(&bytes),
+            Ok(None) if splitter.has_rest() => {
+                return EventEnd::Cut("the stream ended within an event".into())
             }
+            Ok(None) => return EventEnd::Finished,
+            Err(e) => return EventEnd::Cut(e.to_string()),
         }
-    };
-    match tokio::time::timeout(patience, reading).await {
-        Ok(end) => end,
-        Err(_) => EventEnd::Cut(format!("no event within {} ms", patience.as_millis())),
     }
 }
+
+fn no_event(waited: time::Duration) -> String {
+    format!("no event within {} ms", waited.as_millis())
+}
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -118,6 +118,7 @@
             &self.endpoint,
             &request,
             &terms,
+            None,
             HEAD_PATIENCE,
         );
         let open = match sent.await {
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod answer_copy;
 pub mod attempt;
+pub mod attempt_flow;
 pub mod beliefs;
 pub mod caller_handler;
 mod caller_socket;
@@ -46,8 +47,10 @@
 pub mod ready_items;
 pub mod relay;
 pub mod route_table;
+pub mod search_pace;
 pub mod selection;
 pub mod single_flight;
+pub mod slow_attempt;
 pub mod state_copy;
 pub mod state_transfer;
 pub mod wire;
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -37,6 +37,14 @@
         }
     }
 
+    /// Notes that the endpoint goes on, if it was taken for failed.
+    pub fn note_going_on(&self) {
+        if !self.is_served.replace(true) {
+            let mut loads = self.context.loads.borrow_mut();
+            loads.health.note_success(&self.endpoint.id);
+        }
+    }
+
     /// Notes that the endpoint failed, or did not answer at all, and tells its owner.
     pub fn note_failed(&self, is_silent: bool) {
         let (id, now) = (&self.endpoint.id, self.context.clock.now());
@@ -115,7 +123,7 @@
     context: &rc::Rc<process::ProcessContext>,
     wish: &PlaceWish<'_>,
 ) -> Result<HeldPlace, NoPlace> {
-    if let Some(place) = ask_relay(context, wish).await {
+    if let Some(place) = ask_relay(context, wish, true).await {
         return Ok(place);
     }
     match ask_owners(context, wish).await {
@@ -126,19 +134,35 @@
     go_ahead(context, wish.service, wish.tried)
 }
 
-/// Asks a few owners for a free place, and if all are full for one in a queue.
-async fn ask_owners(context: &rc::Rc<process::ProcessContext>, wish: &PlaceWish<'_>) -> OwnerWord {
-    let service = wish.service;
-    let owners = owner_order(context, service);
+/// Asks a few owners for a free slot.
+///
+/// # Errors
+/// None gave one: those that are full, with the places left in their queues.
+pub(super) async fn ask_for_slot<'a>(
+    context: &rc::Rc<process::ProcessContext>,
+    wish: &PlaceWish<'_>,
+    owners: &'a [ids::InstanceId],
+) -> Result<HeldPlace, Vec<(u32, &'a ids::InstanceId)>> {
     let mut full = Vec::new();
     for owner in owners.iter().take(OWNERS_ASKED) {
         let place = place_ask(context, wish);
         match ask(context, owner, place).await {
             OwnerWord::Full(queue_room) => full.push((queue_room, owner)),
             OwnerWord::Silent => {}
-            place => return place,
+            OwnerWord::Place(place) => return Ok(place),
         }
     }
+    Err(full)
+}
+
+/// Asks a few owners for a free place, and if all are full for one in a queue.
+async fn ask_owners(context: &rc::Rc<process::ProcessContext>, wish: &PlaceWish<'_>) -> OwnerWord {
+    let service = wish.service;
+    let owners = owner_order(context, service);
+    let full = match ask_for_slot(context, wish, &owners).await {
+        Ok(place) => return OwnerWord::Place(place),
+        Err(full) => full,
+    };
     if full.is_empty() || full.len() < owners.len().min(OWNERS_ASKED) {
         return OwnerWord::Silent;
     }
@@ -187,7 +211,7 @@
 }
 
 /// The owners in the order in which they are asked.
-fn owner_order(
+pub(super) fn owner_order(
     context: &process::ProcessContext,
     service: &ids::ServiceName,
 ) -> Vec<ids::InstanceId> {
@@ -236,14 +260,15 @@
 }
 
 /// Asks an owner through a gateway that hears it, if this process is cut off.
-async fn ask_relay(
+pub(super) async fn ask_relay(
     context: &rc::Rc<process::ProcessContext>,
     wish: &PlaceWish<'_>,
+    may_queue: bool,
 ) -> Option<HeldPlace> {
     let relays = context.relays();
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
     let wish = peers::PlaceAsk {
-        may_queue: true,
+        may_queue,
         ..place_ask(context, wish)
     };
     let permit = HeldPermit::Peer(relay.address, wish.number);
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -1,25 +1,18 @@
-//! Carries one request of a caller through its attempts to its answer.
+//! Carries one request of a caller to its answer.
 
 use std::{rc, time};
 
 use actix_http::{header, StatusCode};
 
-use super::{answer_copy, attempt, event_flow, places, process, route_table, wire};
-use crate::{http_server, ids, outcome};
-
-/// Attempts that did not run, beyond which a request is given up.
-const MAX_NOT_RUN: u32 = 4;
-/// Part of an objective after which a silent attempt is taken for lost, if another is allowed.
-const SILENCE_SHARE: f64 = 0.8;
-/// Share of a route's objective after which a caller who was refused may come back.
-const RETURN_SHARE: f64 = 1.0;
+use super::{answer_copy, attempt, attempt_flow, event_flow, places, process, route_table, wire};
+use crate::http_server;
 
 /// A request of a caller under way.
 pub struct CallerRequest {
     /// Its route.
     pub route: std::sync::Arc<route_table::Route>,
     /// What goes to endpoints.
-    pub forwarded: attempt::ForwardedRequest,
+    pub forwarded: rc::Rc<attempt::ForwardedRequest>,
     /// What the caller said.
     pub terms: wire::CallerTerms,
     /// When its final answer is due.
@@ -60,31 +53,11 @@
     Late,
 }
 
-/// Attempts of one request so far.
-pub(super) struct AttemptLog {
-    pub(super) tried: Vec<ids::EndpointId>,
-    /// Attempts that ran or may have run.
-    ran: u32,
-    not_run: u32,
-}
-
-/// How to go on after an attempt without an answer.
-pub(super) enum NextStep {
-    Again,
-    GiveUp(FinalError),
-}
-
-/// The answer of an attempt, with the place that it holds.
-pub(super) struct Answered {
-    pub(super) place: places::HeldPlace,
-    pub(super) open: attempt::OpenAnswer,
-}
-
 /// One request on its way through attempts.
 pub(super) struct RequestRelay {
     pub(super) context: rc::Rc<process::ProcessContext>,
     pub(super) request: CallerRequest,
-    pub(super) log: AttemptLog,
+    pub(super) log: attempt_flow::AttemptLog,
     /// Index of the last event that went to the caller, or that it named itself.
     pub(super) last_event: Option<u64>,
     pub(super) started: bool,
@@ -103,18 +76,14 @@
     let mut relay = RequestRelay {
         context,
         request,
-        log: AttemptLog {
-            tried: Vec::new(),
-            ran: 0,
-            not_run: 0,
-        },
+        log: attempt_flow::AttemptLog::default(),
         last_event,
         started: false,
         first_event: std::cell::Cell::new(None),
         _active: active,
     };
     let outcome = match relay.request.route.kind.is_stream() {
-        true => relay.open_stream().await,
+        true => relay.open_stream(None).await,
         false => relay.whole_answer().await,
     };
     match outcome {
@@ -139,7 +108,7 @@
         self.request.deadline.saturating_duration_since(now)
     }
 
-    fn may_repeat(&self) -> bool {
+    pub(super) fn may_repeat(&self) -> bool {
         self.request.route.kind.is_repeatable()
     }
 
@@ -152,72 +121,6 @@
         allowed.saturating_sub(self.log.ran)
     }
 
-    /// Longest wait for the head of an answer, or for a first event.
-    pub(super) fn head_patience(&self) -> time::Duration {
-        let left = self.left();
-        if self.attempts_left() < 2 {
-            return left;
-        }
-        left.min(self.request.route.objective.mul_f64(SILENCE_SHARE))
-    }
-
-    fn choose_service(&self) -> Option<ids::ServiceName> {
-        let targets = &self.request.route.targets;
-        let total: u32 = targets.iter().map(|t| t.weight).sum();
-        if total == 0 {
-            return targets.first().map(|t| t.service.clone());
-        }
-        let mut point = rand::random_range(0..total);
-        let chosen = targets.iter().find(|t| {
-            let inside = point < t.weight;
-            point = point.saturating_sub(t.weight);
-            inside
-        });
-        chosen.map(|t| t.service.clone())
-    }
-
-    /// The next answer with a head, over as many attempts as are allowed.
-    pub(super) async fn next_answer(&mut self) -> Result<Answered, FinalError> {
-        loop {
-            if self.left().is_zero() {
-                return Err(FinalError::Late);
-            }
-            let service = self.choose_service();
-            let service =
-                service.ok_or_else(|| FinalError::Failed("the route has no service".into()))?;
-            let wish = places::PlaceWish {
-                service: &service,
-                tried: &self.log.tried,
-                objective: self.request.route.objective,
-            };
-            let place = places::acquire(&self.context, &wish).await;
-            let place = match place {
-                // What has begun goes on, also where a new request would not begin.
-                Err(places::NoPlace::Full) if self.log.ran > 0 => {
-                    places::go_ahead(&self.context, &service, &self.log.tried)
-                }
-                place => place,
-            };
-            let place = place.map_err(|e| self.no_place(e))?;
-            match self.attempt(place).await {
-                Ok(answered) => return Ok(answered),
-                Err(NextStep::Again) => {}
-                Err(NextStep::GiveUp(e)) => return Err(e),
-            }
-        }
-    }
-
-    /// The final word if no place is left: true to what happened before.
-    fn no_place(&self, why: places::NoPlace) -> FinalError {
-        if self.log.ran > 0 {
-            return FinalError::Failed(format!("an attempt failed, then: {why}"));
-        }
-        FinalError::NotRun(
-            self.request.route.objective.mul_f64(RETURN_SHARE),
-            why.to_string(),
-        )
-    }
-
     /// Waits for an endpoint, and suspects it when it takes longer than the objective.
     ///
     /// A request that may run once has to go on waiting; others can be spared
@@ -242,93 +145,10 @@
         waiting.await
     }
 
-    /// Sends one attempt; on failure says how to go on.
-    async fn attempt(&mut self, place: places::HeldPlace) -> Result<Answered, NextStep> {
-        use outcome::AttemptOutcome as O;
-
-        let endpoint = place.endpoint.clone();
-        let terms = wire::AttemptTerms {
-            endpoint: &endpoint.id,
-            patience: Some(self.left()),
-            resume_after: self.last_event,
-        };
-        let patience = self.head_patience();
-        let forwarded = &self.request.forwarded;
-        let sending = attempt::send(&self.context, &endpoint, forwarded, &terms, patience);
-        let sent = self.suspecting(&place, sending).await;
-        self.log.tried.push(endpoint.id.clone());
-        match sent {
-            O::Completed(open) => {
-                self.log.ran += 1;
-                let status = open.incoming.head.status;
-                let again = attempt::is_failure(status) && self.attempts_left() > 0;
-                if attempt::is_failure(status) {
-                    place.note_failed(false);
-                }
-                if again && self.may_repeat() {
-                    self.note_attempt(&endpoint.id, "failed", status.as_str());
-                    return Err(NextStep::Again);
-                }
-                Ok(Answered { place, open })
-            }
-            O::NotRun(proof) => {
-                self.log.not_run += 1;
-                self.note_attempt(&endpoint.id, "not_run", "");
-                if !proof.is_refusal() {
-                    place.note_failed(true);
-                }
-                if self.log.not_run >= MAX_NOT_RUN {
-                    return Err(NextStep::GiveUp(self.not_run()));
-                }
-                Err(NextStep::Again)
-            }
-            O::Failed(why) | O::Unknown(why) => {
-                self.log.ran += 1;
-                self.note_attempt(&endpoint.id, "unknown", &why);
-                // A full queue is silent too: only several in a row eject it.
-                place.note_failed(false);
-                self.after_unknown(why)
-            }
-        }
-    }
-
-    fn not_run(&self) -> FinalError {
-        if self.log.ran > 0 {
-            return FinalError::Failed("no endpoint took the next attempt".into());
-        }
-        let pause = self.request.route.objective.mul_f64(RETURN_SHARE);
-        FinalError::NotRun(pause, "no endpoint took the request".into())
-    }
-
-    pub(super) fn after_unknown(&self, why: String) -> Result<Answered, NextStep> {
-        if self.left().is_zero() {
-            return Err(NextStep::GiveUp(FinalError::Late));
-        }
-        if self.may_repeat() && self.attempts_left() > 0 {
-            return Err(NextStep::Again);
-        }
-        Err(NextStep::GiveUp(FinalError::Failed(why)))
-    }
-
-    pub(super) fn note_attempt(&self, id: &ids::EndpointId, outcome: &str, why: &str) {
-        self.context
-            .metrics
-            .attempts
-            .with_label_values(&[outcome])
-            .inc();
-        log::info!(
-            "event=attempt request={} route={} endpoint={id} outcome={outcome} why=\"{why}\" ran={} left_ms={}",
-            self.request.terms.id.as_deref().unwrap_or("-"),
-            self.request.route.name,
-            self.log.ran,
-            self.left().as_millis(),
-        );
-    }
-
     /// A whole answer, held back until it is complete.
     async fn whole_answer(&mut self) -> Result<Served, FinalError> {
         loop {
-            let mut answered = self.next_answer().await?;
+            let mut answered = self.next_answer(None).await?;
             let reading = answer_copy::read_whole(&mut answered.open.incoming);
             let patience = self.left();
             let read = match tokio::time::timeout(patience, reading).await {
@@ -347,8 +167,8 @@
                     answered.place.note_failed(false);
                     drop(answered);
                     match self.after_unknown(e.to_string()) {
-                        Err(NextStep::GiveUp(e)) => return Err(e),
-                        _ => continue,
+                        attempt_flow::NextStep::GiveUp(e) => return Err(e),
+                        attempt_flow::NextStep::Again => continue,
                     }
                 }
             }
@@ -373,7 +193,7 @@
     }
 
     /// Keeps the connection of an answer that is complete.
-    pub(super) fn give_back(&self, answered: Answered) {
+    pub(super) fn give_back(&self, answered: attempt_flow::Answered) {
         if !attempt::is_failure(answered.open.incoming.head.status) {
             answered.place.note_served();
         }
@@ -420,7 +240,7 @@
             self.request.route.objective.as_millis(),
             self.log.ran,
             self.log.not_run,
-            self.log.tried.last().map_or("-", |id| id.as_str()),
+            self.log.last.as_ref().map_or("-", |id| id.as_str()),
             self.last_event.map_or(-1, |id| id as i64),
         );
     }
--- /dev/null
+++ b/src/serving/slow_attempt.rs
@@ -0,0 +1,302 @@
+//! Waits for an endpoint that is slow: it is left only for a place in hand elsewhere.
+//!
+//! An endpoint whose connection is open may be at work, and its silence is no
+//! reason to end an answer. After a patience a place at another endpoint is
+//! asked for while the first answer is waited for on; whatever comes first counts.
+
+use std::{rc, time};
+
+use futures::future::{self, FutureExt as _};
+
+use super::{attempt, attempt_flow, connection, places, process, relay, search_pace};
+use crate::{ids, outcome};
+
+/// Part of an objective after which a silent attempt is taken for slow.
+const SILENCE_SHARE: f64 = 0.8;
+/// Part of the longest pause between events after which a stream is taken for slow.
+const GAP_SHARE: f64 = 0.5;
+/// How long a slow run is kept, unread, for the word of the endpoint that is to go on.
+///
+/// Guards a run against being given up for an endpoint that refuses. A refusal
+/// takes a round trip, 1 to 4 ms, and its turn on busy processors. Two runs of
+/// one request at once must last for less than 400 ms; this is a quarter of it.
+const HANDOVER_TIME: time::Duration = time::Duration::from_millis(100);
+
+/// What is awaited of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Awaited {
+    /// The head of its answer.
+    Head,
+    /// The first event of a stream.
+    FirstEvent,
+    /// The next event of a stream.
+    NextEvent,
+}
+
+/// How a wait for an endpoint ended.
+pub(super) enum Waited<T> {
+    /// What was awaited came, or the connection broke.
+    Came(T),
+    /// Another endpoint goes on, the slow one is to be left now; with the time waited.
+    Moved(Box<attempt_flow::SentAttempt>, time::Duration),
+    /// The caller's time is over; with the time waited.
+    Late(time::Duration),
+}
+
+impl relay::RequestRelay {
+    /// Time after which an endpoint is taken for slow; none if no other may go on.
+    fn patience(&self, awaited: Awaited) -> Option<time::Duration> {
+        let (span, share) = match awaited {
+            Awaited::NextEvent => (self.request.route.gap_objective?, GAP_SHARE),
+            _ => (self.request.route.objective, SILENCE_SHARE),
+        };
+        self.may_move(awaited).then(|| span.mul_f64(share))
+    }
+
+    /// Whether one more attempt may run beside what ran so far.
+    fn may_move(&self, awaited: Awaited) -> bool {
+        // An attempt counts as run from its head on.
+        let least = match awaited {
+            Awaited::NextEvent => 1,
+            Awaited::Head | Awaited::FirstEvent => 2,
+        };
+        self.attempts_left() >= least
+    }
+
+    /// Waits for an endpoint to the end of the caller's time, or until another goes on.
+    pub(super) async fn wait_or_move<T>(
+        &mut self,
+        place: &places::HeldPlace,
+        awaited: Awaited,
+        waiting: impl future::Future<Output = T>,
+    ) -> Waited<T> {
+        let begun = time::Instant::now();
+        tokio::pin!(waiting);
+        let Some(patience) = self.patience(awaited) else {
+            return self.wait_alone(place, awaited, waiting).await;
+        };
+        let patience = patience.min(self.left());
+        if let Ok(done) = tokio::time::timeout(patience, &mut waiting).await {
+            return Waited::Came(done);
+        }
+        self.note_slow(place, awaited, patience);
+        let mut search = SlowSearch::new(place, &self.log);
+        while self.may_move(awaited) {
+            tokio::select! {
+                biased;
+                done = &mut waiting => return Waited::Came(done),
+                () = tokio::time::sleep(self.left()) => return Waited::Late(begun.elapsed()),
+                found = search.next_place(self) => {
+                    search.passed_over.push(found.place.endpoint.id.clone());
+                    if let Some(sent) = self.hand_over(found).await {
+                        return Waited::Moved(Box::new(sent), begun.elapsed());
+                    }
+                }
+            }
+        }
+        match tokio::time::timeout(self.left(), waiting).await {
+            Ok(done) => Waited::Came(done),
+            Err(_) => Waited::Late(begun.elapsed()),
+        }
+    }
+
+    /// Waits for the only endpoint that may run the request.
+    async fn wait_alone<T>(
+        &self,
+        place: &places::HeldPlace,
+        awaited: Awaited,
+        waiting: impl future::Future<Output = T>,
+    ) -> Waited<T> {
+        let begun = time::Instant::now();
+        let waited = match awaited {
+            Awaited::NextEvent => tokio::time::timeout(self.left(), waiting).await,
+            _ => {
+                let suspecting = self.suspecting(place, waiting);
+                tokio::time::timeout(self.left(), suspecting).await
+            }
+        };
+        match waited {
+            Ok(done) => Waited::Came(done),
+            Err(_) => Waited::Late(begun.elapsed()),
+        }
+    }
+
+    /// Notes a run that is slow for the first time; the owner hears of it.
+    ///
+    /// A run whose every event is late would else be told of with each.
+    fn note_slow(&self, place: &places::HeldPlace, awaited: Awaited, waited: time::Duration) {
+        if self.log.slow_pace.get().is_some() {
+            return;
+        }
+        log::info!(
+            "event=endpoint_slow request={} endpoint={} awaited={awaited:?} waited_ms={} left_ms={}",
+            self.request.terms.id.as_deref().unwrap_or("-"),
+            place.endpoint.id,
+            waited.as_millis(),
+            self.left().as_millis(),
+        );
+        if awaited == Awaited::Head {
+            // A kept connection may be silent for good, and others with it.
+            self.context.pool.forget(place.endpoint.address);
+        }
+        place.note_failed(awaited == Awaited::NextEvent);
+    }
+
+    /// Sends the request to the next endpoint; gives the attempt unless it failed at once.
+    ///
+    /// The slow run is not read meanwhile: its events still count if this fails,
+    /// and none of them goes out twice if it does not.
+    async fn hand_over(&mut self, found: FoundPlace) -> Option<attempt_flow::SentAttempt> {
+        let opened = match found.connection {
+            Ok(opened) => opened,
+            Err(proof) => {
+                let told = outcome::AttemptOutcome::NotRun(proof);
+                self.note_not_moved(found.place, told);
+                return None;
+            }
+        };
+        let id = found.place.endpoint.id.clone();
+        let mut sent = self.start(found.place, Some(opened));
+        let patience = HANDOVER_TIME.min(self.left());
+        let told = tokio::time::timeout(patience, &mut sent.sending).await;
+        match told {
+            Ok(outcome) if !self.goes_on(&outcome) => {
+                self.note_not_moved(sent.place, outcome);
+                return None;
+            }
+            Ok(outcome) => sent.sending = future::ready(outcome).boxed_local(),
+            Err(_) => {}
+        }
+        self.log.begin(&id);
+        Some(sent)
+    }
+
+    /// Whether an attempt goes on with the request.
+    fn goes_on(&self, told: &outcome::AttemptOutcome<attempt::OpenAnswer>) -> bool {
+        let outcome::AttemptOutcome::Completed(open) = told else {
+            return false;
+        };
+        let status = open.incoming.head.status;
+        status.is_success() || (!self.started && !attempt::is_failure(status))
+    }
+
+    /// Counts an attempt that does not go on, as any other.
+    fn note_not_moved(
+        &mut self,
+        place: places::HeldPlace,
+        told: outcome::AttemptOutcome<attempt::OpenAnswer>,
+    ) {
+        if let Ok(answered) = self.judge(place, told) {
+            let status = answered.open.incoming.head.status;
+            self.note_attempt(&answered.place.endpoint.id, "failed", status.as_str());
+        }
+    }
+}
+
+/// A place elsewhere, and the connection to its endpoint.
+///
+/// It is made before the slow run is put aside, and always anew: a kept one
+/// may be silent, and so be worse than the slow run.
+struct FoundPlace {
+    place: places::HeldPlace,
+    connection: Result<connection::EndpointConnection, outcome::NotRunProof>,
+}
+
+/// The search for a place elsewhere while an endpoint is slow.
+struct SlowSearch {
+    slow: ids::EndpointId,
+    /// Endpoints that are not asked for in this round.
+    passed_over: Vec<ids::EndpointId>,
+}
+
+impl SlowSearch {
+    fn new(place: &places::HeldPlace, log: &attempt_flow::AttemptLog) -> Self {
+        Self {
+            slow: place.endpoint.id.clone(),
+            passed_over: log.tried.clone(),
+        }
+    }
+
+    /// The next place, whenever there is one.
+    async fn next_place(&mut self, relay: &relay::RequestRelay) -> FoundPlace {
+        loop {
+            Self::pause(relay).await;
+            let Some(place) = self.ask(relay).await else {
+                // Those that refused or failed may take it in the next round.
+                self.passed_over = vec![self.slow.clone()];
+                continue;
+            };
+            let connection = attempt::connect(&place.endpoint, relay.left()).await;
+            return FoundPlace { place, connection };
+        }
+    }
+
+    /// Pauses, but before the first place that is asked for in a run.
+    ///
+    /// A run that is slow at each event brings its answer: it asks no more often.
+    async fn pause(relay: &relay::RequestRelay) {
+        let Some(mut pace) = relay.log.slow_pace.get() else {
+            relay
+                .log
+                .slow_pace
+                .set(Some(search_pace::SearchPace::default()));
+            return;
+        };
+        let pause = pace.next_pause().min(relay.left());
+        relay.log.slow_pace.set(Some(pace));
+        tokio::time::sleep(pause).await;
+    }
+
+    /// Asks once. An answer that comes too late is taken, and its place given back.
+    async fn ask(&self, relay: &relay::RequestRelay) -> Option<places::HeldPlace> {
+        let service = relay.choose_service()?;
+        if !self.has_others(relay, &service) {
+            return None;
+        }
+        let context = rc::Rc::clone(&relay.context);
+        let objective = relay.request.route.objective;
+        let tried = self.passed_over.clone();
+        let asking = actix_rt::spawn(async move {
+            let wish = places::PlaceWish {
+                service: &service,
+                tried: &tried,
+                objective,
+            };
+            free_place(&context, &wish).await
+        });
+        match asking.await {
+            Ok(place) => place.ok(),
+            Err(e) => {
+                log::warn!("event=place_unasked why=\"{e}\"");
+                None
+            }
+        }
+    }
+
+    /// Whether the service has an endpoint that was not passed over.
+    fn has_others(&self, relay: &relay::RequestRelay, service: &ids::ServiceName) -> bool {
+        let directory = relay.context.fleet.directory.borrow();
+        let listed = directory.of_service(service);
+        listed.iter().any(|e| !self.passed_over.contains(&e.id))
+    }
+}
+
+/// Finds a free slot, not a queue, for a request that is at work elsewhere.
+///
+/// This process's own counts are used only while it hears no owner: one that
+/// is heard but late has a bad link between, as may the slow endpoint have.
+async fn free_place(
+    context: &rc::Rc<process::ProcessContext>,
+    wish: &places::PlaceWish<'_>,
+) -> Result<places::HeldPlace, places::NoPlace> {
+    let owners = places::owner_order(context, wish.service);
+    if !owners.is_empty() {
+        let asked = places::ask_for_slot(context, wish, &owners).await;
+        return asked.map_err(|_| places::NoPlace::Full);
+    }
+    if !context.relays().is_empty() {
+        let asked = places::ask_relay(context, wish, false).await;
+        return asked.ok_or(places::NoPlace::Full);
+    }
+    places::go_ahead(context, wish.service, wish.tried)
+}
