--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -204,6 +204,29 @@
     assert_eq!([count(&follower), count(&gateway)], [2, 2]);
 }
 
+/// All requests were refused after a store that went away twice was back, for as
+/// long as the endpoints took to be listed again. They had lapsed in its first
+/// absence, and the time in which they could come back ran on in the second.
+#[test]
+fn entries_that_lapsed_may_come_back_after_each_return_of_the_store() {
+    let clock = sync::Arc::default();
+    let model = model(&clock, true);
+    model.take(FleetNews::Endpoints(1, vec![entry("a", "z")]));
+    for (revision, absence) in [(2, 5), (3, 5)] {
+        model.take(FleetNews::Reachable(false));
+        clock.pass(time::Duration::from_secs(absence));
+        model.expire();
+        model.take(FleetNews::Reachable(true));
+        model.take(FleetNews::Endpoints(revision, Vec::new()));
+        clock.pass(time::Duration::from_millis(2400));
+        model.expire();
+        assert_eq!(count(&model), 1, "it may come back");
+    }
+    clock.pass(time::Duration::from_millis(200));
+    model.expire();
+    assert_eq!(count(&model), 0);
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_decides() {
     let route = |host: &str, prefix: &str| route_table::Route {
