fix(serving): entries that lapsed may come back after each return of the store

Cause: entries that lapsed in an absence of the store are given up 2.5 s after its return. In a second absence that time ran on, though no endpoint can show itself then, and at the second return all were gone at once.

Change: an absence of a second or more gives them their time again. A call that fails by itself does not, so that what is gone stays no longer.

Before: no endpoint 2.4 s after the second return. After: the one that may come back, until 2.5 s. Without either half the test fails.

--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -105,6 +105,13 @@
         removed.into_iter().chain(changed).collect()
     }
 
+    /// Lets the entries that lapsed come back until `gone_at`.
+    pub fn keep_lapsed(&mut self, gone_at: clock::Moment) {
+        for mark in self.lapsed.values_mut() {
+            mark.gone_at = gone_at;
+        }
+    }
+
     /// Removes the lapsed entries whose time is over; says whether there were any.
     pub fn expire(&mut self, now: clock::Moment) -> bool {
         let over = self.lapsed.iter().filter(|(_, mark)| mark.gone_at <= now);
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -9,6 +9,11 @@
 
 /// How long after the store's return an entry that lapsed meanwhile may still come back.
 const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2500);
+/// Absence of the store that gives entries that lapsed before it their time again.
+///
+/// Endpoints show themselves about every second, so a shorter one, as a call
+/// that failed by itself, costs none of them its chance.
+const LONG_ABSENCE: time::Duration = time::Duration::from_secs(1);
 /// How long the store must have answered before a removal is taken at its word.
 const SETTLED_AFTER: time::Duration = time::Duration::from_secs(3);
 /// Lists that one revision of the store can stand for, see [`FleetModel::revision`].
@@ -29,7 +34,8 @@
     /// See [`Self::revision`].
     number: cell::Cell<u64>,
     reachable_since: cell::Cell<Option<clock::Moment>>,
-    was_away: cell::Cell<bool>,
+    /// When the source last began to be away, if it ever was.
+    away_since: cell::Cell<Option<clock::Moment>>,
     follows: cell::Cell<bool>,
     retiring: cell::RefCell<collections::BTreeSet<ids::InstanceId>>,
     changes: watch::Sender<u64>,
@@ -45,7 +51,7 @@
             directory: cell::RefCell::default(),
             number: cell::Cell::new(0),
             reachable_since: cell::Cell::new(None),
-            was_away: cell::Cell::new(false),
+            away_since: cell::Cell::new(None),
             follows: cell::Cell::new(true),
             retiring: cell::RefCell::default(),
             changes: watch::Sender::new(0),
@@ -232,19 +238,27 @@
             return;
         }
         log::warn!("event=store_reachable now={reachable}");
-        let since = reachable.then(|| self.clock.now());
-        self.reachable_since.set(since);
-        match reachable {
-            true => self.returned.notify_waiters(),
-            false => self.was_away.set(true),
+        let now = self.clock.now();
+        if !reachable {
+            self.reachable_since.set(None);
+            self.away_since.set(Some(now));
+            return;
+        }
+        self.reachable_since.set(Some(now));
+        let away_since = self.away_since.get();
+        // In an absence no endpoint can show itself.
+        if away_since.is_some_and(|since| now.since(since) >= LONG_ABSENCE) {
+            let mut directory = self.directory.borrow_mut();
+            directory.keep_lapsed(now + LAPSE_GRACE);
         }
+        self.returned.notify_waiters();
     }
 
     /// When an entry that is removed now counts as gone; nothing for at once.
     fn gone_at(&self) -> Option<clock::Moment> {
         let now = self.clock.now();
         let since = self.reachable_since.get().unwrap_or(now);
-        let settled = !self.was_away.get() || now.since(since) >= SETTLED_AFTER;
+        let settled = self.away_since.get().is_none() || now.since(since) >= SETTLED_AFTER;
         (!settled).then(|| since + LAPSE_GRACE)
     }
 
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -222,7 +222,10 @@
         model.expire();
         assert_eq!(count(&model), 1, "it may come back");
     }
+    // A call that fails by itself is no absence.
+    model.take(FleetNews::Reachable(false));
     clock.pass(time::Duration::from_millis(200));
+    model.take(FleetNews::Reachable(true));
     model.expire();
     assert_eq!(count(&model), 0);
 }
