fix(serving): places that are lent too late are given back

Cause: a borrower waits 100 ms for an owner's answer and then dropped it. The owner had lent the places, and kept them until the borrower was lost: over a slow link all its places went that way, and batch work had none.

Change: the answer is waited for in the background, and what it lends is given back.

--- a/src/serving/job_loans.rs
+++ b/src/serving/job_loans.rs
@@ -8,6 +8,11 @@
 /// Longest wait for an owner that may lend places.
 const LOAN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
+/// Longest wait for an answer that comes too late for its places to be used:
+/// the owner holds them until they are given back. A link that gives no answers
+/// is ended after a probe and its longest answer, 0.65 s, so this is far above.
+const LATE_LOAN_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// Pause between two rounds of asking for places.
 const LOAN_PAUSE: time::Duration = time::Duration::from_millis(60);
 
@@ -45,12 +50,9 @@
                 service: service.clone(),
                 count: waiting.min(MAX_LOAN),
             };
-            match context.links.lend(address, ask, LOAN_TIMEOUT).await {
-                Ok(loans) => {
-                    waiting = waiting.saturating_sub(loans.len());
-                    use_loans(&context, address, loans);
-                }
-                Err(e) => log::debug!("event=loan_failed owner={} why=\"{e}\"", owner.id),
+            if let Some(loans) = ask_for_places(&context, &owner.id, address, ask).await {
+                waiting = waiting.saturating_sub(loans.len());
+                use_loans(&context, address, loans);
             }
         }
         actix_rt::time::sleep(LOAN_PAUSE).await;
@@ -58,6 +60,40 @@
     });
 }
 
+/// Asks one owner for places; what it lends too late is given back.
+async fn ask_for_places(
+    context: &rc::Rc<process::ProcessContext>,
+    owner: &ids::InstanceId,
+    address: net::SocketAddr,
+    ask: peers::LoanAsk,
+) -> Option<Vec<peers::StreamLoan>> {
+    let lending = lend(context.clone(), owner.clone(), address, ask);
+    let mut lending = Box::pin(lending);
+    if let Ok(loans) = tokio::time::timeout(LOAN_TIMEOUT, &mut lending).await {
+        return loans;
+    }
+    let context = context.clone();
+    actix_rt::spawn(async move {
+        for loan in lending.await.unwrap_or_default() {
+            context.links.give_back(address, loan);
+        }
+    });
+    None
+}
+
+/// The places that an owner lends; nothing if it does not answer at all.
+async fn lend(
+    context: rc::Rc<process::ProcessContext>,
+    owner: ids::InstanceId,
+    address: net::SocketAddr,
+    ask: peers::LoanAsk,
+) -> Option<Vec<peers::StreamLoan>> {
+    let answer = context.links.lend(address, ask, LATE_LOAN_TIMEOUT).await;
+    answer
+        .inspect_err(|e| log::info!("event=loan_failed owner={owner} why=\"{e}\""))
+        .ok()
+}
+
 /// Starts the first waiting items in lent places; gives the places left over back.
 fn use_loans(
     context: &rc::Rc<process::ProcessContext>,
