fix(serving): a list of endpoints is waited for as long as it comes on

Cause: one timeout of 500 ms for the whole list, and a new question for all of it with the next sign of life. 87 KB, the list of 1,600 endpoints, take longer where a link has less than 175 KB/s left. Change: what bounds the wait is the time in which nothing comes on the link, 500 ms, and 5 s in all as a guard. One list is asked for at a time, as before.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -5,7 +5,7 @@
 use super::{fleet_source, members, owners, peer_links, peers, process, state_transfer};
 use crate::{decisions::call_budget::CallClass, ids, store};
 
-/// Longest wait for a peer's list of endpoints or members.
+/// Longest wait for a peer's members, and for the next bytes of its list of endpoints.
 const BELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Pause between two readings of the desired state and the list of endpoints;
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -23,6 +23,10 @@
 /// bytes meanwhile, and a new one would have to begin anew.
 const LINK_SILENCE: time::Duration = time::Duration::from_millis(400);
 
+/// Longest wait for a list of endpoints that comes on, a guard against one that
+/// never ends: 1,600 endpoints, 87 KB, take 4.4 s at 20 KB/s.
+const LIST_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// Pause after a failed connection.
 pub(super) const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -186,16 +190,21 @@
         call_peer!(self, peer, patience, state_part(ask))
     }
 
-    /// Asks for the list of endpoints.
+    /// Asks for the list of endpoints, and waits as long as something comes on the
+    /// link: the list may be as large as the link is busy.
     ///
     /// # Errors
     /// The peer does not answer.
     pub async fn endpoints(
         &self,
         peer: net::SocketAddr,
-        patience: time::Duration,
+        silence: time::Duration,
     ) -> Result<directory::DirectoryCopy, PeerError> {
-        call_peer!(self, peer, patience, endpoints())
+        let asking = async { call_peer!(self, peer, LIST_TIMEOUT, endpoints()) };
+        tokio::select! {
+            answer = asking => answer,
+            () = self.silence(peer, silence) => Err(PeerError::TimedOut),
+        }
     }
 
     /// Asks for the processes that a peer knows.
@@ -332,6 +341,17 @@
         LinkGeneration(self.latest.get())
     }
 
+    /// Ends once nothing has come on the link to a peer for so long, from now on.
+    async fn silence(&self, peer: net::SocketAddr, limit: time::Duration) {
+        let mut latest = time::Instant::now();
+        while latest.elapsed() < limit {
+            actix_rt::time::sleep(limit.saturating_sub(latest.elapsed())).await;
+            if let Some(LinkState::Connected(link)) = self.table.borrow().get(&peer) {
+                latest = latest.max(link.heard_at.get());
+            }
+        }
+    }
+
     /// Begins to connect to a peer if there is need, and waits for the outcome.
     pub async fn settle(&self, peer: net::SocketAddr) {
         if self.connected(peer).is_some() {
