fix(serving): a stream without a first event moves with its last attempt

Cause: a wait for a first event asked for two attempts left, as the wait for a head does; but from its head on an attempt is counted, so one is enough. Before: 504 after the route's 3 s, with an attempt and a free place left. After: the stream is whole from the other endpoint; 18 tests of slow streams, 20 of endpoint faults and 21 of system faults pass.

--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -57,8 +57,8 @@
     fn may_move(&self, awaited: Awaited) -> bool {
         // An attempt counts as run from its head on.
         let least = match awaited {
-            Awaited::NextEvent => 1,
-            Awaited::Head | Awaited::FirstEvent => 2,
+            Awaited::Head => 2,
+            Awaited::FirstEvent | Awaited::NextEvent => 1,
         };
         self.attempts_left() >= least
     }
