fix(serving): an endpoint that is gone is left though all others are full

Cause: a slow endpoint is left only for a free slot elsewhere, asked for at a pace, beside all new requests. At an endpoint whose machine is gone without a reset, or on a kept connection that is silent for good, that is a wait to the end of the caller's time where all others are full. Found in review.

Change: a slow endpoint's machine is asked for a connection, at most once a second in a run; if it takes none, the attempt has failed, and the next one may go to a queue. A request without the head of an answer for twice the patience may go to a queue as well: no work is seen to be lost there.

--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -29,6 +29,8 @@
     pace: search_pace::SearchPace,
     /// Pace of the search while the present run is slow, once it was.
     pub(super) slow_pace: cell::Cell<Option<search_pace::SearchPace>>,
+    /// When the machine of a slow endpoint was last asked for a connection.
+    pub(super) checked_at: cell::Cell<Option<time::Instant>>,
 }
 
 impl AttemptLog {
@@ -37,6 +39,7 @@
         self.tried.push(id.clone());
         self.last = Some(id.clone());
         self.slow_pace.set(None);
+        self.checked_at.set(None);
     }
 
     /// Notes the head of an answer: the next search begins anew.
@@ -148,13 +151,10 @@
             tried,
             objective: self.request.route.objective,
         };
-        let place = places::acquire(&self.context, &wish).await;
-        Ok(match place {
-            // What has begun goes on, also where a new request would not begin.
-            Err(places::NoPlace::Full) if self.log.ran > 0 => {
-                places::go_ahead(&self.context, &service, tried)
-            }
-            place => place,
+        // What has begun goes on, also where a new request would not begin.
+        Ok(match self.log.ran > 0 {
+            true => places::any_place(&self.context, &wish).await,
+            false => places::acquire(&self.context, &wish).await,
         })
     }
 
@@ -212,7 +212,7 @@
             let awaited = slow_attempt::Awaited::Head;
             let outcome = match self.wait_or_move(place, awaited, sending).await {
                 W::Came(outcome) => outcome,
-                W::Late(waited) => O::Unknown(no_answer(waited)),
+                W::Lost(waited) => O::Unknown(no_answer(waited)),
                 W::Moved(next, waited) => {
                     self.log.ran += 1;
                     let id = sent.place.endpoint.id.clone();
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -45,7 +45,7 @@
             let awaited = slow_attempt::Awaited::FirstEvent;
             let first = match self.wait_or_move(place, awaited, waiting).await {
                 Waited::Came(end) => self.accept(end),
-                Waited::Late(waited) => EventEnd::Cut(no_event(waited)),
+                Waited::Lost(waited) => EventEnd::Cut(no_event(waited)),
                 Waited::Moved(next, waited) => {
                     self.note_attempt(&place.endpoint.id, "cut", &no_event(waited));
                     sent = Some(next);
@@ -165,7 +165,7 @@
             let awaited = slow_attempt::Awaited::NextEvent;
             let next = match self.relay.wait_or_move(place, awaited, waiting).await {
                 Waited::Came(end) => self.relay.accept(end),
-                Waited::Late(waited) => EventEnd::Cut(no_event(waited)),
+                Waited::Lost(waited) => EventEnd::Cut(no_event(waited)),
                 Waited::Moved(next, waited) => {
                     let why = no_event(waited);
                     self.relay.note_attempt(&place.endpoint.id, "cut", &why);
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -155,6 +155,20 @@
     Err(full)
 }
 
+/// Finds a place where a new request would be refused too, for one that has begun.
+///
+/// # Errors
+/// No endpoint is left.
+pub async fn any_place(
+    context: &rc::Rc<process::ProcessContext>,
+    wish: &PlaceWish<'_>,
+) -> Result<HeldPlace, NoPlace> {
+    match acquire(context, wish).await {
+        Err(NoPlace::Full) => go_ahead(context, wish.service, wish.tried),
+        place => place,
+    }
+}
+
 /// Asks a few owners for a free place, and if all are full for one in a queue.
 async fn ask_owners(context: &rc::Rc<process::ProcessContext>, wish: &PlaceWish<'_>) -> OwnerWord {
     let service = wish.service;
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -8,7 +8,7 @@
 
 use futures::future::{self, FutureExt as _};
 
-use super::{attempt, attempt_flow, connection, places, process, relay, search_pace};
+use super::{attempt, attempt_flow, connection, directory, places, process, relay, search_pace};
 use crate::{ids, outcome};
 
 /// Part of an objective after which a silent attempt is taken for slow.
@@ -22,6 +22,13 @@
 /// one request at once must last for less than 400 ms; this is a quarter of it.
 const HANDOVER_TIME: time::Duration = time::Duration::from_millis(100);
 
+/// Patiences without a head after which a place in a queue elsewhere will do: no
+/// work is seen to be lost, and a kept connection may be silent for good.
+const QUEUE_PATIENCES: u32 = 2;
+/// Least time between two connections that ask whether a slow endpoint's machine
+/// is there. Each costs the endpoint about 1 ms; a run may be slow at each event.
+const CHECK_PAUSE: time::Duration = time::Duration::from_secs(1);
+
 /// What is awaited of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Awaited {
@@ -39,8 +46,8 @@
     Came(T),
     /// Another endpoint goes on, the slow one is to be left now; with the time waited.
     Moved(Box<attempt_flow::SentAttempt>, time::Duration),
-    /// The caller's time is over; with the time waited.
-    Late(time::Duration),
+    /// The caller's time is over, or the endpoint is gone; with the time waited.
+    Lost(time::Duration),
 }
 
 impl relay::RequestRelay {
@@ -81,11 +88,17 @@
         }
         self.note_slow(place, awaited, patience);
         let mut search = SlowSearch::new(place, &self.log);
+        if awaited == Awaited::Head {
+            search.queue_from = Some(begun + patience * QUEUE_PATIENCES);
+        }
+        let gone = machine_gone(place.endpoint.clone(), self.left(), self.begin_check());
+        tokio::pin!(gone);
         while self.may_move(awaited) {
             tokio::select! {
                 biased;
                 done = &mut waiting => return Waited::Came(done),
-                () = tokio::time::sleep(self.left()) => return Waited::Late(begun.elapsed()),
+                () = tokio::time::sleep(self.left()) => return Waited::Lost(begun.elapsed()),
+                () = &mut gone => return Waited::Lost(begun.elapsed()),
                 found = search.next_place(self) => {
                     search.passed_over.push(found.place.endpoint.id.clone());
                     if let Some(sent) = self.hand_over(found).await {
@@ -96,8 +109,19 @@
         }
         match tokio::time::timeout(self.left(), waiting).await {
             Ok(done) => Waited::Came(done),
-            Err(_) => Waited::Late(begun.elapsed()),
+            Err(_) => Waited::Lost(begun.elapsed()),
+        }
+    }
+
+    /// Whether the machine of a slow endpoint is to be asked for a connection.
+    fn begin_check(&self) -> bool {
+        let now = time::Instant::now();
+        let checked_at = self.log.checked_at.get();
+        let is_due = checked_at.is_none_or(|at| now.duration_since(at) >= CHECK_PAUSE);
+        if is_due {
+            self.log.checked_at.set(Some(now));
         }
+        is_due
     }
 
     /// Waits for the only endpoint that may run the request.
@@ -117,7 +141,7 @@
         };
         match waited {
             Ok(done) => Waited::Came(done),
-            Err(_) => Waited::Late(begun.elapsed()),
+            Err(_) => Waited::Lost(begun.elapsed()),
         }
     }
 
@@ -207,6 +231,8 @@
     slow: ids::EndpointId,
     /// Endpoints that are not asked for in this round.
     passed_over: Vec<ids::EndpointId>,
+    /// From when on a place in a queue will do, if ever.
+    queue_from: Option<time::Instant>,
 }
 
 impl SlowSearch {
@@ -214,6 +240,7 @@
         Self {
             slow: place.endpoint.id.clone(),
             passed_over: log.tried.clone(),
+            queue_from: None,
         }
     }
 
@@ -256,13 +283,17 @@
         let context = rc::Rc::clone(&relay.context);
         let objective = relay.request.route.objective;
         let tried = self.passed_over.clone();
+        let may_queue = self.queue_from.is_some_and(|at| at <= time::Instant::now());
         let asking = actix_rt::spawn(async move {
             let wish = places::PlaceWish {
                 service: &service,
                 tried: &tried,
                 objective,
             };
-            free_place(&context, &wish).await
+            match may_queue {
+                true => places::any_place(&context, &wish).await,
+                false => free_place(&context, &wish).await,
+            }
         });
         match asking.await {
             Ok(place) => place.ok(),
@@ -281,6 +312,25 @@
     }
 }
 
+/// Resolves when the machine of a slow endpoint takes no connection: its silence
+/// is for good, and even a place in a queue elsewhere is better.
+async fn machine_gone(
+    endpoint: rc::Rc<directory::EndpointEntry>,
+    left: time::Duration,
+    is_due: bool,
+) {
+    if is_due {
+        if let Err(proof) = attempt::connect(&endpoint, left).await {
+            log::info!(
+                "event=endpoint_gone endpoint={} why=\"{proof:?}\"",
+                endpoint.id
+            );
+            return;
+        }
+    }
+    future::pending().await
+}
+
 /// Finds a free slot, not a queue, for a request that is at work elsewhere.
 ///
 /// This process's own counts are used only while it hears no owner: one that
