style(serving): what a list's number and a transfer's source are is said where it stands

Copies that are begun anew are counted apart from failures, as a part that came resets those. The number of a list saturates. No other change.

--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -147,7 +147,7 @@
         match news {
             N::State(state) => self.take_state(state),
             N::Endpoints(revision, entries) => {
-                let number = revision * LISTS_PER_REVISION;
+                let number = revision.saturating_mul(LISTS_PER_REVISION);
                 if revision >= self.store_revision() {
                     self.take_list(number, entries, self.gone_at());
                 }
@@ -168,7 +168,11 @@
                     return;
                 }
                 let gone_at = self.gone_at();
-                self.take_changes(revision * LISTS_PER_REVISION, changes, gone_at);
+                self.take_changes(
+                    revision.saturating_mul(LISTS_PER_REVISION),
+                    changes,
+                    gone_at,
+                );
             }
             N::Reachable(reachable) => self.note_reachable(reachable),
             N::Returned => self.returned.notify_waiters(),
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -12,11 +12,11 @@
 pub enum FleetNews {
     /// The desired state.
     State(route_table::DesiredState),
-    /// All endpoints at a revision.
+    /// All endpoints at a revision of the store.
     Endpoints(u64, Vec<directory::EndpointEntry>),
-    /// All endpoints as a peer knows them, at its revision.
+    /// All endpoints as a peer knows them, with the number of its list.
     PeerEndpoints(u64, Vec<directory::EndpointEntry>),
-    /// Changes of the endpoints up to a revision.
+    /// Changes of the endpoints up to a revision of the store.
     EndpointChanges(u64, Vec<directory::ListChange>),
     /// The source answers, or does not.
     Reachable(bool),
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -23,7 +23,7 @@
     pub leaving: bool,
     /// Version of its desired state.
     pub version: route_table::StateVersion,
-    /// Revision of its list of endpoints.
+    /// Number of its list of endpoints, see [`super::fleet_model::FleetModel::revision`].
     pub revision: u64,
     /// Digest of its list of endpoints.
     pub digest: u64,
--- a/src/serving/state_transfer.rs
+++ b/src/serving/state_transfer.rs
@@ -20,8 +20,8 @@
 /// takes 4 to 8 ms where nothing is slow.
 const SLOW_PART: time::Duration = time::Duration::from_millis(100);
 
-/// Peers that may fail in a row before the transfer waits for the next sign of
-/// life, 250 ms at most.
+/// Peers that may fail in a row, and copies that may be begun anew, before the
+/// transfer waits for the next sign of life, 250 ms at most.
 const MAX_FAILURES: u32 = 3;
 
 /// What a process keeps for transfers of the desired state.
@@ -49,8 +49,10 @@
     failures: u32,
     /// The peer that gave the latest part.
     source: Option<net::SocketAddr>,
-    /// Whether other peers do not have the copy that is coming in.
-    is_bound: bool,
+    /// Whether only the source is asked: others do not have the copy that is coming in.
+    keeps_source: bool,
+    /// Copies that were begun anew, as no peer had the one that was coming in.
+    restarts: u32,
 }
 
 /// Fetches the desired state, beginning with a peer that said it has a newer one.
@@ -65,7 +67,8 @@
         parts: 0,
         failures: 0,
         source: None,
-        is_bound: false,
+        keeps_source: false,
+        restarts: 0,
         context,
     };
     run.forget_older();
@@ -161,14 +164,14 @@
     /// coming in; if there is none, the other copy is taken.
     fn take_other(&mut self, peer: net::SocketAddr, part: state_copy::StatePart) -> NextStep {
         if let Some(source) = self.source.filter(|source| *source != peer) {
-            self.is_bound = true;
+            self.keeps_source = true;
             return NextStep::From(source);
         }
         self.incoming().clear();
-        if part.offset > 0 || self.failures >= MAX_FAILURES {
+        if part.offset > 0 || self.restarts >= MAX_FAILURES {
             return NextStep::Stop;
         }
-        self.failures += 1;
+        self.restarts += 1;
         let added = self.incoming().add(part);
         match added {
             state_copy::PartOutcome::Added => {
@@ -186,7 +189,7 @@
         self.failures += 1;
         if self.source == Some(peer) {
             self.source = None;
-            self.is_bound = false;
+            self.keeps_source = false;
         }
         if self.failures > MAX_FAILURES {
             return NextStep::Stop;
@@ -199,7 +202,7 @@
 
     /// The same peer, or after a slow part another one.
     fn next_peer(&self, peer: net::SocketAddr, took: time::Duration) -> net::SocketAddr {
-        if took < SLOW_PART || self.is_bound {
+        if took < SLOW_PART || self.keeps_source {
             return peer;
         }
         self.other_peer(peer).unwrap_or(peer)
