--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -3,6 +3,8 @@
 //! An endpoint whose connection is open may be at work, and its silence is no
 //! reason to end an answer. After a patience a place at another endpoint is
 //! asked for while the first answer is waited for on; whatever comes first counts.
+//! Only a free slot will do, as a queue may be slower still, but for two cases:
+//! the endpoint's machine takes no connection, or not even a head came for long.
 
 use std::{rc, time};
 
--- a/src/serving/state_copy.rs
+++ b/src/serving/state_copy.rs
@@ -19,8 +19,9 @@
 /// store takes a megabyte of JSON, which is about half of that here.
 const MAX_STATE_BYTES: usize = 8 << 20;
 
-/// Copies that are kept for transfers under way, and their bytes together,
-/// beyond the newest. A state with 4,000 routes has about 0.1 MB.
+/// Most copies that are kept for transfers under way, and most bytes of them
+/// together. A state with 4,000 routes has about 0.1 MB; the newest is kept in
+/// any case.
 const KEPT_COPIES: usize = 16;
 const KEPT_BYTES: usize = 4 << 20;
 
