fix(log): a log goes on after its output failed

Cause: the thread that writes the lines ended at the first error of its output, so a disk that was full for a moment ended the log of a process for good. Now what the output does not take is counted, and the next line is tried.

Test: tests/log_output.rs drives the writing with an output that is full for two lines; the loop before it returned at the first, by reading (the function is new, so the test does not build on the code before).

--- a/src/log_setup.rs
+++ b/src/log_setup.rs
@@ -1,10 +1,6 @@
 //! Log output: one line of key=value pairs for each event.
 
-use std::{
-    io::{self, Write as _},
-    sync::atomic,
-    thread, time,
-};
+use std::{io, sync::atomic, thread, time};
 
 /// Lines that may wait for the output.
 const RING_LINES: usize = 4096;
@@ -40,14 +36,9 @@
         second: time::Instant::now(),
         lines: 0,
     };
-    let spawned = thread::Builder::new().name("log".into()).spawn(move || {
-        while let Ok(line) = receiver.recv() {
-            // Without an output there is nobody to tell.
-            if io::stdout().write_all(&line).is_err() {
-                return;
-            }
-        }
-    });
+    let spawned = thread::Builder::new()
+        .name("log".into())
+        .spawn(move || write_lines(&receiver, &mut io::stdout()));
     match spawned {
         Ok(_) => {
             let _ = simplelog::WriteLogger::init(level, config(), ring);
@@ -56,6 +47,19 @@
     }
 }
 
+/// Writes lines until their senders are gone.
+///
+/// An output that fails once may take the next line: a full disk is emptied, and a
+/// collector that is slow takes lines again. What it does not take is counted.
+pub fn write_lines(lines: &crossbeam_channel::Receiver<Vec<u8>>, output: &mut impl io::Write) {
+    while let Ok(line) = lines.recv() {
+        let written = output.write_all(&line).and_then(|()| output.flush());
+        if written.is_err() {
+            DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    }
+}
+
 /// Lines that were dropped and not yet told.
 static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
