fix(serving): a call that failed by itself holds no removal back

Cause: each return of the store, also from one failed call, opened three seconds in which removals counted as entries that lapsed in an absence and took effect up to 2.5 s late. Now only an absence of a second or more since the last answer does, in which endpoints can lapse at all. The readings beside the watches count as answers. The long absences keep their grace: the tests of lapsed entries pass unchanged.

Test: tests/serving_beliefs.rs, a_call_that_failed_by_itself_holds_no_removal_back, failed on the code before (the endpoint was still listed).

--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -9,10 +9,12 @@
 
 /// How long after the store's return an entry that lapsed meanwhile may still come back.
 const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2500);
-/// Absence of the store that gives entries that lapsed before it their time again.
+/// Absence of the store in which endpoints may lapse though they are alive.
 ///
-/// Endpoints show themselves about every second, so a shorter one, as a call
-/// that failed by itself, costs none of them its chance.
+/// They show themselves about every second and lapse after three times that, so a
+/// shorter one, as a call that failed by itself, costs none of them its entry:
+/// what is removed after it is gone, and callers need not be sent there for the
+/// 2.5 s in which an entry may come back.
 const LONG_ABSENCE: time::Duration = time::Duration::from_secs(1);
 /// How long the store must have answered before a removal is taken at its word.
 const SETTLED_AFTER: time::Duration = time::Duration::from_secs(3);
@@ -33,9 +35,13 @@
     pub directory: cell::RefCell<directory::EndpointDirectory>,
     /// See [`Self::revision`].
     number: cell::Cell<u64>,
-    reachable_since: cell::Cell<Option<clock::Moment>>,
-    /// When the source last began to be away, if it ever was.
+    is_answering: cell::Cell<bool>,
+    /// When a call failed first while the source is away, or last was.
     away_since: cell::Cell<Option<clock::Moment>>,
+    /// When the source answered last.
+    answered_at: cell::Cell<Option<clock::Moment>>,
+    /// When the source came back from its last long absence, if there was one.
+    returned_at: cell::Cell<Option<clock::Moment>>,
     follows: cell::Cell<bool>,
     retiring: cell::RefCell<collections::BTreeSet<ids::InstanceId>>,
     changes: watch::Sender<u64>,
@@ -50,8 +56,10 @@
             table: cell::RefCell::default(),
             directory: cell::RefCell::default(),
             number: cell::Cell::new(0),
-            reachable_since: cell::Cell::new(None),
+            is_answering: cell::Cell::new(false),
             away_since: cell::Cell::new(None),
+            answered_at: cell::Cell::new(None),
+            returned_at: cell::Cell::new(None),
             follows: cell::Cell::new(true),
             retiring: cell::RefCell::default(),
             changes: watch::Sender::new(0),
@@ -89,12 +97,12 @@
 
     /// Whether the source answers, or a peer that follows it does.
     pub fn is_reachable(&self) -> bool {
-        !self.follows.get() || self.reachable_since.get().is_some()
+        !self.follows.get() || self.is_answering.get()
     }
 
     /// Whether this process follows the source itself, and the source answers.
     pub fn is_following(&self) -> bool {
-        self.follows.get() && self.reachable_since.get().is_some()
+        self.follows.get() && self.is_answering.get()
     }
 
     /// Whether this process is to follow the source itself, and not through its peers.
@@ -175,6 +183,7 @@
                 );
             }
             N::Reachable(reachable) => self.note_reachable(reachable),
+            N::Answered => self.answered_at.set(Some(self.clock.now())),
             N::Returned => self.returned.notify_waiters(),
             N::Retire(id) => {
                 log::info!("event=retirement_asked instance={id}");
@@ -238,20 +247,36 @@
     }
 
     fn note_reachable(&self, reachable: bool) {
-        if reachable == self.reachable_since.get().is_some() {
-            return;
-        }
-        log::warn!("event=store_reachable now={reachable}");
+        let before = self.is_answering.replace(reachable);
         let now = self.clock.now();
-        if !reachable {
-            self.reachable_since.set(None);
-            self.away_since.set(Some(now));
-            return;
+        if reachable != before {
+            log::warn!("event=store_reachable now={reachable}");
+        }
+        match (before, reachable) {
+            (true, false) => self.away_since.set(Some(now)),
+            (false, false) if self.away_since.get().is_none() => self.away_since.set(Some(now)),
+            (false, true) => self.note_return(now),
+            _ => {}
+        }
+        if reachable {
+            self.answered_at.set(Some(now));
         }
-        self.reachable_since.set(Some(now));
+    }
+
+    /// Notes that the source answers again, or for the first time.
+    fn note_return(&self, now: clock::Moment) {
+        let is_long = |since: &clock::Moment| now.since(*since) >= LONG_ABSENCE;
         let away_since = self.away_since.get();
+        // It may have been away since its last answer, if there was one.
+        let was_absent = match self.answered_at.get() {
+            Some(at) => is_long(&at),
+            None => away_since.is_some(),
+        };
+        if was_absent {
+            self.returned_at.set(Some(now));
+        }
         // In an absence no endpoint can show itself.
-        if away_since.is_some_and(|since| now.since(since) >= LONG_ABSENCE) {
+        if away_since.as_ref().is_some_and(is_long) {
             let mut directory = self.directory.borrow_mut();
             directory.keep_lapsed(now + LAPSE_GRACE);
         }
@@ -261,9 +286,12 @@
     /// When an entry that is removed now counts as gone; nothing for at once.
     fn gone_at(&self) -> Option<clock::Moment> {
         let now = self.clock.now();
-        let since = self.reachable_since.get().unwrap_or(now);
-        let settled = self.away_since.get().is_none() || now.since(since) >= SETTLED_AFTER;
-        (!settled).then(|| since + LAPSE_GRACE)
+        if !self.is_answering.get() {
+            return self.answered_at.get().map(|_| now + LAPSE_GRACE);
+        }
+        let returned_at = self.returned_at.get()?;
+        let is_settled = now.since(returned_at) >= SETTLED_AFTER;
+        (!is_settled).then(|| returned_at + LAPSE_GRACE)
     }
 
     /// Removes what lapsed for good.
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -20,6 +20,8 @@
     EndpointChanges(u64, Vec<directory::ListChange>),
     /// The source answers, or does not.
     Reachable(bool),
+    /// The source answered a reading beside the watches.
+    Answered,
     /// The source answers again after a call of it failed.
     Returned,
     /// An instance is to be emptied.
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -230,6 +230,24 @@
     assert_eq!(count(&model), 0);
 }
 
+/// Requests went to an endpoint that was gone for up to 2.5 s, though the store had
+/// said so. One call to the store had failed by itself shortly before, and for three
+/// seconds each removal was taken for an entry that lapsed in an absence.
+#[test]
+fn a_call_that_failed_by_itself_holds_no_removal_back() {
+    let clock = sync::Arc::default();
+    let model = model(&clock, true);
+    model.take(FleetNews::Endpoints(1, vec![entry("a", "z")]));
+    clock.pass(time::Duration::from_secs(5));
+    model.take(FleetNews::Reachable(true));
+    clock.pass(time::Duration::from_millis(600));
+    model.take(FleetNews::Reachable(false));
+    clock.pass(time::Duration::from_millis(200));
+    model.take(FleetNews::Reachable(true));
+    model.take(FleetNews::Endpoints(2, Vec::new()));
+    assert_eq!(count(&model), 0, "no endpoint lapses within a second");
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_decides() {
     let route = |host: &str, prefix: &str| route_table::Route {
