fix(serving): progress of items goes to peers in parts, one transfer at a time

Cause: what was new of a job's progress went in one message with 400 ms, again each half second beside the one before, and after a late answer all of it anew. A link that was slow for it once carried nothing else from then on, and the items of a lost owner began anew.

Still whole: records of jobs on their way to owners.

--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -11,19 +11,12 @@
 
 use std::{cell, collections, rc, time};
 
-use super::{job_board, open_job, process, wire};
+use super::{job_board, open_job, process, progress_transfer, wire};
 use crate::{decisions::ownership, ids};
 
 /// Pause between two checkpoints: at most so much work is lost with an owner.
 const CHECKPOINT_PAUSE: time::Duration = time::Duration::from_millis(500);
 
-/// Longest wait for a peer to take a checkpoint.
-const CHECKPOINT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-
-/// Longest wait for a link to the peer: one that has just started has none to
-/// this process yet, and a link that failed is made anew after 200 ms.
-const REACH_PATIENCE: time::Duration = time::Duration::from_millis(600);
-
 /// Bytes of progress kept for peers. Forty items of 200 events are 0.7 MB; the
 /// job that was heard of least recently is dropped beyond.
 const MAX_KEPT_BYTES: usize = 8 << 20;
@@ -67,6 +60,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ToldItem {
     pub(super) index: usize,
+    /// The chain of runs that made them.
+    pub(super) chain: u64,
     /// Events that it has with it.
     pub(super) events: usize,
     /// Whether it was the result.
@@ -74,9 +69,10 @@
 }
 
 impl ToldItem {
-    fn of(news: &ItemCheckpoint) -> Self {
+    pub(super) fn of(news: &ItemCheckpoint) -> Self {
         Self {
             index: news.index,
+            chain: news.chain,
             events: news.skipped + news.events.len(),
             is_result: news.state.is_some(),
         }
@@ -133,6 +129,8 @@
 /// Progress of jobs that other processes run, or that this one ran before its start.
 #[derive(Debug, Default)]
 pub struct CheckpointBoard {
+    /// Progress that is on its way here.
+    pub(super) inbox: cell::RefCell<progress_transfer::ProgressInbox>,
     kept: cell::RefCell<collections::HashMap<ids::JobId, KeptJob>>,
 }
 
@@ -251,16 +249,12 @@
             file.write(own.chain(context.checkpoints.all()).collect());
         }
         tell_ends(&context);
-        let mut news: collections::HashMap<_, Vec<_>> = collections::HashMap::new();
         for job in jobs {
             let Some(peer) = successor(&context, &job.borrow().record.id) else {
                 continue;
             };
             job.borrow_mut().set_backup(&peer);
-            news.entry(peer).or_default().push(job);
-        }
-        for (peer, jobs) in news {
-            actix_rt::spawn(tell_peer(context.clone(), peer, jobs));
+            progress_transfer::enqueue(&context, &peer, &job);
         }
         context.checkpoints.trim();
     }
@@ -283,10 +277,8 @@
         };
         let links = context.links.clone();
         actix_rt::spawn(async move {
-            let told = links.keep_progress(address, end, CHECKPOINT_TIMEOUT);
-            if let Err(e) = told.await {
-                log::debug!("event=job_end_untold why=\"{e}\"");
-            }
+            let told = progress_transfer::tell(&links, address, &end).await;
+            log::debug!("event=job_end_told job={} outcome={told:?}", end.job);
         });
     }
 }
@@ -301,39 +293,11 @@
         };
         let address = context.members.borrow().address_of(&owner);
         let Some(address) = address else { continue };
-        context.links.reach(address, REACH_PATIENCE).await;
-        let job = kept.job.clone();
-        let told = context
-            .links
-            .keep_progress(address, kept, CHECKPOINT_TIMEOUT)
-            .await;
-        log::info!("event=progress_offered job={job} owner={owner} taken={told:?}");
-    }
-}
-
-/// Tells a peer what it does not have yet of some jobs.
-async fn tell_peer(
-    context: rc::Rc<process::ProcessContext>,
-    peer: ids::InstanceId,
-    jobs: Vec<open_job::SharedJob>,
-) {
-    let address = context.members.borrow().address_of(&peer);
-    let Some(address) = address else { return };
-    if !context.links.reach(address, REACH_PATIENCE).await {
-        log::info!("event=progress_untold peer={peer} jobs={}", jobs.len());
-    }
-    for job in jobs {
-        let news = job.borrow().checkpoint(|item| item.backed_up);
-        if news.items.is_empty() {
-            continue;
-        }
-        let told: Vec<_> = news.items.iter().map(ToldItem::of).collect();
-        let kept = context
-            .links
-            .keep_progress(address, news, CHECKPOINT_TIMEOUT)
-            .await;
-        let is_kept = matches!(kept, Ok(true));
-        job.borrow_mut().note_backed_up(&peer, &told, is_kept);
+        let told = progress_transfer::tell(&context.links, address, &kept).await;
+        log::info!(
+            "event=progress_offered job={} owner={owner} outcome={told:?}",
+            kept.job
+        );
     }
 }
 
@@ -360,21 +324,30 @@
             context.jobs.preempt(&endpoint, number);
         }
         job.borrow_mut().set_backup(&owner);
-        actix_rt::spawn(tell_peer(context.clone(), owner, vec![job]));
+        progress_transfer::enqueue(context, &owner, &job);
     }
 }
 
-/// Takes the progress that a peer tells; it is used at once if the job runs here.
-pub(super) fn take_progress(
+/// Takes a part of the progress that a peer tells; says whether it fits.
+///
+/// Whole progress is used at once if its job runs here.
+pub(super) fn take_part(
     context: &rc::Rc<process::ProcessContext>,
-    news: JobCheckpoint,
+    part: progress_transfer::ProgressPart,
 ) -> bool {
+    use progress_transfer::PartOutcome as O;
+
+    let news = match context.checkpoints.inbox.borrow_mut().take(part) {
+        O::Partial => return true,
+        O::Unfit => return false,
+        O::Whole(news) => news,
+    };
     let id = news.job.clone();
-    let taken = context.checkpoints.take(news);
+    let is_kept = context.checkpoints.take(news);
     if let Some(job) = context.jobs.get(&id) {
         use_progress(context, &job);
     }
-    taken
+    is_kept
 }
 
 /// Uses what is kept of a job, if the job runs here.
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -44,6 +44,7 @@
 pub mod permits;
 pub mod places;
 pub mod process;
+pub mod progress_transfer;
 pub mod ready_items;
 pub mod relay;
 pub mod route_table;
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::watch;
 
-use super::{job_board::StreamKey, job_checkpoints, job_records, wire};
+use super::{job_board::StreamKey, job_checkpoints, job_records, progress_transfer, wire};
 use crate::ids;
 
 /// How long results are gathered before they are committed, while their job has
@@ -280,24 +280,37 @@
         self.backup.take()
     }
 
-    /// Notes whether a peer took a checkpoint; what it did not take it has not at all.
+    /// The progress beyond what the peer has that backs it up.
+    pub(super) fn unsaved(&self) -> job_checkpoints::JobCheckpoint {
+        self.checkpoint(|item| item.backed_up)
+    }
+
+    /// Notes what came of a checkpoint that a peer was told. One that the peer did not
+    /// answer is told again from where it was; what does not fit is told whole.
     pub(super) fn note_backed_up(
         &mut self,
         peer: &ids::InstanceId,
         told: &[job_checkpoints::ToldItem],
-        is_kept: bool,
+        outcome: progress_transfer::ToldOutcome,
     ) {
+        use progress_transfer::ToldOutcome as O;
+
         if self.backup.as_ref() != Some(peer) {
             return;
         }
         for told in told {
-            if let Some(item) = self.items.get_mut(told.index) {
-                item.backed_up = match (is_kept, told.is_result) {
-                    (false, _) => 0,
-                    (true, true) => RESULT_TOLD,
-                    (true, false) => told.events,
-                };
+            let Some(item) = self.items.get_mut(told.index) else {
+                continue;
+            };
+            if item.chain != told.chain {
+                continue;
             }
+            item.backed_up = match outcome {
+                O::Kept if told.is_result => RESULT_TOLD,
+                O::Kept => told.events,
+                O::Unfit => 0,
+                O::Unknown => continue,
+            };
         }
     }
 
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -68,8 +68,8 @@
             reply(sender, records);
         }
         C::TakeJob(record, sender) => reply(sender, job_runner::take_job(context, record)),
-        C::KeepProgress(news, sender) => {
-            reply(sender, job_checkpoints::take_progress(context, news));
+        C::KeepProgress(part, sender) => {
+            reply(sender, job_checkpoints::take_part(context, part));
         }
         C::ReadResults(ask, sender) => {
             let context = context.clone();
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -6,12 +6,12 @@
 use tokio_util::{codec::length_delimited, io as io_util};
 
 use super::{
-    directory, job_checkpoints, job_records, members,
+    directory, job_records, members,
     peers::{
         EndpointReport, LoanAsk, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk, PlaceRelease,
         ResultAsk, StreamLoan, WriteOutcome,
     },
-    state_copy, wire,
+    progress_transfer, state_copy, wire,
 };
 use crate::ids;
 
@@ -232,17 +232,17 @@
         call_peer!(self, peer, patience, take_job(record))
     }
 
-    /// Hands the progress of a job over; says whether it fits to what came before.
+    /// Hands a part of the progress of a job over; says whether it fits to what came before.
     ///
     /// # Errors
     /// The peer does not answer.
     pub async fn keep_progress(
         &self,
         peer: net::SocketAddr,
-        news: job_checkpoints::JobCheckpoint,
+        part: progress_transfer::ProgressPart,
         patience: time::Duration,
     ) -> Result<bool, PeerError> {
-        call_peer!(self, peer, patience, keep_progress(news))
+        call_peer!(self, peer, patience, keep_progress(part))
     }
 
     /// Reads committed results.
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -7,13 +7,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    directory, job_checkpoints, job_records, members,
+    directory, job_records, members,
     peer_links::{frames, RECONNECT_PAUSE},
     peers::{
         EndpointReport, LoanAsk, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk,
         PlaceRelease, ResultAsk, StreamLoan, WriteOutcome,
     },
-    state_copy, wire,
+    progress_transfer, state_copy, wire,
 };
 use crate::ids;
 
@@ -86,9 +86,9 @@
     async fn keep_progress(
         self,
         _: tarpc::context::Context,
-        news: job_checkpoints::JobCheckpoint,
+        part: progress_transfer::ProgressPart,
     ) -> Option<bool> {
-        self.ask(|reply| PeerCall::KeepProgress(news, reply)).await
+        self.ask(|reply| PeerCall::KeepProgress(part, reply)).await
     }
 
     async fn read_results(
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::oneshot;
 
-use super::{directory, job_checkpoints, job_records, members, route_table, state_copy, wire};
+use super::{directory, job_records, members, progress_transfer, route_table, state_copy, wire};
 use crate::{
     decisions::{admission, health},
     ids,
@@ -146,8 +146,9 @@
     async fn members() -> Option<Vec<members::MemberRecord>>;
     /// Hands a job over; the answer says whether it is done already.
     async fn take_job(record: job_records::JobRecord) -> Option<bool>;
-    /// Hands the progress of a job over; the answer says whether it fits to what came before.
-    async fn keep_progress(news: job_checkpoints::JobCheckpoint) -> Option<bool>;
+    /// Hands a part of the progress of a job over; the answer says whether it fits to what
+    /// came before.
+    async fn keep_progress(part: progress_transfer::ProgressPart) -> Option<bool>;
     /// Reads committed results.
     async fn read_results(ask: ResultAsk) -> Option<wire::ResultPage>;
     /// Tells that a job was ended.
@@ -186,7 +187,7 @@
     /// See [`PeerService::take_job`].
     TakeJob(job_records::JobRecord, oneshot::Sender<bool>),
     /// See [`PeerService::keep_progress`].
-    KeepProgress(job_checkpoints::JobCheckpoint, oneshot::Sender<bool>),
+    KeepProgress(progress_transfer::ProgressPart, oneshot::Sender<bool>),
     /// See [`PeerService::read_results`].
     ReadResults(ResultAsk, oneshot::Sender<wire::ResultPage>),
     /// See [`PeerService::end_job`].
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -7,7 +7,7 @@
 use super::{
     beliefs, checkpoint_file, connection_pool, fleet_model, fleet_source, job_board,
     job_checkpoints, job_runner, listener, members, metrics_page, owners, peer_calls, peer_links,
-    peer_server, peers, permits, selection, single_flight, state_transfer, wire,
+    peer_server, peers, permits, progress_transfer, selection, single_flight, state_transfer, wire,
 };
 use crate::{
     clock,
@@ -96,6 +96,8 @@
     pub jobs: job_board::JobBoard,
     /// Progress of jobs that other processes run.
     pub checkpoints: job_checkpoints::CheckpointBoard,
+    /// Progress of jobs that run here, on its way to peers.
+    pub(super) progress_queue: progress_transfer::ProgressQueue,
     /// Where the progress of jobs that run here goes, on an instance with a disk.
     pub(super) checkpoint_file: Option<checkpoint_file::CheckpointFile>,
     /// Who may own endpoints and jobs now.
@@ -262,6 +264,7 @@
         permits: cell::RefCell::default(),
         jobs: job_board::JobBoard::default(),
         checkpoints,
+        progress_queue: progress_transfer::ProgressQueue::default(),
         checkpoint_file,
         owners: cell::RefCell::default(),
         rooms: cell::RefCell::default(),
