--- a/src/decisions/health.rs
+++ b/src/decisions/health.rs
@@ -147,6 +147,11 @@
         ids.iter().filter(|id| !out(id)).copied().collect()
     }
 
+    /// Forgets an endpoint, as it started again.
+    pub fn forget(&mut self, id: &ids::EndpointId) {
+        self.endpoints.remove(id);
+    }
+
     /// Forgets the endpoints that are no longer listed.
     pub fn retain(&mut self, listed: impl Fn(&ids::EndpointId) -> bool) {
         self.endpoints.retain(|id, _| listed(id));
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,6 +17,7 @@
 pub mod owner_order;
 pub mod ownership;
 pub mod queue_limit;
+pub mod refusal;
 pub mod relay;
 pub mod retry;
 pub mod routing;
--- a/src/decisions/retry.rs
+++ b/src/decisions/retry.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use rand::Rng;
+
 use crate::{clock, outcome};
 
 /// Retries earned per success, so that retries stay a fraction of the traffic.
@@ -76,3 +78,25 @@
     }
     budget.spend()
 }
+
+/// The shortest and the longest pause between tries.
+#[derive(Debug, Clone, Copy)]
+pub struct PauseRange {
+    /// After the first try.
+    pub first: time::Duration,
+    /// After many.
+    pub last: time::Duration,
+}
+
+/// Part of a pause by which it is longer at random, so that tries that failed
+/// together do not come together again.
+const PAUSE_SPREAD: f64 = 0.5;
+
+/// The pause after a try that came to nothing, as `earlier` before it in a row did.
+///
+/// It doubles with each, up to the longest, and is spread upwards.
+pub fn pause_after(earlier: u32, range: &PauseRange, rng: &mut impl Rng) -> time::Duration {
+    let factor = 2_u32.saturating_pow(earlier.min(16));
+    let pause = range.first.saturating_mul(factor).min(range.last);
+    pause.mul_f64(1.0 + rng.random_range(0.0..PAUSE_SPREAD))
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -32,6 +32,10 @@
     pub answers: prometheus::IntCounterVec,
     /// Attempts by how they ended.
     pub attempts: prometheus::IntCounterVec,
+    /// Attempts that did not run, by reason.
+    pub refusals: prometheus::IntCounterVec,
+    /// Objects of the store that could not be read.
+    pub unreadable_objects: prometheus::IntGauge,
     /// Permit requests by how they ended.
     pub permits: prometheus::IntCounterVec,
     /// Calls to the object service by class.
@@ -106,6 +110,17 @@
             queue_time: histogram(r, "jayhollow_queue_seconds", "Arrival to first attempt"),
             answers: counters(r, "jayhollow_answers_total", "Answers", "code"),
             attempts: counters(r, "jayhollow_attempts_total", "Attempts", "outcome"),
+            refusals: counters(
+                r,
+                "jayhollow_refused_attempts_total",
+                "Attempts that did not run",
+                "reason",
+            ),
+            unreadable_objects: gauge(
+                r,
+                "jayhollow_unreadable_objects",
+                "Objects of the store that could not be read so far",
+            ),
             permits: counters(r, "jayhollow_permits_total", "Permit requests", "outcome"),
             store_calls: counters(r, "jayhollow_store_calls_total", "Store calls", "class"),
             store_errors: counters(r, "jayhollow_store_errors_total", "Store errors", "kind"),
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -3,6 +3,8 @@
 //! [`NotRunProof`] can only be made from evidence, so a false "not run" cannot
 //! be written elsewhere.
 
+use std::fmt;
+
 use crate::error;
 
 /// Evidence that an attempt did not run.
@@ -11,12 +13,28 @@
 
 /// Why an attempt cannot have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NotRunReason {
+pub enum NotRunReason {
+    /// No connection was made.
     NeverConnected,
+    /// The endpoint refused it.
     RefusedByEndpoint,
+    /// Another endpoint than the expected one was there, and refused it.
+    OtherEndpoint,
+    /// It was given up before it was handed to a connection.
     NeverSent,
 }
 
+impl fmt::Display for NotRunReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NeverConnected => "no_connection",
+            Self::RefusedByEndpoint => "refused",
+            Self::OtherEndpoint => "other_endpoint",
+            Self::NeverSent => "never_sent",
+        })
+    }
+}
+
 impl NotRunProof {
     /// No connection was made, so no byte was sent.
     pub fn never_connected(error: &awc::error::SendRequestError) -> Option<Self> {
@@ -37,6 +55,11 @@
         Self(NotRunReason::RefusedByEndpoint)
     }
 
+    /// The word of another endpoint, which has the address of the expected one.
+    pub fn told_by_other() -> Self {
+        Self(NotRunReason::OtherEndpoint)
+    }
+
     /// The endpoint's own word in the header [`crate::wire::RAN_HEADER`].
     pub fn refused_by(ran_header: Option<&str>) -> Option<Self> {
         (ran_header == Some("no")).then_some(Self(NotRunReason::RefusedByEndpoint))
@@ -47,9 +70,9 @@
         Self(NotRunReason::NeverSent)
     }
 
-    /// Whether the endpoint was reached and refused.
-    pub fn is_refusal(&self) -> bool {
-        self.0 == NotRunReason::RefusedByEndpoint
+    /// Why it cannot have run.
+    pub fn reason(&self) -> NotRunReason {
+        self.0
     }
 }
 
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -166,6 +166,9 @@
             .note_report(&endpoint.id, load, context.clock.now());
     }
     let status = incoming.head.status;
+    if notes.other_endpoint && notes.answered_by.as_deref() != Some(endpoint.id.as_str()) {
+        return O::NotRun(outcome::NotRunProof::told_by_other());
+    }
     if notes.other_endpoint || notes.not_run {
         return O::NotRun(outcome::NotRunProof::told_by_endpoint());
     }
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -252,10 +252,9 @@
             O::NotRun(proof) => {
                 self.log.not_run += 1;
                 self.log.refused += 1;
-                self.note_attempt(&endpoint.id, "not_run", "");
-                if !proof.is_refusal() {
-                    place.note_failed(true);
-                }
+                let reason = proof.reason();
+                self.note_attempt(&endpoint.id, "not_run", &reason.to_string());
+                place.note_refused(reason);
                 if self.log.refused >= MAX_NOT_RUN && !self.may_search() {
                     return Err(NextStep::GiveUp(self.not_run()));
                 }
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -1,15 +1,39 @@
 //! The endpoints that are listed, and what is believed of each.
 
-use std::{collections, fmt, net, rc};
+use std::{collections, fmt, net, num, rc, str};
 
 use xxhash_rust::xxh3;
 
+use super::name_marks;
 use crate::{clock, ids, protection};
 
+/// When an endpoint started, in milliseconds since the epoch, by its own clock.
+///
+/// With its id it names one run of the endpoint: a later start holds nothing and
+/// knows nothing of the one before.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct StartTime(pub u64);
+
+impl fmt::Display for StartTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl str::FromStr for StartTime {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// One listed endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct EndpointEntry {
-    /// Its name; a restart is a new endpoint.
+    /// Its name; it may start again under the same one.
     pub id: ids::EndpointId,
     /// The service that it runs.
     pub service: ids::ServiceName,
@@ -21,6 +45,18 @@
     pub slots: u32,
     /// Whether it is about to leave and gets no new work.
     pub leaving: bool,
+    /// When it started, if its entry says so.
+    pub started: Option<StartTime>,
+}
+
+impl EndpointEntry {
+    /// Whether it started before another; unknown if either does not say.
+    fn started_before(&self, other: &Self) -> bool {
+        match (self.started, other.started) {
+            (Some(own), Some(other)) => own < other,
+            _ => false,
+        }
+    }
 }
 
 /// One change of the list.
@@ -37,8 +73,14 @@
         match self {
             Self::Listed(entry) => write!(
                 f,
-                "change=listed endpoint={} service={} address={} domain={} slots={} leaving={}",
-                entry.id, entry.service, entry.address, entry.domain, entry.slots, entry.leaving
+                "change=listed endpoint={} service={} address={} domain={} slots={} leaving={} started={}",
+                entry.id,
+                entry.service,
+                entry.address,
+                entry.domain,
+                entry.slots,
+                entry.leaving,
+                entry.started.map_or("-".to_owned(), |at| at.to_string())
             ),
             Self::Removed(id) => write!(f, "change=removed endpoint={id}"),
         }
@@ -51,44 +93,147 @@
     gone_at: clock::Moment,
 }
 
+/// An entry of an earlier start than the known one, and when it is taken all the same.
+#[derive(Debug, Clone)]
+struct EarlierEntry {
+    entry: EndpointEntry,
+    taken_at: clock::Moment,
+}
+
+/// A run of an endpoint that has ended, as the endpoint started again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedRun {
+    /// The endpoint.
+    pub id: ids::EndpointId,
+    /// Where it was.
+    pub address: net::SocketAddr,
+}
+
+/// When changes of a list take effect.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ChangeTerms {
+    /// When what is removed counts as gone; at once without it.
+    pub gone_at: Option<clock::Moment>,
+    /// When an entry of an earlier start than the known one is taken; at once without
+    /// it. It may be a late write of a start that has ended, or the clock of the
+    /// endpoint has stepped back. Only the latter is still there after a while.
+    pub earlier_at: Option<clock::Moment>,
+}
+
 /// All listed endpoints.
 ///
-/// Invariants: `services` names exactly the entries of `entries` that may get
-/// new work; `digest` is of all of `entries`.
+/// Invariants: `services` names exactly the entries of `entries` that may get new
+/// work; `hidden` names those that leave, whose address a later start holds, or
+/// whose name nobody at their address has; `digest` is of all of `entries`.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
     lapsed: collections::HashMap<ids::EndpointId, LapsedMark>,
+    earlier: collections::HashMap<ids::EndpointId, EarlierEntry>,
+    misnamed: name_marks::NameMarks,
+    hidden: collections::HashSet<ids::EndpointId>,
+    ended_runs: Vec<EndedRun>,
     services: collections::HashMap<ids::ServiceName, Vec<rc::Rc<EndpointEntry>>>,
     /// See [`Self::digest`]; made anew with each change, as each probe tells it.
     digest: u64,
 }
 
 impl EndpointDirectory {
-    /// Takes changes; a removal takes effect at `gone_at`, or at once without it.
-    pub fn apply(&mut self, changes: Vec<ListChange>, gone_at: Option<clock::Moment>) {
+    /// Takes changes.
+    pub fn apply(&mut self, changes: Vec<ListChange>, terms: ChangeTerms) {
         for change in changes {
-            self.apply_one(change, gone_at);
+            match change {
+                ListChange::Listed(entry) => self.take_entry(entry, terms.earlier_at),
+                ListChange::Removed(id) => self.remove(id, terms.gone_at),
+            }
         }
         self.rebuild();
     }
 
-    fn apply_one(&mut self, change: ListChange, gone_at: Option<clock::Moment>) {
-        match change {
-            ListChange::Listed(mut entry) => {
-                entry.leaving &= !protection::is_out("leaving_endpoint");
-                self.lapsed.remove(&entry.id);
-                self.entries.insert(entry.id.clone(), rc::Rc::new(entry));
+    fn take_entry(&mut self, mut entry: EndpointEntry, earlier_at: Option<clock::Moment>) {
+        entry.leaving &= !protection::is_out("leaving_endpoint");
+        let known = self.entries.get(&entry.id);
+        if let (Some(known), Some(taken_at)) = (known, earlier_at) {
+            if entry.started_before(known) {
+                let mut known = (**known).clone();
+                // To leave is believed of either: nothing is lost by it but a moment.
+                known.leaving |= entry.leaving;
+                self.hold_back(entry, taken_at);
+                self.put(known);
+                return;
             }
-            ListChange::Removed(id) => match gone_at {
-                Some(gone_at) if self.entries.contains_key(&id) => {
-                    self.lapsed.entry(id).or_insert(LapsedMark { gone_at });
-                }
-                _ => {
-                    self.entries.remove(&id);
-                    self.lapsed.remove(&id);
-                }
-            },
+        }
+        self.earlier.remove(&entry.id);
+        self.put(entry);
+    }
+
+    /// Keeps an entry of an earlier start until it is clear that it is no late write.
+    fn hold_back(&mut self, entry: EndpointEntry, taken_at: clock::Moment) {
+        let id = entry.id.clone();
+        let held = EarlierEntry { entry, taken_at };
+        let known = self.earlier.entry(id).or_insert_with(|| held.clone());
+        if known.entry != held.entry {
+            *known = held;
+        }
+    }
+
+    /// Lists an entry; notes the run that it ends, if it is of another start.
+    fn put(&mut self, entry: EndpointEntry) {
+        self.lapsed.remove(&entry.id);
+        // Whoever is named in it writes it, and so is there.
+        self.misnamed.forget(&entry.id);
+        let before = self.entries.get(&entry.id);
+        if let Some(before) = before.filter(|before| before.started != entry.started) {
+            self.ended_runs.push(EndedRun {
+                id: before.id.clone(),
+                address: before.address,
+            });
+        }
+        self.entries.insert(entry.id.clone(), rc::Rc::new(entry));
+    }
+
+    fn remove(&mut self, id: ids::EndpointId, gone_at: Option<clock::Moment>) {
+        self.earlier.remove(&id);
+        match gone_at {
+            Some(gone_at) if self.entries.contains_key(&id) => {
+                self.lapsed.entry(id).or_insert(LapsedMark { gone_at });
+            }
+            _ => {
+                self.entries.remove(&id);
+                self.lapsed.remove(&id);
+            }
+        }
+    }
+
+    /// The runs that ended since they were last asked for, as their endpoints started again.
+    pub fn take_ended_runs(&mut self) -> Vec<EndedRun> {
+        std::mem::take(&mut self.ended_runs)
+    }
+
+    /// Notes that nobody of this name is at an endpoint's address, as who is there
+    /// says; it gets no work for a while, or until its entry is written again. Says
+    /// whether that is new.
+    pub fn note_misnamed(
+        &mut self,
+        id: &ids::EndpointId,
+        started: Option<StartTime>,
+        now: clock::Moment,
+    ) -> bool {
+        let known = self.entries.get(id);
+        if known.is_none_or(|known| known.started != started) {
+            return false;
+        }
+        let is_new = self.misnamed.note(id, now);
+        if is_new {
+            self.rebuild();
+        }
+        is_new
+    }
+
+    /// Notes that an endpoint answered under its name.
+    pub fn note_named(&mut self, id: &ids::EndpointId) {
+        if self.misnamed.forget(id) {
+            self.rebuild();
         }
     }
 
@@ -126,9 +271,40 @@
         !over.is_empty()
     }
 
+    /// Takes the entries of earlier starts that are still there, so that they are no
+    /// late writes; says whether there were any.
+    pub fn take_earlier(&mut self, now: clock::Moment) -> bool {
+        let due = self.earlier.values().filter(|held| held.taken_at <= now);
+        let due: Vec<_> = due.map(|held| held.entry.clone()).collect();
+        for entry in &due {
+            self.earlier.remove(&entry.id);
+            if self.entries.contains_key(&entry.id) {
+                self.put(entry.clone());
+            }
+        }
+        if !due.is_empty() {
+            self.rebuild();
+        }
+        !due.is_empty()
+    }
+
+    /// Lets endpoints be tried again that were not at their address a while ago;
+    /// says whether there were any.
+    pub fn retry_misnamed(&mut self, now: clock::Moment) -> bool {
+        let is_due = self.misnamed.expire(now);
+        if is_due {
+            self.rebuild();
+        }
+        is_due
+    }
+
     fn rebuild(&mut self) {
+        self.hidden = self.find_hidden();
         self.services.clear();
-        for entry in self.entries.values().filter(|e| !e.leaving) {
+        for entry in self.entries.values() {
+            if self.hidden.contains(&entry.id) {
+                continue;
+            }
             let list = self.services.entry(entry.service.clone()).or_default();
             list.push(entry.clone());
         }
@@ -136,12 +312,35 @@
             list.sort_by(|a, b| a.id.cmp(&b.id));
         }
         let numbers = self.entries.values().map(|entry| {
-            let text = format!("{} {} {}", entry.id, entry.address, entry.leaving);
+            let text = format!("{entry:?}");
             xxh3::xxh3_64(text.as_bytes())
         });
         self.digest = numbers.fold(0, u64::wrapping_add);
     }
 
+    /// The entries that may get no new work.
+    fn find_hidden(&self) -> collections::HashSet<ids::EndpointId> {
+        let mut latest: collections::HashMap<_, &rc::Rc<EndpointEntry>> =
+            collections::HashMap::new();
+        for entry in self.entries.values() {
+            if entry.started.is_none() || self.misnamed.contains(&entry.id) {
+                continue;
+            }
+            let holder = latest.entry(entry.address).or_insert(entry);
+            if holder.started_before(entry) {
+                *holder = entry;
+            }
+        }
+        let is_hidden = |entry: &&rc::Rc<EndpointEntry>| {
+            let holder = latest.get(&entry.address);
+            entry.leaving
+                || self.misnamed.contains(&entry.id)
+                || holder.is_some_and(|holder| entry.started_before(holder))
+        };
+        let hidden = self.entries.values().filter(is_hidden);
+        hidden.map(|entry| entry.id.clone()).collect()
+    }
+
     /// Endpoints of a service that may get new work, by name.
     pub fn of_service(&self, service: &ids::ServiceName) -> &[rc::Rc<EndpointEntry>] {
         self.services.get(service).map_or(&[], Vec::as_slice)
@@ -149,7 +348,20 @@
 
     /// An endpoint, if it may get new work.
     pub fn usable(&self, id: &ids::EndpointId) -> Option<&rc::Rc<EndpointEntry>> {
-        self.entries.get(id).filter(|e| !e.leaving)
+        self.entries
+            .get(id)
+            .filter(|e| !self.hidden.contains(&e.id))
+    }
+
+    /// All endpoints that may get new work.
+    pub fn all_usable(&self) -> impl Iterator<Item = &rc::Rc<EndpointEntry>> {
+        let entries = self.entries.values();
+        entries.filter(|entry| !self.hidden.contains(&entry.id))
+    }
+
+    /// Whether an endpoint is listed with another start than the one given.
+    pub fn has_other_start(&self, id: &ids::EndpointId, started: Option<StartTime>) -> bool {
+        self.entries.get(id).is_some_and(|e| e.started != started)
     }
 
     /// All entries, leaving ones included.
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -16,6 +16,12 @@
 /// what is removed after it is gone, and callers need not be sent there for the
 /// 2.5 s in which an entry may come back.
 const LONG_ABSENCE: time::Duration = time::Duration::from_secs(1);
+/// How long an entry of an earlier start than the known one must stand to be taken.
+///
+/// Guards the beliefs of the later start against a late write of the earlier one:
+/// an endpoint that lives writes its entry again within 1.2 s. One whose clock
+/// stepped back is there under the same name meanwhile, and serves.
+const EARLIER_HOLD: time::Duration = time::Duration::from_millis(2500);
 /// How long the store must have answered before a removal is taken at its word.
 const SETTLED_AFTER: time::Duration = time::Duration::from_secs(3);
 /// Lists that one revision of the store can stand for, see [`FleetModel::revision`].
@@ -44,6 +50,8 @@
     returned_at: cell::Cell<Option<clock::Moment>>,
     follows: cell::Cell<bool>,
     retiring: cell::RefCell<collections::BTreeSet<ids::InstanceId>>,
+    /// Objects of the store that could not be read.
+    unreadable: cell::Cell<u64>,
     changes: watch::Sender<u64>,
     returned: Notify,
 }
@@ -62,6 +70,7 @@
             returned_at: cell::Cell::new(None),
             follows: cell::Cell::new(true),
             retiring: cell::RefCell::default(),
+            unreadable: cell::Cell::new(0),
             changes: watch::Sender::new(0),
             returned: Notify::new(),
         }
@@ -157,7 +166,7 @@
             N::Endpoints(revision, entries) => {
                 let number = revision.saturating_mul(LISTS_PER_REVISION);
                 if revision >= self.store_revision() {
-                    self.take_list(number, entries, self.gone_at());
+                    self.take_list(number, entries, self.change_terms());
                 }
             }
             N::PeerEndpoints(number, entries) => {
@@ -166,8 +175,8 @@
                     log::info!("event=older_endpoints_refused revision={number}");
                     return;
                 }
-                // The peer waits for entries that lapsed, so this process need not.
-                self.take_list(number, entries, None);
+                // The peer waits for what may come back, so this process need not.
+                self.take_list(number, entries, directory::ChangeTerms::default());
             }
             N::EndpointChanges(revision, changes) => {
                 // All of them are in the list already, and newer ones besides.
@@ -175,16 +184,13 @@
                     log::info!("event=older_changes_refused revision={revision}");
                     return;
                 }
-                let gone_at = self.gone_at();
-                self.take_changes(
-                    revision.saturating_mul(LISTS_PER_REVISION),
-                    changes,
-                    gone_at,
-                );
+                let number = revision.saturating_mul(LISTS_PER_REVISION);
+                self.take_changes(number, changes, self.change_terms());
             }
             N::Reachable(reachable) => self.note_reachable(reachable),
             N::Answered => self.answered_at.set(Some(self.clock.now())),
             N::Returned => self.returned.notify_waiters(),
+            N::Unreadable => self.unreadable.set(self.unreadable.get() + 1),
             N::Retire(id) => {
                 log::info!("event=retirement_asked instance={id}");
                 self.retiring.borrow_mut().insert(id);
@@ -198,7 +204,7 @@
         &self,
         number: u64,
         entries: Vec<directory::EndpointEntry>,
-        gone_at: Option<clock::Moment>,
+        terms: directory::ChangeTerms,
     ) {
         let directory = self.directory.borrow();
         let is_first = directory.is_empty();
@@ -208,11 +214,11 @@
             let count = changes.len();
             let revision = number / LISTS_PER_REVISION;
             log::info!("event=endpoints_listed revision={revision} count={count}");
-            self.directory.borrow_mut().apply(changes, gone_at);
+            self.directory.borrow_mut().apply(changes, terms);
             self.note_number(number);
             return;
         }
-        self.take_changes(number, changes, gone_at);
+        self.take_changes(number, changes, terms);
     }
 
     /// Takes changes that lead to the list of a number.
@@ -220,13 +226,13 @@
         &self,
         number: u64,
         changes: Vec<directory::ListChange>,
-        gone_at: Option<clock::Moment>,
+        terms: directory::ChangeTerms,
     ) {
         let revision = number / LISTS_PER_REVISION;
         for change in &changes {
             log::info!("event=endpoint_changed revision={revision} {change}");
         }
-        self.directory.borrow_mut().apply(changes, gone_at);
+        self.directory.borrow_mut().apply(changes, terms);
         self.note_number(number);
     }
 
@@ -283,6 +289,14 @@
         self.returned.notify_waiters();
     }
 
+    /// When changes that the source tells now take effect.
+    fn change_terms(&self) -> directory::ChangeTerms {
+        directory::ChangeTerms {
+            gone_at: self.gone_at(),
+            earlier_at: Some(self.clock.now() + EARLIER_HOLD),
+        }
+    }
+
     /// When an entry that is removed now counts as gone; nothing for at once.
     fn gone_at(&self) -> Option<clock::Moment> {
         let now = self.clock.now();
@@ -294,11 +308,35 @@
         (!is_settled).then(|| returned_at + LAPSE_GRACE)
     }
 
-    /// Removes what lapsed for good.
+    /// Removes what lapsed for good, and takes what was held back long enough.
     pub fn expire(&self) {
-        if self.is_reachable() && self.directory.borrow_mut().expire(self.clock.now()) {
+        let now = self.clock.now();
+        let mut directory = self.directory.borrow_mut();
+        let is_over = self.is_reachable() && directory.expire(now);
+        let is_taken = directory.take_earlier(now);
+        let is_retried = directory.retry_misnamed(now);
+        drop(directory);
+        if is_over || is_taken {
             // Peers that took the entries over take only what is newer.
             self.note_number(self.number.get() + 1);
+        } else if is_retried {
+            self.changes.send_modify(|n| *n += 1);
         }
     }
+
+    /// Notes that somebody else answered at an endpoint's address: it gets no work for
+    /// a while, or until its entry is written again.
+    pub fn note_misnamed(&self, id: &ids::EndpointId, started: Option<directory::StartTime>) {
+        let now = self.clock.now();
+        let is_new = self.directory.borrow_mut().note_misnamed(id, started, now);
+        if is_new {
+            log::warn!("event=endpoint_misnamed endpoint={id} outcome=left_out");
+            self.changes.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Objects of the store that could not be read so far.
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable.get()
+    }
 }
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -24,6 +24,8 @@
     Answered,
     /// The source answers again after a call of it failed.
     Returned,
+    /// An object could not be read; it names nothing to use.
+    Unreadable,
     /// An instance is to be emptied.
     Retire(ids::InstanceId),
 }
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -5,9 +5,13 @@
 use futures::future;
 
 use super::{
-    attempt, connection, directory, event_split, job_board, open_job, peers, process, wire,
+    attempt, connection, directory, endpoint_news, event_split, job_board, open_job, peers,
+    process, wire,
+};
+use crate::{
+    decisions::{admission, retry},
+    outcome, protection,
 };
-use crate::{decisions::admission, outcome, protection};
 
 /// Longest wait for the head of an item's answer; it may wait for a slot.
 const HEAD_PATIENCE: time::Duration = time::Duration::from_millis(1500);
@@ -18,6 +22,13 @@
 /// Pause before an item starts again after a failure.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
 
+/// Pauses of an item that no endpoint takes: while none is there, each try costs a
+/// connection and a place that online requests could have. Items have seconds.
+const RETRY_PACE: retry::PauseRange = retry::PauseRange {
+    first: RETRY_PAUSE,
+    last: time::Duration::from_millis(1200),
+};
+
 /// One run of an item at one endpoint.
 pub(super) struct ItemRun {
     pub(super) context: rc::Rc<process::ProcessContext>,
@@ -43,7 +54,7 @@
     /// The stream broke; it goes on elsewhere.
     Cut(String),
     /// The endpoint did not take it.
-    NotRun(bool),
+    NotRun(outcome::NotRunReason),
     /// The place was taken back, or the job was ended.
     Preempted,
 }
@@ -123,7 +134,7 @@
         );
         let open = match sent.await {
             O::Completed(open) => open,
-            O::NotRun(proof) => return RunEnd::NotRun(proof.is_refusal()),
+            O::NotRun(proof) => return RunEnd::NotRun(proof.reason()),
             O::Failed(why) | O::Unknown(why) => return RunEnd::Cut(why),
         };
         let status = open.incoming.head.status.as_u16();
@@ -207,11 +218,39 @@
         if !progress.is_run_by(self.chain) {
             return false;
         }
+        progress.fruitless = 0;
         progress.events.push(event.data());
         progress.last_event = Some(event.id);
         true
     }
 
+    /// Takes what the run says of its endpoint, and tells the owner of it.
+    fn note_endpoint(&self, end: &RunEnd) {
+        let context = &self.context;
+        let news = match end {
+            RunEnd::Completed => {
+                let mut loads = context.loads.borrow_mut();
+                loads.health.note_success(&self.endpoint.id);
+                drop(loads);
+                let mut permits = context.permits.borrow_mut();
+                return permits.note_served(&self.endpoint.id);
+            }
+            RunEnd::Cut(_) => Some(endpoint_news::failure(context, true)),
+            RunEnd::NotRun(reason) => {
+                endpoint_news::count_refusal(context, *reason);
+                endpoint_news::of_refusal(context, *reason)
+            }
+            RunEnd::Impossible | RunEnd::Failed | RunEnd::Preempted => None,
+        };
+        let giver = match self.lender {
+            None => endpoint_news::PlaceGiver::Here,
+            Some(lender) => endpoint_news::PlaceGiver::Peer(lender),
+        };
+        if let Some(news) = news {
+            endpoint_news::note(context, &self.endpoint, giver, news);
+        }
+    }
+
     fn settle(&self, end: RunEnd) {
         let label = match &end {
             RunEnd::Completed => "completed",
@@ -226,16 +265,7 @@
             .batch_items
             .with_label_values(&[label])
             .inc();
-        let now = self.context.clock.now();
-        let mut loads = self.context.loads.borrow_mut();
-        match &end {
-            RunEnd::Completed => loads.health.note_success(&self.endpoint.id),
-            RunEnd::Cut(_) | RunEnd::NotRun(false) => {
-                loads.health.note_silence(&self.endpoint.id, now);
-            }
-            _ => {}
-        }
-        drop(loads);
+        self.note_endpoint(&end);
         let mut job = self.job.borrow_mut();
         log::info!(
             "event=item_run job={} item={} endpoint={} end=\"{end:?}\" last_event={:?}",
@@ -261,7 +291,9 @@
                 }
             }
             RunEnd::Cut(_) | RunEnd::NotRun(_) => {
-                progress.not_before = time::Instant::now() + RETRY_PAUSE;
+                let pause = retry::pause_after(progress.fruitless, &RETRY_PACE, &mut rand::rng());
+                progress.fruitless += 1;
+                progress.not_before = time::Instant::now() + pause;
             }
             RunEnd::Preempted => {}
         }
--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -285,7 +285,7 @@
 
 /// Hands the progress that was on this instance's disk to the owners of its
 /// jobs: their own disks may be lost.
-pub(super) async fn offer_kept(context: &rc::Rc<process::ProcessContext>) {
+pub(super) async fn offer_kept(context: rc::Rc<process::ProcessContext>) {
     for kept in context.checkpoints.all() {
         let owner = context.job_owner(&kept.job);
         let Some(owner) = owner.filter(|owner| owner != context.id()) else {
--- a/src/serving/job_records.rs
+++ b/src/serving/job_records.rs
@@ -43,6 +43,13 @@
     pub results: Vec<wire::ItemResult>,
 }
 
+/// The mark of a job that its caller ended.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct EndMark {
+    /// When it was ended, in milliseconds since the epoch.
+    pub ended_ms: u64,
+}
+
 /// Milliseconds since the epoch.
 pub fn epoch_ms() -> u64 {
     let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
@@ -107,7 +114,10 @@
 /// # Errors
 /// See [`store::StoreError`]; after `Unknown` the job may be ended.
 pub async fn end(store: &dyn store::ObjectStore, id: &ids::JobId) -> store::StoreResult<()> {
-    let value = store::encode(&serde_json::json!({"ended_ms": epoch_ms()}));
+    let mark = EndMark {
+        ended_ms: epoch_ms(),
+    };
+    let value = store::encode(&mark);
     create(store, CallClass::Control, &end_key(id), value)
         .await
         .map(drop)
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -36,7 +36,8 @@
         context.jobs.owners_changed.notified().await;
         wait_for_owners(&context).await;
         if !std::mem::replace(&mut has_offered, true) {
-            job_checkpoints::offer_kept(&context).await;
+            // A peer that does not answer must not hold the own jobs back.
+            actix_rt::spawn(job_checkpoints::offer_kept(context.clone()));
         }
         let is_owner = context.owners().iter().any(|o| o.id == *context.id());
         if !is_owner {
@@ -133,9 +134,14 @@
 
 /// The job that a new mark ends.
 fn ended_job(prefix: &str, change: &platform::ObjectChange) -> Option<ids::JobId> {
-    change.value.as_ref()?;
+    let value = change.value.as_ref()?;
     let name = change.key.strip_prefix(prefix).unwrap_or(&change.key);
-    name.parse()
+    let mark = serde_json::from_str::<job_records::EndMark>(value);
+    let ended = match mark {
+        Ok(_) => name.parse().map_err(|e| format!("{e}")),
+        Err(e) => Err(e.to_string()),
+    };
+    ended
         .inspect_err(|e| log::warn!("event=end_unreadable key={} why=\"{e}\"", change.key))
         .ok()
 }
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -26,6 +26,10 @@
             metrics
                 .state_version
                 .set(version.try_into().unwrap_or(i64::MAX));
+            let unreadable = context.fleet.unreadable();
+            metrics
+                .unreadable_objects
+                .set(unreadable.try_into().unwrap_or(i64::MAX));
             http_server::plain(StatusCode::OK, metrics.render())
         })?;
     }
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -66,6 +66,8 @@
     chain: u64,
     /// Events that the process after the owner has as well.
     pub(super) backed_up: usize,
+    /// Runs in a row that brought no event.
+    pub(super) fruitless: u32,
     /// When it may start again.
     pub not_before: time::Instant,
 }
@@ -110,6 +112,7 @@
             spent: time::Duration::ZERO,
             chain: rand::random(),
             backed_up: 0,
+            fruitless: 0,
             not_before: time::Instant::now(),
         }
     }
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -64,6 +64,8 @@
     loop {
         ticks = ticks.wrapping_add(1);
         context.fleet.expire();
+        forget_ended_runs(&context);
+        context.permits.borrow_mut().reopen(context.clock.now());
         refresh_owners(&context);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             let now = context.clock.now();
@@ -81,6 +83,21 @@
     }
 }
 
+/// Forgets what was learned of runs of endpoints that ended, as they started again:
+/// the new run has no requests, and no connection of the old one brings anything.
+fn forget_ended_runs(context: &process::ProcessContext) {
+    let ended = context.fleet.directory.borrow_mut().take_ended_runs();
+    for run in ended {
+        log::info!(
+            "event=endpoint_restarted endpoint={} address={}",
+            run.id,
+            run.address
+        );
+        context.loads.borrow_mut().forget(&run.id);
+        context.pool.forget(run.address);
+    }
+}
+
 /// Whether this process follows the store: the first few owners do, and any
 /// that hears none who does.
 fn is_follower(context: &process::ProcessContext, now: clock::Moment) -> bool {
@@ -137,7 +154,7 @@
 fn refresh_owned(context: &rc::Rc<process::ProcessContext>) {
     let directory = context.fleet.directory.borrow();
     let owners = context.owners();
-    let owned = directory.entries().filter(|e| !e.leaving).filter(|e| {
+    let owned = directory.all_usable().filter(|e| {
         let owner = ownership::owner_of(&e.id, &e.domain, &owners);
         owner.is_some_and(|o| o.id == *context.id())
     });
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -204,17 +204,33 @@
     }
 }
 
-/// Takes the word of a peer that an endpoint failed.
+/// Takes what a holder of a place saw at an endpoint.
 pub fn take_report(context: &process::ProcessContext, report: &peers::EndpointReport) {
+    let peers::EndpointReport {
+        endpoint,
+        started,
+        news,
+    } = report;
+    let directory = context.fleet.directory.borrow();
+    let is_outdated = directory.has_other_start(endpoint, *started);
+    drop(directory);
+    if is_outdated {
+        log::info!("event=report_outdated endpoint={endpoint} news=\"{news:?}\"");
+        return;
+    }
     let now = context.clock.now();
-    let mut loads = context.loads.borrow_mut();
-    let ejected = loads.note_peer_failure(&report.endpoint, &report.failure, now);
-    if ejected {
-        log::info!(
-            "event=endpoint_shunned endpoint={} last_reporter={} silent={}",
-            report.endpoint,
-            report.failure.reporter,
-            report.failure.is_silent
-        );
+    match news {
+        peers::EndpointNews::Failed(failure) => {
+            let mut loads = context.loads.borrow_mut();
+            if loads.note_peer_failure(endpoint, failure, now) {
+                log::info!(
+                    "event=endpoint_shunned endpoint={endpoint} last_reporter={} silent={}",
+                    failure.reporter,
+                    failure.is_silent
+                );
+            }
+        }
+        peers::EndpointNews::Full => context.permits.borrow_mut().note_refused(endpoint, now),
+        peers::EndpointNews::Misnamed => context.fleet.note_misnamed(endpoint, *started),
     }
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -76,13 +76,26 @@
     pub is_served: bool,
 }
 
-/// A failure at an endpoint, told to its owner at once.
+/// What one who had a place at an endpoint saw there.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub enum EndpointNews {
+    /// It failed, or did not answer at all.
+    Failed(health::FailureReport),
+    /// It refused, as it has no room.
+    Full,
+    /// Another endpoint is at its address, and refused.
+    Misnamed,
+}
+
+/// What was seen at an endpoint, told to its owner at once.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct EndpointReport {
     /// The endpoint.
     pub endpoint: ids::EndpointId,
+    /// Its start: what was seen of another says nothing of the present one.
+    pub started: Option<directory::StartTime>,
     /// What was seen there.
-    pub failure: health::FailureReport,
+    pub news: EndpointNews,
 }
 
 /// A wish for places for batch streams.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -6,7 +6,7 @@
 use super::{directory, peers, selection};
 use crate::{
     clock,
-    decisions::{admission, queue_limit},
+    decisions::{admission, queue_limit, refusal},
     ids,
 };
 
@@ -48,6 +48,8 @@
     lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ids::InstanceId>,
     /// How long online requests of a service hold a slot.
     holds: collections::HashMap<ids::ServiceName, queue_limit::HoldEstimate>,
+    /// Endpoints that refused lately.
+    refusals: refusal::RefusalBoard,
 }
 
 #[derive(Debug)]
@@ -99,14 +101,18 @@
 }
 
 impl PermitBoard {
-    /// Takes the list of owned endpoints; gives those that are owned no more.
+    /// Takes the list of owned endpoints; gives those that are owned no more, and
+    /// those that started again: what they had is gone.
     pub fn set_owned(
         &mut self,
         owned: &[rc::Rc<directory::EndpointEntry>],
     ) -> Vec<ids::EndpointId> {
-        let listed: collections::HashSet<_> = owned.iter().map(|e| &e.id).collect();
-        let gone = self.ledgers.keys().filter(|id| !listed.contains(id));
-        let gone: Vec<_> = gone.cloned().collect();
+        let listed: collections::HashMap<_, _> = owned.iter().map(|e| (&e.id, e.started)).collect();
+        let is_gone = |(id, owned): &(&ids::EndpointId, &OwnedLedger)| {
+            listed.get(id) != Some(&owned.entry.started)
+        };
+        let gone = self.ledgers.iter().filter(is_gone);
+        let gone: Vec<_> = gone.map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.ledgers.remove(id);
         }
@@ -115,6 +121,7 @@
             .retain(|_, holder| ledgers.contains_key(&holder.endpoint));
         self.lent
             .retain(|(endpoint, _), _| ledgers.contains_key(endpoint));
+        self.refusals.retain(|id| ledgers.contains_key(id));
         for entry in owned {
             let ledger = self.ledgers.entry(entry.id.clone());
             let ledger = ledger.or_insert_with(|| OwnedLedger::new(entry));
@@ -133,9 +140,9 @@
         shunned: &collections::HashSet<ids::EndpointId>,
         now: clock::Moment,
     ) -> Option<GrantedPlace> {
-        let usable = self.ledgers.values().filter(|owned| {
-            owned.entry.service == ask.service && !ask.tried.contains(&owned.entry.id)
-        });
+        let usable = self
+            .of_service(&ask.service)
+            .filter(|owned| !ask.tried.contains(&owned.entry.id));
         let best = usable.min_by_key(|owned| {
             let full = owned.free() <= 0;
             let load = match full {
@@ -190,6 +197,7 @@
             let hold = self.holds.entry(owned.entry.service.clone()).or_default();
             hold.note(now.since(begun));
         }
+        self.refusals.note_served(&endpoint);
         Some(endpoint)
     }
 
@@ -260,6 +268,25 @@
         lent
     }
 
+    /// Notes that an owned endpoint refused a request that had a place there: it has
+    /// less room than its ledger says, and gives no places for a while.
+    pub fn note_refused(&mut self, endpoint: &ids::EndpointId, now: clock::Moment) {
+        if self.ledgers.contains_key(endpoint) {
+            self.refusals.note_refused(endpoint, now, &mut rand::rng());
+        }
+    }
+
+    /// Notes that an endpoint served one who had a place there.
+    pub fn note_served(&mut self, endpoint: &ids::EndpointId) {
+        self.refusals.note_served(endpoint);
+    }
+
+    /// Lets owned endpoints give places again that refused a while ago; says whether
+    /// there were any.
+    pub fn reopen(&mut self, now: clock::Moment) -> bool {
+        self.refusals.reopen(now)
+    }
+
     /// Whether nobody holds a place here.
     pub fn is_empty(&self) -> bool {
         self.holders.is_empty() && self.lent.is_empty()
@@ -283,12 +310,15 @@
         rooms.sum()
     }
 
+    /// The owned endpoints of a service that may give places.
     fn of_service<'a>(
         &'a self,
         service: &'a ids::ServiceName,
     ) -> impl Iterator<Item = &'a OwnedLedger> {
         let owned = self.ledgers.values();
-        owned.filter(move |owned| owned.entry.service == *service)
+        owned.filter(move |owned| {
+            owned.entry.service == *service && !self.refusals.is_closed(&owned.entry.id)
+        })
     }
 
     /// The room of each service with owned endpoints.
@@ -310,10 +340,11 @@
         shunned: &collections::HashSet<ids::EndpointId>,
         now: clock::Moment,
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
-        let usable = self
-            .ledgers
-            .values_mut()
-            .filter(|owned| owned.entry.service == *service && !shunned.contains(&owned.entry.id));
+        let refusals = &self.refusals;
+        let usable = self.ledgers.values_mut().filter(|owned| {
+            let id = &owned.entry.id;
+            owned.entry.service == *service && !shunned.contains(id) && !refusals.is_closed(id)
+        });
         let roomy = usable.filter_map(|owned| {
             let room = owned.ledger.batch_room(now);
             (room > 0).then_some(owned)
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -2,10 +2,10 @@
 
 use std::{cell, net, rc, time};
 
-use super::{directory, peer_calls, peers, process};
+use super::{directory, endpoint_news, peer_calls, peers, process};
 use crate::{
-    decisions::{admission, health, owner_order},
-    ids,
+    decisions::{admission, owner_order},
+    ids, outcome,
 };
 
 /// Longest wait for an owner; a round trip takes 1 to 4 ms, so it is lost or overloaded then.
@@ -47,26 +47,26 @@
 
     /// Notes that the endpoint failed, or did not answer at all, and tells its owner.
     pub fn note_failed(&self, is_silent: bool) {
-        let (id, now) = (&self.endpoint.id, self.context.clock.now());
         self.is_served.set(false);
-        let mut loads = self.context.loads.borrow_mut();
-        match is_silent {
-            true => loads.health.note_silence(id, now),
-            false => loads.health.note_failure(id, now),
+        self.tell(endpoint_news::failure(&self.context, is_silent));
+    }
+
+    /// Notes that the endpoint did not run an attempt, and tells its owner.
+    pub fn note_refused(&self, reason: outcome::NotRunReason) {
+        self.is_served.set(false);
+        endpoint_news::count_refusal(&self.context, reason);
+        if let Some(news) = endpoint_news::of_refusal(&self.context, reason) {
+            self.tell(news);
         }
-        drop(loads);
-        let report = peers::EndpointReport {
-            endpoint: id.clone(),
-            failure: health::FailureReport {
-                reporter: self.context.id().clone(),
-                is_silent,
-            },
+    }
+
+    fn tell(&self, news: peers::EndpointNews) {
+        let giver = match self.permit {
+            None => endpoint_news::PlaceGiver::Nobody,
+            Some(HeldPermit::Here(_)) => endpoint_news::PlaceGiver::Here,
+            Some(HeldPermit::Peer(owner, _)) => endpoint_news::PlaceGiver::Peer(owner),
         };
-        match self.permit {
-            None => {}
-            Some(HeldPermit::Here(_)) => peer_calls::take_report(&self.context, &report),
-            Some(HeldPermit::Peer(owner, _)) => self.context.links.report(owner, report),
-        }
+        endpoint_news::note(&self.context, &self.endpoint, giver, news);
     }
 }
 
--- a/src/serving/selection.rs
+++ b/src/serving/selection.rs
@@ -80,6 +80,26 @@
         load.reported_at = Some(now);
     }
 
+    /// Takes an endpoint's refusal: it had as many requests as it takes.
+    ///
+    /// Without it the endpoint would look free to this process, and its refusals fast.
+    pub fn note_full(&mut self, endpoint: &directory::EndpointEntry, now: clock::Moment) {
+        let load = self.loads.entry(endpoint.id.clone()).or_default();
+        load.others = load.others.max(endpoint.slots);
+        load.reported_at = Some(now);
+    }
+
+    /// Forgets what was learned of an endpoint that started again, but for the
+    /// requests of this process, which end by themselves.
+    pub fn forget(&mut self, id: &ids::EndpointId) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.others = 0;
+            load.reported_at = None;
+        }
+        self.health.forget(id);
+        self.reported.forget(id);
+    }
+
     /// Requests at the endpoint, as far as known.
     pub fn load_of(&self, id: &ids::EndpointId, now: clock::Moment) -> u32 {
         let Some(load) = self.loads.get(id) else {
--- a/src/serving/wire.rs
+++ b/src/serving/wire.rs
@@ -42,8 +42,10 @@
 pub struct AnswerNotes {
     /// The endpoint says that the request did not run.
     pub not_run: bool,
-    /// The address belongs to another endpoint now.
+    /// The request expects another endpoint than the one that answers.
     pub other_endpoint: bool,
+    /// The endpoint that answers, if it says so.
+    pub answered_by: Option<String>,
     /// Name of the request that is answered.
     pub id: Option<String>,
     /// Whether the endpoint vouches for the answer.
--- a/src/store.rs
+++ b/src/store.rs
@@ -152,6 +152,10 @@
         let page = store.list(prefix, &after).await?;
         items.extend(page.items);
         match items.last() {
+            // A page without anything readable names nothing to go on from.
+            Some(last) if page.more && last.key == after => {
+                return Err(StoreError::Corrupt(format!("no key after {after}")));
+            }
             Some(last) if page.more => after.clone_from(&last.key),
             _ => return Ok(items),
         }
--- /dev/null
+++ b/tests/endpoint_runs.rs
@@ -0,0 +1,264 @@
+//! Runs of endpoints: starts under the same name, two names at one address, refusals.
+
+use std::{net, rc, time};
+
+use jayhollow::{
+    clock,
+    decisions::{refusal, retry},
+    ids,
+    serving::{
+        directory::{ChangeTerms, EndpointDirectory, EndpointEntry, ListChange, StartTime},
+        name_marks, peers, permits,
+    },
+};
+use rand::SeedableRng as _;
+
+fn entry(id: &str, port: u16, started: Option<u64>) -> EndpointEntry {
+    EndpointEntry {
+        id: id.parse().expect("a name"),
+        service: service(),
+        address: net::SocketAddr::from(([127, 0, 0, 1], port)),
+        domain: "z".parse().expect("a name"),
+        slots: 4,
+        leaving: false,
+        started: started.map(StartTime),
+    }
+}
+
+fn service() -> ids::ServiceName {
+    "s".parse().expect("a name")
+}
+
+fn id(name: &str) -> ids::EndpointId {
+    name.parse().expect("a name")
+}
+
+fn at(millis: u64) -> clock::Moment {
+    clock::Moment(millis * 1000)
+}
+
+/// What the store tells at a moment.
+fn from_store(millis: u64) -> ChangeTerms {
+    ChangeTerms {
+        gone_at: None,
+        earlier_at: Some(at(millis + 2500)),
+    }
+}
+
+fn names(directory: &EndpointDirectory) -> Vec<String> {
+    let listed = directory.of_service(&service()).iter();
+    listed
+        .map(|e| format!("{}:{}", e.id, e.address.port()))
+        .collect()
+}
+
+#[rstest::rstest]
+#[case::later_start_last(&[("a", Some(5)), ("b", Some(9))], &["b:1"])]
+#[case::later_start_first(&[("b", Some(9)), ("a", Some(5))], &["b:1"])]
+#[case::starts_not_told(&[("a", None), ("b", None)], &["a:1", "b:1"])]
+#[case::one_start_not_told(&[("a", None), ("b", Some(9))], &["a:1", "b:1"])]
+fn of_two_names_at_one_address_the_later_start_holds(
+    #[case] told: &[(&str, Option<u64>)],
+    #[case] usable: &[&str],
+) {
+    let mut directory = EndpointDirectory::default();
+    for (name, started) in told {
+        let change = ListChange::Listed(entry(name, 1, *started));
+        directory.apply(vec![change], from_store(0));
+    }
+    assert_eq!(names(&directory), usable);
+    for (name, _) in told {
+        let is_usable = usable.contains(&format!("{name}:1").as_str());
+        assert_eq!(directory.usable(&id(name)).is_some(), is_usable);
+    }
+}
+
+#[test]
+fn the_earlier_start_is_back_once_the_later_one_is_gone_or_misnamed() {
+    let mut directory = EndpointDirectory::default();
+    let both = [entry("a", 1, Some(5)), entry("b", 1, Some(9))];
+    let both = both.map(ListChange::Listed).to_vec();
+    directory.apply(both, from_store(0));
+    assert!(directory.note_misnamed(&id("b"), Some(StartTime(9)), at(0)));
+    assert_eq!(names(&directory), ["a:1"]);
+    assert!(directory.retry_misnamed(at(1000)));
+    assert_eq!(names(&directory), ["b:1"]);
+    directory.apply(vec![ListChange::Removed(id("b"))], from_store(1000));
+    assert_eq!(names(&directory), ["a:1"]);
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_is_taken_only_if_it_stays() {
+    let mut directory = EndpointDirectory::default();
+    let listed = |entry| vec![ListChange::Listed(entry)];
+    directory.apply(listed(entry("a", 2, Some(9))), from_store(0));
+    // A late write of the start before, at another address.
+    directory.apply(listed(entry("a", 1, Some(5))), from_store(100));
+    assert_eq!(names(&directory), ["a:2"]);
+    directory.apply(listed(entry("a", 2, Some(9))), from_store(900));
+    assert!(!directory.take_earlier(at(9000)), "it was written over");
+    assert_eq!(names(&directory), ["a:2"]);
+    // The endpoint's clock has stepped back: the entry stays.
+    directory.apply(listed(entry("a", 1, Some(5))), from_store(10_000));
+    assert!(!directory.take_earlier(at(12_400)));
+    assert!(directory.take_earlier(at(12_500)));
+    assert_eq!(names(&directory), ["a:1"]);
+}
+
+#[test]
+fn to_leave_is_believed_of_an_earlier_start_too() {
+    let mut directory = EndpointDirectory::default();
+    let listed = |entry| vec![ListChange::Listed(entry)];
+    directory.apply(listed(entry("a", 1, Some(9))), from_store(0));
+    let leaving = EndpointEntry {
+        leaving: true,
+        ..entry("a", 1, Some(5))
+    };
+    directory.apply(listed(leaving), from_store(100));
+    assert!(directory.usable(&id("a")).is_none());
+}
+
+#[test]
+fn a_new_start_ends_the_run_before_and_a_new_state_does_not() {
+    let mut directory = EndpointDirectory::default();
+    let listed = |entry| vec![ListChange::Listed(entry)];
+    directory.apply(listed(entry("a", 1, Some(5))), from_store(0));
+    let wider = EndpointEntry {
+        slots: 9,
+        ..entry("a", 1, Some(5))
+    };
+    directory.apply(listed(wider), from_store(0));
+    assert!(directory.take_ended_runs().is_empty());
+    directory.apply(listed(entry("a", 2, Some(6))), from_store(0));
+    let ended = directory.take_ended_runs();
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended[0].address.port(), 1);
+}
+
+#[test]
+fn a_refusal_by_mistake_costs_an_endpoint_a_second_and_a_renewed_entry_nothing() {
+    let mut directory = EndpointDirectory::default();
+    let listed = |entry| vec![ListChange::Listed(entry)];
+    directory.apply(listed(entry("a", 1, Some(5))), from_store(0));
+    let earlier = Some(StartTime(4));
+    assert!(
+        !directory.note_misnamed(&id("a"), earlier, at(0)),
+        "of another start"
+    );
+    assert!(directory.note_misnamed(&id("a"), Some(StartTime(5)), at(0)));
+    assert!(names(&directory).is_empty());
+    assert!(!directory.retry_misnamed(at(900)));
+    assert!(directory.retry_misnamed(at(1000)));
+    assert_eq!(names(&directory), ["a:1"]);
+    assert!(directory.note_misnamed(&id("a"), Some(StartTime(5)), at(1100)));
+    directory.apply(listed(entry("a", 1, Some(5))), from_store(1200));
+    assert_eq!(names(&directory), ["a:1"], "its writer is there");
+}
+
+#[test]
+fn marks_last_longer_each_time_and_are_forgotten() {
+    let mut marks = name_marks::NameMarks::default();
+    let mut now = 0;
+    let mut spans = Vec::new();
+    for _ in 0..6 {
+        assert!(marks.note(&id("a"), at(now)));
+        let begun = now;
+        while !marks.expire(at(now)) {
+            now += 100;
+        }
+        spans.push((now - begun) / 1000);
+    }
+    assert_eq!(spans, [1, 2, 4, 8, 8, 8]);
+    marks.expire(at(now + 9000));
+    assert!(marks.note(&id("a"), at(now + 9000)));
+    assert!(marks.expire(at(now + 10_000)), "it is new again");
+}
+
+fn board(endpoints: &[EndpointEntry]) -> permits::PermitBoard {
+    let mut board = permits::PermitBoard::default();
+    let owned: Vec<_> = endpoints.iter().cloned().map(rc::Rc::new).collect();
+    board.set_owned(&owned);
+    board
+}
+
+fn ask(number: u64) -> peers::PlaceAsk {
+    peers::PlaceAsk {
+        number,
+        instance: "g".parse().expect("a name"),
+        domain: "z".parse().expect("a name"),
+        service: service(),
+        tried: Vec::new(),
+        may_queue: false,
+        wait: time::Duration::ZERO,
+    }
+}
+
+#[test]
+fn an_endpoint_that_refuses_gives_no_places_until_it_served_or_a_while_has_passed() {
+    let none = std::collections::HashSet::new();
+    let mut board = board(&[entry("a", 1, None)]);
+    let granted = |board: &mut permits::PermitBoard, number, now| {
+        board.acquire(&ask(number), &none, now).is_some()
+    };
+    assert!(granted(&mut board, 1, at(0)));
+    board.note_refused(&id("a"), at(0));
+    assert!(!granted(&mut board, 2, at(1)));
+    assert!(board.begin_batch(&service(), &none, at(1)).is_none());
+    assert_eq!(board.online_room(&service()), 0, "others are told so");
+    assert!(board.reopen(at(100)));
+    assert!(granted(&mut board, 3, at(100)));
+    board.note_refused(&id("a"), at(100));
+    assert!(!granted(&mut board, 4, at(101)));
+    let number = 1;
+    board.release_served(number, at(101));
+    assert!(granted(&mut board, 5, at(101)), "it has served one");
+}
+
+#[test]
+fn a_new_start_has_none_of_the_places_that_were_taken_before() {
+    let none = std::collections::HashSet::new();
+    let mut board = board(&[entry("a", 1, Some(5))]);
+    for number in 0..4 {
+        assert!(board.acquire(&ask(number), &none, at(0)).is_some());
+    }
+    assert!(board.acquire(&ask(4), &none, at(0)).is_none());
+    let again = rc::Rc::new(entry("a", 1, Some(6)));
+    assert_eq!(board.set_owned(std::slice::from_ref(&again)), [id("a")]);
+    assert!(board.acquire(&ask(5), &none, at(0)).is_some());
+    // What is given back of the run before adds no room.
+    board.release(0);
+    assert_eq!(board.online_room(&service()), 3);
+}
+
+#[test]
+fn pauses_after_refusals_double_within_bounds_and_are_spread() {
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(7);
+    let mut refusals = refusal::RefusalBoard::default();
+    let mut now = 0;
+    let mut longest = 0;
+    for _ in 0..8 {
+        refusals.note_refused(&id("a"), at(now), &mut rng);
+        let begun = now;
+        while !refusals.reopen(at(now)) {
+            now += 1;
+        }
+        longest = longest.max(now - begun);
+    }
+    assert!((900..=1250).contains(&longest), "{longest} ms");
+    let range = retry::PauseRange {
+        first: time::Duration::from_millis(100),
+        last: time::Duration::from_millis(800),
+    };
+    for (earlier, least, most) in [
+        (0, 100, 150),
+        (1, 200, 300),
+        (3, 800, 1200),
+        (90, 800, 1200),
+    ] {
+        let pause = retry::pause_after(earlier, &range, &mut rng).as_millis();
+        assert!(
+            (least..=most).contains(&pause),
+            "{pause} ms after {earlier}"
+        );
+    }
+}
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -36,6 +36,7 @@
         domain: domain.parse().expect("a name"),
         slots: 4,
         leaving: false,
+        started: None,
     }
 }
 
@@ -471,13 +472,32 @@
     let mut directory = directory::EndpointDirectory::default();
     let apply = |directory: &mut directory::EndpointDirectory, entries: Vec<_>| {
         let changes = directory.changes_to(entries);
-        directory.apply(changes, None);
+        directory.apply(changes, directory::ChangeTerms::default());
         directory.digest()
     };
     let one = apply(&mut directory, vec![entry("a", "z")]);
     let two = apply(&mut directory, vec![entry("a", "z"), entry("b", "z")]);
     assert_ne!(one, two);
     assert_eq!(apply(&mut directory, vec![entry("a", "z")]), one);
+    let changed = [
+        directory::EndpointEntry {
+            slots: 5,
+            ..entry("a", "z")
+        },
+        directory::EndpointEntry {
+            started: Some(directory::StartTime(1)),
+            ..entry("a", "z")
+        },
+        directory::EndpointEntry {
+            service: "t".parse().expect("a name"),
+            ..entry("a", "z")
+        },
+        entry("a", "y"),
+    ];
+    for other in changed {
+        let text = format!("{other:?}");
+        assert_ne!(apply(&mut directory, vec![other]), one, "{text}");
+    }
     let record = |id: &str| members::MemberRecord {
         id: id.parse().expect("a name"),
         role: members::MemberRole::Gateway,
