fix(serving): a run that ended with its endpoint is not waited for

Cause: a request that may not run twice, or has no other endpoint, waited to the end of its caller's time on a connection to a run that had crashed behind a cut, though the list had its endpoint with a later start. Now it ends 150 ms after the list says so, unless its bytes still come.

--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -31,6 +31,11 @@
 /// is there. Each costs the endpoint about 1 ms; a run may be slow at each event.
 const CHECK_PAUSE: time::Duration = time::Duration::from_secs(1);
 
+/// How long bytes of a run may be on their way after its endpoint is known to have
+/// started again: the list is told later than the fastest link brings them, and a
+/// stream whose events still come, 60 ms apart at most, is not ended by its list.
+const LAST_BYTES_TIME: time::Duration = time::Duration::from_millis(150);
+
 /// What is awaited of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Awaited {
@@ -94,13 +99,15 @@
             search.queue_from = Some(begun + patience * QUEUE_PATIENCES);
         }
         let gone = machine_gone(place.endpoint.clone(), self.left(), self.begin_check());
-        tokio::pin!(gone);
+        let ended = run_ended(self.context.clone(), place.endpoint.clone());
+        tokio::pin!(gone, ended);
         while self.may_move(awaited) {
             tokio::select! {
                 biased;
                 done = &mut waiting => return Waited::Came(done),
                 () = tokio::time::sleep(self.left()) => return Waited::Lost(begun.elapsed()),
                 () = &mut gone => return Waited::Lost(begun.elapsed()),
+                () = &mut ended => return Waited::Lost(begun.elapsed()),
                 found = search.next_place(self) => {
                     search.passed_over.push(found.place.endpoint.id.clone());
                     if let Some(sent) = self.hand_over(found).await {
@@ -134,16 +141,18 @@
         waiting: impl future::Future<Output = T>,
     ) -> Waited<T> {
         let begun = time::Instant::now();
-        let waited = match awaited {
-            Awaited::NextEvent => tokio::time::timeout(self.left(), waiting).await,
-            _ => {
-                let suspecting = self.suspecting(place, waiting);
-                tokio::time::timeout(self.left(), suspecting).await
+        let left = self.left();
+        let waiting = async {
+            match awaited {
+                Awaited::NextEvent => waiting.await,
+                _ => self.suspecting(place, waiting).await,
             }
         };
-        match waited {
-            Ok(done) => Waited::Came(done),
-            Err(_) => Waited::Lost(begun.elapsed()),
+        tokio::select! {
+            biased;
+            done = waiting => Waited::Came(done),
+            () = tokio::time::sleep(left) => Waited::Lost(begun.elapsed()),
+            () = run_ended(self.context.clone(), place.endpoint.clone()) => Waited::Lost(begun.elapsed()),
         }
     }
 
@@ -333,6 +342,29 @@
     future::pending().await
 }
 
+/// Resolves a moment after the endpoint is listed with another start than the one that
+/// has the request: nothing of it comes any more but what is on its way.
+async fn run_ended(
+    context: rc::Rc<process::ProcessContext>,
+    endpoint: rc::Rc<directory::EndpointEntry>,
+) {
+    let mut changes = context.fleet.subscribe();
+    let has_ended = || {
+        let directory = context.fleet.directory.borrow();
+        directory.has_other_start(&endpoint.id, endpoint.started)
+    };
+    while !has_ended() {
+        if changes.changed().await.is_err() {
+            return future::pending().await;
+        }
+    }
+    tokio::time::sleep(LAST_BYTES_TIME).await;
+    log::info!(
+        "event=run_ended endpoint={} why=\"it started again\"",
+        endpoint.id
+    );
+}
+
 /// Finds a free slot, not a queue, for a request that is at work elsewhere.
 ///
 /// This process's own counts are used only while it hears no owner: one that
