fix(serving): a kept connection that is silent is replaced though there is one endpoint

Cause: a request whose endpoint is slow was sought a place at other endpoints only. Where a service has one, and the kept connection to it had fallen silent for good, its caller waited to the end of its time, as did the next ones.

--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -28,7 +28,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::NeverConnected => "no_connection",
-            Self::RefusedByEndpoint => "refused",
+            Self::RefusedByEndpoint => "endpoint_full",
             Self::OtherEndpoint => "other_endpoint",
             Self::NeverSent => "never_sent",
         })
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one endpoint: connect, send, and classify what comes back.
 
-use std::{rc, time};
+use std::{cell, rc, time};
 
 use actix_http::{header, Method, StatusCode};
 
@@ -51,14 +51,16 @@
 
 /// Sends one attempt and waits for the head of its answer.
 ///
-/// `opened` is a connection that was made for it, if there is one;
-/// `head_patience` bounds the wait after the request went out.
+/// `opened` is a connection that was made for it, if there is one; `is_kept` is told
+/// whether it went out on one that was kept; `head_patience` bounds the wait after
+/// the request went out.
 pub async fn send(
     context: &rc::Rc<process::ProcessContext>,
     endpoint: &directory::EndpointEntry,
     request: &ForwardedRequest,
     terms: &wire::AttemptTerms<'_>,
     opened: Option<connection::EndpointConnection>,
+    is_kept: &cell::Cell<bool>,
     head_patience: time::Duration,
 ) -> outcome::AttemptOutcome<OpenAnswer> {
     use outcome::AttemptOutcome as O;
@@ -66,7 +68,7 @@
     let exchange = async {
         match opened {
             Some(opened) => exchange_on(context, opened, request, terms).await,
-            None => exchange(context, endpoint, request, terms, head_patience).await,
+            None => exchange(context, endpoint, request, terms, is_kept, head_patience).await,
         }
     };
     let incoming = match tokio::time::timeout(head_patience, exchange).await {
@@ -91,12 +93,14 @@
     endpoint: &directory::EndpointEntry,
     request: &ForwardedRequest,
     terms: &wire::AttemptTerms<'_>,
+    is_kept: &cell::Cell<bool>,
     patience: time::Duration,
 ) -> Result<connection::IncomingAnswer, outcome::AttemptOutcome<OpenAnswer>> {
     use outcome::AttemptOutcome as O;
 
     if request.repeatable || protection::is_out("fresh_connection") {
         if let Some(kept) = context.pool.take(endpoint.address) {
+            is_kept.set(true);
             match kept.exchange(outgoing(context, request, terms)).await {
                 Ok(incoming) => return Ok(incoming),
                 Err(connection::ExchangeError::Broken(e)) if request.repeatable => {
@@ -113,6 +117,7 @@
             }
         }
     }
+    is_kept.set(false);
     let opened = connect(endpoint, patience).await.map_err(O::NotRun)?;
     exchange_on(context, opened, request, terms).await
 }
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -1,6 +1,6 @@
 //! The attempts of a request: where the next one goes, and how each ended.
 
-use std::{cell, time};
+use std::{cell, rc, time};
 
 use futures::future::{self, FutureExt as _};
 
@@ -29,6 +29,8 @@
     pace: search_pace::SearchPace,
     /// Pace of the search while the present run is slow, once it was.
     pub(super) slow_pace: cell::Cell<Option<search_pace::SearchPace>>,
+    /// Whether the present attempt went out on a kept connection.
+    pub(super) is_kept: rc::Rc<cell::Cell<bool>>,
     /// When the machine of a slow endpoint was last asked for a connection.
     pub(super) checked_at: cell::Cell<Option<time::Instant>>,
 }
@@ -190,13 +192,18 @@
         let endpoint = place.endpoint.clone();
         let forwarded = self.request.forwarded.clone();
         let (left, resume_after) = (self.left(), self.last_event);
+        let is_kept = self.log.is_kept.clone();
+        is_kept.set(false);
         let sending = async move {
             let terms = wire::AttemptTerms {
                 endpoint: &endpoint.id,
                 patience: Some(left),
                 resume_after,
             };
-            attempt::send(&context, &endpoint, &forwarded, &terms, opened, left).await
+            attempt::send(
+                &context, &endpoint, &forwarded, &terms, opened, &is_kept, left,
+            )
+            .await
         };
         let sending = sending.boxed_local();
         SentAttempt { place, sending }
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -1,6 +1,6 @@
 //! One run of an item at one endpoint.
 
-use std::{net, rc, time};
+use std::{cell, net, rc, time};
 
 use futures::future;
 
@@ -124,12 +124,14 @@
             patience: None,
             resume_after,
         };
+        let is_kept = cell::Cell::new(false);
         let sent = attempt::send(
             &self.context,
             &self.endpoint,
             &request,
             &terms,
             None,
+            &is_kept,
             HEAD_PATIENCE,
         );
         let open = match sent.await {
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -97,6 +97,7 @@
         let mut search = SlowSearch::new(place, &self.log);
         if awaited == Awaited::Head {
             search.queue_from = Some(begun + patience * QUEUE_PATIENCES);
+            search.may_be_silent = self.log.is_kept.get();
         }
         let gone = machine_gone(place.endpoint.clone(), self.left(), self.begin_check());
         let ended = run_ended(self.context.clone(), place.endpoint.clone());
@@ -244,6 +245,8 @@
     passed_over: Vec<ids::EndpointId>,
     /// From when on a place in a queue will do, if ever.
     queue_from: Option<time::Instant>,
+    /// Whether the connection of the slow run may be silent for good: it was kept.
+    may_be_silent: bool,
 }
 
 impl SlowSearch {
@@ -252,6 +255,7 @@
             slow: place.endpoint.id.clone(),
             passed_over: log.tried.clone(),
             queue_from: None,
+            may_be_silent: false,
         }
     }
 
@@ -288,13 +292,18 @@
     /// Asks once. An answer that comes too late is taken, and its place given back.
     async fn ask(&self, relay: &relay::RequestRelay) -> Option<places::HeldPlace> {
         let service = relay.choose_service()?;
+        let may_queue = self.queue_from.is_some_and(|at| at <= time::Instant::now());
+        let mut tried = self.passed_over.clone();
         if !self.has_others(relay, &service) {
-            return None;
+            // A new connection to the same endpoint will do where the kept one may be
+            // silent: else its caller would wait for nothing to the end of its time.
+            if !may_queue || !self.may_be_silent {
+                return None;
+            }
+            tried.clear();
         }
         let context = rc::Rc::clone(&relay.context);
         let objective = relay.request.route.objective;
-        let tried = self.passed_over.clone();
-        let may_queue = self.queue_from.is_some_and(|at| at <= time::Instant::now());
         let asking = actix_rt::spawn(async move {
             let wish = places::PlaceWish {
                 service: &service,
