fix(serving): a job that is large for the link to its owner is read from the store

Cause: the record of an accepted job had half a second to come over whole, went again each 0.4 s, twice at once, and anew each time. Over a link that was slow for it once the owner never got it, and the job was never begun. Now one try is under way at a time, and after two that were not answered the owner is told the name alone and reads the job from the store, whose answers are waited for as long as they come on.

--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -47,6 +47,23 @@
     false
 }
 
+/// Takes a job over that is in the store, unless it is known; says whether it is over.
+pub fn find_job(context: &rc::Rc<process::ProcessContext>, id: ids::JobId) -> bool {
+    if let Some(job) = context.jobs.get(&id) {
+        return job.borrow().is_over();
+    }
+    let context = context.clone();
+    actix_rt::spawn(async move {
+        match job_records::read_job(context.store.as_ref(), &id).await {
+            Ok(Some(record)) => drop(take_job(&context, record)),
+            Ok(None) => log::warn!("event=job_unfound job={id} why=\"it is not in the store\""),
+            // Who asked does so again.
+            Err(e) => log::info!("event=job_unfound job={id} why=\"{e}\""),
+        }
+    });
+    false
+}
+
 /// Age up to which a job is taken to have no results: no item is done so soon.
 const FRESH_JOB_MS: u64 = 300;
 
--- a/src/serving/job_sponsor.rs
+++ b/src/serving/job_sponsor.rs
@@ -7,6 +7,11 @@
 
 /// Longest wait for an owner to take a job over.
 const HAND_OVER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Tries to hand a job over whole, after which its owner is told to read it from the
+/// store. A job of 200 items may have a megabyte: over a link that is slow for it,
+/// it would be sent again and again, and nothing else would come over beside it. The
+/// store's answers are waited for as long as they come on.
+const WHOLE_TRIES: u32 = 2;
 /// How often the owners of accepted jobs are looked at.
 const SPONSOR_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Accepted jobs that one process watches over; others rely on the owners' own search.
@@ -19,6 +24,10 @@
     record: rc::Rc<job_records::JobRecord>,
     owner: Option<ids::InstanceId>,
     asked: time::Instant,
+    /// Tries to hand it over in a row that were not answered.
+    untaken: u32,
+    /// Whether it is being handed over.
+    is_told: bool,
 }
 
 thread_local! {
@@ -37,6 +46,8 @@
                 record,
                 owner: None,
                 asked: time::Instant::now(),
+                untaken: 0,
+                is_told: false,
             };
             jobs.entry(id.clone()).or_insert(sponsored);
         }
@@ -61,40 +72,61 @@
     }
 }
 
+/// Hands a job over to its owner, unless that has it.
 async fn hand_over(context: rc::Rc<process::ProcessContext>, id: ids::JobId) {
     let Some(owner) = context.job_owner(&id) else {
         return;
     };
-    let due = SPONSORED.with_borrow(|jobs| {
-        let job = jobs.get(&id)?;
+    let due = SPONSORED.with_borrow_mut(|jobs| {
+        let job = jobs.get_mut(&id)?;
         let same = job.owner.as_ref() == Some(&owner);
-        (!same || job.asked.elapsed() > ASK_AGAIN).then(|| job.record.clone())
+        let is_due = !job.is_told && (!same || job.asked.elapsed() > ASK_AGAIN);
+        job.is_told |= is_due;
+        is_due.then(|| (job.record.clone(), job.untaken))
     });
-    let Some(record) = due else { return };
-    let over = if owner == *context.id() {
-        Some(job_runner::take_job(&context, (*record).clone()))
-    } else {
-        let address = context.members.borrow().address_of(&owner);
-        let Some(address) = address else { return };
-        let record = (*record).clone();
-        let told = context
-            .links
-            .take_job(address, record, HAND_OVER_TIMEOUT)
-            .await;
-        told.inspect_err(|e| log::info!("event=job_untaken job={id} owner={owner} why=\"{e}\""))
-            .ok()
-    };
-    let Some(over) = over else { return };
+    let Some((record, untaken)) = due else { return };
+    let over = tell_owner(&context, &owner, &record, untaken).await;
     SPONSORED.with_borrow_mut(|jobs| {
-        if over {
-            jobs.remove(&id);
-        } else if let Some(job) = jobs.get_mut(&id) {
-            job.owner = Some(owner);
-            job.asked = time::Instant::now();
+        let Some(job) = jobs.get_mut(&id) else { return };
+        job.is_told = false;
+        match over {
+            Some(true) => drop(jobs.remove(&id)),
+            Some(false) => {
+                job.untaken = 0;
+                job.owner = Some(owner);
+                job.asked = time::Instant::now();
+            }
+            None => job.untaken += 1,
         }
     });
 }
 
+/// Tells an owner of a job; says whether the job is over already, if it answers.
+async fn tell_owner(
+    context: &rc::Rc<process::ProcessContext>,
+    owner: &ids::InstanceId,
+    record: &rc::Rc<job_records::JobRecord>,
+    untaken: u32,
+) -> Option<bool> {
+    if owner == context.id() {
+        return Some(job_runner::take_job(context, (**record).clone()));
+    }
+    let address = context.members.borrow().address_of(owner)?;
+    let id = &record.id;
+    let links = &context.links;
+    let told = match untaken < WHOLE_TRIES {
+        true => {
+            let record = (**record).clone();
+            links.take_job(address, record, HAND_OVER_TIMEOUT).await
+        }
+        false => links.find_job(address, id.clone(), HAND_OVER_TIMEOUT).await,
+    };
+    told.inspect_err(|e| {
+        log::info!("event=job_untaken job={id} owner={owner} tries={untaken} why=\"{e}\"");
+    })
+    .ok()
+}
+
 /// The record of a job that was accepted here.
 pub fn record_of(job: &ids::JobId) -> Option<rc::Rc<job_records::JobRecord>> {
     SPONSORED.with_borrow(|jobs| jobs.get(job).map(|j| j.record.clone()))
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -68,6 +68,9 @@
             reply(sender, records);
         }
         C::TakeJob(record, sender) => reply(sender, job_runner::take_job(context, record)),
+        C::FindJob(job, sender) => {
+            reply(sender, job_runner::find_job(context, job));
+        }
         C::KeepProgress(part, sender) => {
             reply(sender, job_checkpoints::take_part(context, part));
         }
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -232,6 +232,20 @@
         call_peer!(self, peer, patience, take_job(record))
     }
 
+    /// Has an owner read a job from the store and take it over; says whether it is done
+    /// already.
+    ///
+    /// # Errors
+    /// The peer does not answer.
+    pub async fn find_job(
+        &self,
+        peer: net::SocketAddr,
+        job: ids::JobId,
+        patience: time::Duration,
+    ) -> Result<bool, PeerError> {
+        call_peer!(self, peer, patience, find_job(job))
+    }
+
     /// Hands a part of the progress of a job over; says whether it fits to what came before.
     ///
     /// # Errors
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -83,6 +83,10 @@
         self.ask(|reply| PeerCall::TakeJob(record, reply)).await
     }
 
+    async fn find_job(self, _: tarpc::context::Context, job: ids::JobId) -> Option<bool> {
+        self.ask(|reply| PeerCall::FindJob(job, reply)).await
+    }
+
     async fn keep_progress(
         self,
         _: tarpc::context::Context,
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -159,6 +159,9 @@
     async fn members() -> Option<Vec<members::MemberRecord>>;
     /// Hands a job over; the answer says whether it is done already.
     async fn take_job(record: job_records::JobRecord) -> Option<bool>;
+    /// Asks an owner to read a job from the store and take it over; the answer says
+    /// whether it is done already.
+    async fn find_job(job: ids::JobId) -> Option<bool>;
     /// Hands a part of the progress of a job over; the answer says whether it fits to what
     /// came before.
     async fn keep_progress(part: progress_transfer::ProgressPart) -> Option<bool>;
@@ -199,6 +202,8 @@
     Members(oneshot::Sender<Vec<members::MemberRecord>>),
     /// See [`PeerService::take_job`].
     TakeJob(job_records::JobRecord, oneshot::Sender<bool>),
+    /// See [`PeerService::find_job`].
+    FindJob(ids::JobId, oneshot::Sender<bool>),
     /// See [`PeerService::keep_progress`].
     KeepProgress(progress_transfer::ProgressPart, oneshot::Sender<bool>),
     /// See [`PeerService::read_results`].
