fix(serving): a name in doubt is tried one request at a time

Cause: an endpoint that was refused under its name, or shares its address with another, was tried with as many requests at once as it has slots, by each owner, each time that it came back; found by a test that allows 12 refused attempts and saw 16 beside load. Now it gives one place at a time until it answers under its name, which whoever has an answer tells its own list and the owner.

--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -124,7 +124,8 @@
 ///
 /// Invariants: `services` names exactly the entries of `entries` that may get new
 /// work; `hidden` names those that leave, whose address a later start holds, or
-/// whose name nobody at their address has; `digest` is of all of `entries`.
+/// whose name nobody at their address has; `doubtful` names those of the others of
+/// which it is not known whether they are the ones at their address; `digest` is of all of `entries`.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
@@ -132,6 +133,9 @@
     earlier: collections::HashMap<ids::EndpointId, EarlierEntry>,
     misnamed: name_marks::NameMarks,
     hidden: collections::HashSet<ids::EndpointId>,
+    /// Endpoints that share their address and answered under their names.
+    named: collections::HashSet<ids::EndpointId>,
+    doubtful: collections::HashSet<ids::EndpointId>,
     ended_runs: Vec<EndedRun>,
     services: collections::HashMap<ids::ServiceName, Vec<rc::Rc<EndpointEntry>>>,
     /// See [`Self::digest`]; made anew with each change, as each probe tells it.
@@ -182,6 +186,7 @@
         self.lapsed.remove(&entry.id);
         // Whoever is named in it writes it, and so is there.
         self.misnamed.forget(&entry.id);
+        self.named.remove(&entry.id);
         let before = self.entries.get(&entry.id);
         if let Some(before) = before.filter(|before| before.started != entry.started) {
             self.ended_runs.push(EndedRun {
@@ -230,11 +235,21 @@
         is_new
     }
 
-    /// Notes that an endpoint answered under its name.
-    pub fn note_named(&mut self, id: &ids::EndpointId) {
-        if self.misnamed.forget(id) {
-            self.rebuild();
+    /// Notes that an endpoint answered under its name; says whether that was in doubt.
+    pub fn note_named(&mut self, id: &ids::EndpointId) -> bool {
+        if !self.doubtful.contains(id) {
+            return false;
         }
+        self.misnamed.forget(id);
+        self.named.insert(id.clone());
+        self.rebuild();
+        true
+    }
+
+    /// Endpoints of which it is not known whether they are the ones at their address:
+    /// one request at a time is enough to learn it.
+    pub fn doubtful(&self) -> &collections::HashSet<ids::EndpointId> {
+        &self.doubtful
     }
 
     /// The changes that lead from this list to a whole one.
@@ -300,6 +315,9 @@
 
     fn rebuild(&mut self) {
         self.hidden = self.find_hidden();
+        self.doubtful = self.find_doubtful();
+        let entries = &self.entries;
+        self.named.retain(|id| entries.contains_key(id));
         self.services.clear();
         for entry in self.entries.values() {
             if self.hidden.contains(&entry.id) {
@@ -318,6 +336,22 @@
         self.digest = numbers.fold(0, u64::wrapping_add);
     }
 
+    /// The entries that may get work, and may not be the ones at their address: they
+    /// were refused there lately, or share it with another one.
+    fn find_doubtful(&self) -> collections::HashSet<ids::EndpointId> {
+        let mut sharers: collections::HashMap<_, usize> = collections::HashMap::new();
+        for entry in self.all_usable() {
+            *sharers.entry(entry.address).or_default() += 1;
+        }
+        let is_doubtful = |entry: &&rc::Rc<EndpointEntry>| {
+            let is_shared = sharers.get(&entry.address).is_some_and(|count| *count > 1);
+            let is_unproved = is_shared && !self.named.contains(&entry.id);
+            is_unproved || self.misnamed.is_doubtful(&entry.id)
+        };
+        let doubtful = self.all_usable().filter(is_doubtful);
+        doubtful.map(|entry| entry.id.clone()).collect()
+    }
+
     /// The entries that may get no new work.
     fn find_hidden(&self) -> collections::HashSet<ids::EndpointId> {
         let mut latest: collections::HashMap<_, &rc::Rc<EndpointEntry>> =
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -335,6 +335,14 @@
         }
     }
 
+    /// Notes that an endpoint answered under its name.
+    pub fn note_named(&self, id: &ids::EndpointId) {
+        if self.directory.borrow_mut().note_named(id) {
+            log::info!("event=endpoint_named endpoint={id}");
+            self.changes.send_modify(|n| *n += 1);
+        }
+    }
+
     /// Objects of the store that could not be read so far.
     pub fn unreadable(&self) -> u64 {
         self.unreadable.get()
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -186,6 +186,9 @@
                         if last.is_some_and(|last| event.id != last + 1) {
                             return RunEnd::Cut(format!("event {} after {last:?}", event.id));
                         }
+                        if last == resumed_after {
+                            self.context.fleet.note_named(&self.endpoint.id);
+                        }
                         last = Some(event.id);
                         if !self.take_event(&event) {
                             return RunEnd::Preempted;
--- a/src/serving/name_marks.rs
+++ b/src/serving/name_marks.rs
@@ -56,6 +56,11 @@
         self.marks.get(id).is_some_and(|mark| mark.is_out)
     }
 
+    /// Whether an endpoint was left out lately and has not answered under its name since.
+    pub fn is_doubtful(&self, id: &ids::EndpointId) -> bool {
+        self.marks.contains_key(id)
+    }
+
     /// Lets endpoints be tried again whose time is over; says whether there were any.
     ///
     /// What is noted of them is forgotten once they were in for long.
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -159,8 +159,12 @@
         owner.is_some_and(|o| o.id == *context.id())
     });
     let owned: Vec<_> = owned.cloned().collect();
+    let doubtful = directory.doubtful().clone();
     drop(directory);
-    let gone = context.permits.borrow_mut().set_owned(&owned);
+    let mut permits = context.permits.borrow_mut();
+    permits.set_doubtful(doubtful);
+    let gone = permits.set_owned(&owned);
+    drop(permits);
     for endpoint in &gone {
         context.jobs.preempt_owned(endpoint);
     }
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -197,6 +197,7 @@
     if let Some(endpoint) = released {
         if ended.is_served {
             context.loads.borrow_mut().note_served(&endpoint);
+            context.fleet.note_named(&endpoint);
         }
         context.jobs.work.notify_one();
         return;
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -50,6 +50,8 @@
     holds: collections::HashMap<ids::ServiceName, queue_limit::HoldEstimate>,
     /// Endpoints that refused lately.
     refusals: refusal::RefusalBoard,
+    /// Endpoints that give one place at a time, until they are known to be there.
+    doubtful: collections::HashSet<ids::EndpointId>,
 }
 
 #[derive(Debug)]
@@ -80,6 +82,10 @@
         most.saturating_sub(self.ledger.online().max(self.entry.slots))
     }
 
+    fn is_held(&self) -> bool {
+        self.ledger.online() + self.ledger.batch() > 0
+    }
+
     fn free(&self) -> i64 {
         let held = self.ledger.online() + self.ledger.batch();
         i64::from(self.entry.slots) - i64::from(held)
@@ -130,6 +136,11 @@
         gone
     }
 
+    /// Takes the endpoints that may not be the ones at their address.
+    pub fn set_doubtful(&mut self, doubtful: collections::HashSet<ids::EndpointId>) {
+        self.doubtful = doubtful;
+    }
+
     /// A place for an online request, unless all endpoints are full.
     ///
     /// Prefers a free place near the asker; where none is free, the endpoint
@@ -317,7 +328,9 @@
     ) -> impl Iterator<Item = &'a OwnedLedger> {
         let owned = self.ledgers.values();
         owned.filter(move |owned| {
-            owned.entry.service == *service && !self.refusals.is_closed(&owned.entry.id)
+            let id = &owned.entry.id;
+            let is_waited_for = self.doubtful.contains(id) && owned.is_held();
+            owned.entry.service == *service && !self.refusals.is_closed(id) && !is_waited_for
         })
     }
 
@@ -340,10 +353,12 @@
         shunned: &collections::HashSet<ids::EndpointId>,
         now: clock::Moment,
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
-        let refusals = &self.refusals;
+        let (refusals, doubtful) = (&self.refusals, &self.doubtful);
         let usable = self.ledgers.values_mut().filter(|owned| {
             let id = &owned.entry.id;
-            owned.entry.service == *service && !shunned.contains(id) && !refusals.is_closed(id)
+            let is_waited_for = doubtful.contains(id) && owned.is_held();
+            let is_open = !refusals.is_closed(id) && !is_waited_for;
+            owned.entry.service == *service && !shunned.contains(id) && is_open
         });
         let roomy = usable.filter_map(|owned| {
             let room = owned.ledger.batch_room(now);
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -31,6 +31,7 @@
         let mut loads = self.context.loads.borrow_mut();
         loads.health.note_success(&self.endpoint.id);
         if !self.is_served.replace(true) {
+            self.context.fleet.note_named(&self.endpoint.id);
             let mut firsts = self.context.firsts.borrow_mut();
             let first = firsts.entry(self.endpoint.service.clone()).or_default();
             first.note(self.taken.elapsed());
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -214,6 +214,45 @@
     assert!(granted(&mut board, 5, at(101)), "it has served one");
 }
 
+/// The first refusal says it all: without this a late entry cost as many attempts as
+/// its endpoint has slots, each time that it was tried.
+#[test]
+fn names_in_doubt_are_tried_one_request_at_a_time() {
+    let none = std::collections::HashSet::new();
+    let mut directory = EndpointDirectory::default();
+    let both = [
+        entry("a", 1, None),
+        entry("b", 1, None),
+        entry("c", 2, None),
+    ];
+    let both = both.map(ListChange::Listed).to_vec();
+    directory.apply(both, from_store(0));
+    let mut doubtful: Vec<_> = directory
+        .doubtful()
+        .iter()
+        .map(|id| id.to_string())
+        .collect();
+    doubtful.sort();
+    assert_eq!(doubtful, ["a", "b"]);
+    let mut board = board(&[entry("a", 1, None), entry("b", 1, None)]);
+    board.set_doubtful(directory.doubtful().clone());
+    for number in 0..2 {
+        assert!(board.acquire(&ask(number), &none, at(0)).is_some());
+    }
+    assert!(board.acquire(&ask(2), &none, at(0)).is_none());
+    assert!(board.begin_batch(&service(), &none, at(0)).is_none());
+    assert!(directory.note_named(&id("b")));
+    assert!(directory.note_misnamed(&id("a"), None, at(0)));
+    board.set_doubtful(directory.doubtful().clone());
+    assert!(board.acquire(&ask(3), &none, at(0)).is_some());
+    assert!(directory.retry_misnamed(at(1000)));
+    assert!(
+        directory.doubtful().contains(&id("a")),
+        "it was refused before"
+    );
+    assert!(!directory.doubtful().contains(&id("b")));
+}
+
 #[test]
 fn a_new_start_has_none_of_the_places_that_were_taken_before() {
     let none = std::collections::HashSet::new();
