--- a/src/decisions/health.rs
+++ b/src/decisions/health.rs
@@ -19,8 +19,8 @@
 /// First time out; it doubles with each return that fails.
 ///
 /// A lost endpoint costs a few requests more for its early tries. One that was
-/// only cut off or full for a moment is used again soon: with two seconds, days
-/// of trouble earned 0.02 to 0.06 less, as batch work lacked its places.
+/// only cut off or full for a moment is used again soon: with two seconds, batch
+/// work lacked the places of sound endpoints.
 const FIRST_EJECTION: time::Duration = time::Duration::from_millis(500);
 /// Longest time out.
 const LAST_EJECTION: time::Duration = time::Duration::from_secs(30);
--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -3,9 +3,9 @@
 //! Without it a lost owner takes the text of its running items with it, and
 //! they begin anew. So the owner of a job tells its progress to the process that
 //! would own the job after it, and to the disk of its own instance, if it has
-//! one. On days on which all processes lost their power, after the store had
-//! been away for six seconds, jobs earned 0.74 of their worth with it and 0.56
-//! without (mean of five such days). All of this is a hint: results count once
+//! one. Without it a job of ten items of five seconds each that lost its owner, with
+//! all power, came after its due time; with it half a second of work is lost.
+//! All of this is a hint: results count once
 //! they are in the store, and what is lost, late or unsure here costs a run
 //! again and nothing else.
 
