--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -1,13 +1,10 @@
 //! How far items are, told to whoever would go on with them.
 //!
-//! Without it a lost owner takes the text of its running items with it, and
-//! they begin anew. So the owner of a job tells its progress to the process that
-//! would own the job after it, and to the disk of its own instance, if it has
-//! one. Without it a job of ten items of five seconds each that lost its owner, with
-//! all power, came after its due time; with it half a second of work is lost.
-//! All of this is a hint: results count once
-//! they are in the store, and what is lost, late or unsure here costs a run
-//! again and nothing else.
+//! Without it a lost owner takes the text of its running items with it, and they
+//! begin anew. So the owner of a job tells its progress to the process that would
+//! own the job after it, and to the disk of its own instance, if it has one. All of
+//! this is a hint: results count once they are in the store, and what is lost, late
+//! or unsure here costs a run again and nothing else.
 
 use std::{cell, collections, rc, time};
 
