refactor(serving): one type for endpoints that are left out for longer each time

The marks of misnamed and of full endpoints were the same but for their figures; both are BackoffMarks now, a decision without I/O. The watch of the members pauses for 250 ms after each return: in a rolling restart of 165 processes three followers asked the store again after each single record.

--- /dev/null
+++ b/src/decisions/backoff_marks.rs
@@ -0,0 +1,101 @@
+//! Endpoints that get nothing for a while after they said no, each time for longer.
+
+use std::{collections, time};
+
+use rand::Rng;
+
+use crate::{clock, ids};
+
+/// How long endpoints are left out.
+#[derive(Debug, Clone, Copy)]
+pub struct BackoffRange {
+    /// The first time.
+    pub first: time::Duration,
+    /// At most. What is noted of an endpoint is forgotten once it was back for so long.
+    pub last: time::Duration,
+    /// Part of a pause by which it is longer or shorter at random, so that those who
+    /// were turned away together do not come back together.
+    pub spread: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct BackoffMark {
+    until: clock::Moment,
+    pause: time::Duration,
+    is_out: bool,
+}
+
+/// Endpoints that are left out, or were lately.
+#[derive(Debug)]
+pub struct BackoffMarks {
+    range: BackoffRange,
+    marks: collections::HashMap<ids::EndpointId, BackoffMark>,
+}
+
+impl BackoffMarks {
+    /// No endpoint is left out.
+    pub fn new(range: BackoffRange) -> Self {
+        Self {
+            range,
+            marks: collections::HashMap::new(),
+        }
+    }
+
+    /// Leaves an endpoint out for a while; says whether it was in.
+    ///
+    /// A word that comes while it is out was sent before, and adds nothing.
+    pub fn note(&mut self, id: &ids::EndpointId, now: clock::Moment, rng: &mut impl Rng) -> bool {
+        let known = self.marks.get(id);
+        if known.is_some_and(|mark| mark.is_out) {
+            return false;
+        }
+        let BackoffRange {
+            first,
+            last,
+            spread,
+        } = self.range;
+        let pause = known.map_or(first, |mark| (mark.pause * 2).min(last));
+        let share = rng.random_range(1.0 - spread..=1.0 + spread);
+        let mark = BackoffMark {
+            until: now + pause.mul_f64(share),
+            pause,
+            is_out: true,
+        };
+        self.marks.insert(id.clone(), mark);
+        true
+    }
+
+    /// Forgets what was noted of an endpoint; says whether it was left out.
+    pub fn forget(&mut self, id: &ids::EndpointId) -> bool {
+        self.marks.remove(id).is_some_and(|mark| mark.is_out)
+    }
+
+    /// Whether an endpoint is left out.
+    pub fn is_out(&self, id: &ids::EndpointId) -> bool {
+        self.marks.get(id).is_some_and(|mark| mark.is_out)
+    }
+
+    /// Whether an endpoint is left out, or was lately.
+    pub fn contains(&self, id: &ids::EndpointId) -> bool {
+        self.marks.contains_key(id)
+    }
+
+    /// Lets endpoints be tried again whose time is over; says whether there were any.
+    pub fn expire(&mut self, now: clock::Moment) -> bool {
+        let mut is_due = false;
+        for mark in self.marks.values_mut() {
+            let is_over = mark.is_out && mark.until <= now;
+            mark.is_out &= !is_over;
+            is_due |= is_over;
+        }
+        let last = self.range.last;
+        self.marks
+            .retain(|_, mark| mark.is_out || now.since(mark.until) < last);
+        is_due
+    }
+
+    /// Forgets the endpoints that are not wanted any more.
+    pub fn retain(&mut self, is_kept: impl Fn(&ids::EndpointId) -> bool) {
+        self.marks.retain(|id, _| is_kept(id));
+    }
+}
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -4,6 +4,7 @@
 //! and no clock, so that seeded runs can drive every decision.
 
 pub mod admission;
+pub mod backoff_marks;
 pub mod bundle_steps;
 pub mod call_budget;
 pub mod chunk;
@@ -17,7 +18,6 @@
 pub mod owner_order;
 pub mod ownership;
 pub mod queue_limit;
-pub mod refusal;
 pub mod relay;
 pub mod retry;
 pub mod routing;
--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -30,6 +30,11 @@
 /// that follow the store tell of changes by then.
 const FIRST_WATCH_PAUSE: time::Duration = time::Duration::from_millis(700);
 
+/// Pause after each later return of that watch: records that change close together, as
+/// in a rolling restart, cost the store one call then. Peers are told of them by
+/// probes, so a process that starts is known a quarter of a second later at most.
+const NEXT_WATCH_PAUSE: time::Duration = time::Duration::from_millis(250);
+
 /// Longest wait of a watch of the members.
 const MEMBER_WAIT: time::Duration = time::Duration::from_secs(25);
 
@@ -68,9 +73,11 @@
                     take_member(&context, &prefix, change);
                 }
                 context.members_news.notify_one();
-                if is_first {
-                    actix_rt::time::sleep(FIRST_WATCH_PAUSE).await;
-                }
+                let pause = match is_first {
+                    true => FIRST_WATCH_PAUSE,
+                    false => NEXT_WATCH_PAUSE,
+                };
+                actix_rt::time::sleep(pause).await;
             }
             Err(e) => {
                 log::info!("event=members_unread why=\"{e}\"");
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -1,11 +1,24 @@
 //! The endpoints that are listed, and what is believed of each.
 
-use std::{collections, fmt, net, num, rc, str};
+use std::{collections, fmt, net, num, rc, str, time};
 
 use xxhash_rust::xxh3;
 
-use super::name_marks;
-use crate::{clock, ids, protection};
+use crate::{clock, decisions::backoff_marks, ids, protection};
+
+/// How long an endpoint is left out at whose address somebody else answered.
+///
+/// A late write may list an endpoint that has ended beside the one that has its
+/// address now. Each request that expects it is refused there at once, so it looks
+/// fast and free, and would be chosen for one request after the other for as long as
+/// its entry stands, some 4 s. An endpoint that was refused by mistake is back within
+/// a second.
+const MISNAMED_PAUSES: backoff_marks::BackoffRange = backoff_marks::BackoffRange {
+    first: time::Duration::from_secs(1),
+    last: time::Duration::from_secs(8),
+    // One process at a time knows of it, so nobody comes back together.
+    spread: 0.0,
+};
 
 /// When an endpoint started, in milliseconds since the epoch, by its own clock.
 ///
@@ -126,12 +139,12 @@
 /// work; `hidden` names those that leave, whose address a later start holds, or
 /// whose name nobody at their address has; `doubtful` names those of the others of
 /// which it is not known whether they are the ones at their address; `digest` is of all of `entries`.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EndpointDirectory {
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
     lapsed: collections::HashMap<ids::EndpointId, LapsedMark>,
     earlier: collections::HashMap<ids::EndpointId, EarlierEntry>,
-    misnamed: name_marks::NameMarks,
+    misnamed: backoff_marks::BackoffMarks,
     hidden: collections::HashSet<ids::EndpointId>,
     /// Endpoints that share their address and answered under their names.
     named: collections::HashSet<ids::EndpointId>,
@@ -142,6 +155,23 @@
     digest: u64,
 }
 
+impl Default for EndpointDirectory {
+    fn default() -> Self {
+        Self {
+            entries: collections::HashMap::new(),
+            lapsed: collections::HashMap::new(),
+            earlier: collections::HashMap::new(),
+            misnamed: backoff_marks::BackoffMarks::new(MISNAMED_PAUSES),
+            hidden: collections::HashSet::new(),
+            named: collections::HashSet::new(),
+            doubtful: collections::HashSet::new(),
+            ended_runs: Vec::new(),
+            services: collections::HashMap::new(),
+            digest: 0,
+        }
+    }
+}
+
 impl EndpointDirectory {
     /// Takes changes.
     pub fn apply(&mut self, changes: Vec<ListChange>, terms: ChangeTerms) {
@@ -228,7 +258,7 @@
         if known.is_none_or(|known| known.started != started) {
             return false;
         }
-        let is_new = self.misnamed.note(id, now);
+        let is_new = self.misnamed.note(id, now, &mut rand::rng());
         if is_new {
             self.rebuild();
         }
@@ -346,7 +376,7 @@
         let is_doubtful = |entry: &&rc::Rc<EndpointEntry>| {
             let is_shared = sharers.get(&entry.address).is_some_and(|count| *count > 1);
             let is_unproved = is_shared && !self.named.contains(&entry.id);
-            is_unproved || self.misnamed.is_doubtful(&entry.id)
+            is_unproved || self.misnamed.contains(&entry.id)
         };
         let doubtful = self.all_usable().filter(is_doubtful);
         doubtful.map(|entry| entry.id.clone()).collect()
@@ -357,7 +387,7 @@
         let mut latest: collections::HashMap<_, &rc::Rc<EndpointEntry>> =
             collections::HashMap::new();
         for entry in self.entries.values() {
-            if entry.started.is_none() || self.misnamed.contains(&entry.id) {
+            if entry.started.is_none() || self.misnamed.is_out(&entry.id) {
                 continue;
             }
             let holder = latest.entry(entry.address).or_insert(entry);
@@ -368,7 +398,7 @@
         let is_hidden = |entry: &&rc::Rc<EndpointEntry>| {
             let holder = latest.get(&entry.address);
             entry.leaving
-                || self.misnamed.contains(&entry.id)
+                || self.misnamed.is_out(&entry.id)
                 || holder.is_some_and(|holder| entry.started_before(holder))
         };
         let hidden = self.entries.values().filter(is_hidden);
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -36,7 +36,6 @@
 pub mod listener;
 pub mod members;
 pub mod metrics_page;
-pub mod name_marks;
 pub mod open_job;
 pub mod owners;
 pub mod peer_calls;
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -6,7 +6,7 @@
 use super::{directory, peers, selection};
 use crate::{
     clock,
-    decisions::{admission, queue_limit, refusal},
+    decisions::{admission, backoff_marks, queue_limit},
     ids,
 };
 
@@ -18,6 +18,20 @@
 /// taken back for the others.
 const HEADROOM: u32 = 1;
 
+/// How long an endpoint gives no places that refused, as it is full, though its ledger
+/// has room: work that its owner does not know of is there, or slots were taken from
+/// it. It refuses within a round trip and then looks free, so without a pause it is
+/// chosen again at once.
+///
+/// Requests last about half a second, so that of eight slots one is free again each
+/// 60 ms. The work of an owner that was lost is gone after a few seconds, and an
+/// endpoint that has room must not stand idle for longer than a request lasts.
+const REFUSAL_PAUSES: backoff_marks::BackoffRange = backoff_marks::BackoffRange {
+    first: time::Duration::from_millis(60),
+    last: time::Duration::from_millis(960),
+    spread: 0.3,
+};
+
 /// A place for an online request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GrantedPlace {
@@ -40,7 +54,7 @@
 /// The ledgers of the owned endpoints.
 ///
 /// Invariant: each permit of `holders` is in the ledger of its endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PermitBoard {
     ledgers: collections::HashMap<ids::EndpointId, OwnedLedger>,
     holders: collections::HashMap<admission::PermitNumber, PermitHolder>,
@@ -49,7 +63,7 @@
     /// How long online requests of a service hold a slot.
     holds: collections::HashMap<ids::ServiceName, queue_limit::HoldEstimate>,
     /// Endpoints that refused lately.
-    refusals: refusal::RefusalBoard,
+    refusals: backoff_marks::BackoffMarks,
     /// Endpoints that give one place at a time, until they are known to be there.
     doubtful: collections::HashSet<ids::EndpointId>,
 }
@@ -106,6 +120,19 @@
     }
 }
 
+impl Default for PermitBoard {
+    fn default() -> Self {
+        Self {
+            ledgers: collections::HashMap::new(),
+            holders: collections::HashMap::new(),
+            lent: collections::HashMap::new(),
+            holds: collections::HashMap::new(),
+            refusals: backoff_marks::BackoffMarks::new(REFUSAL_PAUSES),
+            doubtful: collections::HashSet::new(),
+        }
+    }
+}
+
 impl PermitBoard {
     /// Takes the list of owned endpoints; gives those that are owned no more, and
     /// those that started again: what they had is gone.
@@ -208,7 +235,7 @@
             let hold = self.holds.entry(owned.entry.service.clone()).or_default();
             hold.note(now.since(begun));
         }
-        self.refusals.note_served(&endpoint);
+        self.refusals.forget(&endpoint);
         Some(endpoint)
     }
 
@@ -283,19 +310,19 @@
     /// less room than its ledger says, and gives no places for a while.
     pub fn note_refused(&mut self, endpoint: &ids::EndpointId, now: clock::Moment) {
         if self.ledgers.contains_key(endpoint) {
-            self.refusals.note_refused(endpoint, now, &mut rand::rng());
+            self.refusals.note(endpoint, now, &mut rand::rng());
         }
     }
 
     /// Notes that an endpoint served one who had a place there.
     pub fn note_served(&mut self, endpoint: &ids::EndpointId) {
-        self.refusals.note_served(endpoint);
+        self.refusals.forget(endpoint);
     }
 
     /// Lets owned endpoints give places again that refused a while ago; says whether
     /// there were any.
     pub fn reopen(&mut self, now: clock::Moment) -> bool {
-        self.refusals.reopen(now)
+        self.refusals.expire(now)
     }
 
     /// Whether nobody holds a place here.
@@ -330,7 +357,7 @@
         owned.filter(move |owned| {
             let id = &owned.entry.id;
             let is_waited_for = self.doubtful.contains(id) && owned.is_held();
-            owned.entry.service == *service && !self.refusals.is_closed(id) && !is_waited_for
+            owned.entry.service == *service && !self.refusals.is_out(id) && !is_waited_for
         })
     }
 
@@ -357,7 +384,7 @@
         let usable = self.ledgers.values_mut().filter(|owned| {
             let id = &owned.entry.id;
             let is_waited_for = doubtful.contains(id) && owned.is_held();
-            let is_open = !refusals.is_closed(id) && !is_waited_for;
+            let is_open = !refusals.is_out(id) && !is_waited_for;
             owned.entry.service == *service && !shunned.contains(id) && is_open
         });
         let roomy = usable.filter_map(|owned| {
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -4,11 +4,11 @@
 
 use jayhollow::{
     clock,
-    decisions::{refusal, retry},
+    decisions::{backoff_marks, retry},
     ids,
     serving::{
         directory::{ChangeTerms, EndpointDirectory, EndpointEntry, ListChange, StartTime},
-        name_marks, peers, permits,
+        peers, permits,
     },
 };
 use rand::SeedableRng as _;
@@ -157,11 +157,16 @@
 
 #[test]
 fn marks_last_longer_each_time_and_are_forgotten() {
-    let mut marks = name_marks::NameMarks::default();
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(7);
+    let mut marks = backoff_marks::BackoffMarks::new(backoff_marks::BackoffRange {
+        first: time::Duration::from_secs(1),
+        last: time::Duration::from_secs(8),
+        spread: 0.0,
+    });
     let mut now = 0;
     let mut spans = Vec::new();
     for _ in 0..6 {
-        assert!(marks.note(&id("a"), at(now)));
+        assert!(marks.note(&id("a"), at(now), &mut rng));
         let begun = now;
         while !marks.expire(at(now)) {
             now += 100;
@@ -170,7 +175,7 @@
     }
     assert_eq!(spans, [1, 2, 4, 8, 8, 8]);
     marks.expire(at(now + 9000));
-    assert!(marks.note(&id("a"), at(now + 9000)));
+    assert!(marks.note(&id("a"), at(now + 9000), &mut rng));
     assert!(marks.expire(at(now + 10_000)), "it is new again");
 }
 
@@ -272,13 +277,17 @@
 #[test]
 fn pauses_after_refusals_double_within_bounds_and_are_spread() {
     let mut rng = rand::rngs::SmallRng::seed_from_u64(7);
-    let mut refusals = refusal::RefusalBoard::default();
+    let mut refusals = backoff_marks::BackoffMarks::new(backoff_marks::BackoffRange {
+        first: time::Duration::from_millis(60),
+        last: time::Duration::from_millis(960),
+        spread: 0.3,
+    });
     let mut now = 0;
     let mut longest = 0;
     for _ in 0..8 {
-        refusals.note_refused(&id("a"), at(now), &mut rng);
+        refusals.note(&id("a"), at(now), &mut rng);
         let begun = now;
-        while !refusals.reopen(at(now)) {
+        while !refusals.expire(at(now)) {
             now += 1;
         }
         longest = longest.max(now - begun);
