--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -138,7 +138,8 @@
 /// Invariants: `services` names exactly the entries of `entries` that may get new
 /// work; `hidden` names those that leave, whose address a later start holds, or
 /// whose name nobody at their address has; `doubtful` names those of the others of
-/// which it is not known whether they are the ones at their address; `digest` is of all of `entries`.
+/// which it is not known whether they are the ones at their address; `digest` is of
+/// all of `entries`.
 #[derive(Debug)]
 pub struct EndpointDirectory {
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -153,7 +153,9 @@
             biased;
             done = waiting => Waited::Came(done),
             () = tokio::time::sleep(left) => Waited::Lost(begun.elapsed()),
-            () = run_ended(self.context.clone(), place.endpoint.clone()) => Waited::Lost(begun.elapsed()),
+            () = run_ended(self.context.clone(), place.endpoint.clone()) => {
+                Waited::Lost(begun.elapsed())
+            }
         }
     }
 
