--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -231,6 +231,34 @@
     assert_eq!(count(&model), 0);
 }
 
+/// Requests went to an endpoint for 9.5 s after it was gone, though the gateway had
+/// heard that it is. A gateway that had not heard the dispatchers for a while read the
+/// store itself after an outage; it held the removal back, as the entry may have
+/// expired in the outage, and told its newer list to the others with the entry in it.
+/// They took the entry back, and lists of the same number from those who had removed
+/// it did not correct them. Seen once in `platform/tests/chaos.rs`, seed 2 of 5 s,
+/// beside load.
+#[test]
+fn a_peer_that_holds_a_removal_back_brings_no_entry_back() {
+    let clock = sync::Arc::new(TestClock::default());
+    let [dispatcher, behind, gateway] = [true, true, false].map(|follows| model(&clock, follows));
+    let both = || vec![entry("a", "z"), entry("b", "z")];
+    for follower in [&dispatcher, &behind] {
+        follower.take(FleetNews::Endpoints(1, both()));
+    }
+    tell(&dispatcher, &gateway);
+    behind.take(FleetNews::Reachable(false));
+    clock.pass(time::Duration::from_secs(5));
+    dispatcher.take(FleetNews::Reachable(true));
+    dispatcher.take(FleetNews::Endpoints(2, vec![entry("b", "z")]));
+    tell(&dispatcher, &gateway);
+    assert_eq!(count(&gateway), 1);
+    behind.take(FleetNews::Reachable(true));
+    behind.take(FleetNews::Endpoints(3, vec![entry("b", "z")]));
+    tell(&behind, &gateway);
+    assert_eq!(count(&gateway), 1, "it had removed the entry for good");
+}
+
 /// Requests went to an endpoint that was gone for up to 2.5 s, though the store had
 /// said so. One call to the store had failed by itself shortly before, and for three
 /// seconds each removal was taken for an entry that lapsed in an absence.
