feat(serving): lines tell tries of one request as the same, and an endpoint's end from a cut

Cause: nothing said which request a try repeats, nor whether an endpoint ended under it or only the connection broke; the hypotheses of the incident could not be told apart. Lines have a digest of what a request asks; after a cut it is looked at whether anybody listens, or whether the endpoint starts again (event=endpoint_ended, jayhollow_ended_runs_total).

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,6 +1,8 @@
 //! Names and identifiers, each a type of its own so that they cannot be mixed up.
 
-use std::{borrow, fmt, str};
+use std::{borrow, fmt, num, str};
+
+use xxhash_rust::xxh3;
 
 /// Longest accepted identifier, in bytes.
 pub const MAX_ID_BYTES: usize = 128;
@@ -145,3 +147,93 @@
 pub fn unique(prefix: &str) -> String {
     format!("{prefix}-{}", uuid::Uuid::new_v4().simple())
 }
+
+/// When an endpoint started, in milliseconds since the epoch, by its own clock.
+///
+/// With its id it names one run of the endpoint: a later start holds nothing and
+/// knows nothing of the one before.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct StartTime(pub u64);
+
+impl fmt::Display for StartTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl str::FromStr for StartTime {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// One run of an endpoint, from its start to its end.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct EndpointRun {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When it started, if its entry says so.
+    pub started: Option<StartTime>,
+}
+
+impl fmt::Display for EndpointRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.started {
+            Some(started) => write!(f, "{}@{started}", self.endpoint),
+            None => write!(f, "{}", self.endpoint),
+        }
+    }
+}
+
+/// Tells requests apart by what they ask: equal for each try of one request, whoever
+/// sends it and wherever it arrives.
+///
+/// 128 bits: of a billion requests two share one with a chance of 1 in 10^21.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestDigest(u128);
+
+impl RequestDigest {
+    /// The digest of a request.
+    pub fn of(method: &str, host: &str, uri: &str, body: &[u8]) -> Self {
+        let mut hasher = xxh3::Xxh3::new();
+        for part in [method.as_bytes(), host.as_bytes(), uri.as_bytes(), body] {
+            // With its length, so that what ends one part cannot begin the next.
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.digest128())
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl str::FromStr for RequestDigest {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl serde::Serialize for RequestDigest {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for RequestDigest {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -34,6 +34,8 @@
     pub attempts: prometheus::IntCounterVec,
     /// Attempts that did not run, by reason.
     pub refusals: prometheus::IntCounterVec,
+    /// Runs of requests under which their endpoint ended, by what shows it.
+    pub ended_runs: prometheus::IntCounterVec,
     /// Objects of the store that could not be read.
     pub unreadable_objects: prometheus::IntGauge,
     /// Permit requests by how they ended.
@@ -116,6 +118,12 @@
                 "Attempts that did not run",
                 "reason",
             ),
+            ended_runs: counters(
+                r,
+                "jayhollow_ended_runs_total",
+                "Runs of requests under which their endpoint ended",
+                "evidence",
+            ),
             unreadable_objects: gauge(
                 r,
                 "jayhollow_unreadable_objects",
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -5,7 +5,7 @@
 use actix_http::{header, Method, StatusCode};
 
 use super::{connection, directory, process, wire};
-use crate::{outcome, protection};
+use crate::{ids, outcome, protection};
 
 /// Longest wait for a connection; a round trip takes 1 to 4 ms, a dropped
 /// opening packet is sent again only after a second.
@@ -22,6 +22,8 @@
     pub headers: wire::HeaderMap,
     /// Body.
     pub body: bytes::Bytes,
+    /// What it asks, the same for each try of it.
+    pub digest: ids::RequestDigest,
     /// Name that the endpoint echoes.
     pub id: Option<String>,
     /// Whether it may run more than once.
@@ -118,7 +120,8 @@
         }
     }
     is_kept.set(false);
-    let opened = connect(endpoint, patience).await.map_err(O::NotRun)?;
+    let opened = connect(endpoint, patience).await;
+    let opened = opened.map_err(O::NotRun)?;
     exchange_on(context, opened, request, terms).await
 }
 
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -4,7 +4,7 @@
 
 use futures::future::{self, FutureExt as _};
 
-use super::{attempt, connection, places, relay, search_pace, slow_attempt, wire};
+use super::{attempt, connection, crash_watch, places, relay, search_pace, slow_attempt, wire};
 use crate::{ids, outcome};
 
 /// Attempts that did not run, beyond which a request that never ran is given
@@ -269,7 +269,7 @@
             }
             O::Failed(why) | O::Unknown(why) => {
                 self.log.ran += 1;
-                self.note_attempt(&endpoint.id, "unknown", &why);
+                self.note_broken(&place, "unknown", &why);
                 // A full queue is silent too: only several in a row eject it.
                 place.note_failed(false);
                 Err(self.after_unknown(why))
@@ -296,6 +296,17 @@
         NextStep::GiveUp(relay::FinalError::Failed(why))
     }
 
+    /// Notes an attempt that broke off; whether its endpoint ended is found out beside it.
+    pub(super) fn note_broken(&self, place: &places::HeldPlace, outcome: &str, why: &str) {
+        self.note_attempt(&place.endpoint.id, outcome, why);
+        let run = crash_watch::CutRun {
+            digest: self.request.forwarded.digest,
+            id: self.request.terms.id.clone().unwrap_or_default(),
+            endpoint: place.endpoint.clone(),
+        };
+        crash_watch::begin(&self.context, run);
+    }
+
     /// One line and one count for an attempt that gave no answer.
     pub(super) fn note_attempt(&self, id: &ids::EndpointId, outcome: &str, why: &str) {
         self.context
@@ -304,8 +315,9 @@
             .with_label_values(&[outcome])
             .inc();
         log::info!(
-            "event=attempt request={} route={} endpoint={id} outcome={outcome} why=\"{why}\" ran={} left_ms={}",
+            "event=attempt request={} digest={} route={} endpoint={id} outcome={outcome} why=\"{why}\" ran={} left_ms={}",
             self.request.terms.id.as_deref().unwrap_or("-"),
+            self.request.forwarded.digest,
             self.request.route.name,
             self.log.ran,
             self.left().as_millis(),
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -6,7 +6,7 @@
 use futures::future;
 
 use super::{attempt, job_calls, process, relay, route_table, wire};
-use crate::http_server;
+use crate::{http_server, ids};
 
 /// Time that a caller is taken to wait if it does not say.
 const DEFAULT_PATIENCE: time::Duration = time::Duration::from_secs(30);
@@ -93,7 +93,10 @@
     if route.kind == route_table::RouteKind::Batch {
         return job_calls::submit(&context, &route, &terms, body, arrived).await;
     }
+    let (method, uri) = (request.method(), request.uri());
+    let digest = ids::RequestDigest::of(method.as_str(), &host, &uri.to_string(), &body);
     let forwarded = attempt::ForwardedRequest {
+        digest,
         method: request.method().clone(),
         uri: request.uri().clone(),
         headers: attempt::forwarded_headers(request.head().headers()),
--- /dev/null
+++ b/src/serving/crash_watch.rs
@@ -0,0 +1,125 @@
+//! Finds out whether an endpoint ended under a run that was cut.
+//!
+//! A connection that breaks says nothing of the endpoint: it may have been reset on
+//! the way. An endpoint has ended if nobody listens at its address any more, or if it
+//! is listed with another start soon afterwards.
+
+use std::{io, rc, time};
+
+use super::{connection, directory, endpoint_news, process};
+use crate::ids;
+
+/// Longest wait for the connection that asks whether somebody listens. A refusal comes
+/// within a round trip, 1 to 4 ms; an opening packet that was dropped is sent again
+/// after a second, and says nothing.
+const LOOK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+/// Pause between two looks: a process that ends closes its connections and its
+/// listener one after the other, at once but not in one step.
+const LOOK_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Looks at an address. Each costs an endpoint that is well about 1 ms.
+const LOOKS: u32 = 2;
+/// How long an endpoint is watched that may have started again before it was looked at.
+/// Endpoints are back some seconds after a crash, and show themselves within 1.2 s.
+const RESTART_TIME: time::Duration = time::Duration::from_secs(10);
+
+/// A run of a request that was cut.
+#[derive(Debug, Clone)]
+pub(super) struct CutRun {
+    /// The request.
+    pub(super) digest: ids::RequestDigest,
+    /// Name of this try of it.
+    pub(super) id: String,
+    /// Where it ran.
+    pub(super) endpoint: rc::Rc<directory::EndpointEntry>,
+}
+
+/// What shows that an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndEvidence {
+    /// Nobody listens at its address.
+    Refused,
+    /// It is listed with another start.
+    StartedAgain,
+}
+
+impl EndEvidence {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::StartedAgain => "started_again",
+        }
+    }
+}
+
+/// Looks, beside the request, whether the endpoint of a run that was cut has ended.
+///
+/// One that was leaving, or is not listed, ends as planned.
+pub(super) fn begin(context: &rc::Rc<process::ProcessContext>, run: CutRun) {
+    let directory = context.fleet.directory.borrow();
+    let is_listed = directory.usable(&run.endpoint.id).is_some();
+    drop(directory);
+    if is_listed {
+        actix_rt::spawn(watch(context.clone(), run));
+    }
+}
+
+async fn watch(context: rc::Rc<process::ProcessContext>, run: CutRun) {
+    let evidence = match has_listener(&run.endpoint).await {
+        false => Some(EndEvidence::Refused),
+        true => {
+            let watching = starts_again(&context, &run.endpoint);
+            let seen = tokio::time::timeout(RESTART_TIME, watching).await;
+            seen.is_ok().then_some(EndEvidence::StartedAgain)
+        }
+    };
+    if let Some(evidence) = evidence {
+        note_end(&context, &run, evidence);
+    }
+}
+
+/// Whether somebody may listen at an endpoint's address.
+async fn has_listener(endpoint: &directory::EndpointEntry) -> bool {
+    for look in 1..=LOOKS {
+        let opened = connection::EndpointConnection::open(endpoint.address, LOOK_TIMEOUT).await;
+        if opened.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+            return false;
+        }
+        if look < LOOKS {
+            actix_rt::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+    true
+}
+
+/// Resolves when an endpoint is listed with another start than the one that is known.
+async fn starts_again(context: &process::ProcessContext, endpoint: &directory::EndpointEntry) {
+    let mut changes = context.fleet.subscribe();
+    let has_started = || {
+        let directory = context.fleet.directory.borrow();
+        directory.has_other_start(&endpoint.id, endpoint.started)
+    };
+    while !has_started() {
+        if changes.changed().await.is_err() {
+            return futures::future::pending().await;
+        }
+    }
+}
+
+fn note_end(context: &rc::Rc<process::ProcessContext>, run: &CutRun, evidence: EndEvidence) {
+    let endpoint = ids::EndpointRun {
+        endpoint: run.endpoint.id.clone(),
+        started: run.endpoint.started,
+    };
+    let label = evidence.label();
+    context.metrics.ended_runs.with_label_values(&[label]).inc();
+    log::info!(
+        "event=endpoint_ended endpoint={endpoint} request={} digest={} evidence={label}",
+        run.id,
+        run.digest,
+    );
+    if evidence == EndEvidence::Refused {
+        let news = endpoint_news::failure(context, true);
+        let nobody = endpoint_news::PlaceGiver::Nobody;
+        endpoint_news::note(context, &run.endpoint, nobody, news);
+    }
+}
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -1,6 +1,6 @@
 //! The endpoints that are listed, and what is believed of each.
 
-use std::{collections, fmt, net, num, rc, str, time};
+use std::{collections, fmt, net, rc, time};
 
 use xxhash_rust::xxh3;
 
@@ -20,29 +20,6 @@
     spread: 0.0,
 };
 
-/// When an endpoint started, in milliseconds since the epoch, by its own clock.
-///
-/// With its id it names one run of the endpoint: a later start holds nothing and
-/// knows nothing of the one before.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
-pub struct StartTime(pub u64);
-
-impl fmt::Display for StartTime {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl str::FromStr for StartTime {
-    type Err = num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
-
 /// One listed endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct EndpointEntry {
@@ -59,7 +36,7 @@
     /// Whether it is about to leave and gets no new work.
     pub leaving: bool,
     /// When it started, if its entry says so.
-    pub started: Option<StartTime>,
+    pub started: Option<ids::StartTime>,
 }
 
 impl EndpointEntry {
@@ -252,7 +229,7 @@
     pub fn note_misnamed(
         &mut self,
         id: &ids::EndpointId,
-        started: Option<StartTime>,
+        started: Option<ids::StartTime>,
         now: clock::Moment,
     ) -> bool {
         let known = self.entries.get(id);
@@ -425,7 +402,7 @@
     }
 
     /// Whether an endpoint is listed with another start than the one given.
-    pub fn has_other_start(&self, id: &ids::EndpointId, started: Option<StartTime>) -> bool {
+    pub fn has_other_start(&self, id: &ids::EndpointId, started: Option<ids::StartTime>) -> bool {
         self.entries.get(id).is_some_and(|e| e.started != started)
     }
 
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -56,7 +56,7 @@
                 EventEnd::Event(event) => Some(event),
                 EventEnd::Finished => None,
                 EventEnd::Cut(why) => {
-                    self.note_attempt(&place.endpoint.id, "cut", &why);
+                    self.note_broken(place, "cut", &why);
                     place.note_failed(false);
                     match self.after_unknown(why) {
                         attempt_flow::NextStep::GiveUp(e) => return Err(e),
@@ -190,7 +190,7 @@
                     return None;
                 }
                 EventEnd::Cut(why) => {
-                    self.relay.note_attempt(&place.endpoint.id, "cut", &why);
+                    self.relay.note_broken(place, "cut", &why);
                     place.note_failed(true);
                     self.open = None;
                     if let Err(why) = self.go_on_after(why).await {
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -326,7 +326,7 @@
 
     /// Notes that somebody else answered at an endpoint's address: it gets no work for
     /// a while, or until its entry is written again.
-    pub fn note_misnamed(&self, id: &ids::EndpointId, started: Option<directory::StartTime>) {
+    pub fn note_misnamed(&self, id: &ids::EndpointId, started: Option<ids::StartTime>) {
         let now = self.clock.now();
         let is_new = self.directory.borrow_mut().note_misnamed(id, started, now);
         if is_new {
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -5,12 +5,12 @@
 use futures::future;
 
 use super::{
-    attempt, connection, directory, endpoint_news, event_split, job_board, open_job, peers,
-    process, wire,
+    attempt, connection, crash_watch, directory, endpoint_news, event_split, job_board, open_job,
+    peers, process, wire,
 };
 use crate::{
     decisions::{admission, retry},
-    outcome, protection,
+    ids, outcome, protection,
 };
 
 /// Longest wait for the head of an item's answer; it may wait for a slot.
@@ -29,6 +29,9 @@
     last: time::Duration::from_millis(1200),
 };
 
+/// The method of each item.
+const ITEM_METHOD: actix_http::Method = actix_http::Method::POST;
+
 /// One run of an item at one endpoint.
 pub(super) struct ItemRun {
     pub(super) context: rc::Rc<process::ProcessContext>,
@@ -67,6 +70,7 @@
         let begun = time::Instant::now();
         let cancelled = self.context.jobs.begin_stream(key.clone(), is_loan);
         self.job.borrow_mut().streams.insert(key.clone());
+        let before = self.last_event();
         let end = {
             let work = self.stream();
             futures::pin_mut!(work);
@@ -78,11 +82,34 @@
         self.context.jobs.end_stream(&key);
         self.job.borrow_mut().streams.remove(&key);
         self.leave_place();
+        if matches!(end, RunEnd::Cut(_)) && self.last_event() == before {
+            self.note_fruitless();
+        }
         self.note_span(begun.elapsed(), &end);
         self.settle(end);
         self.context.jobs.work.notify_one();
     }
 
+    /// The last event that the item has.
+    fn last_event(&self) -> Option<u64> {
+        self.job.borrow().items[self.index].last_event
+    }
+
+    /// Has it looked at whether the endpoint ended under a run that brought nothing.
+    ///
+    /// An item that gets on is none that ends its endpoints: it runs for seconds, and
+    /// is often beside one that does.
+    fn note_fruitless(&self) {
+        let job = self.job.borrow();
+        let item = &job.record.items[self.index];
+        let run = crash_watch::CutRun {
+            digest: item_digest(&job.record.host, item),
+            id: item.id.clone(),
+            endpoint: self.endpoint.clone(),
+        };
+        crash_watch::begin(&self.context, run);
+    }
+
     /// Notes how long the run held its place, and at the item's end how long all did.
     fn note_span(&self, span: time::Duration, end: &RunEnd) {
         let mut job = self.job.borrow_mut();
@@ -160,7 +187,8 @@
         headers.insert(actix_http::header::HOST, host);
         self.context.wire.write_item_id(&mut headers, &item.id);
         let request = attempt::ForwardedRequest {
-            method: actix_http::Method::POST,
+            digest: item_digest(&job.record.host, item),
+            method: ITEM_METHOD,
             uri,
             headers,
             body: item.body.clone(),
@@ -310,6 +338,11 @@
     }
 }
 
+/// What an item asks, the same in each job that it is submitted with.
+pub(super) fn item_digest(host: &str, item: &wire::JobItem) -> ids::RequestDigest {
+    ids::RequestDigest::of(ITEM_METHOD.as_str(), host, &item.path, &item.body)
+}
+
 /// Path and headers of an item's request, as they go to an endpoint.
 ///
 /// # Errors
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -93,7 +93,7 @@
     /// The endpoint.
     pub endpoint: ids::EndpointId,
     /// Its start: what was seen of another says nothing of the present one.
-    pub started: Option<directory::StartTime>,
+    pub started: Option<ids::StartTime>,
     /// What was seen there.
     pub news: EndpointNews,
 }
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -162,8 +162,7 @@
                     return Ok(Served::Whole(answer));
                 }
                 Err(e) => {
-                    let id = answered.place.endpoint.id.clone();
-                    self.note_attempt(&id, "cut", &e.to_string());
+                    self.note_broken(&answered.place, "cut", &e.to_string());
                     answered.place.note_failed(false);
                     drop(answered);
                     match self.after_unknown(e.to_string()) {
@@ -231,8 +230,9 @@
             spent,
         );
         log::info!(
-            "event=request_end request={} route={} version={} outcome={outcome} status={status} ms={} first_ms={} objective_ms={} ran={} not_run={} endpoint={} last_event={}",
+            "event=request_end request={} digest={} route={} version={} outcome={outcome} status={status} ms={} first_ms={} objective_ms={} ran={} not_run={} endpoint={} last_event={}",
             self.request.terms.id.as_deref().unwrap_or("-"),
+            self.request.forwarded.digest,
             self.request.route.name,
             self.context.fleet.table().version(),
             spent.as_millis(),
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -7,7 +7,7 @@
     decisions::{backoff_marks, retry},
     ids,
     serving::{
-        directory::{ChangeTerms, EndpointDirectory, EndpointEntry, ListChange, StartTime},
+        directory::{ChangeTerms, EndpointDirectory, EndpointEntry, ListChange},
         peers, permits,
     },
 };
@@ -21,7 +21,7 @@
         domain: "z".parse().expect("a name"),
         slots: 4,
         leaving: false,
-        started: started.map(StartTime),
+        started: started.map(ids::StartTime),
     }
 }
 
@@ -79,7 +79,7 @@
     let both = [entry("a", 1, Some(5)), entry("b", 1, Some(9))];
     let both = both.map(ListChange::Listed).to_vec();
     directory.apply(both, from_store(0));
-    assert!(directory.note_misnamed(&id("b"), Some(StartTime(9)), at(0)));
+    assert!(directory.note_misnamed(&id("b"), Some(ids::StartTime(9)), at(0)));
     assert_eq!(names(&directory), ["a:1"]);
     assert!(directory.retry_misnamed(at(1000)));
     assert_eq!(names(&directory), ["b:1"]);
@@ -140,17 +140,17 @@
     let mut directory = EndpointDirectory::default();
     let listed = |entry| vec![ListChange::Listed(entry)];
     directory.apply(listed(entry("a", 1, Some(5))), from_store(0));
-    let earlier = Some(StartTime(4));
+    let earlier = Some(ids::StartTime(4));
     assert!(
         !directory.note_misnamed(&id("a"), earlier, at(0)),
         "of another start"
     );
-    assert!(directory.note_misnamed(&id("a"), Some(StartTime(5)), at(0)));
+    assert!(directory.note_misnamed(&id("a"), Some(ids::StartTime(5)), at(0)));
     assert!(names(&directory).is_empty());
     assert!(!directory.retry_misnamed(at(900)));
     assert!(directory.retry_misnamed(at(1000)));
     assert_eq!(names(&directory), ["a:1"]);
-    assert!(directory.note_misnamed(&id("a"), Some(StartTime(5)), at(1100)));
+    assert!(directory.note_misnamed(&id("a"), Some(ids::StartTime(5)), at(1100)));
     directory.apply(listed(entry("a", 1, Some(5))), from_store(1200));
     assert_eq!(names(&directory), ["a:1"], "its writer is there");
 }
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -513,7 +513,7 @@
             ..entry("a", "z")
         },
         directory::EndpointEntry {
-            started: Some(directory::StartTime(1)),
+            started: Some(ids::StartTime(1)),
             ..entry("a", "z")
         },
         directory::EndpointEntry {
