fix(serving): what ran on a kept connection is not said to be not run when its endpoint ended

Cause: a request that may be repeated goes out again when a kept connection breaks under it; if no second connection could be made, that was taken as proof that it never ran. It may have: the endpoint may have ended under it. Change: the outcome is unknown then. Before: the caller got 503 for a request that had run (the test failed with 503 for 502); after: 502.

--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -89,7 +89,9 @@
 ///
 /// A kept connection may close while a request is on its way; one that may
 /// not run twice would be lost with it. Others go out once more, unless the
-/// endpoint leaves by now: the first try may have waited there for long.
+/// endpoint leaves by now: the first try may have waited there for long. Where no
+/// second connection can be made, the first try may still have run: the endpoint may
+/// have ended under it.
 async fn exchange(
     context: &rc::Rc<process::ProcessContext>,
     endpoint: &directory::EndpointEntry,
@@ -100,6 +102,7 @@
 ) -> Result<connection::IncomingAnswer, outcome::AttemptOutcome<OpenAnswer>> {
     use outcome::AttemptOutcome as O;
 
+    let mut broken = None;
     if request.repeatable || protection::is_out("fresh_connection") {
         if let Some(kept) = context.pool.take(endpoint.address) {
             is_kept.set(true);
@@ -114,6 +117,7 @@
                         let why = format!("{e}, and the endpoint is leaving");
                         return Err(O::Unknown(why));
                     }
+                    broken = Some(e);
                 }
                 Err(e) => return Err(O::Unknown(e.to_string())),
             }
@@ -121,7 +125,10 @@
     }
     is_kept.set(false);
     let opened = connect(endpoint, patience).await;
-    let opened = opened.map_err(O::NotRun)?;
+    let opened = opened.map_err(|proof| match broken {
+        Some(e) => O::Unknown(format!("{e}, and then {}", proof.reason())),
+        None => O::NotRun(proof),
+    })?;
     exchange_on(context, opened, request, terms).await
 }
 
