fix(serving): a peer's list says which entries it keeps though they are removed

Cause: a process that read the list after an absence of the store keeps removed entries for 2.5 s, as they may have expired, and told its newer list with them in it; gateways that had removed an entry for good took it back, and sent requests to an endpoint that was gone. Change: a list names the entries that are kept; they are taken by who has them still, or has no list at all.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -269,7 +269,7 @@
             count_read(context, "endpoints_taken");
             let (id, revision) = (&hello.id, copy.revision);
             log::info!("event=endpoints_from_peer peer={id} revision={revision}");
-            let news = fleet_source::FleetNews::PeerEndpoints(revision, copy.entries);
+            let news = fleet_source::FleetNews::PeerEndpoints(copy);
             context.fleet.take(news);
         }
         Err(e) => {
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -273,6 +273,27 @@
         removed.into_iter().chain(changed).collect()
     }
 
+    /// The entries of a peer's list that are to be taken.
+    ///
+    /// What the peer keeps though it is removed may be removed for good here: it must
+    /// not come back, and get requests, long after it is gone. Who has it still keeps it
+    /// as long as the peer; so does who has no list yet, and would serve nobody else.
+    pub fn accept(&self, copy: DirectoryCopy) -> Vec<EndpointEntry> {
+        let lapsed: collections::HashSet<_> = copy.lapsed.into_iter().collect();
+        let is_taken = |entry: &EndpointEntry| {
+            let is_known = self.is_empty() || self.entries.contains_key(&entry.id);
+            is_known || !lapsed.contains(&entry.id)
+        };
+        let mut entries = copy.entries;
+        entries.retain(is_taken);
+        entries
+    }
+
+    /// Names of the entries that are removed, and may come back.
+    pub fn lapsed(&self) -> Vec<ids::EndpointId> {
+        self.lapsed.keys().cloned().collect()
+    }
+
     /// Lets the entries that lapsed come back until `gone_at`.
     pub fn keep_lapsed(&mut self, gone_at: clock::Moment) {
         for mark in self.lapsed.values_mut() {
@@ -434,4 +455,7 @@
     pub revision: u64,
     /// The entries.
     pub entries: Vec<EndpointEntry>,
+    /// Names of those that are removed, and are kept for a while as they may have
+    /// expired in an absence of the store.
+    pub lapsed: Vec<ids::EndpointId>,
 }
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -149,6 +149,7 @@
         directory::DirectoryCopy {
             revision: self.revision(),
             entries,
+            lapsed: directory.lapsed(),
         }
     }
 
@@ -169,13 +170,15 @@
                     self.take_list(number, entries, self.change_terms());
                 }
             }
-            N::PeerEndpoints(number, entries) => {
+            N::PeerEndpoints(copy) => {
+                let number = copy.revision;
                 // Of two answers that cross, the later may be the older.
                 if number < self.revision() {
                     log::info!("event=older_endpoints_refused revision={number}");
                     return;
                 }
                 // The peer waits for what may come back, so this process need not.
+                let entries = self.directory.borrow().accept(copy);
                 self.take_list(number, entries, directory::ChangeTerms::default());
             }
             N::EndpointChanges(revision, changes) => {
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -14,8 +14,8 @@
     State(route_table::DesiredState),
     /// All endpoints at a revision of the store.
     Endpoints(u64, Vec<directory::EndpointEntry>),
-    /// All endpoints as a peer knows them, with the number of its list.
-    PeerEndpoints(u64, Vec<directory::EndpointEntry>),
+    /// All endpoints as a peer knows them.
+    PeerEndpoints(directory::DirectoryCopy),
     /// Changes of the endpoints up to a revision of the store.
     EndpointChanges(u64, Vec<directory::ListChange>),
     /// The source answers, or does not.
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -102,7 +102,7 @@
 fn tell(from: &fleet_model::FleetModel, to: &fleet_model::FleetModel) {
     if from.digest() != to.digest() && from.revision() > to.revision() {
         let copy = from.copy();
-        to.take(FleetNews::PeerEndpoints(copy.revision, copy.entries));
+        to.take(FleetNews::PeerEndpoints(copy));
     }
 }
 
@@ -146,7 +146,7 @@
     early.take(FleetNews::EndpointChanges(12, listed(leaving("a"))));
     let [newer, older] = [&early, &late].map(fleet_model::FleetModel::copy);
     for copy in [newer, older] {
-        gateway.take(FleetNews::PeerEndpoints(copy.revision, copy.entries));
+        gateway.take(FleetNews::PeerEndpoints(copy));
     }
     assert_eq!(count(&gateway), 2, "the one that leaves gets no new work");
     late.take(FleetNews::EndpointChanges(12, listed(leaving("a"))));
@@ -259,6 +259,33 @@
     assert_eq!(count(&gateway), 1, "it had removed the entry for good");
 }
 
+/// The other side: all that a peer keeps may be alive, and who has no list yet would
+/// serve nobody without it.
+#[test]
+fn who_has_no_list_takes_what_a_peer_keeps() {
+    let clock = sync::Arc::new(TestClock::default());
+    let [behind, started, late] = [true, false, false].map(|follows| model(&clock, follows));
+    behind.take(FleetNews::Endpoints(
+        1,
+        vec![entry("a", "z"), entry("b", "z")],
+    ));
+    tell(&behind, &late);
+    behind.take(FleetNews::Reachable(false));
+    clock.pass(time::Duration::from_secs(5));
+    behind.take(FleetNews::Reachable(true));
+    behind.take(FleetNews::Endpoints(2, Vec::new()));
+    for gateway in [&started, &late] {
+        tell(&behind, gateway);
+        assert_eq!(count(gateway), 2, "both may come back");
+    }
+    clock.pass(time::Duration::from_millis(2600));
+    behind.expire();
+    for gateway in [&started, &late] {
+        tell(&behind, gateway);
+        assert_eq!(count(gateway), 0, "they did not");
+    }
+}
+
 /// Requests went to an endpoint that was gone for up to 2.5 s, though the store had
 /// said so. One call to the store had failed by itself shortly before, and for three
 /// seconds each removal was taken for an entry that lapsed in an absence.
