feat(serving): ages and deadlines count the time in which a machine is suspended

Cause: the steady clock stands still while a machine is suspended, so what it had heard seemed young, and a request seemed to have time left. Change: ages, deadlines and pauses are by CLOCK_BOOTTIME; timers that wait for a deadline are woken after a suspension (event=suspended), and watches are made anew.

--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -5,7 +5,7 @@
 use futures::future::{self, FutureExt as _};
 
 use super::{attempt, connection, crash_watch, places, relay, search_pace, slow_attempt, wire};
-use crate::{ids, outcome};
+use crate::{clock, ids, outcome};
 
 /// Attempts that did not run, beyond which a request that never ran is given
 /// up, and the search of one that did pauses.
@@ -32,7 +32,7 @@
     /// Whether the present attempt went out on a kept connection.
     pub(super) is_kept: rc::Rc<cell::Cell<bool>>,
     /// When the machine of a slow endpoint was last asked for a connection.
-    pub(super) checked_at: cell::Cell<Option<time::Instant>>,
+    pub(super) checked_at: cell::Cell<Option<clock::BootInstant>>,
 }
 
 impl AttemptLog {
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -6,7 +6,7 @@
 use futures::future;
 
 use super::{attempt, job_calls, process, relay, route_table, wire};
-use crate::{http_server, ids};
+use crate::{clock, http_server, ids};
 
 /// Time that a caller is taken to wait if it does not say.
 const DEFAULT_PATIENCE: time::Duration = time::Duration::from_secs(30);
@@ -50,7 +50,7 @@
     mut request: actix_http::Request,
     active: relay::ActiveRequest,
 ) -> http_server::HttpAnswer {
-    let arrived = time::Instant::now();
+    let arrived = clock::BootInstant::now();
     let table = context.fleet.table();
     if !context.fleet.is_known() {
         return come_back("no desired state is known yet\n");
--- a/src/serving/connection_pool.rs
+++ b/src/serving/connection_pool.rs
@@ -3,6 +3,7 @@
 use std::{cell, collections, net, time};
 
 use super::connection;
+use crate::clock;
 
 /// Idle connections kept to one endpoint.
 ///
@@ -18,7 +19,7 @@
 
 struct IdleConnection {
     connection: connection::EndpointConnection,
-    until: time::Instant,
+    until: clock::BootInstant,
 }
 
 /// The idle connections of a process.
@@ -35,7 +36,7 @@
     pub fn take(&self, address: net::SocketAddr) -> Option<connection::EndpointConnection> {
         let mut table = self.idle.borrow_mut();
         let list = table.get_mut(&address)?;
-        let now = time::Instant::now();
+        let now = clock::BootInstant::now();
         while let Some(idle) = list.pop() {
             self.count.set(self.count.get() - 1);
             if idle.until > now && idle.connection.is_quiet() {
@@ -62,7 +63,7 @@
         let list = table.entry(connection.address).or_default();
         if list.len() < MAX_IDLE_PER_ENDPOINT {
             self.count.set(self.count.get() + 1);
-            let until = time::Instant::now() + keep;
+            let until = clock::BootInstant::now() + keep;
             list.push(IdleConnection { connection, until });
         }
     }
@@ -77,7 +78,7 @@
 
     /// Closes the connections that will not be used again.
     pub fn sweep(&self) {
-        let now = time::Instant::now();
+        let now = clock::BootInstant::now();
         let mut table = self.idle.borrow_mut();
         for list in table.values_mut() {
             list.retain(|idle| idle.until > now && idle.connection.is_quiet());
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -80,11 +80,12 @@
         mut answered: attempt_flow::Answered,
     ) -> Result<Served, FinalError> {
         let reading = answer_copy::read_whole(&mut answered.open.incoming);
-        let body = match tokio::time::timeout(self.left(), reading).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(e)) => return Err(FinalError::Failed(e.to_string())),
-            Err(_) => return Err(FinalError::Late),
+        let read = tokio::select! {
+            biased;
+            read = reading => read,
+            () = self.time_over() => return Err(FinalError::Late),
         };
+        let body = read.map_err(|e| FinalError::Failed(e.to_string()))?;
         let answer = self.whole(&answered.open.incoming.head, body);
         self.give_back(answered);
         Ok(Served::Whole(answer))
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -68,7 +68,7 @@
     pub(super) async fn run(self) {
         let key = (self.endpoint.id.clone(), self.number);
         let is_loan = self.lender.is_some();
-        let begun = time::Instant::now();
+        let begun = clock::BootInstant::now();
         let cancelled = self.context.jobs.begin_stream(key.clone(), is_loan);
         self.job.borrow_mut().streams.insert(key.clone());
         let before = self.last_event();
@@ -327,7 +327,7 @@
             RunEnd::Impossible => job.finish(self.index, wire::ItemState::GivenUp),
             RunEnd::Failed => {
                 progress.failures += 1;
-                progress.not_before = time::Instant::now() + RETRY_PAUSE;
+                progress.not_before = clock::BootInstant::now() + RETRY_PAUSE;
                 let spent = progress.failures >= self.max_attempts;
                 if spent && !protection::is_out("item_attempts") {
                     job.finish(self.index, wire::ItemState::GivenUp);
@@ -336,7 +336,7 @@
             RunEnd::Cut(_) | RunEnd::NotRun(_) => {
                 let pause = retry::pause_after(progress.fruitless, &RETRY_PACE, &mut rand::rng());
                 progress.fruitless += 1;
-                progress.not_before = time::Instant::now() + pause;
+                progress.not_before = clock::BootInstant::now() + pause;
             }
             RunEnd::Preempted => {}
         }
--- a/src/serving/job_acceptance.rs
+++ b/src/serving/job_acceptance.rs
@@ -3,7 +3,7 @@
 use std::{net, rc, time};
 
 use super::{job_records, peer_links, peers, process};
-use crate::{ids, store};
+use crate::{clock, ids, store};
 
 /// Longest time for the acceptance of a job, within the caller's patience.
 pub const ACCEPT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -27,11 +27,11 @@
 pub async fn accept(
     context: &rc::Rc<process::ProcessContext>,
     record: &job_records::JobRecord,
-    until: time::Instant,
+    until: clock::BootInstant,
 ) -> Acceptance {
     let mut unknown = false;
     loop {
-        let left = until.saturating_duration_since(time::Instant::now());
+        let left = until.duration_since(clock::BootInstant::now());
         let writing = job_records::accept(context.store.as_ref(), record);
         match tokio::time::timeout(left, writing).await {
             Ok(Ok(())) => return Acceptance::Accepted,
@@ -46,7 +46,7 @@
             }
             Err(_) => return Acceptance::Unknown,
         }
-        if time::Instant::now() + ACCEPT_RETRY >= until {
+        if clock::BootInstant::now() + ACCEPT_RETRY >= until {
             return Acceptance::Unknown;
         }
         actix_rt::time::sleep(ACCEPT_RETRY).await;
@@ -71,10 +71,10 @@
 async fn accept_by_peer(
     context: &rc::Rc<process::ProcessContext>,
     record: &job_records::JobRecord,
-    until: time::Instant,
+    until: clock::BootInstant,
 ) -> Acceptance {
     for (peer, address) in writers(context) {
-        let left = until.saturating_duration_since(time::Instant::now());
+        let left = until.duration_since(clock::BootInstant::now());
         let written = context.links.write_job(address, record.clone(), left).await;
         log::info!(
             "event=job_by_peer job={} peer={peer} outcome={written:?}",
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -10,6 +10,7 @@
     peers, process, wire,
 };
 use crate::{
+    clock,
     decisions::{admission, item_order},
     ids, settle, store,
 };
@@ -267,7 +268,7 @@
         }
     }
     let mut job = job.borrow_mut();
-    job.read_at = Some(time::Instant::now());
+    job.read_at = Some(clock::BootInstant::now());
     job.is_known = true;
     Ok(())
 }
@@ -284,14 +285,14 @@
         return Ok(None);
     };
     let owned = context.job_owner(&ask.job).as_ref() == Some(context.id());
-    let until = time::Instant::now() + ask.wait;
+    let until = clock::BootInstant::now() + ask.wait;
     if !job.borrow().is_known {
         learn(context, &job).await?;
     }
     loop {
         let (known, over, stale, mut changes) = {
             let job = job.borrow();
-            let fresh = |at: time::Instant| at.elapsed() < FRESH;
+            let fresh = |at: clock::BootInstant| at.elapsed() < FRESH;
             let stale = !job.read_at.is_some_and(fresh);
             let known = job.committed.len();
             (known, job.is_over(), stale, job.changed.subscribe())
@@ -301,7 +302,7 @@
             refresh(context, &job).await?;
             continue;
         }
-        let left = until.saturating_duration_since(time::Instant::now());
+        let left = until.duration_since(clock::BootInstant::now());
         if known > ask.after || over || left.is_zero() {
             return Ok(Some(job.borrow().page(ask.after)));
         }
@@ -368,7 +369,7 @@
     /// How often it is looked whether all items are done meanwhile.
     const STEP: time::Duration = time::Duration::from_millis(50);
 
-    let begun = time::Instant::now();
+    let begun = clock::BootInstant::now();
     while !context.is_leaving()
         && begun.elapsed() < job.borrow().gather_time(context.owners().len())
     {
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -20,7 +20,7 @@
     route: &route_table::Route,
     terms: &wire::CallerTerms,
     body: bytes::Bytes,
-    arrived: time::Instant,
+    arrived: clock::BootInstant,
 ) -> http_server::HttpAnswer {
     let id = terms.id.as_deref().map(str::parse::<ids::JobId>);
     let Some(Ok(id)) = id else {
--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -9,7 +9,7 @@
 use std::{cell, collections, rc, time};
 
 use super::{job_board, open_job, process, progress_transfer, wire};
-use crate::{decisions::ownership, ids};
+use crate::{clock, decisions::ownership, ids};
 
 /// Pause between two checkpoints: at most so much work is lost with an owner.
 const CHECKPOINT_PAUSE: time::Duration = time::Duration::from_millis(500);
@@ -84,7 +84,7 @@
 #[derive(Debug)]
 struct KeptJob {
     items: collections::HashMap<usize, ItemCheckpoint>,
-    heard: time::Instant,
+    heard: clock::BootInstant,
 }
 
 impl KeptJob {
@@ -142,9 +142,9 @@
         let mut kept = self.kept.borrow_mut();
         let job = kept.entry(news.job).or_insert_with(|| KeptJob {
             items: collections::HashMap::new(),
-            heard: time::Instant::now(),
+            heard: clock::BootInstant::now(),
         });
-        job.heard = time::Instant::now();
+        job.heard = clock::BootInstant::now();
         let mut all_kept = true;
         for item in news.items {
             all_kept &= job.take(item);
--- a/src/serving/job_sponsor.rs
+++ b/src/serving/job_sponsor.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, rc, time};
 
 use super::{job_records, job_runner, process};
-use crate::ids;
+use crate::{clock, ids};
 
 /// Longest wait for an owner to take a job over.
 const HAND_OVER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -23,7 +23,7 @@
 struct SponsoredJob {
     record: rc::Rc<job_records::JobRecord>,
     owner: Option<ids::InstanceId>,
-    asked: time::Instant,
+    asked: clock::BootInstant,
     /// Tries to hand it over in a row that were not answered.
     untaken: u32,
     /// Whether it is being handed over.
@@ -45,7 +45,7 @@
             let sponsored = SponsoredJob {
                 record,
                 owner: None,
-                asked: time::Instant::now(),
+                asked: clock::BootInstant::now(),
                 untaken: 0,
                 is_told: false,
             };
@@ -94,7 +94,7 @@
             Some(false) => {
                 job.untaken = 0;
                 job.owner = Some(owner);
-                job.asked = time::Instant::now();
+                job.asked = clock::BootInstant::now();
             }
             None => job.untaken += 1,
         }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -57,4 +57,5 @@
 pub mod slow_attempt;
 pub mod state_copy;
 pub mod state_transfer;
+mod suspension;
 pub mod wire;
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -69,7 +69,7 @@
     /// Runs in a row that brought no event.
     pub(super) fruitless: u32,
     /// When it may start again.
-    pub not_before: time::Instant,
+    pub not_before: clock::BootInstant,
 }
 
 impl ItemProgress {
@@ -84,7 +84,7 @@
     }
 
     /// Whether it may start now.
-    pub fn is_ready(&self, now: time::Instant) -> bool {
+    pub fn is_ready(&self, now: clock::BootInstant) -> bool {
         self.phase == ItemPhase::Waiting && self.not_before <= now
     }
 
@@ -113,7 +113,7 @@
             chain: rand::random(),
             backed_up: 0,
             fruitless: 0,
-            not_before: time::Instant::now(),
+            not_before: clock::BootInstant::now(),
         }
     }
 }
@@ -157,7 +157,7 @@
     pub(super) committing: bool,
     /// Who has the progress of the items as well.
     backup: Option<ids::InstanceId>,
-    pub(super) read_at: Option<time::Instant>,
+    pub(super) read_at: Option<clock::BootInstant>,
     pub(super) changed: watch::Sender<usize>,
 }
 
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -13,7 +13,7 @@
     },
     progress_transfer, state_copy, wire,
 };
-use crate::{decisions::crash_ledger, ids};
+use crate::{clock, decisions::crash_ledger, ids};
 
 /// Longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -48,7 +48,7 @@
     generation: LinkGeneration,
     client: PeerServiceClient,
     /// When bytes came on it last; at first when it was made.
-    heard_at: rc::Rc<cell::Cell<time::Instant>>,
+    heard_at: rc::Rc<cell::Cell<clock::BootInstant>>,
     /// Dropped with the link: the end of this channel ends its task.
     _closing: oneshot::Sender<convert::Infallible>,
 }
@@ -56,12 +56,12 @@
 enum LinkState {
     Connected(OpenLink),
     Connecting(LinkGeneration),
-    Failed(time::Instant),
+    Failed(clock::BootInstant),
 }
 
 impl LinkState {
     fn failed() -> Self {
-        Self::Failed(time::Instant::now())
+        Self::Failed(clock::BootInstant::now())
     }
 
     fn generation(&self) -> Option<LinkGeneration> {
@@ -374,7 +374,7 @@
 
     /// Ends once nothing has come on the link to a peer for so long, from now on.
     async fn silence(&self, peer: net::SocketAddr, limit: time::Duration) {
-        let mut latest = time::Instant::now();
+        let mut latest = clock::BootInstant::now();
         while latest.elapsed() < limit {
             actix_rt::time::sleep(limit.saturating_sub(latest.elapsed())).await;
             if let Some(LinkState::Connected(link)) = self.table.borrow().get(&peer) {
@@ -400,7 +400,7 @@
     /// Connects to a peer that is about to answer, as it has just started: says
     /// whether it does within a while.
     pub async fn reach(&self, peer: net::SocketAddr, patience: time::Duration) -> bool {
-        let begun = time::Instant::now();
+        let begun = clock::BootInstant::now();
         loop {
             self.settle(peer).await;
             if self.is_connected(peer) || begun.elapsed() >= patience {
@@ -463,9 +463,9 @@
             return links.note(peer, generation, LinkState::failed());
         }
     };
-    let heard_at = rc::Rc::new(cell::Cell::new(time::Instant::now()));
+    let heard_at = rc::Rc::new(cell::Cell::new(clock::BootInstant::now()));
     let heard = heard_at.clone();
-    let socket = io_util::InspectReader::new(socket, move |_| heard.set(time::Instant::now()));
+    let socket = io_util::InspectReader::new(socket, move |_| heard.set(clock::BootInstant::now()));
     let codec = tarpc::tokio_serde::formats::Bincode::default();
     let transport = tarpc::serde_transport::new(frames().new_framed(socket), codec);
     let new = PeerServiceClient::new(tarpc::client::Config::default(), transport);
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -7,7 +7,8 @@
 use super::{
     beliefs, checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_board,
     job_checkpoints, job_runner, listener, members, metrics_page, owners, peer_calls, peer_links,
-    peer_server, peers, permits, progress_transfer, selection, single_flight, state_transfer, wire,
+    peer_server, peers, permits, progress_transfer, selection, single_flight, state_transfer,
+    suspension, wire,
 };
 use crate::{
     clock,
@@ -127,11 +128,13 @@
     /// Whether this instance is to be emptied.
     pub(super) retiring: cell::Cell<bool>,
     /// When the process was asked to stop.
-    pub(super) stop_begun: cell::Cell<Option<time::Instant>>,
+    pub(super) stop_begun: cell::Cell<Option<clock::BootInstant>>,
     /// When the process began.
     pub(super) begun: clock::Moment,
     /// Since when a peer has had a newer list of endpoints, and the own number of it then.
     pub(super) differing_since: cell::Cell<Option<(clock::Moment, u64)>>,
+    /// Counts the times that the machine was suspended.
+    pub(super) wakes: watch::Sender<u64>,
     /// Whether the process was asked to stop.
     pub stopping: watch::Sender<bool>,
     /// Requests of callers under way.
@@ -285,6 +288,7 @@
         stop_begun: cell::Cell::new(None),
         begun,
         differing_since: cell::Cell::new(None),
+        wakes: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
         active: cell::Cell::new(0),
         waiting_answers: rc::Rc::default(),
@@ -305,6 +309,7 @@
     actix_rt::spawn(crash_guard::read_held(context.clone()));
     actix_rt::spawn(owners::tick(context.clone()));
     actix_rt::spawn(owners::follow_orders(context.clone()));
+    actix_rt::spawn(suspension::follow(context.clone()));
     job_runner::start(&context);
     actix_rt::spawn(job_checkpoints::tell_progress(context.clone()));
     if stop.recv().await.is_none() {
@@ -339,7 +344,7 @@
     log::info!("event=stopping active={}", context.active.get());
     context.stopping.send_replace(true);
     owners::refresh_owners(context);
-    let begun = time::Instant::now();
+    let begun = clock::BootInstant::now();
     context.stop_begun.set(Some(begun));
     // The last moments are kept for the end itself.
     let patience = context.options.grace.mul_f64(END_SHARE);
--- a/src/serving/progress_transfer.rs
+++ b/src/serving/progress_transfer.rs
@@ -8,7 +8,7 @@
 use std::{cell, collections, net, rc, time};
 
 use super::{job_checkpoints, open_job, peer_links, process, state_copy};
-use crate::ids;
+use crate::{clock, ids};
 
 /// Longest wait for the answer to a part: 8 KB take 2 ms of a link of 30 Mbit/s,
 /// and 270 ms of one that carries 30 KB/s.
@@ -83,7 +83,7 @@
 struct IncomingTransfer {
     transfer: u64,
     bytes: Vec<u8>,
-    heard_at: time::Instant,
+    heard_at: clock::BootInstant,
 }
 
 /// Transfers to this process that are under way.
@@ -114,7 +114,7 @@
             let incoming = IncomingTransfer {
                 transfer: part.transfer,
                 bytes,
-                heard_at: time::Instant::now(),
+                heard_at: clock::BootInstant::now(),
             };
             self.incoming.insert(job, incoming);
             return PartOutcome::Partial;
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -78,7 +78,7 @@
     job: &open_job::SharedJob,
     ready: &mut Vec<ReadyItem>,
 ) {
-    let now = time::Instant::now();
+    let now = clock::BootInstant::now();
     let now_ms = clock::epoch_ms();
     let count = job.borrow().items.len();
     for index in 0..count {
@@ -126,7 +126,7 @@
     let CrashVerdict::Held(left) = verdict else {
         return false;
     };
-    job.items[index].not_before = time::Instant::now() + left.min(HELD_LOOK);
+    job.items[index].not_before = clock::BootInstant::now() + left.min(HELD_LOOK);
     true
 }
 
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -5,9 +5,10 @@
 use actix_http::{header, StatusCode};
 
 use super::{
-    answer_copy, attempt, attempt_flow, crash_guard, event_flow, places, process, route_table, wire,
+    answer_copy, attempt, attempt_flow, crash_guard, event_flow, places, process, route_table,
+    suspension, wire,
 };
-use crate::{decisions::crash_ledger::CrashVerdict, http_server};
+use crate::{clock, decisions::crash_ledger::CrashVerdict, http_server};
 
 /// Outcome of a request whose answer an endpoint gave to its end.
 pub(super) const ANSWERED: &str = "answered";
@@ -24,9 +25,9 @@
     /// What the caller said.
     pub terms: wire::CallerTerms,
     /// When its final answer is due.
-    pub deadline: time::Instant,
+    pub deadline: clock::BootInstant,
     /// When it came.
-    pub arrived: time::Instant,
+    pub arrived: clock::BootInstant,
 }
 
 /// Counts a request under way until its answer has gone or its caller has left.
@@ -120,8 +121,13 @@
 
 impl RequestRelay {
     pub(super) fn left(&self) -> time::Duration {
-        let now = time::Instant::now();
-        self.request.deadline.saturating_duration_since(now)
+        let now = clock::BootInstant::now();
+        self.request.deadline.duration_since(now)
+    }
+
+    /// Resolves when the caller's time is over.
+    pub(super) async fn time_over(&self) {
+        suspension::time_over(&self.context, || self.left()).await;
     }
 
     pub(super) fn may_repeat(&self) -> bool {
@@ -166,10 +172,10 @@
         loop {
             let mut answered = self.next_answer(None).await?;
             let reading = answer_copy::read_whole(&mut answered.open.incoming);
-            let patience = self.left();
-            let read = match tokio::time::timeout(patience, reading).await {
-                Ok(read) => read,
-                Err(_) => return Err(FinalError::Late),
+            let read = tokio::select! {
+                biased;
+                read = reading => read,
+                () = self.time_over() => return Err(FinalError::Late),
             };
             match read {
                 Ok(body) => {
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -11,7 +11,7 @@
 use futures::future::{self, FutureExt as _};
 
 use super::{attempt, attempt_flow, connection, directory, places, process, relay, search_pace};
-use crate::{ids, outcome};
+use crate::{clock, ids, outcome};
 
 /// Part of an objective after which a silent attempt is taken for slow.
 const SILENCE_SHARE: f64 = 0.8;
@@ -84,7 +84,7 @@
         awaited: Awaited,
         waiting: impl future::Future<Output = T>,
     ) -> Waited<T> {
-        let begun = time::Instant::now();
+        let begun = clock::BootInstant::now();
         tokio::pin!(waiting);
         let Some(patience) = self.patience(awaited) else {
             return self.wait_alone(place, awaited, waiting).await;
@@ -106,7 +106,7 @@
             tokio::select! {
                 biased;
                 done = &mut waiting => return Waited::Came(done),
-                () = tokio::time::sleep(self.left()) => return Waited::Lost(begun.elapsed()),
+                () = self.time_over() => return Waited::Lost(begun.elapsed()),
                 () = &mut gone => return Waited::Lost(begun.elapsed()),
                 () = &mut ended => return Waited::Lost(begun.elapsed()),
                 found = search.next_place(self) => {
@@ -117,15 +117,16 @@
                 }
             }
         }
-        match tokio::time::timeout(self.left(), waiting).await {
-            Ok(done) => Waited::Came(done),
-            Err(_) => Waited::Lost(begun.elapsed()),
+        tokio::select! {
+            biased;
+            done = waiting => Waited::Came(done),
+            () = self.time_over() => Waited::Lost(begun.elapsed()),
         }
     }
 
     /// Whether the machine of a slow endpoint is to be asked for a connection.
     fn begin_check(&self) -> bool {
-        let now = time::Instant::now();
+        let now = clock::BootInstant::now();
         let checked_at = self.log.checked_at.get();
         let is_due = checked_at.is_none_or(|at| now.duration_since(at) >= CHECK_PAUSE);
         if is_due {
@@ -141,8 +142,7 @@
         awaited: Awaited,
         waiting: impl future::Future<Output = T>,
     ) -> Waited<T> {
-        let begun = time::Instant::now();
-        let left = self.left();
+        let begun = clock::BootInstant::now();
         let waiting = async {
             match awaited {
                 Awaited::NextEvent => waiting.await,
@@ -152,7 +152,7 @@
         tokio::select! {
             biased;
             done = waiting => Waited::Came(done),
-            () = tokio::time::sleep(left) => Waited::Lost(begun.elapsed()),
+            () = self.time_over() => Waited::Lost(begun.elapsed()),
             () = run_ended(self.context.clone(), place.endpoint.clone()) => {
                 Waited::Lost(begun.elapsed())
             }
@@ -246,7 +246,7 @@
     /// Endpoints that are not asked for in this round.
     passed_over: Vec<ids::EndpointId>,
     /// From when on a place in a queue will do, if ever.
-    queue_from: Option<time::Instant>,
+    queue_from: Option<clock::BootInstant>,
     /// Whether the connection of the slow run may be silent for good: it was kept.
     may_be_silent: bool,
 }
@@ -294,7 +294,9 @@
     /// Asks once. An answer that comes too late is taken, and its place given back.
     async fn ask(&self, relay: &relay::RequestRelay) -> Option<places::HeldPlace> {
         let service = relay.choose_service()?;
-        let may_queue = self.queue_from.is_some_and(|at| at <= time::Instant::now());
+        let may_queue = self
+            .queue_from
+            .is_some_and(|at| at <= clock::BootInstant::now());
         let mut tried = self.passed_over.clone();
         if !self.has_others(relay, &service) {
             // A new connection to the same endpoint will do where the kept one may be
--- a/src/serving/state_transfer.rs
+++ b/src/serving/state_transfer.rs
@@ -10,6 +10,7 @@
 use rand::seq::IndexedRandom as _;
 
 use super::{fleet_source, peer_links, process, single_flight, state_copy};
+use crate::clock;
 
 /// Longest wait for a part; it takes 2 ms of a link of 30 Mbit/s, and 270 ms of
 /// one that carries 30 KB/s.
@@ -44,7 +45,7 @@
 /// A transfer under way.
 struct TransferRun {
     context: rc::Rc<process::ProcessContext>,
-    begun: time::Instant,
+    begun: clock::BootInstant,
     parts: u32,
     failures: u32,
     /// The peer that gave the latest part.
@@ -63,7 +64,7 @@
         return;
     };
     let mut run = TransferRun {
-        begun: time::Instant::now(),
+        begun: clock::BootInstant::now(),
         parts: 0,
         failures: 0,
         source: None,
@@ -97,7 +98,7 @@
         let links = self.context.links.clone();
         links.settle(peer).await;
         let ask = self.incoming().next_ask();
-        let asked = time::Instant::now();
+        let asked = clock::BootInstant::now();
         match links.state_part(peer, ask, PART_TIMEOUT).await {
             Ok(part) => self.take_part(peer, part, asked.elapsed()),
             Err(e) => self.pass_over(peer, e),
