fix(serving): a request is blamed for crashes of endpoints that had begun it, each of them

What a proxy took for an endpoint that was down, and broke off, counted as what had ended the endpoint when it was listed with its next start: requests of all callers, and items, were held back. And an endpoint that was back and crashed again before it was listed counted once. Change: a start that is listed later is evidence only where the endpoint had begun to answer; a crash of a run that was sent after the last one was known is another one.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -54,15 +54,33 @@
 /// at several endpoints that crash at once.
 const MAX_SERVED: num::NonZeroUsize = num::NonZeroUsize::new(4096).expect("it is not zero");
 
+/// One crash of an endpoint.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct CrashMark {
+    /// The run of the endpoint, as it was listed.
+    pub run: ids::EndpointRun,
+    /// Which of its crashes: an endpoint may be back, and crash again, before it is
+    /// listed with its next start.
+    pub ordinal: u32,
+}
+
+impl fmt::Display for CrashMark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.run, self.ordinal)
+    }
+}
+
 /// What one process tells another of a request.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CrashNews {
     /// The request.
     pub digest: ids::RequestDigest,
-    /// Runs of endpoints that ended under it.
-    pub crashes: collections::BTreeSet<ids::EndpointRun>,
+    /// Crashes under it.
+    pub crashes: collections::BTreeSet<CrashMark>,
     /// Of these, those that count no more, as it was served since.
-    pub cleared: collections::BTreeSet<ids::EndpointRun>,
+    pub cleared: collections::BTreeSet<CrashMark>,
     /// Time since the last of them.
     pub age: time::Duration,
 }
@@ -122,8 +140,9 @@
 /// Invariant: `cleared` is a part of `crashes`.
 #[derive(Debug, Clone)]
 struct CrashRecord {
-    crashes: collections::BTreeSet<ids::EndpointRun>,
-    cleared: collections::BTreeSet<ids::EndpointRun>,
+    /// Crashes, and when this process learned of each.
+    crashes: collections::BTreeMap<CrashMark, clock::Moment>,
+    cleared: collections::BTreeSet<CrashMark>,
     last: clock::Moment,
     /// End of the present trial, if there was one.
     trial_until: Option<clock::Moment>,
@@ -134,7 +153,7 @@
 impl CrashRecord {
     fn new(now: clock::Moment) -> Self {
         Self {
-            crashes: collections::BTreeSet::new(),
+            crashes: collections::BTreeMap::new(),
             cleared: collections::BTreeSet::new(),
             last: now,
             trial_until: None,
@@ -171,7 +190,7 @@
     fn news(&self, digest: ids::RequestDigest, now: clock::Moment) -> CrashNews {
         CrashNews {
             digest,
-            crashes: self.crashes.clone(),
+            crashes: self.crashes.keys().cloned().collect(),
             cleared: self.cleared.clone(),
             age: now.since(self.last),
         }
@@ -184,14 +203,29 @@
         }
         let mut hasher = xxh3::Xxh3::new();
         hasher.update(digest.to_string().as_bytes());
-        for run in &self.crashes {
-            hasher.update(format!("+{run}").as_bytes());
+        for mark in self.crashes.keys() {
+            hasher.update(format!("+{mark}").as_bytes());
         }
-        for run in &self.cleared {
-            hasher.update(format!("-{run}").as_bytes());
+        for mark in &self.cleared {
+            hasher.update(format!("-{mark}").as_bytes());
         }
         hasher.digest()
     }
+
+    /// The crash under a run of the request; nothing if it is known.
+    ///
+    /// What was sent after a crash was known found the endpoint back.
+    fn new_mark(&self, run: &CrashedRun) -> Option<CrashMark> {
+        let known = self.crashes.iter().filter(|(m, _)| m.run == run.endpoint);
+        let latest = known.max_by_key(|(mark, _)| mark.ordinal);
+        let ordinal = match latest {
+            None => 1,
+            Some((mark, learned)) if run.begun > *learned => mark.ordinal + 1,
+            Some(_) => return None,
+        };
+        let run = run.endpoint.clone();
+        Some(CrashMark { run, ordinal })
+    }
 }
 
 /// A request that was served, and what happened since.
@@ -227,18 +261,14 @@
         if self.is_excused(run, now) {
             return CrashOutcome::Excused;
         }
-        let known = self.records.get(&run.digest);
-        if known.is_some_and(|known| known.crashes.contains(&run.endpoint)) {
-            return CrashOutcome::Known;
-        }
-        let endpoint = run.endpoint.clone();
         let count = self.change(run.digest, now, |record| {
-            record.crashes.insert(endpoint);
+            let mark = record.new_mark(run)?;
+            record.crashes.insert(mark, now);
             record.last = now;
             record.trial_until = None;
-            record.count()
+            Some(record.count())
         });
-        CrashOutcome::Counted(count)
+        count.map_or(CrashOutcome::Known, CrashOutcome::Counted)
     }
 
     /// Whether a request was served since the last crash that it could be blamed for.
@@ -265,7 +295,7 @@
         let is_blamed = self.records.get(&digest).is_some_and(|r| r.count() > 0);
         if is_blamed {
             self.change(digest, now, |record| {
-                record.cleared.clone_from(&record.crashes);
+                record.cleared.extend(record.crashes.keys().cloned());
             });
         }
         is_blamed
@@ -329,7 +359,9 @@
             return false;
         }
         let is_new = known.is_none_or(|known| {
-            !news.crashes.is_subset(&known.crashes) || !news.cleared.is_subset(&known.cleared)
+            let mut crashes = news.crashes.iter();
+            crashes.any(|mark| !known.crashes.contains_key(mark))
+                || !news.cleared.is_subset(&known.cleared)
         });
         if !is_new {
             return false;
@@ -337,9 +369,10 @@
         let seen = now.before(news.age);
         self.change(news.digest, now, |record| {
             let is_first = record.crashes.is_empty();
-            record.crashes.extend(news.crashes);
+            for mark in news.crashes.into_iter().chain(news.cleared.iter().cloned()) {
+                record.crashes.entry(mark).or_insert(now);
+            }
             record.cleared.extend(news.cleared);
-            record.crashes.extend(record.cleared.iter().cloned());
             record.last = match is_first {
                 true => seen,
                 false => record.last.max(seen),
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -279,7 +279,8 @@
             }
             O::Failed(why) | O::Unknown(why) => {
                 self.log.ran += 1;
-                self.note_broken(&place, "unknown", &why);
+                self.note_attempt(&endpoint.id, "unknown", &why);
+                self.watch_end(&place, false);
                 // A full queue is silent too: only several in a row eject it.
                 place.note_failed(false);
                 Err(self.after_unknown(why))
@@ -306,14 +307,20 @@
         NextStep::GiveUp(relay::FinalError::Failed(why))
     }
 
-    /// Notes an attempt that broke off; whether its endpoint ended is found out beside it.
+    /// Notes an answer that broke off; whether its endpoint ended is found out beside it.
     pub(super) fn note_broken(&self, place: &places::HeldPlace, outcome: &str, why: &str) {
         self.note_attempt(&place.endpoint.id, outcome, why);
+        self.watch_end(place, true);
+    }
+
+    /// Has it found out whether the endpoint of a broken attempt ended.
+    fn watch_end(&self, place: &places::HeldPlace, has_head: bool) {
         let run = crash_watch::CutRun {
             digest: self.request.forwarded.digest,
             id: self.request.terms.id.clone().unwrap_or_default(),
             endpoint: place.endpoint.clone(),
             begun: place.taken(),
+            has_head,
         };
         crash_watch::begin(&self.context, run);
     }
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -46,10 +46,10 @@
 /// A request that is held back, as it lies in the store.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct HeldRecord {
-    /// Runs of endpoints that ended under it.
-    pub crashes: collections::BTreeSet<ids::EndpointRun>,
+    /// Crashes under it.
+    pub crashes: collections::BTreeSet<crash_ledger::CrashMark>,
     /// Of these, those that count no more.
-    pub cleared: collections::BTreeSet<ids::EndpointRun>,
+    pub cleared: collections::BTreeSet<crash_ledger::CrashMark>,
     /// When the last of them ended, in milliseconds since the epoch.
     pub last_ms: u64,
 }
--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection that breaks says nothing of the endpoint: it may have been reset on
 //! the way. An endpoint has ended if nobody listens at its address any more, or if it
-//! is listed with another start soon afterwards.
+//! had begun to answer and is listed with another start soon afterwards.
 
 use std::{io, rc, time};
 
@@ -33,6 +33,8 @@
     pub(super) endpoint: rc::Rc<directory::EndpointEntry>,
     /// When it was sent there.
     pub(super) begun: clock::Moment,
+    /// Whether the endpoint had begun to answer.
+    pub(super) has_head: bool,
 }
 
 /// What shows that an endpoint ended.
@@ -68,6 +70,8 @@
 async fn watch(context: rc::Rc<process::ProcessContext>, run: CutRun) {
     let evidence = match has_listener(&run.endpoint).await {
         false => Some(EndEvidence::Refused),
+        // Something else may have taken the connection for an endpoint that was gone.
+        true if !run.has_head => None,
         true => {
             let watching = starts_again(&context, &run.endpoint);
             let seen = tokio::time::timeout(RESTART_TIME, watching).await;
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -45,6 +45,8 @@
     pub(super) max_attempts: u32,
     /// The chain of runs that it goes on with; given up when the item gets another.
     pub(super) chain: u64,
+    /// Whether the endpoint has begun to answer.
+    pub(super) has_head: cell::Cell<bool>,
 }
 
 /// How a run of an item ended.
@@ -116,6 +118,7 @@
             id: self.job.borrow().record.items[self.index].id.clone(),
             endpoint: self.endpoint.clone(),
             begun,
+            has_head: self.has_head.get(),
         };
         crash_watch::begin(&self.context, run);
     }
@@ -176,6 +179,7 @@
             O::NotRun(proof) => return RunEnd::NotRun(proof.reason()),
             O::Failed(why) | O::Unknown(why) => return RunEnd::Cut(why),
         };
+        self.has_head.set(true);
         let status = open.incoming.head.status.as_u16();
         match status {
             200..=299 => {
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -192,6 +192,7 @@
         lender: place.lender,
         max_attempts: item.route.max_attempts,
         chain,
+        has_head: std::cell::Cell::new(false),
     };
     actix_rt::spawn(run.run());
 }
--- a/tests/crash_ledger.rs
+++ b/tests/crash_ledger.rs
@@ -5,7 +5,8 @@
 use jayhollow::{
     clock,
     decisions::crash_ledger::{
-        CrashLedger, CrashNews, CrashOutcome, CrashVerdict, CrashedRun, MAX_CRASHES, MAX_TRIALS,
+        CrashLedger, CrashMark, CrashNews, CrashOutcome, CrashVerdict, CrashedRun, MAX_CRASHES,
+        MAX_TRIALS,
     },
     ids,
 };
@@ -29,6 +30,13 @@
     }
 }
 
+fn mark(number: u64) -> CrashMark {
+    CrashMark {
+        run: endpoint(number),
+        ordinal: 1,
+    }
+}
+
 /// Notes that an endpoint ended under a request that was sent a second before.
 fn crash(ledger: &mut CrashLedger, name: &str, number: u64, second: u64) -> CrashOutcome {
     let run = CrashedRun {
@@ -66,12 +74,34 @@
 #[test]
 fn an_endpoint_that_ends_counts_once() {
     let mut ledger = crashed("x", 1);
+    let run = CrashedRun {
+        digest: digest("x"),
+        endpoint: endpoint(1),
+        begun: at(0),
+    };
     for second in 2..6 {
-        assert_eq!(crash(&mut ledger, "x", 1, second), CrashOutcome::Known);
+        let outcome = ledger.note_crash(&run, at(second));
+        assert_eq!(outcome, CrashOutcome::Known);
     }
     assert!(!is_held(&ledger, "x", 6));
 }
 
+/// An endpoint was back, and crashed again, before its next start was listed: that
+/// counted as one crash, and the request went to four endpoints more.
+#[test]
+fn an_endpoint_that_is_back_before_it_is_listed_counts_again() {
+    let mut ledger = crashed("x", 1);
+    assert_eq!(crash(&mut ledger, "x", 1, 4), CrashOutcome::Counted(2));
+    // Another process saw the same second crash.
+    let mut peer = crashed("x", 1);
+    assert_eq!(crash(&mut peer, "x", 1, 4), CrashOutcome::Counted(2));
+    for news in peer.copy(at(5)) {
+        assert!(!ledger.merge(news, at(5)), "it is the same");
+    }
+    assert_eq!(crash(&mut ledger, "x", 1, 9), CrashOutcome::Counted(3));
+    assert!(is_held(&ledger, "x", 9));
+}
+
 #[test]
 fn a_request_that_is_served_is_cleared_for_all() {
     let mut ledger = crashed("x", 3);
@@ -200,7 +230,7 @@
     let numbers = proptest::collection::btree_set(0..6_u64, 1..5);
     (0..3_usize, numbers, any::<bool>()).prop_map(|(name, numbers, clears)| {
         let last = numbers.last().copied().expect("there is one");
-        let crashes: collections::BTreeSet<_> = numbers.into_iter().map(endpoint).collect();
+        let crashes: collections::BTreeSet<_> = numbers.into_iter().map(mark).collect();
         let cleared = match clears {
             true => crashes.clone(),
             false => collections::BTreeSet::new(),
