fix(serving): a place is given back although its owner is out of reach for a moment

Cause: the message that gives a place back was sent once, if there was a link at all; lost, the place stayed held until its permit expired, 15 s. Read before the wish for the place, as an owner that stood still may, it was forgotten. Change: it is told until it is heard, or the permit would have expired; what is given back before it was asked for is not given.

--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -11,7 +11,7 @@
         EndpointReport, LoanAsk, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk, PlaceRelease,
         ResultAsk, StreamLoan, WriteOutcome,
     },
-    progress_transfer, state_copy, wire,
+    permits, progress_transfer, state_copy, wire,
 };
 use crate::{clock, decisions::crash_ledger, ids};
 
@@ -140,6 +140,36 @@
     }};
 }
 
+/// Tells a peer something until it has heard it, or a permit would have expired.
+///
+/// Said twice it does no harm. A place that is held for nobody is missed by callers for
+/// as long as a permit lives: sixteen of them fill a service of two endpoints.
+macro_rules! tell_until_heard {
+    ($links:expr, $peer:expr, $method:ident($argument:expr)) => {{
+        let links = $links.clone();
+        actix_rt::spawn(async move {
+            let begun = clock::BootInstant::now();
+            loop {
+                links.settle($peer).await;
+                if let Some(client) = links.connected($peer) {
+                    let told = client.$method(within(members::PEER_SILENCE), $argument.clone());
+                    match told.await {
+                        Ok(()) => return,
+                        Err(e) => log::debug!(
+                            "event=message_lost kind={} why=\"{e}\"",
+                            stringify!($method)
+                        ),
+                    }
+                }
+                if begun.elapsed() >= permits::PERMIT_TTL {
+                    return;
+                }
+                actix_rt::time::sleep(RECONNECT_PAUSE).await;
+            }
+        });
+    }};
+}
+
 impl PeerLinks {
     /// Exchanges signs of life.
     ///
@@ -167,9 +197,10 @@
         call_peer!(self, peer, patience, acquire(ask))
     }
 
-    /// Gives a place back; a lost message is made up for by the permit's expiry.
+    /// Gives a place back, also where its owner is out of reach for a while: the place is
+    /// held until it hears of it, or until the permit expires.
     pub fn release(&self, peer: net::SocketAddr, release: PlaceRelease) {
-        tell_peer!(self, peer, release(release));
+        tell_until_heard!(self, peer, release(release));
     }
 
     /// Tells an owner of a failure at one of its endpoints.
@@ -307,9 +338,9 @@
         call_peer!(self, peer, patience, lend(ask))
     }
 
-    /// Gives a place of a batch stream back.
+    /// Gives a place of a batch stream back, also where its owner is out of reach for a while.
     pub fn give_back(&self, peer: net::SocketAddr, loan: StreamLoan) {
-        tell_peer!(self, peer, give_back(loan));
+        tell_until_heard!(self, peer, give_back(loan));
     }
 
     /// Takes a place of a batch stream back.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -1,7 +1,7 @@
 //! Places at the endpoints that this process owns: online requests by permit,
 //! batch streams in what they leave.
 
-use std::{collections, rc, time};
+use std::{collections, num, rc, time};
 
 use super::{directory, peers, selection};
 use crate::{
@@ -11,7 +11,10 @@
 };
 
 /// Longest life of a permit that is not released; above the longest request's time limit.
-const PERMIT_TTL: time::Duration = time::Duration::from_secs(15);
+pub(super) const PERMIT_TTL: time::Duration = time::Duration::from_secs(15);
+/// Permits given back before they were asked for that are remembered: those of a second
+/// in which an owner stood still, at some hundred requests a second.
+const MAX_RETURNED: num::NonZeroUsize = num::NonZeroUsize::new(1024).expect("it is not zero");
 /// Places that batch work leaves free at each endpoint.
 ///
 /// The next online request finds one without a cancellation; streams are
@@ -62,6 +65,11 @@
     lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ids::InstanceId>,
     /// How long online requests of a service hold a slot.
     holds: collections::HashMap<ids::ServiceName, queue_limit::HoldEstimate>,
+    /// Permits that were given back and not known.
+    ///
+    /// An owner that stood still may read what came on a newer link first: the word that
+    /// nobody waits for a place any more, and then the wish for it.
+    returned: lru::LruCache<admission::PermitNumber, ()>,
     /// Endpoints that refused lately.
     refusals: backoff_marks::BackoffMarks,
     /// Endpoints that give one place at a time, until they are known to be there.
@@ -127,6 +135,7 @@
             holders: collections::HashMap::new(),
             lent: collections::HashMap::new(),
             holds: collections::HashMap::new(),
+            returned: lru::LruCache::new(MAX_RETURNED),
             refusals: backoff_marks::BackoffMarks::new(REFUSAL_PAUSES),
             doubtful: collections::HashSet::new(),
         }
@@ -178,6 +187,9 @@
         shunned: &collections::HashSet<ids::EndpointId>,
         now: clock::Moment,
     ) -> Option<GrantedPlace> {
+        if self.returned.pop(&ask.number).is_some() {
+            return None;
+        }
         let usable = self
             .of_service(&ask.service)
             .filter(|owned| !ask.tried.contains(&owned.entry.id));
@@ -241,7 +253,10 @@
 
     /// Ends a permit; gives its endpoint if it was known.
     pub fn release(&mut self, number: admission::PermitNumber) -> Option<ids::EndpointId> {
-        let holder = self.holders.remove(&number)?;
+        let Some(holder) = self.holders.remove(&number) else {
+            self.returned.put(number, ());
+            return None;
+        };
         if let Some(owned) = self.ledgers.get_mut(&holder.endpoint) {
             owned.ledger.release_permit(number);
         }
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -365,6 +365,28 @@
     board
 }
 
+/// An owner that had stood still read on a new link that a place is given back, and
+/// then on the old one the wish for it: the place was held for 15 s for nobody.
+#[test]
+fn a_place_that_was_given_back_before_it_was_asked_for_is_not_given() {
+    let mut board = board(&[entry("a", "z")]);
+    let now = clock::Moment(1);
+    let ask = |number| peers::PlaceAsk {
+        number,
+        instance: "g".parse().expect("a name"),
+        domain: "z".parse().expect("a name"),
+        service: service(),
+        tried: Vec::new(),
+        may_queue: false,
+        wait: time::Duration::ZERO,
+    };
+    assert_eq!(board.release(7), None);
+    assert_eq!(board.acquire(&ask(7), &Default::default(), now), None);
+    assert!(board.is_empty(), "nobody holds anything");
+    assert!(board.acquire(&ask(8), &Default::default(), now).is_some());
+    assert!(board.release(8).is_some());
+}
+
 #[test]
 fn online_requests_take_places_back_and_are_refused_beyond_the_bound() {
     let mut board = board(&[entry("a", "z"), entry("b", "z")]);
