fix(serving): a request that was served lately is blamed for no crash

Cause: only the first crash after a success was excused. Change: a request is blamed for nothing for 30 s after it was served.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -58,6 +58,12 @@
 /// Ends of endpoints that are remembered, each for that time.
 const MAX_ENDS: num::NonZeroUsize = num::NonZeroUsize::new(256).expect("it is not zero");
 
+/// Time after a request was served in which it is blamed for nothing. Endpoints that end
+/// together, or under another request, are back within seconds, and one that comes often
+/// is served again then; one that is served no more is blamed soon enough, as after a
+/// release that it does not agree with.
+const EXCUSED_FOR: time::Duration = time::Duration::from_secs(30);
+
 /// Requests that are remembered as served: those that come often enough to be at work
 /// at several endpoints that crash at once.
 const MAX_SERVED: num::NonZeroUsize = num::NonZeroUsize::new(4096).expect("it is not zero");
@@ -114,7 +120,7 @@
 /// What came of noting a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashOutcome {
-    /// The request was served lately, and is not to blame for the first crash after that.
+    /// The request was served lately, and is not to blame.
     Excused,
     /// It was known.
     Known,
@@ -238,20 +244,14 @@
     }
 }
 
-/// A request that was served, and what happened since.
-#[derive(Debug, Clone, Copy, Default)]
-struct ServedNote {
-    /// When an endpoint first crashed under it after it was served.
-    crashed_at: Option<clock::Moment>,
-}
-
 /// The requests under which endpoints ended.
 ///
 /// Invariant: `number` is the sum of the numbers of `records`.
 #[derive(Debug)]
 pub struct CrashLedger {
     records: collections::HashMap<ids::RequestDigest, CrashRecord>,
-    served: lru::LruCache<ids::RequestDigest, ServedNote>,
+    /// When requests were last served here.
+    served: lru::LruCache<ids::RequestDigest, clock::Moment>,
     /// When endpoints were last seen to end, whatever ran there.
     ends: lru::LruCache<ids::EndpointRun, clock::Moment>,
     number: u64,
@@ -298,27 +298,19 @@
         ended_at.is_some_and(|at| !is_new && run.begun > at)
     }
 
-    /// Whether a request was served since the last crash that it could be blamed for.
+    /// Whether a request was served so lately that it is not to blame for a crash.
     ///
     /// A request that comes often is at work at most of the endpoints that crash
-    /// together, say with the power of their rack. What was sent before the first of
-    /// these crashes was seen proves nothing; what is sent afterwards does.
+    /// together, say with the power of their rack, or one after the other under another.
     fn is_excused(&mut self, run: &CrashedRun, now: clock::Moment) -> bool {
-        let Some(note) = self.served.get_mut(&run.digest) else {
-            return false;
-        };
-        let crashed_at = *note.crashed_at.get_or_insert(now);
-        if run.begun <= crashed_at {
-            return true;
-        }
-        self.served.pop(&run.digest);
-        false
+        let served_at = self.served.get(&run.digest);
+        served_at.is_some_and(|at| now.since(*at) < EXCUSED_FOR)
     }
 
     /// Notes that an endpoint ran a request to its end; says whether that clears it of
     /// crashes.
     pub fn note_served(&mut self, digest: ids::RequestDigest, now: clock::Moment) -> bool {
-        self.served.put(digest, ServedNote::default());
+        self.served.put(digest, now);
         let is_blamed = self.records.get(&digest).is_some_and(|r| r.count() > 0);
         if is_blamed {
             self.change(digest, now, |record| {
