fix(serving): what a peer knows of crashes is waited for as long as it comes on

Cause: one timeout for the whole answer, which over a narrow link never comes whole; it was waited for before what else a sign of life brings; and the store was asked again at a fixed pace while it is away. Change: the silence bounds it, it is asked beside the rest, and the pace falls.

--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -175,7 +175,7 @@
     match answer {
         Ok(hello) if hello.id == record.id => {
             hear(&context, &hello);
-            crash_guard::learn(&context, record.address, &hello).await;
+            crash_guard::learn(&context, record.address, &hello);
             catch_up(&context, record.address, &hello).await;
         }
         Ok(hello) => log::warn!("event=peer_differs listed={} found={}", record.id, hello.id),
@@ -188,12 +188,7 @@
 pub(super) fn take_probe(context: &rc::Rc<process::ProcessContext>, hello: &peers::PeerHello) {
     hear(context, hello);
     learn_state(context, hello.address, hello);
-    if hello.crashes != context.crashes.number() {
-        let (context, hello) = (context.clone(), hello.clone());
-        actix_rt::spawn(async move {
-            crash_guard::learn(&context, hello.address, &hello).await;
-        });
-    }
+    crash_guard::learn(context, hello.address, hello);
     if may_tell_list(context, hello) {
         let (context, hello) = (context.clone(), hello.clone());
         actix_rt::spawn(async move { learn_list(&context, hello.address, &hello).await });
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -16,9 +16,8 @@
 /// Kind of the records of requests that are held back.
 const HELD_KIND: &str = "held-requests";
 
-/// Longest wait for what a peer knows: 200 KB at most, over links that bring a
-/// megabyte in less.
-const PULL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Longest wait for the next bytes of what a peer knows; a round trip takes 1 to 4 ms.
+const PULL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Pauses between two questions to peers that know something else. A crash is to be
 /// known everywhere within a second; a peer that knows less than this process brings
@@ -40,8 +39,8 @@
 /// Time after its start in which a gateway hears a dispatcher that has read the records.
 const PEER_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// Pause before the records are read again.
-const READ_PAUSE: time::Duration = time::Duration::from_millis(700);
+/// Pauses before the records are read again, while the store is away.
+const READ_PACE: retry::PauseRange = SAVE_PACE;
 
 /// A request that is held back, as it lies in the store.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -193,30 +192,36 @@
     writers.any(|owner| owner.id == *context.id())
 }
 
-/// Asks a peer for what it knows if that is something else, at a bounded pace.
-pub(super) async fn learn(
+/// Asks a peer that knows something else for what it knows, at a bounded pace; what else
+/// its sign of life brings does not wait for it.
+pub(super) fn learn(
     context: &rc::Rc<process::ProcessContext>,
     peer: net::SocketAddr,
     hello: &peers::PeerHello,
 ) {
     let guard = &context.crashes;
-    let now = context.clock.now();
-    if hello.crashes == guard.number() || now < guard.ask_at.get() {
-        return;
+    let is_due = context.clock.now() >= guard.ask_at.get();
+    if is_due && hello.crashes != guard.number() {
+        let id = hello.id.clone();
+        actix_rt::spawn(ask(context.clone(), peer, id));
     }
+}
+
+async fn ask(context: rc::Rc<process::ProcessContext>, peer: net::SocketAddr, id: ids::InstanceId) {
+    let guard = &context.crashes;
     let Some(_flight) = guard.flight.begin() else {
         return;
     };
     context.links.settle(peer).await;
     let is_new = match context.links.crashes(peer, PULL_TIMEOUT).await {
         Ok(all) => {
-            let new = all.into_iter().filter(|news| take(context, news.clone()));
+            let new = all.into_iter().filter(|news| take(&context, news.clone()));
             let count = new.count();
-            log::info!("event=crashes_from_peer peer={} new={count}", hello.id);
+            log::info!("event=crashes_from_peer peer={id} new={count}");
             count > 0
         }
         Err(e) => {
-            log::info!("event=peer_crashes_missing peer={} why=\"{e}\"", hello.id);
+            log::info!("event=peer_crashes_missing peer={id} why=\"{e}\"");
             false
         }
     };
@@ -306,7 +311,7 @@
     if is_gateway {
         actix_rt::time::sleep(PEER_TIME).await;
     }
-    loop {
+    for earlier in 0.. {
         let now = context.clock.now();
         let hears_dispatcher = !context.members.borrow().heard_dispatchers(now).is_empty();
         if is_gateway && hears_dispatcher {
@@ -323,13 +328,14 @@
             }
             Err(e) => log::info!("event=held_requests_unread why=\"{e}\""),
         }
-        actix_rt::time::sleep(READ_PAUSE).await;
+        let pause = retry::pause_after(earlier, &READ_PACE, &mut rand::rng());
+        actix_rt::time::sleep(pause).await;
     }
 }
 
 /// Takes a record of the store; one that cannot be read holds nothing back.
 fn take_record(
-    context: &process::ProcessContext,
+    context: &rc::Rc<process::ProcessContext>,
     prefix: &str,
     change: crate::platform::ObjectChange,
 ) {
@@ -346,6 +352,10 @@
                 cleared: record.cleared,
                 age: time::Duration::from_millis(age_ms),
             };
+            // It was served since: nothing hangs on the record any more.
+            if news.count() < crash_ledger::MAX_CRASHES {
+                actix_rt::spawn(remove(context.clone(), digest));
+            }
             merge(context, news);
         }
         Err(e) => log::warn!(
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -213,16 +213,21 @@
         tell_peer!(self, peer, crash_news(news));
     }
 
-    /// Asks for all that a peer knows of such requests.
+    /// Asks for all that a peer knows of such requests: up to 200 KB, which is waited for
+    /// as long as it comes on.
     ///
     /// # Errors
     /// The peer does not answer.
     pub async fn crashes(
         &self,
         peer: net::SocketAddr,
-        patience: time::Duration,
+        silence: time::Duration,
     ) -> Result<Vec<crash_ledger::CrashNews>, PeerError> {
-        call_peer!(self, peer, patience, crashes())
+        let asking = async { call_peer!(self, peer, LIST_TIMEOUT, crashes()) };
+        tokio::select! {
+            answer = asking => answer,
+            () = self.silence(peer, silence) => Err(PeerError::TimedOut),
+        }
     }
 
     /// Asks for a part of the desired state.
