fix(serving): a result whose write got no answer is settled though its job was ended

Cause: the owner of an ended job tried no more to write its results. Of a write without an answer others may have read them from the store; the owner knew of none, and said so. Change: it goes on until it is known what the store has. Before: the new test waits in vain; after: the results come.

--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -330,11 +330,14 @@
 
 async fn commit_all(context: &rc::Rc<process::ProcessContext>, job: &SharedJob) {
     let mut backoff = settle::JitteredBackoff::default();
+    // Of a write without an answer others may have read the results from the store, also
+    // of a job that was ended since: it is tried until it is known what is there.
+    let mut is_settled = true;
     loop {
         gather(context, job).await;
         let (id, number, part) = {
             let job = job.borrow();
-            if job.pending.is_empty() || job.ended {
+            if job.pending.is_empty() || (job.ended && is_settled) {
                 return;
             }
             (job.record.id.clone(), job.parts, job.next_part())
@@ -355,8 +358,12 @@
             Err(e) => Err(e),
         };
         match settled {
-            Ok(()) => backoff = settle::JitteredBackoff::default(),
+            Ok(()) => {
+                is_settled = true;
+                backoff = settle::JitteredBackoff::default();
+            }
             Err(e) => {
+                is_settled &= e != store::StoreError::Unknown;
                 log::warn!("event=results_uncommitted job={id} part={number} why=\"{e}\"");
                 actix_rt::time::sleep(backoff.next_pause()).await;
             }
