--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -73,7 +73,7 @@
         // Something else may have taken the connection for an endpoint that was gone.
         true if !run.has_head => None,
         true => {
-            let watching = starts_again(&context, &run.endpoint);
+            let watching = context.fleet.other_start(&run.endpoint);
             let seen = tokio::time::timeout(RESTART_TIME, watching).await;
             seen.is_ok().then_some(EndEvidence::StartedAgain)
         }
@@ -97,20 +97,6 @@
     true
 }
 
-/// Resolves when an endpoint is listed with another start than the one that is known.
-async fn starts_again(context: &process::ProcessContext, endpoint: &directory::EndpointEntry) {
-    let mut changes = context.fleet.subscribe();
-    let has_started = || {
-        let directory = context.fleet.directory.borrow();
-        directory.has_other_start(&endpoint.id, endpoint.started)
-    };
-    while !has_started() {
-        if changes.changed().await.is_err() {
-            return futures::future::pending().await;
-        }
-    }
-}
-
 fn note_end(context: &rc::Rc<process::ProcessContext>, run: &CutRun, evidence: EndEvidence) {
     let endpoint = ids::EndpointRun {
         endpoint: run.endpoint.id.clone(),
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -2,6 +2,7 @@
 
 use std::{cell, collections, rc, sync, time};
 
+use futures::future;
 use tokio::sync::{watch, Notify};
 
 use super::{directory, fleet_source, route_table};
@@ -137,6 +138,20 @@
         self.changes.subscribe()
     }
 
+    /// Resolves when an endpoint is listed with another start than the one that is known.
+    pub async fn other_start(&self, endpoint: &directory::EndpointEntry) {
+        let mut changes = self.subscribe();
+        let is_listed = || {
+            let directory = self.directory.borrow();
+            directory.has_other_start(&endpoint.id, endpoint.started)
+        };
+        while !is_listed() {
+            if changes.changed().await.is_err() {
+                return future::pending().await;
+            }
+        }
+    }
+
     /// Number of the latest change of the endpoints or the orders.
     pub fn change_number(&self) -> u64 {
         *self.changes.borrow()
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -361,16 +361,7 @@
     context: rc::Rc<process::ProcessContext>,
     endpoint: rc::Rc<directory::EndpointEntry>,
 ) {
-    let mut changes = context.fleet.subscribe();
-    let has_ended = || {
-        let directory = context.fleet.directory.borrow();
-        directory.has_other_start(&endpoint.id, endpoint.started)
-    };
-    while !has_ended() {
-        if changes.changed().await.is_err() {
-            return future::pending().await;
-        }
-    }
+    context.fleet.other_start(&endpoint).await;
     tokio::time::sleep(LAST_BYTES_TIME).await;
     log::info!(
         "event=run_ended endpoint={} why=\"it started again\"",
