fix: what a run of a process held at owners ends with it

Cause: an owner knew the holders of places by the names of their instances, and took places back from one that had been silent for 1.6 s. One that was killed and heard again before kept all that its earlier run had held: online requests until the 15 s of a permit were over, batch streams for good (until an online request took the place back).

Change: each run of a process draws a number, told with its signs of life and in each wish for a place or loan. Owners log why they gave no place.

Before: 503 for a request after a gateway that held all places was killed and started again; fewer than 42 items at work 30 s after a dispatcher was.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -191,6 +191,49 @@
     }
 }
 
+/// Tells the runs of an instance apart: drawn at random at each start, as clocks step.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct RunNumber(u64);
+
+impl RunNumber {
+    /// A number for a run that begins.
+    pub fn draw() -> Self {
+        Self(rand::random())
+    }
+}
+
+impl fmt::Display for RunNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl str::FromStr for RunNumber {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// One run of an instance, from its start to its end: the next one has nothing of what
+/// this one held.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct InstanceRun {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Which of its runs.
+    pub run: RunNumber,
+}
+
+impl fmt::Display for InstanceRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.instance, self.run)
+    }
+}
+
 /// Tells requests apart by what they ask: equal for each try of one request, whoever
 /// sends it and wherever it arrives.
 ///
--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -209,20 +209,31 @@
 }
 
 fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
+    if note_heard(context, hello) {
+        log::info!("event=peer_started peer={} run={}", hello.id, hello.run);
+        owners::release_ended(context);
+    }
+}
+
+/// Takes what a peer says of itself; says whether this run of it was not
+/// heard before.
+fn note_heard(context: &process::ProcessContext, hello: &peers::PeerHello) -> bool {
     let now = context.clock.now();
     let signs = members::LifeSigns {
+        run: hello.run,
         leaving: hello.leaving,
         hears: hello.hears.clone(),
         follows_store: hello.follows_store,
         version: hello.version,
     };
     let mut members = context.members.borrow_mut();
-    members.note_heard(&hello.id, signs, now);
+    let has_started = members.note_heard(&hello.id, signs, now);
     let mut rooms = context.rooms.borrow_mut();
     rooms.retain(|(id, _), _| *id != hello.id);
     for (service, room) in &hello.rooms {
         rooms.insert((hello.id.clone(), service.clone()), *room);
     }
+    has_started
 }
 
 /// Takes beliefs that a peer has newer than this process.
--- a/src/serving/job_loans.rs
+++ b/src/serving/job_loans.rs
@@ -46,7 +46,7 @@
             let address = context.members.borrow().address_of(&owner.id);
             let Some(address) = address else { continue };
             let ask = peers::LoanAsk {
-                instance: context.id().clone(),
+                holder: context.run.clone(),
                 service: service.clone(),
                 count: waiting.min(MAX_LOAN),
             };
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -43,6 +43,8 @@
 /// What a process says of itself at each sign of life.
 #[derive(Debug, Clone, Default)]
 pub struct LifeSigns {
+    /// Which of its runs this is.
+    pub run: ids::RunNumber,
     /// Whether it is leaving.
     pub leaving: bool,
     /// Marks of the dispatchers that it hears itself.
@@ -141,12 +143,20 @@
         PEER_SILENCE.mul_f64(pace_stretch(probed))
     }
 
-    /// Notes a sign of life, and what the process says of itself.
-    pub fn note_heard(&mut self, id: &ids::InstanceId, signs: LifeSigns, now: clock::Moment) {
-        if let Some(peer) = self.peers.get_mut(id) {
-            peer.heard = Some(now);
-            peer.signs = signs;
-        }
+    /// Notes a sign of life, and what the process says of itself; says whether it was
+    /// not heard in this run before.
+    pub fn note_heard(
+        &mut self,
+        id: &ids::InstanceId,
+        signs: LifeSigns,
+        now: clock::Moment,
+    ) -> bool {
+        let Some(peer) = self.peers.get_mut(id) else {
+            return false;
+        };
+        peer.heard = Some(now);
+        let before = std::mem::replace(&mut peer.signs, signs);
+        before.run != peer.signs.run
     }
 
     /// Takes all records that a peer knows; those that it lacks are forgotten,
@@ -243,6 +253,17 @@
         peer.heard.is_none_or(|at| now.since(at) > silence)
     }
 
+    /// Whether one run of a process has ended: the process is lost, or was heard in
+    /// another run since.
+    ///
+    /// One that has just started may ask before it is heard, and for those milliseconds
+    /// counts as the run before.
+    pub fn has_ended(&self, holder: &ids::InstanceRun, now: clock::Moment) -> bool {
+        let is_other = |peer: &PeerState| peer.signs.run != holder.run;
+        self.is_lost(&holder.instance, now)
+            || self.peers.get(&holder.instance).is_some_and(is_other)
+    }
+
     /// Whether a process ever answered this process.
     pub fn was_heard(&self, id: &ids::InstanceId) -> bool {
         self.peers.get(id).is_some_and(|peer| peer.heard.is_some())
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -72,7 +72,7 @@
             context.pool.sweep();
             context.permits.borrow_mut().expire(now);
             crash_guard::expire(&context);
-            release_lost(&context, now);
+            release_ended(&context);
             let directory = context.fleet.directory.borrow();
             let listed = |id: &ids::EndpointId| directory.usable(id).is_some();
             context.loads.borrow_mut().retain(listed);
@@ -112,11 +112,18 @@
     context.age() > SETTLE_TIME
 }
 
-/// Ends what processes hold that have not been heard for a while.
-fn release_lost(context: &process::ProcessContext, now: clock::Moment) {
+/// Ends what processes hold that have not been heard for a while, or held before they
+/// started again.
+pub(super) fn release_ended(context: &process::ProcessContext) {
+    let now = context.clock.now();
     let members = context.members.borrow();
-    let is_lost = |id: &ids::InstanceId| *id != *context.id() && members.is_lost(id, now);
-    context.permits.borrow_mut().release_lost(is_lost);
+    let has_ended =
+        |holder: &ids::InstanceRun| *holder != context.run && members.has_ended(holder, now);
+    let released = context.permits.borrow_mut().release_ended(has_ended);
+    if released > 0 {
+        log::info!("event=places_released count={released} why=\"their holders ended\"");
+        context.jobs.work.notify_one();
+    }
 }
 
 /// Works out who owns what, and tells the parts that hang on it.
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -139,7 +139,7 @@
     let now = context.clock.now();
     let mut permits = context.permits.borrow_mut();
     let shunned = permits.shunned(&context.loads.borrow(), now);
-    let lent = permits.lend_batch(&ask.service, &shunned, &ask.instance, ask.count, now);
+    let lent = permits.lend_batch(&ask.service, &shunned, &ask.holder, ask.count, now);
     let lent = lent.into_iter();
     let loans = lent.map(|(endpoint, number)| peers::StreamLoan { endpoint, number });
     loans.collect()
@@ -156,7 +156,16 @@
     let granted = permits.acquire(ask, &shunned, now);
     let room = permits.online_room(&ask.service);
     let queue_room = permits.queue_room(&ask.service, ask.wait);
+    let denial = granted.is_none().then(|| permits.denial(ask, now));
     drop(permits);
+    if let Some(denial) = denial {
+        log::info!(
+            "event=place_denied service={} asker={} may_queue={} {denial}",
+            ask.service,
+            ask.holder,
+            ask.may_queue,
+        );
+    }
     let endpoint = granted.map(|place| {
         for stream in &place.preempted {
             preempt(context, &place.endpoint, *stream);
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -17,6 +17,8 @@
 pub struct PeerHello {
     /// The process.
     pub id: ids::InstanceId,
+    /// Which of its runs this is.
+    pub run: ids::RunNumber,
     /// Where it answers its peers: one that the store turns away may not know it.
     pub address: net::SocketAddr,
     /// Whether it is leaving.
@@ -45,7 +47,7 @@
     /// Number of the permit, made by the asker at random.
     pub number: admission::PermitNumber,
     /// The asker.
-    pub instance: ids::InstanceId,
+    pub holder: ids::InstanceRun,
     /// Its failure domain.
     pub domain: ids::DomainName,
     /// The service.
@@ -104,7 +106,7 @@
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct LoanAsk {
     /// The asker.
-    pub instance: ids::InstanceId,
+    pub holder: ids::InstanceRun,
     /// The service.
     pub service: ids::ServiceName,
     /// Places that the asker can use.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -1,7 +1,7 @@
 //! Places at the endpoints that this process owns: online requests by permit,
 //! batch streams in what they leave.
 
-use std::{collections, num, rc, time};
+use std::{collections, fmt, num, rc, time};
 
 use super::{directory, peers, selection};
 use crate::{
@@ -44,11 +44,43 @@
     pub preempted: Vec<admission::StreamNumber>,
 }
 
+/// Why a service has no place for a request: what stands in the way at its endpoints.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlaceDenial {
+    /// Owned endpoints of the service.
+    pub endpoints: usize,
+    /// Those that the asker does not want.
+    pub unwanted: usize,
+    /// Those that refused lately, or are not known to be there.
+    pub closed: usize,
+    /// Online requests that have places at them.
+    pub online: u32,
+    /// Processes that hold these places.
+    pub holders: usize,
+    /// How long the oldest place has been held.
+    pub oldest: time::Duration,
+}
+
+impl fmt::Display for PlaceDenial {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "endpoints={} unwanted={} closed={} online={} holders={} oldest_ms={}",
+            self.endpoints,
+            self.unwanted,
+            self.closed,
+            self.online,
+            self.holders,
+            self.oldest.as_millis(),
+        )
+    }
+}
+
 /// Where a permit was given, and to whom.
 #[derive(Debug, Clone)]
 struct PermitHolder {
     endpoint: ids::EndpointId,
-    instance: ids::InstanceId,
+    holder: ids::InstanceRun,
     expiry: clock::Moment,
     /// When it was given, if a slot was free then.
     begun: Option<clock::Moment>,
@@ -62,7 +94,7 @@
     ledgers: collections::HashMap<ids::EndpointId, OwnedLedger>,
     holders: collections::HashMap<admission::PermitNumber, PermitHolder>,
     /// Batch streams that other instances run here.
-    lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ids::InstanceId>,
+    lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ids::InstanceRun>,
     /// How long online requests of a service hold a slot.
     holds: collections::HashMap<ids::ServiceName, queue_limit::HoldEstimate>,
     /// Permits that were given back and not known.
@@ -217,7 +249,7 @@
         let grant = owned.ledger.request_permit(ask.number, now)?;
         let holder = PermitHolder {
             endpoint: endpoint.clone(),
-            instance: ask.instance.clone(),
+            holder: ask.holder.clone(),
             expiry: now + PERMIT_TTL,
             begun: is_free.then_some(now),
         };
@@ -228,6 +260,27 @@
         })
     }
 
+    /// What stands in the way of a request that got no place.
+    pub fn denial(&self, ask: &peers::PlaceAsk, now: clock::Moment) -> PlaceDenial {
+        let ledgers = self.ledgers.values();
+        let owned: Vec<_> = ledgers.filter(|o| o.entry.service == ask.service).collect();
+        let is_unwanted = |owned: &&&OwnedLedger| ask.tried.contains(&owned.entry.id);
+        let is_here = |h: &&PermitHolder| owned.iter().any(|o| o.entry.id == h.endpoint);
+        let held: Vec<_> = self.holders.values().filter(is_here).collect();
+        let holders: collections::HashSet<_> = held.iter().map(|h| &h.holder).collect();
+        let ages = held
+            .iter()
+            .map(|h| PERMIT_TTL.saturating_sub(h.expiry.since(now)));
+        PlaceDenial {
+            endpoints: owned.len(),
+            unwanted: owned.iter().filter(is_unwanted).count(),
+            closed: owned.len() - self.of_service(&ask.service).count(),
+            online: owned.iter().map(|o| o.ledger.online()).sum(),
+            holders: holders.len(),
+            oldest: ages.max().unwrap_or_default(),
+        }
+    }
+
     /// Requests that may wait at an endpoint, each for so long.
     fn queue_of(&self, owned: &OwnedLedger, wait: time::Duration) -> u32 {
         let hold = self.holds.get(&owned.entry.service).copied();
@@ -263,18 +316,20 @@
         Some(holder.endpoint)
     }
 
-    /// Ends all permits and batch streams of instances that are gone.
-    pub fn release_lost(&mut self, is_lost: impl Fn(&ids::InstanceId) -> bool) {
-        let held = self.holders.iter().filter(|(_, h)| is_lost(&h.instance));
+    /// Ends all permits and batch streams of processes that ended; gives their number.
+    pub fn release_ended(&mut self, has_ended: impl Fn(&ids::InstanceRun) -> bool) -> usize {
+        let held = self.holders.iter().filter(|(_, h)| has_ended(&h.holder));
         let held: Vec<_> = held.map(|(number, _)| *number).collect();
+        let lent = self.lent.iter().filter(|(_, holder)| has_ended(holder));
+        let lent: Vec<_> = lent.map(|(key, _)| key.clone()).collect();
+        let released = held.len() + lent.len();
         for number in held {
             self.release(number);
         }
-        let lent = self.lent.iter().filter(|(_, holder)| is_lost(holder));
-        let lent: Vec<_> = lent.map(|(key, _)| key.clone()).collect();
         for (endpoint, number) in lent {
             self.end_batch(&endpoint, number);
         }
+        released
     }
 
     /// Who holds a batch stream, if it is another instance.
@@ -283,7 +338,8 @@
         endpoint: &ids::EndpointId,
         number: admission::StreamNumber,
     ) -> Option<ids::InstanceId> {
-        self.lent.remove(&(endpoint.clone(), number))
+        let holder = self.lent.remove(&(endpoint.clone(), number))?;
+        Some(holder.instance)
     }
 
     /// The owned endpoints.
@@ -305,7 +361,7 @@
         &mut self,
         service: &ids::ServiceName,
         shunned: &collections::HashSet<ids::EndpointId>,
-        borrower: &ids::InstanceId,
+        borrower: &ids::InstanceRun,
         count: usize,
         now: clock::Moment,
     ) -> Vec<(ids::EndpointId, admission::StreamNumber)> {
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -271,7 +271,7 @@
     unwanted.extend(shunned.into_iter().filter(|id| !tried.contains(id)));
     peers::PlaceAsk {
         number: rand::random(),
-        instance: context.id().clone(),
+        holder: context.run.clone(),
         domain: context.domain().clone(),
         service: service.clone(),
         tried: unwanted,
@@ -313,7 +313,7 @@
     mut wish: peers::PlaceAsk,
 ) -> Option<peers::PlaceAnswer> {
     // The owners do not hear the peer, and would take its places back.
-    wish.instance = context.id().clone();
+    wish.holder = context.run.clone();
     let number = wish.number;
     let owners = owner_order(context, &wish.service);
     for owner in owners.iter().take(OWNERS_ASKED) {
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -69,6 +69,8 @@
 
 /// What all parts of a process share.
 pub struct ProcessContext {
+    /// This run of the process.
+    pub run: ids::InstanceRun,
     /// How it is run.
     pub options: ProcessOptions,
     /// The words of the wire.
@@ -228,6 +230,7 @@
         let heard = members.heard_dispatchers(now);
         peers::PeerHello {
             id: self.id().clone(),
+            run: self.run.run,
             address: self.options.member.address,
             leaving: self.is_leaving(),
             version: self.fleet.table().version(),
@@ -253,9 +256,14 @@
 ) -> io::Result<()> {
     let calls = peer_server::serve(options.internal)?;
     let begun = borders.clock.now();
+    let own_run = ids::InstanceRun {
+        instance: options.member.id.clone(),
+        run: ids::RunNumber::draw(),
+    };
     let checkpoints = job_checkpoints::CheckpointBoard::default();
     let checkpoint_file = open_checkpoints(&options, &checkpoints);
     let context = rc::Rc::new(ProcessContext {
+        run: own_run,
         fleet: rc::Rc::new(fleet_model::FleetModel::new(borders.clock.clone())),
         options,
         wire: borders.wire,
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -189,7 +189,10 @@
 fn ask(number: u64) -> peers::PlaceAsk {
     peers::PlaceAsk {
         number,
-        instance: "g".parse().expect("a name"),
+        holder: ids::InstanceRun {
+            instance: "g".parse().expect("a name"),
+            run: ids::RunNumber::default(),
+        },
         domain: "z".parse().expect("a name"),
         service: service(),
         tried: Vec::new(),
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,85 @@
+//! Which processes answer, who owns what, and which of their runs have ended.
+
+use std::{net, time};
+
+use jayhollow::{clock, ids, serving::members};
+
+fn record(id: &str, role: members::MemberRole) -> members::MemberRecord {
+    members::MemberRecord {
+        id: id.parse().expect("a name"),
+        role,
+        domain: "z".parse().expect("a name"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+    }
+}
+
+#[test]
+fn owners_are_the_live_dispatchers_or_else_the_gateways() {
+    let mut now = clock::Moment(1);
+    let own = record("g0", members::MemberRole::Gateway);
+    let mut table = members::MemberTable::default();
+    table.take(record("d2", members::MemberRole::Dispatcher));
+    table.take(record("d1", members::MemberRole::Dispatcher));
+    let names = |table: &members::MemberTable, now| -> Vec<String> {
+        let owners = table.owners(Some(&own), now);
+        owners.into_iter().map(|o| o.id.to_string()).collect()
+    };
+    assert_eq!(names(&table, now), ["g0"], "nobody was heard yet");
+    for id in ["d1", "d2"] {
+        table.note_heard(&id.parse().expect("a name"), Default::default(), now);
+    }
+    assert_eq!(names(&table, now), ["d1", "d2"]);
+    let leaving = members::LifeSigns {
+        leaving: true,
+        ..Default::default()
+    };
+    table.note_heard(&"d1".parse().expect("a name"), leaving, now);
+    assert_eq!(names(&table, now), ["d2"], "one that leaves owns nothing");
+    now = now + members::PEER_SILENCE;
+    assert_eq!(names(&table, now), ["g0"]);
+    table.take(record("g1", members::MemberRole::Gateway));
+    let g1 = "g1".parse().expect("a name");
+    table.note_heard(&g1, Default::default(), now);
+    assert_eq!(
+        names(&table, now),
+        ["g0", "g1"],
+        "no gateway hears a dispatcher; all name the same one first"
+    );
+    let hears = members::LifeSigns {
+        hears: vec![members::MemberMark::of(&"d1".parse().expect("a name"))],
+        ..Default::default()
+    };
+    table.note_heard(&g1, hears, now);
+    assert_eq!(
+        names(&table, now),
+        ["d1"],
+        "the path to it is cut, others hear it"
+    );
+    assert!(!table.hears(&"d1".parse().expect("a name"), now));
+    assert_eq!(table.relays(now).len(), 1);
+}
+
+/// A gateway that was killed and was back within a second left its places held for 15 s.
+#[test]
+fn a_process_that_is_heard_in_another_run_has_ended_its_first() {
+    let now = clock::Moment(1);
+    let mut table = members::MemberTable::default();
+    table.take(record("g1", members::MemberRole::Gateway));
+    let id: ids::InstanceId = "g1".parse().expect("a name");
+    let heard = |number: &str| members::LifeSigns {
+        run: number.parse().expect("a number"),
+        ..Default::default()
+    };
+    let of = |number: &str| ids::InstanceRun {
+        instance: id.clone(),
+        run: number.parse().expect("a number"),
+    };
+    assert!(table.note_heard(&id, heard("1"), now));
+    assert!(!table.note_heard(&id, heard("1"), now));
+    assert!(!table.has_ended(&of("1"), now));
+    assert!(table.note_heard(&id, heard("2"), now));
+    assert!(table.has_ended(&of("1"), now));
+    assert!(!table.has_ended(&of("2"), now));
+    let later = now + 2 * members::PEER_SILENCE + time::Duration::from_millis(1);
+    assert!(table.has_ended(&of("2"), later), "it is lost");
+}
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -3,8 +3,7 @@
 use std::{net, rc, sync, time};
 
 use jayhollow::{
-    clock::{self, MonotonicClock as _},
-    ids,
+    clock, ids,
     serving::{
         directory, event_split, fleet_model, fleet_source::FleetNews, members, peers, permits,
         route_table, selection,
@@ -40,6 +39,13 @@
     }
 }
 
+fn run(instance: &str) -> ids::InstanceRun {
+    ids::InstanceRun {
+        instance: instance.parse().expect("a name"),
+        run: ids::RunNumber::default(),
+    }
+}
+
 fn service() -> ids::ServiceName {
     "s".parse().expect("a name")
 }
@@ -373,7 +379,7 @@
     let now = clock::Moment(1);
     let ask = |number| peers::PlaceAsk {
         number,
-        instance: "g".parse().expect("a name"),
+        holder: run("g"),
         domain: "z".parse().expect("a name"),
         service: service(),
         tried: Vec::new(),
@@ -397,13 +403,13 @@
         batch += 1;
     }
     assert_eq!(batch, 6, "one place of four is left free at each");
-    let holder: ids::InstanceId = "g".parse().expect("a name");
+    let holder = run("g");
     let mut preempted = 0;
     let mut acquire = |numbers: std::ops::Range<u64>, may_queue| {
         let granted = numbers.filter(|number| {
             let ask = peers::PlaceAsk {
                 number: *number,
-                instance: holder.clone(),
+                holder: holder.clone(),
                 domain: "z".parse().expect("a name"),
                 service: service(),
                 tried: Vec::new(),
@@ -428,7 +434,7 @@
         board.queue_room(&service(), std::time::Duration::from_millis(200)),
         0
     );
-    board.release_lost(|id| *id == holder);
+    board.release_ended(|run| *run == holder);
     assert_eq!(board.totals(), (0, 0), "a lost gateway holds nothing");
 }
 
@@ -436,11 +442,11 @@
 fn lent_places_come_back_from_a_lost_borrower() {
     let mut board = board(&[entry("a", "z")]);
     let now = clock::Moment(1);
-    let borrower = "d".parse().expect("a name");
+    let borrower = run("d");
     let lent = board.lend_batch(&service(), &Default::default(), &borrower, 9, now);
     assert_eq!(lent.len(), 3);
     assert!(!board.is_empty());
-    board.release_lost(|id| *id == borrower);
+    board.release_ended(|run| *run == borrower);
     assert!(board.is_empty());
     assert_eq!(board.totals(), (0, 0));
 }
@@ -465,66 +471,6 @@
     );
 }
 
-#[test]
-fn owners_are_the_live_dispatchers_or_else_the_gateways() {
-    let clock = TestClock::default();
-    let record = |id: &str, role| members::MemberRecord {
-        id: id.parse().expect("a name"),
-        role,
-        domain: "z".parse().expect("a name"),
-        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
-    };
-    let own = record("g0", members::MemberRole::Gateway);
-    let mut table = members::MemberTable::default();
-    table.take(record("d2", members::MemberRole::Dispatcher));
-    table.take(record("d1", members::MemberRole::Dispatcher));
-    let names = |table: &members::MemberTable, now| -> Vec<String> {
-        let owners = table.owners(Some(&own), now);
-        owners.into_iter().map(|o| o.id.to_string()).collect()
-    };
-    assert_eq!(names(&table, clock.now()), ["g0"], "nobody was heard yet");
-    for id in ["d1", "d2"] {
-        table.note_heard(
-            &id.parse().expect("a name"),
-            Default::default(),
-            clock.now(),
-        );
-    }
-    assert_eq!(names(&table, clock.now()), ["d1", "d2"]);
-    let leaving = members::LifeSigns {
-        leaving: true,
-        ..Default::default()
-    };
-    table.note_heard(&"d1".parse().expect("a name"), leaving, clock.now());
-    assert_eq!(
-        names(&table, clock.now()),
-        ["d2"],
-        "one that leaves owns nothing"
-    );
-    clock.pass(members::PEER_SILENCE);
-    assert_eq!(names(&table, clock.now()), ["g0"]);
-    table.take(record("g1", members::MemberRole::Gateway));
-    let g1 = "g1".parse().expect("a name");
-    table.note_heard(&g1, Default::default(), clock.now());
-    assert_eq!(
-        names(&table, clock.now()),
-        ["g0", "g1"],
-        "no gateway hears a dispatcher; all name the same one first"
-    );
-    let hears = members::LifeSigns {
-        hears: vec![members::MemberMark::of(&"d1".parse().expect("a name"))],
-        ..Default::default()
-    };
-    table.note_heard(&g1, hears, clock.now());
-    assert_eq!(
-        names(&table, clock.now()),
-        ["d1"],
-        "the path to it is cut, others hear it"
-    );
-    assert!(!table.hears(&"d1".parse().expect("a name"), clock.now()));
-    assert_eq!(table.relays(clock.now()).len(), 1);
-}
-
 #[test]
 fn probes_a_second_are_bounded_whatever_the_number_of_peers() {
     for peers in 1..400 {
