--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -77,9 +77,9 @@
     }
 }
 
-/// An entry that lapsed while the store was away, and when it counts as gone.
+/// An entry that expired while the store was away, and when it counts as gone.
 #[derive(Debug, Clone, Copy)]
-struct LapsedMark {
+struct ExpiredMark {
     gone_at: clock::Moment,
 }
 
@@ -120,7 +120,7 @@
 #[derive(Debug)]
 pub struct EndpointDirectory {
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
-    lapsed: collections::HashMap<ids::EndpointId, LapsedMark>,
+    expired: collections::HashMap<ids::EndpointId, ExpiredMark>,
     earlier: collections::HashMap<ids::EndpointId, EarlierEntry>,
     misnamed: backoff_marks::BackoffMarks,
     hidden: collections::HashSet<ids::EndpointId>,
@@ -137,7 +137,7 @@
     fn default() -> Self {
         Self {
             entries: collections::HashMap::new(),
-            lapsed: collections::HashMap::new(),
+            expired: collections::HashMap::new(),
             earlier: collections::HashMap::new(),
             misnamed: backoff_marks::BackoffMarks::new(MISNAMED_PAUSES),
             hidden: collections::HashSet::new(),
@@ -191,7 +191,7 @@
 
     /// Lists an entry; notes the run that it ends, if it is of another start.
     fn put(&mut self, entry: EndpointEntry) {
-        self.lapsed.remove(&entry.id);
+        self.expired.remove(&entry.id);
         // Whoever is named in it writes it, and so is there.
         self.misnamed.forget(&entry.id);
         self.named.remove(&entry.id);
@@ -209,11 +209,11 @@
         self.earlier.remove(&id);
         match gone_at {
             Some(gone_at) if self.entries.contains_key(&id) => {
-                self.lapsed.entry(id).or_insert(LapsedMark { gone_at });
+                self.expired.entry(id).or_insert(ExpiredMark { gone_at });
             }
             _ => {
                 self.entries.remove(&id);
-                self.lapsed.remove(&id);
+                self.expired.remove(&id);
             }
         }
     }
@@ -267,7 +267,7 @@
         let removed: Vec<_> = missing.cloned().map(ListChange::Removed).collect();
         let is_new = |entry: &EndpointEntry| {
             let known = self.entries.get(&entry.id);
-            known.is_none_or(|k| **k != *entry) || self.lapsed.contains_key(&entry.id)
+            known.is_none_or(|k| **k != *entry) || self.expired.contains_key(&entry.id)
         };
         let changed = entries.into_iter().filter(is_new).map(ListChange::Listed);
         removed.into_iter().chain(changed).collect()
@@ -279,10 +279,10 @@
     /// not come back, and get requests, long after it is gone. Who has it still keeps it
     /// as long as the peer; so does who has no list yet, and would serve nobody else.
     pub fn accept(&self, copy: DirectoryCopy) -> Vec<EndpointEntry> {
-        let lapsed: collections::HashSet<_> = copy.lapsed.into_iter().collect();
+        let expired: collections::HashSet<_> = copy.expired.into_iter().collect();
         let is_taken = |entry: &EndpointEntry| {
             let is_known = self.is_empty() || self.entries.contains_key(&entry.id);
-            is_known || !lapsed.contains(&entry.id)
+            is_known || !expired.contains(&entry.id)
         };
         let mut entries = copy.entries;
         entries.retain(is_taken);
@@ -290,23 +290,23 @@
     }
 
     /// Names of the entries that are removed, and may come back.
-    pub fn lapsed(&self) -> Vec<ids::EndpointId> {
-        self.lapsed.keys().cloned().collect()
+    pub fn expired(&self) -> Vec<ids::EndpointId> {
+        self.expired.keys().cloned().collect()
     }
 
-    /// Lets the entries that lapsed come back until `gone_at`.
-    pub fn keep_lapsed(&mut self, gone_at: clock::Moment) {
-        for mark in self.lapsed.values_mut() {
+    /// Lets the entries that expired come back until `gone_at`.
+    pub fn keep_expired(&mut self, gone_at: clock::Moment) {
+        for mark in self.expired.values_mut() {
             mark.gone_at = gone_at;
         }
     }
 
-    /// Removes the lapsed entries whose time is over; says whether there were any.
+    /// Removes the expired entries whose time is over; says whether there were any.
     pub fn expire(&mut self, now: clock::Moment) -> bool {
-        let over = self.lapsed.iter().filter(|(_, mark)| mark.gone_at <= now);
+        let over = self.expired.iter().filter(|(_, mark)| mark.gone_at <= now);
         let over: Vec<_> = over.map(|(id, _)| id.clone()).collect();
         for id in &over {
-            self.lapsed.remove(id);
+            self.expired.remove(id);
             self.entries.remove(id);
         }
         if !over.is_empty() {
@@ -457,5 +457,5 @@
     pub entries: Vec<EndpointEntry>,
     /// Names of those that are removed, and are kept for a while as they may have
     /// expired in an absence of the store.
-    pub lapsed: Vec<ids::EndpointId>,
+    pub expired: Vec<ids::EndpointId>,
 }
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -8,11 +8,11 @@
 use super::{directory, fleet_source, route_table};
 use crate::{clock, ids, protection};
 
-/// How long after the store's return an entry that lapsed meanwhile may still come back.
-const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2500);
-/// Absence of the store in which endpoints may lapse though they are alive.
+/// How long after the store's return an entry that expired meanwhile may still come back.
+const EXPIRY_GRACE: time::Duration = time::Duration::from_millis(2500);
+/// Absence of the store in which endpoints may expire though they are alive.
 ///
-/// They show themselves about every second and lapse after three times that, so a
+/// They show themselves about every second and expire after three times that, so a
 /// shorter one, as a call that failed by itself, costs none of them its entry:
 /// what is removed after it is gone, and callers need not be sent there for the
 /// 2.5 s in which an entry may come back.
@@ -27,7 +27,7 @@
 const SETTLED_AFTER: time::Duration = time::Duration::from_secs(3);
 /// Lists that one revision of the store can stand for, see [`FleetModel::revision`].
 ///
-/// Entries that lapsed in one absence of the store are given up together, so
+/// Entries that expired in one absence of the store are given up together, so
 /// few are used; a count of the store stays far below the bound that is left.
 const LISTS_PER_REVISION: u64 = 1000;
 
@@ -90,7 +90,7 @@
     /// Number of the list of endpoints, which is higher for a newer one.
     ///
     /// It is a thousand times the revision of the store, and the times since
-    /// then that lapsed entries were given up, which the store does not count.
+    /// then that expired entries were given up, which the store does not count.
     pub fn revision(&self) -> u64 {
         self.number.get()
     }
@@ -164,7 +164,7 @@
         directory::DirectoryCopy {
             revision: self.revision(),
             entries,
-            lapsed: directory.lapsed(),
+            expired: directory.expired(),
         }
     }
 
@@ -302,7 +302,7 @@
         // In an absence no endpoint can show itself.
         if away_since.as_ref().is_some_and(is_long) {
             let mut directory = self.directory.borrow_mut();
-            directory.keep_lapsed(now + LAPSE_GRACE);
+            directory.keep_expired(now + EXPIRY_GRACE);
         }
         self.returned.notify_waiters();
     }
@@ -319,14 +319,14 @@
     fn gone_at(&self) -> Option<clock::Moment> {
         let now = self.clock.now();
         if !self.is_answering.get() {
-            return self.answered_at.get().map(|_| now + LAPSE_GRACE);
+            return self.answered_at.get().map(|_| now + EXPIRY_GRACE);
         }
         let returned_at = self.returned_at.get()?;
         let is_settled = now.since(returned_at) >= SETTLED_AFTER;
-        (!is_settled).then(|| returned_at + LAPSE_GRACE)
+        (!is_settled).then(|| returned_at + EXPIRY_GRACE)
     }
 
-    /// Removes what lapsed for good, and takes what was held back long enough.
+    /// Removes what expired for good, and takes what was held back long enough.
     pub fn expire(&self) {
         let now = self.clock.now();
         let mut directory = self.directory.borrow_mut();
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -57,7 +57,7 @@
     is_lost && is_first && is_settled(context)
 }
 
-/// Looks at what has an age: owners, lapsed entries, idle connections, permits.
+/// Looks at what has an age: owners, expired entries, idle connections, permits.
 pub(super) async fn tick(context: rc::Rc<process::ProcessContext>) {
     let mut changes = context.fleet.subscribe();
     let mut ticks = 0_u32;
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn an_entry_that_lapsed_while_the_store_was_away_is_gone_only_after_a_while() {
+fn an_entry_that_expired_while_the_store_was_away_is_gone_only_after_a_while() {
     let clock = sync::Arc::new(TestClock::default());
     let model = fleet_model::FleetModel::new(clock.clone());
     model.take(FleetNews::Reachable(true));
@@ -71,7 +71,7 @@
     clock.pass(time::Duration::from_secs(5));
     model.take(FleetNews::Reachable(true));
     model.take(FleetNews::Endpoints(3, Vec::new()));
-    assert_eq!(count(&model), 2, "both lapsed, and may come back");
+    assert_eq!(count(&model), 2, "both expired, and may come back");
     model.take(FleetNews::EndpointChanges(
         4,
         vec![directory::ListChange::Listed(entry("a", "z"))],
@@ -182,12 +182,12 @@
 }
 
 /// Gateways sent requests to an endpoint that was gone, until the list changed
-/// again. Its entry had lapsed while the store was away; the followers of the
+/// again. Its entry had expired while the store was away; the followers of the
 /// store waited for it to come back, and told it to the gateways meanwhile.
 /// When they gave it up, the revision of the list stayed the same, and the
 /// gateways took no list of a revision that they had.
 #[test]
-fn an_entry_that_lapsed_is_gone_at_processes_that_learn_from_peers() {
+fn an_entry_that_expired_is_gone_at_processes_that_learn_from_peers() {
     let clock = sync::Arc::new(TestClock::default());
     let [follower, gateway] = [true, false].map(|follows| model(&clock, follows));
     follower.take(FleetNews::Endpoints(
@@ -198,13 +198,13 @@
     follower.take(FleetNews::Reachable(false));
     clock.pass(time::Duration::from_secs(5));
     follower.take(FleetNews::Reachable(true));
-    // One lapsed, and another one came.
+    // One expired, and another one came.
     follower.take(FleetNews::Endpoints(
         3,
         vec![entry("b", "z"), entry("c", "z")],
     ));
     tell(&follower, &gateway);
-    assert_eq!(count(&gateway), 3, "the one that lapsed may come back");
+    assert_eq!(count(&gateway), 3, "the one that expired may come back");
     clock.pass(time::Duration::from_millis(2600));
     follower.expire();
     tell(&follower, &gateway);
@@ -212,10 +212,10 @@
 }
 
 /// All requests were refused after a store that went away twice was back, for as
-/// long as the endpoints took to be listed again. They had lapsed in its first
+/// long as the endpoints took to be listed again. They had expired in its first
 /// absence, and the time in which they could come back ran on in the second.
 #[test]
-fn entries_that_lapsed_may_come_back_after_each_return_of_the_store() {
+fn entries_that_expired_may_come_back_after_each_return_of_the_store() {
     let clock = sync::Arc::default();
     let model = model(&clock, true);
     model.take(FleetNews::Endpoints(1, vec![entry("a", "z")]));
@@ -294,7 +294,7 @@
 
 /// Requests went to an endpoint that was gone for up to 2.5 s, though the store had
 /// said so. One call to the store had failed by itself shortly before, and for three
-/// seconds each removal was taken for an entry that lapsed in an absence.
+/// seconds each removal was taken for an entry that expired in an absence.
 #[test]
 fn a_call_that_failed_by_itself_holds_no_removal_back() {
     let clock = sync::Arc::default();
@@ -307,7 +307,7 @@
     clock.pass(time::Duration::from_millis(200));
     model.take(FleetNews::Reachable(true));
     model.take(FleetNews::Endpoints(2, Vec::new()));
-    assert_eq!(count(&model), 0, "no endpoint lapses within a second");
+    assert_eq!(count(&model), 0, "no endpoint expires within a second");
 }
 
 #[test]
