--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -17,7 +17,7 @@
 /// Longest wait for a connection or a proof.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// A gateway's wish to send an online request.
+/// A gateway's request to send an online request.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct PermitRequest {
     /// The endpoint.
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -158,15 +158,15 @@
         let none = || relay::FinalError::Failed("the route has no service".into());
         let service = service.ok_or_else(none)?;
         let tried = &self.log.tried;
-        let wish = places::PlaceWish {
+        let request = places::PlaceRequest {
             service: &service,
             tried,
             objective: self.request.route.objective,
         };
         // What has begun goes on, also where a new request would not begin.
         Ok(match self.log.ran > 0 {
-            true => places::any_place(&self.context, &wish).await,
-            false => places::acquire(&self.context, &wish).await,
+            true => places::any_place(&self.context, &request).await,
+            false => places::acquire(&self.context, &request).await,
         })
     }
 
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -41,7 +41,7 @@
     pub rooms: Vec<(ids::ServiceName, u32)>,
 }
 
-/// A wish for a place for an online request.
+/// A request for a place for an online request.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct PlaceAsk {
     /// Number of the permit, made by the asker at random.
@@ -102,7 +102,7 @@
     pub news: EndpointNews,
 }
 
-/// A wish for places for batch streams.
+/// A request for places for batch streams.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct LoanAsk {
     /// The asker.
@@ -133,7 +133,7 @@
     Unknown,
 }
 
-/// A wish for results of a job.
+/// A request for results of a job.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct ResultAsk {
     /// The job.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -100,7 +100,7 @@
     /// Permits that were given back and not known.
     ///
     /// An owner that stood still may read what came on a newer link first: the word that
-    /// nobody waits for a place any more, and then the wish for it.
+    /// nobody waits for a place any more, and then the request for it.
     returned: lru::LruCache<admission::PermitNumber, ()>,
     /// Endpoints that refused lately.
     refusals: backoff_marks::BackoffMarks,
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -111,9 +111,9 @@
     Silent,
 }
 
-/// What a request wants of a place.
+/// What a place is to be for.
 #[derive(Debug, Clone, Copy)]
-pub struct PlaceWish<'a> {
+pub struct PlaceRequest<'a> {
     /// The service that is to serve it.
     pub service: &'a ids::ServiceName,
     /// Endpoints that were tried.
@@ -128,17 +128,17 @@
 /// See [`NoPlace`].
 pub async fn acquire(
     context: &rc::Rc<process::ProcessContext>,
-    wish: &PlaceWish<'_>,
+    request: &PlaceRequest<'_>,
 ) -> Result<HeldPlace, NoPlace> {
-    if let Some(place) = ask_relay(context, wish, true).await {
+    if let Some(place) = ask_relay(context, request, true).await {
         return Ok(place);
     }
-    match ask_owners(context, wish).await {
+    match ask_owners(context, request).await {
         OwnerWord::Place(place) => return Ok(place),
         OwnerWord::Full(_) => return Err(NoPlace::Full),
         OwnerWord::Silent => {}
     }
-    go_ahead(context, wish.service, wish.tried)
+    go_ahead(context, request.service, request.tried)
 }
 
 /// Asks a few owners for a free slot.
@@ -147,12 +147,12 @@
 /// None gave one: those that are full, with the places left in their queues.
 pub(super) async fn ask_for_slot<'a>(
     context: &rc::Rc<process::ProcessContext>,
-    wish: &PlaceWish<'_>,
+    request: &PlaceRequest<'_>,
     owners: &'a [ids::InstanceId],
 ) -> Result<HeldPlace, Vec<(u32, &'a ids::InstanceId)>> {
     let mut full = Vec::new();
     for owner in owners.iter().take(OWNERS_ASKED) {
-        let place = place_ask(context, wish);
+        let place = place_ask(context, request);
         match ask(context, owner, place).await {
             OwnerWord::Full(queue_room) => full.push((queue_room, owner)),
             OwnerWord::Silent => {}
@@ -168,19 +168,22 @@
 /// No endpoint is left.
 pub async fn any_place(
     context: &rc::Rc<process::ProcessContext>,
-    wish: &PlaceWish<'_>,
+    request: &PlaceRequest<'_>,
 ) -> Result<HeldPlace, NoPlace> {
-    match acquire(context, wish).await {
-        Err(NoPlace::Full) => go_ahead(context, wish.service, wish.tried),
+    match acquire(context, request).await {
+        Err(NoPlace::Full) => go_ahead(context, request.service, request.tried),
         place => place,
     }
 }
 
 /// Asks a few owners for a free place, and if all are full for one in a queue.
-async fn ask_owners(context: &rc::Rc<process::ProcessContext>, wish: &PlaceWish<'_>) -> OwnerWord {
-    let service = wish.service;
+async fn ask_owners(
+    context: &rc::Rc<process::ProcessContext>,
+    request: &PlaceRequest<'_>,
+) -> OwnerWord {
+    let service = request.service;
     let owners = owner_order(context, service);
-    let full = match ask_for_slot(context, wish, &owners).await {
+    let full = match ask_for_slot(context, request, &owners).await {
         Ok(place) => return OwnerWord::Place(place),
         Err(full) => full,
     };
@@ -191,7 +194,7 @@
     if let Some((_, owner)) = roomiest {
         let queued = peers::PlaceAsk {
             may_queue: true,
-            ..place_ask(context, wish)
+            ..place_ask(context, request)
         };
         if let OwnerWord::Place(place) = ask(context, owner, queued).await {
             return OwnerWord::Place(place);
@@ -255,8 +258,8 @@
     owner_order::draw_order(known.collect(), &mut rand::rng())
 }
 
-fn place_ask(context: &process::ProcessContext, wish: &PlaceWish<'_>) -> peers::PlaceAsk {
-    let PlaceWish { service, tried, .. } = *wish;
+fn place_ask(context: &process::ProcessContext, request: &PlaceRequest<'_>) -> peers::PlaceAsk {
+    let PlaceRequest { service, tried, .. } = *request;
     let first = context.firsts.borrow().get(service).copied();
     let directory = context.fleet.directory.borrow();
     let count = directory.of_service(service).len();
@@ -276,26 +279,26 @@
         service: service.clone(),
         tried: unwanted,
         may_queue: false,
-        wait: first.unwrap_or_default().wait(wish.objective),
+        wait: first.unwrap_or_default().wait(request.objective),
     }
 }
 
 /// Asks an owner through a gateway that hears it, if this process is cut off.
 pub(super) async fn ask_relay(
     context: &rc::Rc<process::ProcessContext>,
-    wish: &PlaceWish<'_>,
+    request: &PlaceRequest<'_>,
     may_queue: bool,
 ) -> Option<HeldPlace> {
     let relays = context.relays();
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
-    let wish = peers::PlaceAsk {
+    let ask = peers::PlaceAsk {
         may_queue,
-        ..place_ask(context, wish)
+        ..place_ask(context, request)
     };
-    let permit = HeldPermit::Peer(relay.address, wish.number);
+    let permit = HeldPermit::Peer(relay.address, ask.number);
     match context
         .links
-        .acquire(relay.address, wish, OWNER_TIMEOUT * 2)
+        .acquire(relay.address, ask, OWNER_TIMEOUT * 2)
         .await
     {
         Ok(answer) => take_answer(context, &relay.id, answer, permit),
@@ -310,18 +313,18 @@
 /// Asks the owners for a peer that is cut off from them.
 pub async fn ask_for_peer(
     context: &rc::Rc<process::ProcessContext>,
-    mut wish: peers::PlaceAsk,
+    mut ask: peers::PlaceAsk,
 ) -> Option<peers::PlaceAnswer> {
     // The owners do not hear the peer, and would take its places back.
-    wish.holder = context.run.clone();
-    let number = wish.number;
-    let owners = owner_order(context, &wish.service);
+    ask.holder = context.run.clone();
+    let number = ask.number;
+    let owners = owner_order(context, &ask.service);
     for owner in owners.iter().take(OWNERS_ASKED) {
         let address = context.members.borrow().address_of(owner);
         let Some(address) = address else { continue };
         let answer = context
             .links
-            .acquire(address, wish.clone(), OWNER_TIMEOUT)
+            .acquire(address, ask.clone(), OWNER_TIMEOUT)
             .await;
         match answer {
             Ok(answer) if answer.endpoint.is_some() => {
@@ -338,17 +341,17 @@
 async fn ask(
     context: &rc::Rc<process::ProcessContext>,
     owner: &ids::InstanceId,
-    wish: peers::PlaceAsk,
+    ask: peers::PlaceAsk,
 ) -> OwnerWord {
-    let number = wish.number;
-    let service = &wish.service.clone();
+    let number = ask.number;
+    let service = &ask.service.clone();
     let (answer, permit) = if owner == context.id() {
-        (peer_calls::grant(context, &wish), HeldPermit::Here(number))
+        (peer_calls::grant(context, &ask), HeldPermit::Here(number))
     } else {
         let Some(address) = context.members.borrow().address_of(owner) else {
             return OwnerWord::Silent;
         };
-        match context.links.acquire(address, wish, OWNER_TIMEOUT).await {
+        match context.links.acquire(address, ask, OWNER_TIMEOUT).await {
             Ok(answer) => (answer, HeldPermit::Peer(address, number)),
             Err(e) => {
                 count_permit(context, "silent");
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -49,7 +49,7 @@
     pub readiness: Option<net::SocketAddr>,
     /// Where metrics are served, if they are.
     pub metrics: Option<net::SocketAddr>,
-    /// Time from the wish to stop to the end, at most.
+    /// Time from the request to stop to the end, at most.
     pub grace: time::Duration,
     /// Folder on the instance's disk, if it has one.
     pub data_folder: Option<path::PathBuf>,
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -309,14 +309,14 @@
         let context = rc::Rc::clone(&relay.context);
         let objective = relay.request.route.objective;
         let asking = actix_rt::spawn(async move {
-            let wish = places::PlaceWish {
+            let request = places::PlaceRequest {
                 service: &service,
                 tried: &tried,
                 objective,
             };
             match may_queue {
-                true => places::any_place(&context, &wish).await,
-                false => free_place(&context, &wish).await,
+                true => places::any_place(&context, &request).await,
+                false => free_place(&context, &request).await,
             }
         });
         match asking.await {
@@ -375,16 +375,16 @@
 /// is heard but late has a bad link between, as may the slow endpoint have.
 async fn free_place(
     context: &rc::Rc<process::ProcessContext>,
-    wish: &places::PlaceWish<'_>,
+    request: &places::PlaceRequest<'_>,
 ) -> Result<places::HeldPlace, places::NoPlace> {
-    let owners = places::owner_order(context, wish.service);
+    let owners = places::owner_order(context, request.service);
     if !owners.is_empty() {
-        let asked = places::ask_for_slot(context, wish, &owners).await;
+        let asked = places::ask_for_slot(context, request, &owners).await;
         return asked.map_err(|_| places::NoPlace::Full);
     }
     if !context.relays().is_empty() {
-        let asked = places::ask_relay(context, wish, false).await;
+        let asked = places::ask_relay(context, request, false).await;
         return asked.ok_or(places::NoPlace::Full);
     }
-    places::go_ahead(context, wish.service, wish.tried)
+    places::go_ahead(context, request.service, request.tried)
 }
--- a/src/serving/state_copy.rs
+++ b/src/serving/state_copy.rs
@@ -12,7 +12,7 @@
 /// Bytes of a part.
 ///
 /// Other messages on the link wait for one part at most: 2.2 ms at 30 Mbit/s,
-/// where the answer to a wish for a place has 40 ms.
+/// where the answer to a request for a place has 40 ms.
 pub const PART_BYTES: usize = 8 << 10;
 
 /// Largest state, encoded and as plain bytes; what claims more is refused. The
@@ -46,7 +46,7 @@
     pub total: usize,
 }
 
-/// A wish for a part of the desired state.
+/// A request for a part of the desired state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum StatePartAsk {
     /// The first part of the newest state.
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -372,7 +372,7 @@
 }
 
 /// An owner that had stood still read on a new link that a place is given back, and
-/// then on the old one the wish for it: the place was held for 15 s for nobody.
+/// then on the old one the request for it: the place was held for 15 s for nobody.
 #[test]
 fn a_place_that_was_given_back_before_it_was_asked_for_is_not_given() {
     let mut board = board(&[entry("a", "z")]);
