--- a/src/serving/beliefs.rs
+++ b/src/serving/beliefs.rs
@@ -1,4 +1,4 @@
-//! Keeps beliefs up to date: members from the store, signs of life, news from peers.
+//! Keeps beliefs up to date: members from the store, heartbeats, news from peers.
 
 use std::{net, rc, time};
 
@@ -184,7 +184,7 @@
     }
 }
 
-/// Takes the signs of life of a peer that probes this process.
+/// Takes the heartbeat of a peer that probes this process.
 pub(super) fn take_probe(context: &rc::Rc<process::ProcessContext>, hello: &peers::PeerHello) {
     hear(context, hello);
     learn_state(context, hello.address, hello);
@@ -219,7 +219,7 @@
 /// heard before.
 fn note_heard(context: &process::ProcessContext, hello: &peers::PeerHello) -> bool {
     let now = context.clock.now();
-    let signs = members::LifeSigns {
+    let heartbeat = members::PeerHeartbeat {
         run: hello.run,
         leaving: hello.leaving,
         hears: hello.hears.clone(),
@@ -227,7 +227,7 @@
         version: hello.version,
     };
     let mut members = context.members.borrow_mut();
-    let has_started = members.note_heard(&hello.id, signs, now);
+    let has_started = members.note_heard(&hello.id, heartbeat, now);
     let mut rooms = context.rooms.borrow_mut();
     rooms.retain(|(id, _), _| *id != hello.id);
     for (service, room) in &hello.rooms {
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -199,7 +199,7 @@
 }
 
 /// Asks a peer that knows something else for what it knows, at a bounded pace; what else
-/// its sign of life brings does not wait for it.
+/// its heartbeat brings does not wait for it.
 pub(super) fn learn(
     context: &rc::Rc<process::ProcessContext>,
     peer: net::SocketAddr,
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -29,7 +29,7 @@
     pub address: net::SocketAddr,
 }
 
-/// Stands for the name of a process in signs of life, as there are very many of them.
+/// Stands for the name of a process in heartbeats, as there are very many of them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct MemberMark(u32);
 
@@ -40,9 +40,9 @@
     }
 }
 
-/// What a process says of itself at each sign of life.
+/// What a process says of itself at each heartbeat.
 #[derive(Debug, Clone, Default)]
-pub struct LifeSigns {
+pub struct PeerHeartbeat {
     /// Which of its runs this is.
     pub run: ids::RunNumber,
     /// Whether it is leaving.
@@ -85,7 +85,7 @@
 struct PeerState {
     record: MemberRecord,
     heard: Option<clock::Moment>,
-    signs: LifeSigns,
+    heartbeat: PeerHeartbeat,
 }
 
 /// The peers of a process.
@@ -109,7 +109,7 @@
                 let peer = PeerState {
                     record,
                     heard: None,
-                    signs: LifeSigns::default(),
+                    heartbeat: PeerHeartbeat::default(),
                 };
                 self.peers.insert(peer.record.id.clone(), peer);
                 self.recount();
@@ -143,20 +143,20 @@
         PEER_SILENCE.mul_f64(pace_stretch(probed))
     }
 
-    /// Notes a sign of life, and what the process says of itself; says whether it was
+    /// Notes a heartbeat, and what the process says of itself; says whether it was
     /// not heard in this run before.
     pub fn note_heard(
         &mut self,
         id: &ids::InstanceId,
-        signs: LifeSigns,
+        heartbeat: PeerHeartbeat,
         now: clock::Moment,
     ) -> bool {
         let Some(peer) = self.peers.get_mut(id) else {
             return false;
         };
         peer.heard = Some(now);
-        let before = std::mem::replace(&mut peer.signs, signs);
-        before.run != peer.signs.run
+        let before = std::mem::replace(&mut peer.heartbeat, heartbeat);
+        before.run != peer.heartbeat.run
     }
 
     /// Takes all records that a peer knows; those that it lacks are forgotten,
@@ -186,7 +186,7 @@
     /// Whether a peer is live and follows the store.
     pub fn follows(&self, id: &ids::InstanceId, now: clock::Moment) -> bool {
         let peer = self.peers.get(id);
-        peer.is_some_and(|peer| peer.signs.follows_store && self.is_live(peer, now))
+        peer.is_some_and(|peer| peer.heartbeat.follows_store && self.is_live(peer, now))
     }
 
     /// Dispatchers that answer this process itself.
@@ -208,11 +208,11 @@
         let live = self
             .live(now)
             .filter_map(|record| self.peers.get(&record.id));
-        let named = live.flat_map(|peer| peer.signs.hears.iter());
+        let named = live.flat_map(|peer| peer.heartbeat.hears.iter());
         let named: collections::HashSet<_> = named.collect();
         let cut = self.peers.values().filter(|peer| {
             let heard = self.is_heard(peer, now);
-            let said_leaving = heard && peer.signs.leaving;
+            let said_leaving = heard && peer.heartbeat.leaving;
             let is_dispatcher = peer.record.role == MemberRole::Dispatcher;
             let silent = is_dispatcher && !heard && !said_leaving;
             silent && named.contains(&MemberMark::of(&peer.record.id))
@@ -229,7 +229,7 @@
         let live = self.live(now);
         let relays = live.filter(|r| {
             let peer = self.peers.get(&r.id);
-            peer.is_some_and(|p| !p.signs.hears.is_empty())
+            peer.is_some_and(|p| !p.heartbeat.hears.is_empty())
         });
         relays.cloned().collect()
     }
@@ -259,7 +259,7 @@
     /// One that has just started may ask before it is heard, and for those milliseconds
     /// counts as the run before.
     pub fn has_ended(&self, holder: &ids::InstanceRun, now: clock::Moment) -> bool {
-        let is_other = |peer: &PeerState| peer.signs.run != holder.run;
+        let is_other = |peer: &PeerState| peer.heartbeat.run != holder.run;
         self.is_lost(&holder.instance, now)
             || self.peers.get(&holder.instance).is_some_and(is_other)
     }
@@ -275,7 +275,7 @@
     }
 
     fn is_live(&self, peer: &PeerState, now: clock::Moment) -> bool {
-        self.is_heard(peer, now) && !peer.signs.leaving
+        self.is_heard(peer, now) && !peer.heartbeat.leaving
     }
 
     /// Where live peers answer that have a newer desired state.
@@ -285,7 +285,7 @@
         now: clock::Moment,
     ) -> impl Iterator<Item = net::SocketAddr> + '_ {
         let peers = self.peers.values();
-        let newer = peers.filter(move |p| p.signs.version > known && self.is_heard(p, now));
+        let newer = peers.filter(move |p| p.heartbeat.version > known && self.is_heard(p, now));
         newer.map(|peer| peer.record.address)
     }
 
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -171,7 +171,7 @@
 }
 
 impl PeerLinks {
-    /// Exchanges signs of life.
+    /// Exchanges heartbeats.
     ///
     /// # Errors
     /// The peer does not answer.
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -147,7 +147,7 @@
 /// What one process asks of another.
 #[tarpc::service]
 pub trait PeerService {
-    /// Exchanges signs of life.
+    /// Exchanges heartbeats.
     async fn probe(hello: PeerHello) -> Option<PeerHello>;
     /// Asks for a place for an online request.
     async fn acquire(ask: PlaceAsk) -> Option<PlaceAnswer>;
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -29,7 +29,7 @@
 /// Part of the grace after which a stopping process ends in any case.
 const END_SHARE: f64 = 0.97;
 
-/// Age up to which signs of life are told again: a process of a large fleet is
+/// Age up to which heartbeats are told again: a process of a large fleet is
 /// probed some hundred times a second.
 const HELLO_AGE: time::Duration = time::Duration::from_millis(20);
 
--- a/src/serving/state_transfer.rs
+++ b/src/serving/state_transfer.rs
@@ -22,7 +22,7 @@
 const SLOW_PART: time::Duration = time::Duration::from_millis(100);
 
 /// Peers that may fail in a row, and copies that may be begun anew, before the
-/// transfer waits for the next sign of life, 250 ms at most.
+/// transfer waits for the next heartbeat, 250 ms at most.
 const MAX_FAILURES: u32 = 3;
 
 /// What a process keeps for transfers of the desired state.
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -29,7 +29,7 @@
         table.note_heard(&id.parse().expect("a name"), Default::default(), now);
     }
     assert_eq!(names(&table, now), ["d1", "d2"]);
-    let leaving = members::LifeSigns {
+    let leaving = members::PeerHeartbeat {
         leaving: true,
         ..Default::default()
     };
@@ -45,7 +45,7 @@
         ["g0", "g1"],
         "no gateway hears a dispatcher; all name the same one first"
     );
-    let hears = members::LifeSigns {
+    let hears = members::PeerHeartbeat {
         hears: vec![members::MemberMark::of(&"d1".parse().expect("a name"))],
         ..Default::default()
     };
@@ -66,7 +66,7 @@
     let mut table = members::MemberTable::default();
     table.take(record("g1", members::MemberRole::Gateway));
     let id: ids::InstanceId = "g1".parse().expect("a name");
-    let heard = |number: &str| members::LifeSigns {
+    let heard = |number: &str| members::PeerHeartbeat {
         run: number.parse().expect("a number"),
         ..Default::default()
     };
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_beliefs.rs
@@ -103,7 +103,7 @@
     assert_eq!(count(&model), 1, "an older list is not taken");
 }
 
-/// What a process that learns from peers does at a sign of life of one that
+/// What a process that learns from peers does at a heartbeat of one that
 /// follows the store: it takes a newer list that differs.
 fn tell(from: &fleet_model::FleetModel, to: &fleet_model::FleetModel) {
     if from.digest() != to.digest() && from.revision() > to.revision() {
