--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,8 +56,8 @@
     pub crossed: prometheus::IntCounter,
     /// Broken invariants, by name.
     pub broken_invariants: prometheus::IntCounterVec,
-    /// Beliefs asked of peers, by what and whether they came.
-    pub belief_reads: prometheus::IntCounterVec,
+    /// Views asked of peers, by what and whether they came.
+    pub view_reads: prometheus::IntCounterVec,
     /// Bytes of desired states that came from peers, encoded.
     pub state_bytes: prometheus::IntCounter,
     /// Generation of the bundle in use.
@@ -151,10 +151,10 @@
                 "Broken invariants",
                 "name",
             ),
-            belief_reads: counters(
+            view_reads: counters(
                 r,
-                "jayhollow_belief_reads_total",
-                "Beliefs asked of peers",
+                "jayhollow_view_reads_total",
+                "Views asked of peers",
                 "outcome",
             ),
             state_bytes: counter(
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -19,7 +19,7 @@
 const LONG_ABSENCE: time::Duration = time::Duration::from_secs(1);
 /// How long an entry of an earlier start than the known one must stand to be taken.
 ///
-/// Guards the beliefs of the later start against a late write of the earlier one:
+/// Guards the views of the later start against a late write of the earlier one:
 /// an endpoint that lives writes its entry again within 1.2 s. One whose clock
 /// stepped back is there under the same name meanwhile, and serves.
 const EARLIER_HOLD: time::Duration = time::Duration::from_millis(2500);
@@ -31,7 +31,7 @@
 /// few are used; a count of the store stays far below the bound that is left.
 const LISTS_PER_REVISION: u64 = 1000;
 
-/// The beliefs of a process.
+/// The views of a process.
 ///
 /// Invariants: the version of the desired state never goes down, nor does
 /// `number`; the list of endpoints reflects all that its number stands for.
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -44,7 +44,7 @@
     /// Brings news until the process ends.
     fn run(&self, model: rc::Rc<fleet_model::FleetModel>) -> future::LocalBoxFuture<'static, ()>;
 
-    /// Reads beliefs anew, in case a watch missed something.
+    /// Reads views anew, in case a watch missed something.
     fn refresh(
         &self,
         what: RefreshKind,
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -11,7 +11,6 @@
 pub mod answer_copy;
 pub mod attempt;
 pub mod attempt_flow;
-pub mod beliefs;
 pub mod caller_handler;
 mod caller_socket;
 pub mod checkpoint_file;
@@ -58,4 +57,5 @@
 pub mod state_copy;
 pub mod state_transfer;
 mod suspension;
+pub mod views;
 pub mod wire;
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -5,7 +5,7 @@
 use super::{crash_guard, job_checkpoints, members, process};
 use crate::{clock, decisions::ownership, ids};
 
-/// How often beliefs with an age are looked at.
+/// How often views with an age are looked at.
 const TICK: time::Duration = time::Duration::from_millis(50);
 
 /// How often orders to empty an instance are looked at; also the least time in
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -5,8 +5,8 @@
 use tokio::sync::mpsc;
 
 use super::{
-    beliefs, crash_guard, job_calls, job_checkpoints, job_records, job_runner, job_sponsor, peers,
-    places, process,
+    crash_guard, job_calls, job_checkpoints, job_records, job_runner, job_sponsor, peers, places,
+    process, views,
 };
 use crate::{decisions::admission, ids, store};
 
@@ -32,7 +32,7 @@
 
     match call {
         C::Probe(hello, sender) => {
-            beliefs::take_probe(context, &hello);
+            views::take_probe(context, &hello);
             reply(sender, context.hello());
         }
         C::Acquire(ask, sender) => {
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -1,4 +1,4 @@
-//! Links between processes: probes, places, beliefs, jobs.
+//! Links between processes: probes, places, views, jobs.
 //!
 //! All of it is a hint. What must hold is kept by the store.
 
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -5,10 +5,10 @@
 use tokio::sync::{mpsc, watch};
 
 use super::{
-    beliefs, checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_board,
+    checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_board,
     job_checkpoints, job_runner, listener, members, metrics_page, owners, peer_calls, peer_links,
     peer_server, peers, permits, progress_transfer, selection, single_flight, state_transfer,
-    suspension, wire,
+    suspension, views, wire,
 };
 use crate::{
     clock,
@@ -61,7 +61,7 @@
     pub wire: rc::Rc<dyn wire::WireAdapter>,
     /// The store.
     pub store: sync::Arc<dyn store::ObjectStore>,
-    /// Where beliefs come from.
+    /// Where views come from.
     pub source: rc::Rc<dyn fleet_source::FleetSource>,
     /// The clock.
     pub clock: sync::Arc<dyn clock::MonotonicClock>,
@@ -77,7 +77,7 @@
     pub wire: rc::Rc<dyn wire::WireAdapter>,
     /// The store.
     pub store: sync::Arc<dyn store::ObjectStore>,
-    /// Where beliefs come from.
+    /// Where views come from.
     pub source: rc::Rc<dyn fleet_source::FleetSource>,
     /// The clock.
     pub clock: sync::Arc<dyn clock::MonotonicClock>,
@@ -311,9 +311,9 @@
     metrics_page::start(&context)?;
     actix_rt::spawn(context.source.run(context.fleet.clone()));
     actix_rt::spawn(peer_calls::serve_peers(context.clone(), calls));
-    actix_rt::spawn(beliefs::watch_members(context.clone()));
-    actix_rt::spawn(beliefs::probe_peers(context.clone()));
-    actix_rt::spawn(beliefs::refresh_beliefs(context.clone()));
+    actix_rt::spawn(views::watch_members(context.clone()));
+    actix_rt::spawn(views::probe_peers(context.clone()));
+    actix_rt::spawn(views::refresh_views(context.clone()));
     actix_rt::spawn(crash_guard::read_held(context.clone()));
     actix_rt::spawn(owners::tick(context.clone()));
     actix_rt::spawn(owners::follow_orders(context.clone()));
--- a/src/serving/state_transfer.rs
+++ b/src/serving/state_transfer.rs
@@ -221,7 +221,7 @@
 
     fn count(&self, outcome: &str, bytes: usize) {
         let metrics = &self.context.metrics;
-        metrics.belief_reads.with_label_values(&[outcome]).inc();
+        metrics.view_reads.with_label_values(&[outcome]).inc();
         metrics.state_bytes.inc_by(bytes as u64);
     }
 }
--- a/src/serving/beliefs.rs
+++ b/src/serving/views.rs
@@ -1,4 +1,4 @@
-//! Keeps beliefs up to date: members from the store, heartbeats, news from peers.
+//! Keeps views up to date: members from the store, heartbeats, news from peers.
 
 use std::{net, rc, time};
 
@@ -8,7 +8,7 @@
 use crate::{decisions::call_budget::CallClass, ids, store};
 
 /// Longest wait for a peer's members, and for the next bytes of its list of endpoints.
-const BELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const VIEW_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Pause between two readings of the desired state and the list of endpoints;
 /// with a probe and a question a change is known everywhere within a second
@@ -236,7 +236,7 @@
     has_started
 }
 
-/// Takes beliefs that a peer has newer than this process.
+/// Takes views that a peer has newer than this process.
 async fn catch_up(
     context: &rc::Rc<process::ProcessContext>,
     peer: net::SocketAddr,
@@ -270,7 +270,7 @@
     };
     // Who probes this process need not have been asked anything before.
     context.links.settle(peer).await;
-    match context.links.endpoints(peer, BELIEF_TIMEOUT).await {
+    match context.links.endpoints(peer, VIEW_TIMEOUT).await {
         Ok(copy) => {
             count_read(context, "endpoints_taken");
             let (id, revision) = (&hello.id, copy.revision);
@@ -287,7 +287,7 @@
 
 /// Counts a list that was asked of a peer.
 fn count_read(context: &process::ProcessContext, outcome: &str) {
-    let reads = &context.metrics.belief_reads;
+    let reads = &context.metrics.view_reads;
     reads.with_label_values(&[outcome]).inc();
 }
 
@@ -319,7 +319,7 @@
         return;
     }
     context.members_asked.set(Some(now));
-    match context.links.members(peer, BELIEF_TIMEOUT).await {
+    match context.links.members(peer, VIEW_TIMEOUT).await {
         Ok(mut records) => {
             log::info!(
                 "event=members_from_peer peer={} count={}",
@@ -353,11 +353,11 @@
     }
 }
 
-/// Reads the beliefs anew at a steady pace, on one process for all.
+/// Reads the views anew at a steady pace, on one process for all.
 ///
 /// A watch may stay silent without being cut; the others learn of what is
 /// found here by the probes.
-pub(super) async fn refresh_beliefs(context: rc::Rc<process::ProcessContext>) {
+pub(super) async fn refresh_views(context: rc::Rc<process::ProcessContext>) {
     use fleet_source::RefreshKind as K;
 
     loop {
--- a/tests/serving_beliefs.rs
+++ b/tests/serving_views.rs
@@ -1,4 +1,4 @@
-//! Beliefs about desired state, endpoints, peers and places, as plain values.
+//! Views about desired state, endpoints, peers and places, as plain values.
 
 use std::{net, rc, sync, time};
 
