--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -69,9 +69,9 @@
     /// Runs the item to the end of the stream.
     pub(super) async fn run(self) {
         let key = (self.endpoint.id.clone(), self.number);
-        let is_loan = self.lender.is_some();
+        let is_lent = self.lender.is_some();
         let begun = clock::BootInstant::now();
-        let cancelled = self.context.jobs.begin_stream(key.clone(), is_loan);
+        let cancelled = self.context.jobs.begin_stream(key.clone(), is_lent);
         self.job.borrow_mut().streams.insert(key.clone());
         let before = self.last_event();
         let taken = self.context.clock.now();
@@ -135,15 +135,15 @@
     }
 
     fn leave_place(&self) {
-        let loan = peers::StreamLoan {
+        let slot = peers::LentSlot {
             endpoint: self.endpoint.id.clone(),
             number: self.number,
         };
         match self.lender {
-            Some(lender) => self.context.links.give_back(lender, loan),
+            Some(lender) => self.context.links.give_back(lender, slot),
             None => {
                 let mut permits = self.context.permits.borrow_mut();
-                permits.end_batch(&loan.endpoint, loan.number);
+                permits.end_batch(&slot.endpoint, slot.number);
             }
         }
     }
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -27,7 +27,7 @@
 /// A stream that runs, and the way to stop it.
 struct RunningStream {
     /// Whether another owner lent its place.
-    is_loan: bool,
+    is_lent: bool,
     /// Dropped as the word to stop.
     _cancel: oneshot::Sender<()>,
 }
@@ -115,10 +115,10 @@
     }
 
     /// Names a stream that can be taken back.
-    pub fn begin_stream(&self, key: StreamKey, is_loan: bool) -> oneshot::Receiver<()> {
+    pub fn begin_stream(&self, key: StreamKey, is_lent: bool) -> oneshot::Receiver<()> {
         let (cancel, cancelled) = oneshot::channel();
         let stream = RunningStream {
-            is_loan,
+            is_lent,
             _cancel: cancel,
         };
         self.streams.borrow_mut().insert(key, stream);
@@ -128,7 +128,7 @@
     /// Takes the streams back that run at an endpoint which this process owned.
     pub fn preempt_owned(&self, endpoint: &ids::EndpointId) {
         let mut streams = self.streams.borrow_mut();
-        streams.retain(|(at, _), stream| at != endpoint || stream.is_loan);
+        streams.retain(|(at, _), stream| at != endpoint || stream.is_lent);
     }
 
     /// Forgets a stream that ended.
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -3,7 +3,7 @@
 use std::{collections, rc, time};
 
 use super::{
-    directory, item_run, job_board, job_checkpoints, job_loans, job_records, job_upkeep, open_job,
+    directory, item_run, job_board, job_checkpoints, job_records, job_upkeep, lent_slots, open_job,
     process, ready_items,
 };
 use crate::{clock, decisions::admission, ids};
@@ -122,7 +122,7 @@
         start_item(context, &item, &mut full);
     }
     for (service, waiting) in full {
-        job_loans::borrow_places(context, service, waiting);
+        lent_slots::borrow_places(context, service, waiting);
     }
 }
 
--- a/src/serving/job_loans.rs
+++ b/src/serving/lent_slots.rs
@@ -6,21 +6,21 @@
 use crate::ids;
 
 /// Longest wait for an owner that may lend places.
-const LOAN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+const LEND_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
 /// Longest wait for an answer that comes too late for its places to be used:
 /// the owner holds them until they are given back. A link that gives no answers
 /// is ended after a probe and its longest answer, 0.65 s, so this is far above.
-const LATE_LOAN_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+const LATE_LEND_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// Pause between two rounds of asking for places.
-const LOAN_PAUSE: time::Duration = time::Duration::from_millis(60);
+const LEND_PAUSE: time::Duration = time::Duration::from_millis(60);
 
 /// Owners that are asked in one round.
 const LENDERS_ASKED: usize = 4;
 
 /// Places that one owner is asked for at once.
-const MAX_LOAN: usize = 16;
+const MAX_LENT: usize = 16;
 
 /// Asks the other owners for places for items that wait here.
 pub(super) fn borrow_places(
@@ -45,17 +45,17 @@
             }
             let address = context.members.borrow().address_of(&owner.id);
             let Some(address) = address else { continue };
-            let ask = peers::LoanAsk {
+            let ask = peers::SlotAsk {
                 holder: context.run.clone(),
                 service: service.clone(),
-                count: waiting.min(MAX_LOAN),
+                count: waiting.min(MAX_LENT),
             };
-            if let Some(loans) = ask_for_places(&context, &owner.id, address, ask).await {
-                waiting = waiting.saturating_sub(loans.len());
-                use_loans(&context, address, loans);
+            if let Some(slots) = ask_for_places(&context, &owner.id, address, ask).await {
+                waiting = waiting.saturating_sub(slots.len());
+                use_slots(&context, address, slots);
             }
         }
-        actix_rt::time::sleep(LOAN_PAUSE).await;
+        actix_rt::time::sleep(LEND_PAUSE).await;
         context.jobs.borrowing.set(false);
     });
 }
@@ -65,17 +65,17 @@
     context: &rc::Rc<process::ProcessContext>,
     owner: &ids::InstanceId,
     address: net::SocketAddr,
-    ask: peers::LoanAsk,
-) -> Option<Vec<peers::StreamLoan>> {
+    ask: peers::SlotAsk,
+) -> Option<Vec<peers::LentSlot>> {
     let lending = lend(context.clone(), owner.clone(), address, ask);
     let mut lending = Box::pin(lending);
-    if let Ok(loans) = tokio::time::timeout(LOAN_TIMEOUT, &mut lending).await {
-        return loans;
+    if let Ok(slots) = tokio::time::timeout(LEND_TIMEOUT, &mut lending).await {
+        return slots;
     }
     let context = context.clone();
     actix_rt::spawn(async move {
-        for loan in lending.await.unwrap_or_default() {
-            context.links.give_back(address, loan);
+        for slot in lending.await.unwrap_or_default() {
+            context.links.give_back(address, slot);
         }
     });
     None
@@ -86,39 +86,39 @@
     context: rc::Rc<process::ProcessContext>,
     owner: ids::InstanceId,
     address: net::SocketAddr,
-    ask: peers::LoanAsk,
-) -> Option<Vec<peers::StreamLoan>> {
-    let answer = context.links.lend(address, ask, LATE_LOAN_TIMEOUT).await;
+    ask: peers::SlotAsk,
+) -> Option<Vec<peers::LentSlot>> {
+    let answer = context.links.lend(address, ask, LATE_LEND_TIMEOUT).await;
     answer
-        .inspect_err(|e| log::info!("event=loan_failed owner={owner} why=\"{e}\""))
+        .inspect_err(|e| log::info!("event=lend_failed owner={owner} why=\"{e}\""))
         .ok()
 }
 
 /// Starts the first waiting items in lent places; gives the places left over back.
-fn use_loans(
+fn use_slots(
     context: &rc::Rc<process::ProcessContext>,
     lender: net::SocketAddr,
-    loans: Vec<peers::StreamLoan>,
+    slots: Vec<peers::LentSlot>,
 ) {
     let mut ready = ready_items::ready_items(context);
-    for loan in loans {
+    for slot in slots {
         let endpoint = context
             .fleet
             .directory
             .borrow()
-            .usable(&loan.endpoint)
+            .usable(&slot.endpoint)
             .cloned();
         let fitting = endpoint.as_ref().and_then(|e| {
             let goes_there = |item: &ready_items::ReadyItem| is_target(&item.route, &e.service);
             ready.iter().position(goes_there)
         });
         let (Some(endpoint), Some(position)) = (endpoint, fitting) else {
-            context.links.give_back(lender, loan);
+            context.links.give_back(lender, slot);
             continue;
         };
         let place = job_runner::StreamPlace {
             endpoint,
-            number: loan.number,
+            number: slot.number,
             lender: Some(lender),
         };
         job_runner::begin_run(context, &ready.remove(position), place);
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -90,13 +90,13 @@
         }
         C::EndJob(job) => job_runner::end_job(context, &job),
         C::Lend(ask, sender) => reply(sender, lend(context, &ask)),
-        C::GiveBack(loan) => {
+        C::GiveBack(slot) => {
             let mut permits = context.permits.borrow_mut();
-            permits.end_batch(&loan.endpoint, loan.number);
+            permits.end_batch(&slot.endpoint, slot.number);
             drop(permits);
             context.jobs.work.notify_one();
         }
-        C::Preempt(loan) => context.jobs.preempt(&loan.endpoint, loan.number),
+        C::Preempt(slot) => context.jobs.preempt(&slot.endpoint, slot.number),
         C::WriteJob(record, sender) => {
             let context = context.clone();
             actix_rt::spawn(async move {
@@ -132,7 +132,7 @@
 }
 
 /// Lends places of batch streams at owned endpoints.
-fn lend(context: &process::ProcessContext, ask: &peers::LoanAsk) -> Vec<peers::StreamLoan> {
+fn lend(context: &process::ProcessContext, ask: &peers::SlotAsk) -> Vec<peers::LentSlot> {
     if context.is_leaving() {
         return Vec::new();
     }
@@ -141,8 +141,8 @@
     let shunned = permits.shunned(&context.loads.borrow(), now);
     let lent = permits.lend_batch(&ask.service, &shunned, &ask.holder, ask.count, now);
     let lent = lent.into_iter();
-    let loans = lent.map(|(endpoint, number)| peers::StreamLoan { endpoint, number });
-    loans.collect()
+    let slots = lent.map(|(endpoint, number)| peers::LentSlot { endpoint, number });
+    slots.collect()
 }
 
 /// Gives a place at an owned endpoint, and takes batch streams back for it.
@@ -194,8 +194,8 @@
     let address = context.members.borrow().address_of(&borrower);
     if let Some(address) = address {
         let endpoint = endpoint.clone();
-        let loan = peers::StreamLoan { endpoint, number };
-        context.links.preempt(address, loan);
+        let slot = peers::LentSlot { endpoint, number };
+        context.links.preempt(address, slot);
     }
 }
 
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -8,8 +8,8 @@
 use super::{
     directory, job_records, members,
     peers::{
-        EndpointReport, LoanAsk, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk, PlaceRelease,
-        ResultAsk, StreamLoan, WriteOutcome,
+        EndpointReport, LentSlot, PeerHello, PeerServiceClient, PlaceAnswer, PlaceAsk,
+        PlaceRelease, ResultAsk, SlotAsk, WriteOutcome,
     },
     permits, progress_transfer, state_copy, wire,
 };
@@ -337,20 +337,20 @@
     pub async fn lend(
         &self,
         peer: net::SocketAddr,
-        ask: LoanAsk,
+        ask: SlotAsk,
         patience: time::Duration,
-    ) -> Result<Vec<StreamLoan>, PeerError> {
+    ) -> Result<Vec<LentSlot>, PeerError> {
         call_peer!(self, peer, patience, lend(ask))
     }
 
     /// Gives a place of a batch stream back, also where its owner is out of reach for a while.
-    pub fn give_back(&self, peer: net::SocketAddr, loan: StreamLoan) {
-        tell_until_heard!(self, peer, give_back(loan));
+    pub fn give_back(&self, peer: net::SocketAddr, slot: LentSlot) {
+        tell_until_heard!(self, peer, give_back(slot));
     }
 
     /// Takes a place of a batch stream back.
-    pub fn preempt(&self, peer: net::SocketAddr, loan: StreamLoan) {
-        tell_peer!(self, peer, preempt(loan));
+    pub fn preempt(&self, peer: net::SocketAddr, slot: LentSlot) {
+        tell_peer!(self, peer, preempt(slot));
     }
 
     /// Has a peer write an accepted job.
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -10,8 +10,8 @@
     directory, job_records, members,
     peer_links::{frames, RECONNECT_PAUSE},
     peers::{
-        EndpointReport, LoanAsk, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk,
-        PlaceRelease, ResultAsk, StreamLoan, WriteOutcome,
+        EndpointReport, LentSlot, PeerCall, PeerHello, PeerService, PlaceAnswer, PlaceAsk,
+        PlaceRelease, ResultAsk, SlotAsk, WriteOutcome,
     },
     progress_transfer, state_copy, wire,
 };
@@ -115,16 +115,16 @@
         self.tell(PeerCall::EndJob(job)).await;
     }
 
-    async fn lend(self, _: tarpc::context::Context, ask: LoanAsk) -> Option<Vec<StreamLoan>> {
+    async fn lend(self, _: tarpc::context::Context, ask: SlotAsk) -> Option<Vec<LentSlot>> {
         self.ask(|reply| PeerCall::Lend(ask, reply)).await
     }
 
-    async fn give_back(self, _: tarpc::context::Context, loan: StreamLoan) {
-        self.tell(PeerCall::GiveBack(loan)).await;
+    async fn give_back(self, _: tarpc::context::Context, slot: LentSlot) {
+        self.tell(PeerCall::GiveBack(slot)).await;
     }
 
-    async fn preempt(self, _: tarpc::context::Context, loan: StreamLoan) {
-        self.tell(PeerCall::Preempt(loan)).await;
+    async fn preempt(self, _: tarpc::context::Context, slot: LentSlot) {
+        self.tell(PeerCall::Preempt(slot)).await;
     }
 
     async fn write_job(
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -104,7 +104,7 @@
 
 /// A request for places for batch streams.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
-pub struct LoanAsk {
+pub struct SlotAsk {
     /// The asker.
     pub holder: ids::InstanceRun,
     /// The service.
@@ -115,7 +115,7 @@
 
 /// A batch stream at an endpoint of another owner.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct StreamLoan {
+pub struct LentSlot {
     /// The endpoint.
     pub endpoint: ids::EndpointId,
     /// Number of the stream in the owner's ledger.
@@ -178,11 +178,11 @@
     /// Tells that a job was ended.
     async fn end_job(job: ids::JobId);
     /// Asks for places for batch streams.
-    async fn lend(ask: LoanAsk) -> Option<Vec<StreamLoan>>;
+    async fn lend(ask: SlotAsk) -> Option<Vec<LentSlot>>;
     /// Gives a place of a batch stream back.
-    async fn give_back(loan: StreamLoan);
+    async fn give_back(slot: LentSlot);
     /// Takes a place of a batch stream back for an online request.
-    async fn preempt(loan: StreamLoan);
+    async fn preempt(slot: LentSlot);
     /// Asks a peer to write an accepted job to the store.
     async fn write_job(record: job_records::JobRecord) -> Option<WriteOutcome>;
     /// Asks a peer to write the end of a job to the store.
@@ -223,11 +223,11 @@
     /// See [`PeerService::end_job`].
     EndJob(ids::JobId),
     /// See [`PeerService::lend`].
-    Lend(LoanAsk, oneshot::Sender<Vec<StreamLoan>>),
+    Lend(SlotAsk, oneshot::Sender<Vec<LentSlot>>),
     /// See [`PeerService::give_back`].
-    GiveBack(StreamLoan),
+    GiveBack(LentSlot),
     /// See [`PeerService::preempt`].
-    Preempt(StreamLoan),
+    Preempt(LentSlot),
     /// See [`PeerService::write_job`].
     WriteJob(job_records::JobRecord, oneshot::Sender<WriteOutcome>),
     /// See [`PeerService::write_end`].
