--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -10,7 +10,7 @@
 use crate::{http_client, local_fleet};
 
 /// Longest wait for one request.
-const PATIENCE: time::Duration = time::Duration::from_secs(60);
+const TIMEOUT: time::Duration = time::Duration::from_secs(60);
 
 /// A request of a trace.
 #[derive(Debug, Clone)]
@@ -205,7 +205,7 @@
     let sent = time::Instant::now();
     let response = client
         .post(format!("http://{gateway}/v1/chat/completions"))
-        .timeout(PATIENCE)
+        .timeout(TIMEOUT)
         .insert_header((
             "authorization",
             format!("Bearer {}", local_fleet::CALLER_KEY),
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -8,7 +8,7 @@
 use crate::{error, gateway::operators, http_client};
 
 /// Longest wait for an answer.
-const PATIENCE: time::Duration = time::Duration::from_secs(120);
+const TIMEOUT: time::Duration = time::Duration::from_secs(120);
 /// Largest answer read, in bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 30;
 
@@ -92,7 +92,7 @@
         let mut request = self
             .client
             .request(call.method, &url)
-            .timeout(PATIENCE)
+            .timeout(TIMEOUT)
             .insert_header(("authorization", format!("Bearer {}", self.key)))
             .insert_header((operators::OPERATOR_HEADER, self.operator.as_str()))
             .insert_header(("content-type", call.content_type));
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -41,7 +41,7 @@
 /// A point in time by a clock that counts on while the machine is suspended.
 ///
 /// The steady clock of the standard library stands still meanwhile: what it says is
-/// young may be long outdated, as a view, a connection or a caller's patience.
+/// young may be long outdated, as a view, a connection or what a caller still waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BootInstant(time::Duration);
 
--- a/src/dispatcher/claims.rs
+++ b/src/dispatcher/claims.rs
@@ -10,7 +10,7 @@
 };
 
 /// Longest wait for a claim to be written.
-const CLAIM_PATIENCE: time::Duration = time::Duration::from_secs(5);
+const CLAIM_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// How a claim ended.
 pub enum ClaimOutcome {
@@ -141,7 +141,7 @@
 ) -> store::StoreResult<settle::SettledWrite> {
     let class = call_budget::CallClass::Claim;
     let value = store::encode(state);
-    let deadline = time::Instant::now() + CLAIM_PATIENCE;
+    let deadline = time::Instant::now() + CLAIM_TIMEOUT;
     settle::put(
         context.store.as_ref(),
         class,
--- a/src/dispatcher/commits.rs
+++ b/src/dispatcher/commits.rs
@@ -9,7 +9,7 @@
 };
 
 /// Longest wait of one try; work in hand outlasts an outage by trying again.
-const COMMIT_PATIENCE: time::Duration = time::Duration::from_secs(10);
+const COMMIT_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// How a commit ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,7 +36,7 @@
         let key = chunk::segment_key(&job.id, index, &segment.name);
         let lines = planned.lines.clone();
         let always = store::WriteCondition::Always;
-        let deadline = time::Instant::now() + COMMIT_PATIENCE;
+        let deadline = time::Instant::now() + COMMIT_TIMEOUT;
         if let Err(e) = settle::put(store, class, &key, lines, always, deadline).await {
             return CommitOutcome::Failed(e);
         }
@@ -44,7 +44,7 @@
     let key = chunk::state_key(&job.id, index);
     let value = store::encode(&planned.next);
     let condition = store::WriteCondition::Match(planned.revision);
-    let deadline = time::Instant::now() + COMMIT_PATIENCE;
+    let deadline = time::Instant::now() + COMMIT_TIMEOUT;
     match settle::put(store, class, &key, value, condition, deadline).await {
         Ok(settle::SettledWrite::Done(revision)) => CommitOutcome::Done(revision),
         Ok(settle::SettledWrite::Lost(_)) => CommitOutcome::Lost,
--- a/src/dispatcher/item_run.rs
+++ b/src/dispatcher/item_run.rs
@@ -14,7 +14,7 @@
 };
 
 /// Longest time of one attempt of an item.
-const ATTEMPT_PATIENCE: time::Duration = time::Duration::from_secs(600);
+const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_secs(600);
 
 /// How an attempt of an item ended.
 pub enum ItemEnd {
@@ -62,7 +62,7 @@
         resume_after: None,
         // Nobody comes back for a batch stream: it is continued from its text.
         keep: Some(time::Duration::ZERO),
-        patience: ATTEMPT_PATIENCE,
+        timeout: ATTEMPT_TIMEOUT,
     }
 }
 
--- a/src/dispatcher/job_close.rs
+++ b/src/dispatcher/job_close.rs
@@ -9,7 +9,7 @@
 };
 
 /// Longest wait for a write.
-const CLOSE_PATIENCE: time::Duration = time::Duration::from_secs(10);
+const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// Ends a job if it can be ended now; gives the states of its chunks.
 ///
@@ -77,7 +77,7 @@
         ..state
     };
     let condition = store::WriteCondition::Match(found.revision);
-    let deadline = time::Instant::now() + CLOSE_PATIENCE;
+    let deadline = time::Instant::now() + CLOSE_TIMEOUT;
     let value = store::encode(&sealed);
     settle::put(
         context.store.as_ref(),
@@ -107,7 +107,7 @@
     let class = call_budget::CallClass::Commit;
     let key = manifest.ended_key();
     let absent = store::WriteCondition::Absent;
-    let deadline = time::Instant::now() + CLOSE_PATIENCE;
+    let deadline = time::Instant::now() + CLOSE_TIMEOUT;
     // Whoever came first wrote the one record; either way the job has ended.
     settle::put(store, class, &key, store::encode(&record), absent, deadline).await?;
     settle::remove(store, class, &manifest.active_key(), deadline).await?;
--- a/src/dispatcher/mod.rs
+++ b/src/dispatcher/mod.rs
@@ -18,7 +18,7 @@
 use crate::{daemon_parts, fleet, http_server, link, noted::NotedError as _, settings};
 
 /// Longest wait for chunks to be handed back at a planned stop.
-const STOP_PATIENCE: time::Duration = time::Duration::from_secs(30);
+const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
 /// A running dispatcher.
 pub struct DispatcherDaemon {
@@ -101,7 +101,7 @@
         let (done, handed_back) = oneshot::channel();
         let waiting = async {
             if self.stops.send(done).await.is_ok() {
-                let waited = actix_rt::time::timeout(STOP_PATIENCE, handed_back).await;
+                let waited = actix_rt::time::timeout(STOP_TIMEOUT, handed_back).await;
                 waited.noted("work_not_handed_back");
             }
         };
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -31,7 +31,7 @@
     /// How long the endpoint keeps a stream whose reader left.
     pub keep: Option<time::Duration>,
     /// Longest wait for the answer's head.
-    pub patience: time::Duration,
+    pub timeout: time::Duration,
 }
 
 /// A whole answer of an endpoint.
@@ -68,7 +68,7 @@
     let url = format!("http://{}{}", call.address, call.path);
     let mut request = client
         .request(call.method.clone(), url)
-        .timeout(call.patience)
+        .timeout(call.timeout)
         .insert_header(("content-type", call.content_type.as_str()))
         .insert_header((wire::ATTEMPT_HEADER, call.attempt.as_str()));
     if let Some(index) = call.resume_after {
@@ -137,7 +137,7 @@
         .unwrap_or("application/octet-stream")
         .to_owned();
     let reading = response.body().limit(MAX_ANSWER_BYTES);
-    let body = match actix_rt::time::timeout(call.patience, reading).await {
+    let body = match actix_rt::time::timeout(call.timeout, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(e)) => return outcome::AttemptOutcome::Unknown(e.to_string()),
         Err(_) => return outcome::AttemptOutcome::Unknown("no whole answer in time".into()),
@@ -241,7 +241,7 @@
 }
 
 /// Longest wait for a cancelled stream's engine to answer.
-const CANCEL_PATIENCE: time::Duration = time::Duration::from_secs(2);
+const CANCEL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// Tells an engine to drop a stream at once.
 ///
@@ -254,7 +254,7 @@
 ) {
     let url = format!("http://{address}{}{attempt}", wire::STREAMS_PATH);
     // Without an answer the closed connection still ends the stream.
-    let told = client.delete(url).timeout(CANCEL_PATIENCE).send().await;
+    let told = client.delete(url).timeout(CANCEL_TIMEOUT).send().await;
     told.noted("stream_cancel_unanswered");
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -67,8 +67,8 @@
         })
     }
 
-    /// Waits until the first snapshot is there, or until `patience` ends.
-    pub async fn wait_synced(&self, patience: time::Duration) -> bool {
+    /// Waits until the first snapshot is there, or until `timeout` ends.
+    pub async fn wait_synced(&self, timeout: time::Duration) -> bool {
         let mut changed = self.changed.clone();
         let waiting = async {
             while !self.snapshot().synced {
@@ -77,7 +77,7 @@
                 }
             }
         };
-        let waited = actix_rt::time::timeout(patience, waiting).await;
+        let waited = actix_rt::time::timeout(timeout, waiting).await;
         waited.noted("fleet_not_synced");
         self.snapshot().synced
     }
--- a/src/gateway/batches.rs
+++ b/src/gateway/batches.rs
@@ -11,7 +11,7 @@
 };
 
 /// Longest wait for a job to be accepted or cancelled.
-const STORE_PATIENCE: time::Duration = time::Duration::from_secs(8);
+const STORE_TIMEOUT: time::Duration = time::Duration::from_secs(8);
 /// Longest window of a job.
 const MAX_WINDOW: time::Duration = time::Duration::from_secs(30 * 24 * 3600);
 /// Shortest window of a job.
@@ -99,8 +99,8 @@
     mut request: actix_http::Request,
 ) -> error::ApiResult<http_server::HttpAnswer> {
     let limits = &context.settings.callers.limits;
-    let patience = time::Duration::from_millis(limits.body_timeout_ms);
-    let body = caller_request::read_body(&mut request, limits.body_bytes, patience).await?;
+    let timeout = time::Duration::from_millis(limits.body_timeout_ms);
+    let body = caller_request::read_body(&mut request, limits.body_bytes, timeout).await?;
     let wanted: CreateRequest = caller_request::parse_json(&body)?;
     let workspace = &terms.workspace.id;
     let file = files::read_record(context, workspace, &wanted.input_file_id).await?;
@@ -235,7 +235,7 @@
         &manifest.active_key(),
         store::encode(&manifest),
         store::WriteCondition::Absent,
-        time::Instant::now() + STORE_PATIENCE,
+        time::Instant::now() + STORE_TIMEOUT,
     )
     .await;
     match written {
@@ -343,7 +343,7 @@
     workspace: &ids::WorkspaceId,
     id: &str,
 ) -> error::ApiResult<JobView> {
-    let deadline = time::Instant::now() + STORE_PATIENCE;
+    let deadline = time::Instant::now() + STORE_TIMEOUT;
     loop {
         let view = read(context, workspace, id).await?;
         let manifest = match &view {
--- a/src/gateway/caller_request.rs
+++ b/src/gateway/caller_request.rs
@@ -50,7 +50,7 @@
     /// Its class.
     pub class: RequestClass,
     /// How long the caller will wait.
-    pub patience: time::Duration,
+    pub timeout: time::Duration,
     /// Whether the caller forbids to repeat it.
     pub forbids_repeat: bool,
     /// Its idempotency key.
@@ -87,7 +87,7 @@
     head: &actix_http::RequestHead,
     bundle: &bundle::BundleView,
     request_id: String,
-    default_patience: time::Duration,
+    default_timeout: time::Duration,
 ) -> error::ApiResult<CallerTerms> {
     let workspace = authenticate(head, bundle)?;
     Ok(CallerTerms {
@@ -95,7 +95,7 @@
         arrived: time::Instant::now(),
         workspace,
         class: read_class(head)?,
-        patience: read_patience(head, default_patience)?,
+        timeout: read_timeout(head, default_timeout)?,
         forbids_repeat: read_forbids_repeat(head)?,
         key: read_key(head)?,
     })
@@ -115,20 +115,20 @@
     }
 }
 
-fn read_patience(
+fn read_timeout(
     head: &actix_http::RequestHead,
-    default_patience: time::Duration,
+    default_timeout: time::Duration,
 ) -> error::ApiResult<time::Duration> {
     let Some(text) = http_server::header(head, DEADLINE_HEADER) else {
-        return Ok(default_patience);
+        return Ok(default_timeout);
     };
     let millis: Option<u64> = text.parse().ok().filter(|ms| *ms > 0);
-    let patience = millis.map(time::Duration::from_millis).ok_or_else(|| {
+    let timeout = millis.map(time::Duration::from_millis).ok_or_else(|| {
         invalid(format!(
             "header {DEADLINE_HEADER}: found '{text}', milliseconds are allowed"
         ))
     })?;
-    Ok(patience.min(MAX_DEADLINE))
+    Ok(timeout.min(MAX_DEADLINE))
 }
 
 fn read_forbids_repeat(head: &actix_http::RequestHead) -> error::ApiResult<bool> {
@@ -175,9 +175,9 @@
 pub async fn read_body(
     request: &mut actix_http::Request,
     limit: usize,
-    patience: time::Duration,
+    timeout: time::Duration,
 ) -> error::ApiResult<bytes::Bytes> {
-    http_server::read_body(request, limit, patience)
+    http_server::read_body(request, limit, timeout)
         .await
         .map_err(|e| {
             let code = match e {
--- a/src/gateway/files.rs
+++ b/src/gateway/files.rs
@@ -21,9 +21,9 @@
 /// Bytes in a chunk at most; below what the object service holds.
 const CHUNK_BYTES: usize = 900 << 10;
 /// Longest wait for a chunk to be stored.
-const STORE_PATIENCE: time::Duration = time::Duration::from_secs(10);
+const STORE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Longest wait for the next piece of an upload.
-const PIECE_PATIENCE: time::Duration = time::Duration::from_secs(30);
+const PIECE_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
 /// The object `file/{workspace}/{file}`; written after all its chunks.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
@@ -168,7 +168,7 @@
 async fn next_field<'a>(
     form: &mut multer::Multipart<'a>,
 ) -> error::ApiResult<Option<multer::Field<'a>>> {
-    match actix_rt::time::timeout(PIECE_PATIENCE, form.next_field()).await {
+    match actix_rt::time::timeout(PIECE_TIMEOUT, form.next_field()).await {
         Ok(field) => field.map_err(|e| invalid(e.to_string())),
         Err(_) => Err(too_slow()),
     }
@@ -185,7 +185,7 @@
     value: bytes::Bytes,
 ) -> error::ApiResult<()> {
     let class = call_budget::CallClass::Claim;
-    let deadline = time::Instant::now() + STORE_PATIENCE;
+    let deadline = time::Instant::now() + STORE_TIMEOUT;
     let condition = store::WriteCondition::Absent;
     let store = context.store.as_ref();
     match settle::put(store, class, key, value, condition, deadline).await {
@@ -207,7 +207,7 @@
     let limits = &context.settings.callers.limits;
     let mut line = Vec::new();
     loop {
-        let piece = match actix_rt::time::timeout(PIECE_PATIENCE, field.next()).await {
+        let piece = match actix_rt::time::timeout(PIECE_TIMEOUT, field.next()).await {
             Ok(Some(piece)) => piece.map_err(|e| invalid(e.to_string()))?,
             Ok(None) => break,
             Err(_) => return Err(too_slow()),
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -16,8 +16,8 @@
     mut request: actix_http::Request,
 ) -> error::ApiResult<http_server::HttpAnswer> {
     let limits = &context.settings.callers.limits;
-    let patience = time::Duration::from_millis(limits.body_timeout_ms);
-    let body = caller_request::read_body(&mut request, limits.body_bytes, patience).await?;
+    let timeout = time::Duration::from_millis(limits.body_timeout_ms);
+    let body = caller_request::read_body(&mut request, limits.body_bytes, timeout).await?;
     let wanted: wire::GenerationRequest = caller_request::parse_json(&body)?;
     check(&wanted, request.path(), context)?;
     let place = admit::admit(context, &terms)?;
--- a/src/gateway/once.rs
+++ b/src/gateway/once.rs
@@ -16,7 +16,7 @@
 /// Largest answer that is kept for resends, in bytes.
 const MAX_KEPT_BYTES: usize = 256 << 10;
 /// Longest wait for the record to be written.
-const RECORD_PATIENCE: time::Duration = time::Duration::from_secs(4);
+const RECORD_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
 /// What became of a recorded call.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
@@ -99,18 +99,18 @@
     let record = OnceRecord {
         digest: hex_digest(&[path.as_bytes(), body]),
         request_id: terms.request_id.clone(),
-        lost_after: now + terms.patience.as_secs() + 1,
+        lost_after: now + terms.timeout.as_secs() + 1,
         state: OnceState::Started,
     };
     let key = record_key(&terms.workspace.id, key);
-    let patience = RECORD_PATIENCE.min(terms.patience);
+    let timeout = RECORD_TIMEOUT.min(terms.timeout);
     let written = settle::put(
         context.store.as_ref(),
         call_budget::CallClass::Commit,
         &key,
         store::encode(&record),
         store::WriteCondition::Absent,
-        time::Instant::now() + patience,
+        time::Instant::now() + timeout,
     )
     .await;
     match written {
@@ -212,7 +212,7 @@
         }
         Ok(_) => OnceState::AnsweredUnkept,
         Err(e) if e.ran == error::RanReport::No => {
-            let deadline = time::Instant::now() + RECORD_PATIENCE;
+            let deadline = time::Instant::now() + RECORD_TIMEOUT;
             let class = call_budget::CallClass::Commit;
             let store = context.store.as_ref();
             if let Err(e) = settle::remove(store, class, &ticket.key, deadline).await {
@@ -235,7 +235,7 @@
         &ticket.key,
         store::encode(&record),
         store::WriteCondition::Match(ticket.revision),
-        time::Instant::now() + RECORD_PATIENCE,
+        time::Instant::now() + RECORD_TIMEOUT,
     )
     .await;
     if let Err(e) = written {
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -12,7 +12,7 @@
 };
 
 /// Longest wait for an operator's step to be stored.
-const STEP_PATIENCE: time::Duration = time::Duration::from_secs(8);
+const STEP_TIMEOUT: time::Duration = time::Duration::from_secs(8);
 /// Bytes of a bundle's document at most.
 const MAX_BUNDLE_BYTES: usize = 32 << 20;
 /// Bytes of a stored part of a document.
@@ -92,8 +92,8 @@
 async fn read_document(
     request: &mut actix_http::Request,
 ) -> error::ApiResult<bundle::BundleDocument> {
-    let patience = time::Duration::from_secs(30);
-    let body = caller_request::read_body(request, MAX_BUNDLE_BYTES, patience).await?;
+    let timeout = time::Duration::from_secs(30);
+    let body = caller_request::read_body(request, MAX_BUNDLE_BYTES, timeout).await?;
     caller_request::parse_json(&body)
 }
 
@@ -127,7 +127,7 @@
         &bundle_steps::BundleHead,
     ) -> Result<bundle_steps::BundleHead, bundle_steps::BundleConflict>,
 ) -> error::ApiResult<bundle_steps::BundleHead> {
-    let deadline = time::Instant::now() + STEP_PATIENCE;
+    let deadline = time::Instant::now() + STEP_TIMEOUT;
     loop {
         let (head, condition) = read_head(context.store.as_ref()).await?;
         let wanted = next(&head).map_err(|conflict| {
@@ -196,7 +196,7 @@
             &key,
             bytes::Bytes::copy_from_slice(part),
             store::WriteCondition::Absent,
-            time::Instant::now() + STEP_PATIENCE,
+            time::Instant::now() + STEP_TIMEOUT,
         );
         written.await.map_err(|e| files::store_error(&e))?;
     }
@@ -299,7 +299,7 @@
         &key,
         store::encode(&ids::unique("stop")),
         store::WriteCondition::Always,
-        time::Instant::now() + STEP_PATIENCE,
+        time::Instant::now() + STEP_TIMEOUT,
     );
     written.await.map_err(|e| files::store_error(&e))?;
     Ok(serde_json::json!({"stopping": id}))
--- a/src/gateway/outputs.rs
+++ b/src/gateway/outputs.rs
@@ -141,14 +141,14 @@
 }
 
 /// Longest that one object of a content is tried for.
-const READ_PATIENCE: time::Duration = time::Duration::from_secs(20);
+const READ_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
 /// Reads an object, over a short outage or a rate that is reached.
 async fn read_patiently(
     store: &dyn store::ObjectStore,
     key: &str,
 ) -> store::StoreResult<Option<store::VersionedObject>> {
-    let deadline = time::Instant::now() + READ_PATIENCE;
+    let deadline = time::Instant::now() + READ_TIMEOUT;
     let mut backoff = settle::JitteredBackoff::default();
     loop {
         match store.get(call_budget::CallClass::Read, key).await {
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -159,9 +159,9 @@
         return operators::serve(context, request).await;
     }
     let bundle = context.fleet.snapshot().bundle.clone();
-    let patience = context.settings.online.default_deadline_ms;
-    let patience = time::Duration::from_millis(patience);
-    let terms = caller_request::read_terms(request.head(), &bundle, request_id, patience)?;
+    let timeout = context.settings.online.default_deadline_ms;
+    let timeout = time::Duration::from_millis(timeout);
+    let terms = caller_request::read_terms(request.head(), &bundle, request_id, timeout)?;
     serve(context, client, terms, request).await
 }
 
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -69,7 +69,7 @@
     let relay = StreamRelay {
         context: context.clone(),
         client: client.clone(),
-        deadline: now + terms.patience,
+        deadline: now + terms.timeout,
         started: now,
         latest: None,
         terms,
@@ -308,7 +308,7 @@
             attempt,
             resume_after,
             keep: Some(KEEP_AFTER_CUT),
-            patience: self.deadline.since(self.context.clock.now()),
+            timeout: self.deadline.since(self.context.clock.now()),
         }
     }
 
--- a/src/gateway/whole_call.rs
+++ b/src/gateway/whole_call.rs
@@ -95,7 +95,7 @@
     terms: &caller_request::CallerTerms,
     call: &WholeCall,
 ) -> error::ApiResult<endpoint_client::EndpointAnswer> {
-    let deadline = context.clock.now() + terms.patience;
+    let deadline = context.clock.now() + terms.timeout;
     let retry_terms = retry::RetryTerms {
         repeatable: call.repeatable,
         deadline,
@@ -168,7 +168,7 @@
         attempt,
         resume_after: None,
         keep: None,
-        patience: deadline.since(context.clock.now()),
+        timeout: deadline.since(context.clock.now()),
     };
     endpoint_client::call_whole(client, &endpoint_call).await
 }
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -217,14 +217,14 @@
     Broken(String),
 }
 
-/// Reads a body of at most `limit` bytes within `patience`.
+/// Reads a body of at most `limit` bytes within `timeout`.
 ///
 /// # Errors
 /// See [`BodyError`].
 pub async fn read_body(
     request: &mut actix_http::Request,
     limit: usize,
-    patience: time::Duration,
+    timeout: time::Duration,
 ) -> Result<bytes::Bytes, BodyError> {
     let mut payload = request.take_payload();
     let reading = async {
@@ -238,9 +238,9 @@
         }
         Ok(data.freeze())
     };
-    match actix_rt::time::timeout(patience, reading).await {
+    match actix_rt::time::timeout(timeout, reading).await {
         Ok(outcome) => outcome,
-        Err(_) => Err(BodyError::TooSlow(patience)),
+        Err(_) => Err(BodyError::TooSlow(timeout)),
     }
 }
 
--- a/src/local_fleet.rs
+++ b/src/local_fleet.rs
@@ -19,7 +19,7 @@
 /// Name of the plain service that the fleet serves.
 pub const SERVICE: &str = "demo-service";
 /// Longest wait until everything is ready.
-const READY_PATIENCE: time::Duration = time::Duration::from_secs(30);
+const READY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 /// Port that the kernel chooses, on loopback.
 const ANY_PORT: &str = "127.0.0.1:0";
 
@@ -196,11 +196,11 @@
     fn make_ready(&self, document: &bundle::BundleDocument) -> io::Result<()> {
         actix_rt::System::new().block_on(async {
             let view = &self.gateways[0].context.fleet;
-            view.wait_synced(READY_PATIENCE).await;
+            view.wait_synced(READY_TIMEOUT).await;
             if view.snapshot().bundle.generation == bundle::BundleGeneration(0) {
                 self.submit_bundle(document).await?;
             }
-            let deadline = time::Instant::now() + READY_PATIENCE;
+            let deadline = time::Instant::now() + READY_TIMEOUT;
             while !self.is_ready() {
                 if time::Instant::now() >= deadline {
                     return Err(io::Error::other("the fleet was not ready in time"));
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -44,17 +44,17 @@
 /// No connection is made in time: the attempt did not run.
 pub async fn connect(
     endpoint: &directory::EndpointEntry,
-    patience: time::Duration,
+    timeout: time::Duration,
 ) -> Result<connection::EndpointConnection, outcome::NotRunProof> {
-    let patience = CONNECT_TIMEOUT.min(patience);
-    let opened = connection::EndpointConnection::open(endpoint.address, patience).await;
+    let timeout = CONNECT_TIMEOUT.min(timeout);
+    let opened = connection::EndpointConnection::open(endpoint.address, timeout).await;
     opened.map_err(|e| outcome::NotRunProof::no_connection(&e))
 }
 
 /// Sends one attempt and waits for the head of its answer.
 ///
 /// `opened` is a connection that was made for it, if there is one; `is_kept` is told
-/// whether it went out on one that was kept; `head_patience` bounds the wait after
+/// whether it went out on one that was kept; `head_timeout` bounds the wait after
 /// the request went out.
 pub async fn send(
     context: &rc::Rc<process::ProcessContext>,
@@ -63,22 +63,22 @@
     terms: &wire::AttemptTerms<'_>,
     opened: Option<connection::EndpointConnection>,
     is_kept: &cell::Cell<bool>,
-    head_patience: time::Duration,
+    head_timeout: time::Duration,
 ) -> outcome::AttemptOutcome<OpenAnswer> {
     use outcome::AttemptOutcome as O;
 
     let exchange = async {
         match opened {
             Some(opened) => exchange_on(context, opened, request, terms).await,
-            None => exchange(context, endpoint, request, terms, is_kept, head_patience).await,
+            None => exchange(context, endpoint, request, terms, is_kept, head_timeout).await,
         }
     };
-    let incoming = match tokio::time::timeout(head_patience, exchange).await {
+    let incoming = match tokio::time::timeout(head_timeout, exchange).await {
         Ok(Ok(incoming)) => incoming,
         Ok(Err(ended)) => return ended,
         Err(_) => {
             context.pool.forget(endpoint.address);
-            let why = format!("no answer within {} ms", head_patience.as_millis());
+            let why = format!("no answer within {} ms", head_timeout.as_millis());
             return O::Unknown(why);
         }
     };
@@ -98,7 +98,7 @@
     request: &ForwardedRequest,
     terms: &wire::AttemptTerms<'_>,
     is_kept: &cell::Cell<bool>,
-    patience: time::Duration,
+    timeout: time::Duration,
 ) -> Result<connection::IncomingAnswer, outcome::AttemptOutcome<OpenAnswer>> {
     use outcome::AttemptOutcome as O;
 
@@ -124,7 +124,7 @@
         }
     }
     is_kept.set(false);
-    let opened = connect(endpoint, patience).await;
+    let opened = connect(endpoint, timeout).await;
     let opened = opened.map_err(|proof| match broken {
         Some(e) => O::Unknown(format!("{e}, and then {}", proof.reason())),
         None => O::NotRun(proof),
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -207,7 +207,7 @@
         let sending = async move {
             let terms = wire::AttemptTerms {
                 endpoint: &endpoint.id,
-                patience: Some(left),
+                timeout: Some(left),
                 resume_after,
             };
             attempt::send(
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -9,7 +9,7 @@
 use crate::{clock, http_server, ids};
 
 /// Time that a caller is taken to wait if it does not say.
-const DEFAULT_PATIENCE: time::Duration = time::Duration::from_secs(30);
+const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 /// When a caller may come back, in seconds: tries go to another process.
 const COME_BACK_PAUSE: &str = "0.1";
 
@@ -80,12 +80,9 @@
         return http_server::plain(status, "the head is too large\n");
     }
     let terms = context.wire.caller_terms(request.head().headers());
-    let patience = terms
-        .patience
-        .unwrap_or(DEFAULT_PATIENCE)
-        .min(route.timeout);
-    let body_patience = patience.min(time::Duration::from_secs(10));
-    let read = http_server::read_body(&mut request, limits.max_body_bytes, body_patience).await;
+    let timeout = terms.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let body_timeout = timeout.min(time::Duration::from_secs(10));
+    let read = http_server::read_body(&mut request, limits.max_body_bytes, body_timeout).await;
     let body = match read {
         Ok(body) => body,
         Err(e) => return unread_body(&e),
@@ -108,7 +105,7 @@
         route,
         forwarded: rc::Rc::new(forwarded),
         terms,
-        deadline: arrived + patience,
+        deadline: arrived + timeout,
         arrived,
     };
     relay::serve(context, request, active).await
--- a/src/serving/checkpoint_file.rs
+++ b/src/serving/checkpoint_file.rs
@@ -22,7 +22,7 @@
 const FORMAT: &str = "jayhollow-progress-1";
 /// Longest wait for the file at the start: a sound disk reads it in some
 /// milliseconds, and a process without it works as well.
-const READ_PATIENCE: time::Duration = time::Duration::from_millis(250);
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Largest file that is written or read, in bytes. Forty items are 0.7 MB.
 const MAX_FILE_BYTES: usize = 16 << 20;
 
@@ -49,7 +49,7 @@
                 drop(found.send(read_or_log(&folder)));
                 write_rounds(&folder, &rounds);
             })?;
-        let jobs = finding.recv_timeout(READ_PATIENCE).unwrap_or_else(|_| {
+        let jobs = finding.recv_timeout(READ_TIMEOUT).unwrap_or_else(|_| {
             log::warn!("event=progress_unread why=\"the disk is slow\"");
             Vec::new()
         });
--- a/src/serving/connection.rs
+++ b/src/serving/connection.rs
@@ -70,9 +70,9 @@
     ///
     /// # Errors
     /// The connection is refused or not made in time.
-    pub async fn open(address: net::SocketAddr, patience: time::Duration) -> io::Result<Self> {
+    pub async fn open(address: net::SocketAddr, timeout: time::Duration) -> io::Result<Self> {
         let connecting = tokio::net::TcpStream::connect(address);
-        let socket = match tokio::time::timeout(patience, connecting).await {
+        let socket = match tokio::time::timeout(timeout, connecting).await {
             Ok(connected) => connected?,
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -15,10 +15,10 @@
 };
 
 /// Longest wait for the head of an item's answer; it may wait for a slot.
-const HEAD_PATIENCE: time::Duration = time::Duration::from_millis(1500);
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
 /// Longest pause between events of an item; the engine's steps take 3 to 60 ms.
-const GAP_PATIENCE: time::Duration = time::Duration::from_millis(600);
+const GAP_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
 /// Pause before an item starts again after a failure.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(150);
@@ -161,7 +161,7 @@
         };
         let terms = wire::AttemptTerms {
             endpoint: &self.endpoint.id,
-            patience: None,
+            timeout: None,
             resume_after,
         };
         let is_kept = cell::Cell::new(false);
@@ -172,7 +172,7 @@
             &terms,
             None,
             &is_kept,
-            HEAD_PATIENCE,
+            HEAD_TIMEOUT,
         );
         let open = match sent.await {
             O::Completed(open) => open,
@@ -239,7 +239,7 @@
                     Err(e) => return RunEnd::Cut(e.to_string()),
                 }
             }
-            match tokio::time::timeout(GAP_PATIENCE, incoming.next_bytes()).await {
+            match tokio::time::timeout(GAP_TIMEOUT, incoming.next_bytes()).await {
                 Ok(Ok(Some(bytes))) => splitter.push(&bytes),
                 Ok(Ok(None)) if splitter.has_rest() => {
                     return RunEnd::Cut("the stream ended within an event".into())
--- a/src/serving/job_acceptance.rs
+++ b/src/serving/job_acceptance.rs
@@ -5,7 +5,7 @@
 use super::{job_records, peer_links, peers, process};
 use crate::{clock, ids, store};
 
-/// Longest time for the acceptance of a job, within the caller's patience.
+/// Longest time for the acceptance of a job, within the caller's remaining time.
 pub const ACCEPT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Peers that are asked to write what the store does not take from this process.
 const PEERS_ASKED: usize = 2;
--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -306,8 +306,8 @@
         if known > ask.after || over || left.is_zero() {
             return Ok(Some(job.borrow().page(ask.after)));
         }
-        let patience = if owned { left } else { left.min(FRESH) };
-        let changed = tokio::time::timeout(patience, changes.changed()).await;
+        let timeout = if owned { left } else { left.min(FRESH) };
+        let changed = tokio::time::timeout(timeout, changes.changed()).await;
         if matches!(changed, Ok(Err(_))) {
             log::warn!("event=job_forgotten job={}", ask.job);
         }
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -47,9 +47,9 @@
         version: context.fleet.table().version(),
         items,
     };
-    let patience = terms.patience.unwrap_or(job_acceptance::ACCEPT_TIMEOUT);
-    let patience = patience.min(job_acceptance::ACCEPT_TIMEOUT);
-    let accepted = job_acceptance::accept(context, &record, arrived + patience).await;
+    let timeout = terms.timeout.unwrap_or(job_acceptance::ACCEPT_TIMEOUT);
+    let timeout = timeout.min(job_acceptance::ACCEPT_TIMEOUT);
+    let accepted = job_acceptance::accept(context, &record, arrived + timeout).await;
     let spent = arrived.elapsed();
     log::info!(
         "event=job_submitted job={id} items={} outcome={accepted:?} ms={}",
@@ -149,10 +149,10 @@
     ask: &peers::ResultAsk,
 ) -> Option<wire::ResultPage> {
     let (owner, address) = reader_of(context, &ask.job)?;
-    let patience = ask.wait + OWNER_SPARE;
+    let timeout = ask.wait + OWNER_SPARE;
     let answer = context
         .links
-        .read_results(address, ask.clone(), patience)
+        .read_results(address, ask.clone(), timeout)
         .await;
     answer
         .inspect_err(|e| {
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -100,9 +100,9 @@
 }
 
 /// Deadline of a call, from now.
-fn within(patience: time::Duration) -> tarpc::context::Context {
+fn within(timeout: time::Duration) -> tarpc::context::Context {
     let mut context = tarpc::context::current();
-    context.deadline = time::Instant::now() + patience;
+    context.deadline = time::Instant::now() + timeout;
     context
 }
 
@@ -116,9 +116,9 @@
 
 /// Calls a peer, and says why there is no answer.
 macro_rules! call_peer {
-    ($links:expr, $peer:expr, $patience:expr, $method:ident($($argument:expr),*)) => {{
+    ($links:expr, $peer:expr, $timeout:expr, $method:ident($($argument:expr),*)) => {{
         let client = $links.connected($peer).ok_or(PeerError::NotSent)?;
-        outcome(client.$method(within($patience), $($argument),*).await)
+        outcome(client.$method(within($timeout), $($argument),*).await)
     }};
 }
 
@@ -179,9 +179,9 @@
         &self,
         peer: net::SocketAddr,
         hello: PeerHello,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<PeerHello, PeerError> {
-        call_peer!(self, peer, patience, probe(hello))
+        call_peer!(self, peer, timeout, probe(hello))
     }
 
     /// Asks an owner for a place.
@@ -192,9 +192,9 @@
         &self,
         peer: net::SocketAddr,
         ask: PlaceAsk,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<PlaceAnswer, PeerError> {
-        call_peer!(self, peer, patience, acquire(ask))
+        call_peer!(self, peer, timeout, acquire(ask))
     }
 
     /// Gives a place back, also where its owner is out of reach for a while: the place is
@@ -238,9 +238,9 @@
         &self,
         peer: net::SocketAddr,
         ask: state_copy::StatePartAsk,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<state_copy::StatePart, PeerError> {
-        call_peer!(self, peer, patience, state_part(ask))
+        call_peer!(self, peer, timeout, state_part(ask))
     }
 
     /// Asks for the list of endpoints, and waits as long as something comes on the
@@ -267,9 +267,9 @@
     pub async fn members(
         &self,
         peer: net::SocketAddr,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<Vec<members::MemberRecord>, PeerError> {
-        call_peer!(self, peer, patience, members())
+        call_peer!(self, peer, timeout, members())
     }
 
     /// Hands a job over; says whether it is done already.
@@ -280,9 +280,9 @@
         &self,
         peer: net::SocketAddr,
         record: job_records::JobRecord,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<bool, PeerError> {
-        call_peer!(self, peer, patience, take_job(record))
+        call_peer!(self, peer, timeout, take_job(record))
     }
 
     /// Has an owner read a job from the store and take it over; says whether it is done
@@ -294,9 +294,9 @@
         &self,
         peer: net::SocketAddr,
         job: ids::JobId,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<bool, PeerError> {
-        call_peer!(self, peer, patience, find_job(job))
+        call_peer!(self, peer, timeout, find_job(job))
     }
 
     /// Hands a part of the progress of a job over; says whether it fits to what came before.
@@ -307,9 +307,9 @@
         &self,
         peer: net::SocketAddr,
         part: progress_transfer::ProgressPart,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<bool, PeerError> {
-        call_peer!(self, peer, patience, keep_progress(part))
+        call_peer!(self, peer, timeout, keep_progress(part))
     }
 
     /// Reads committed results.
@@ -320,9 +320,9 @@
         &self,
         peer: net::SocketAddr,
         ask: ResultAsk,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<wire::ResultPage, PeerError> {
-        call_peer!(self, peer, patience, read_results(ask))
+        call_peer!(self, peer, timeout, read_results(ask))
     }
 
     /// Tells that a job was ended; the mark in the store says the same.
@@ -338,9 +338,9 @@
         &self,
         peer: net::SocketAddr,
         ask: SlotAsk,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<Vec<LentSlot>, PeerError> {
-        call_peer!(self, peer, patience, lend(ask))
+        call_peer!(self, peer, timeout, lend(ask))
     }
 
     /// Gives a place of a batch stream back, also where its owner is out of reach for a while.
@@ -361,9 +361,9 @@
         &self,
         peer: net::SocketAddr,
         record: job_records::JobRecord,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<WriteOutcome, PeerError> {
-        call_peer!(self, peer, patience, write_job(record))
+        call_peer!(self, peer, timeout, write_job(record))
     }
 
     /// Has a peer write the end of a job.
@@ -374,9 +374,9 @@
         &self,
         peer: net::SocketAddr,
         job: ids::JobId,
-        patience: time::Duration,
+        timeout: time::Duration,
     ) -> Result<WriteOutcome, PeerError> {
-        call_peer!(self, peer, patience, write_end(job))
+        call_peer!(self, peer, timeout, write_end(job))
     }
 
     /// Whether there is a connection to a peer now.
@@ -435,11 +435,11 @@
 
     /// Connects to a peer that is about to answer, as it has just started: says
     /// whether it does within a while.
-    pub async fn reach(&self, peer: net::SocketAddr, patience: time::Duration) -> bool {
+    pub async fn reach(&self, peer: net::SocketAddr, timeout: time::Duration) -> bool {
         let begun = clock::BootInstant::now();
         loop {
             self.settle(peer).await;
-            if self.is_connected(peer) || begun.elapsed() >= patience {
+            if self.is_connected(peer) || begun.elapsed() >= timeout {
                 return self.is_connected(peer);
             }
             actix_rt::time::sleep(RECONNECT_PAUSE / 4).await;
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -1,7 +1,7 @@
 //! Waits for an endpoint that is slow: it is left only for a place in hand elsewhere.
 //!
 //! An endpoint whose connection is open may be at work, and its silence is no
-//! reason to end an answer. After a patience a place at another endpoint is
+//! reason to end an answer. After a while a place at another endpoint is
 //! asked for while the first answer is waited for on; whatever comes first counts.
 //! Only a free slot will do, as a queue may be slower still, but for two cases:
 //! the endpoint's machine takes no connection, or not even a head came for long.
@@ -24,9 +24,9 @@
 /// one request at once must last for less than 400 ms; this is a quarter of it.
 const HANDOVER_TIME: time::Duration = time::Duration::from_millis(100);
 
-/// Patiences without a head after which a place in a queue elsewhere will do: no
+/// Such waits without a head after which a place in a queue elsewhere will do: no
 /// work is seen to be lost, and a kept connection may be silent for good.
-const QUEUE_PATIENCES: u32 = 2;
+const QUEUE_WAITS: u32 = 2;
 /// Least time between two connections that ask whether a slow endpoint's machine
 /// is there. Each costs the endpoint about 1 ms; a run may be slow at each event.
 const CHECK_PAUSE: time::Duration = time::Duration::from_secs(1);
@@ -59,7 +59,7 @@
 
 impl relay::RequestRelay {
     /// Time after which an endpoint is taken for slow; none if no other may go on.
-    fn patience(&self, awaited: Awaited) -> Option<time::Duration> {
+    fn slow_after(&self, awaited: Awaited) -> Option<time::Duration> {
         let (span, share) = match awaited {
             Awaited::NextEvent => (self.request.route.gap_objective?, GAP_SHARE),
             _ => (self.request.route.objective, SILENCE_SHARE),
@@ -86,17 +86,17 @@
     ) -> Waited<T> {
         let begun = clock::BootInstant::now();
         tokio::pin!(waiting);
-        let Some(patience) = self.patience(awaited) else {
+        let Some(slow_after) = self.slow_after(awaited) else {
             return self.wait_alone(place, awaited, waiting).await;
         };
-        let patience = patience.min(self.left());
-        if let Ok(done) = tokio::time::timeout(patience, &mut waiting).await {
+        let slow_after = slow_after.min(self.left());
+        if let Ok(done) = tokio::time::timeout(slow_after, &mut waiting).await {
             return Waited::Came(done);
         }
-        self.note_slow(place, awaited, patience);
+        self.note_slow(place, awaited, slow_after);
         let mut search = SlowSearch::new(place, &self.log);
         if awaited == Awaited::Head {
-            search.queue_from = Some(begun + patience * QUEUE_PATIENCES);
+            search.queue_from = Some(begun + slow_after * QUEUE_WAITS);
             search.may_be_silent = self.log.is_kept.get();
         }
         let gone = machine_gone(place.endpoint.clone(), self.left(), self.begin_check());
@@ -195,8 +195,8 @@
         };
         let id = found.place.endpoint.id.clone();
         let mut sent = self.start(found.place, Some(opened));
-        let patience = HANDOVER_TIME.min(self.left());
-        let told = tokio::time::timeout(patience, &mut sent.sending).await;
+        let timeout = HANDOVER_TIME.min(self.left());
+        let told = tokio::time::timeout(timeout, &mut sent.sending).await;
         match told {
             Ok(outcome) if !self.goes_on(&outcome) => {
                 self.note_not_moved(sent.place, outcome);
--- a/src/serving/wire.rs
+++ b/src/serving/wire.rs
@@ -12,7 +12,7 @@
     /// Name of the request; each try of a caller has its own.
     pub id: Option<String>,
     /// How long the caller waits.
-    pub patience: Option<time::Duration>,
+    pub timeout: Option<time::Duration>,
     /// Event after which the caller wants a stream to go on.
     pub resume_after: Option<u64>,
 }
@@ -23,7 +23,7 @@
     /// The endpoint that is to run it, and no other.
     pub endpoint: &'a ids::EndpointId,
     /// How long the answer is waited for, if that is bounded.
-    pub patience: Option<time::Duration>,
+    pub timeout: Option<time::Duration>,
     /// Event after which a stream is to go on.
     pub resume_after: Option<u64>,
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -20,8 +20,8 @@
 async fn read_json<T: serde::de::DeserializeOwned>(
     request: &mut actix_http::Request,
 ) -> Result<T, http_server::HttpAnswer> {
-    let patience = time::Duration::from_secs(10);
-    let body = http_server::read_body(request, MAX_BODY_BYTES, patience)
+    let timeout = time::Duration::from_secs(10);
+    let body = http_server::read_body(request, MAX_BODY_BYTES, timeout)
         .await
         .map_err(|e| http_server::plain(StatusCode::BAD_REQUEST, e.to_string()))?;
     serde_json::from_slice(&body)
--- a/src/standin/objects.rs
+++ b/src/standin/objects.rs
@@ -359,8 +359,8 @@
         let Some(condition) = condition_of(request.head()) else {
             return http_server::plain(StatusCode::BAD_REQUEST, "If-Match is not a version");
         };
-        let patience = time::Duration::from_secs(10);
-        let body = match http_server::read_body(request, MAX_VALUE_BYTES, patience).await {
+        let timeout = time::Duration::from_secs(10);
+        let body = match http_server::read_body(request, MAX_VALUE_BYTES, timeout).await {
             Ok(body) => body,
             Err(e) => return http_server::plain(StatusCode::PAYLOAD_TOO_LARGE, e.to_string()),
         };
--- a/src/standin/plain_service.rs
+++ b/src/standin/plain_service.rs
@@ -55,8 +55,8 @@
                 .body("refused")
                 .map_into_boxed_body();
         }
-        let patience = time::Duration::from_secs(10);
-        let body = match http_server::read_body(&mut request, super::MAX_BODY_BYTES, patience).await
+        let timeout = time::Duration::from_secs(10);
+        let body = match http_server::read_body(&mut request, super::MAX_BODY_BYTES, timeout).await
         {
             Ok(body) => String::from_utf8_lossy(&body).into_owned(),
             Err(e) => return http_server::plain(StatusCode::BAD_REQUEST, e.to_string()),
--- a/tests/online_failures.rs
+++ b/tests/online_failures.rs
@@ -109,7 +109,7 @@
     );
     assert!(answer.retry_after.is_some());
     // The default deadline is two minutes: the final answer does not wait for it.
-    assert!(started.elapsed() < support::PATIENCE);
+    assert!(started.elapsed() < support::TIMEOUT);
     assert!(fleet.plain_effects().is_empty());
 }
 
@@ -315,7 +315,7 @@
     let link = fleet.dispatchers[0].address("link");
     let mut socket = std::net::TcpStream::connect(link).expect("it connects");
     socket
-        .set_read_timeout(Some(support::PATIENCE))
+        .set_read_timeout(Some(support::TIMEOUT))
         .expect("the timeout is set");
     let mut nonce = [0; 16];
     socket.read_exact(&mut nonce).expect("a nonce comes");
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -5,7 +5,7 @@
 use actix_http::Method;
 use jayhollow::cli;
 
-use super::{body, chat, wait_for, PATIENCE};
+use super::{body, chat, wait_for, TIMEOUT};
 
 /// An answer: status, headers, body.
 #[derive(Debug, Clone)]
@@ -59,7 +59,7 @@
             let client = jayhollow::http_client::new_client(0);
             let mut request = client
                 .request(method, url)
-                .timeout(PATIENCE)
+                .timeout(TIMEOUT)
                 .insert_header(("authorization", format!("Bearer {}", self.key)))
                 .insert_header(("content-type", "application/json"));
             for (name, value) in headers {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -20,7 +20,7 @@
 /// Operator's key.
 pub const OPERATOR_KEY: &str = "test-operator-key";
 /// Longest wait for anything.
-pub const PATIENCE: time::Duration = time::Duration::from_secs(60);
+pub const TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Pause between looks.
 const LOOK_PAUSE: time::Duration = time::Duration::from_millis(20);
 
@@ -261,7 +261,7 @@
 
 /// Looks until there is something, or fails the test.
 pub fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
-    let deadline = time::Instant::now() + PATIENCE;
+    let deadline = time::Instant::now() + TIMEOUT;
     loop {
         if let Some(found) = look() {
             return found;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -8,7 +8,7 @@
     thread, time,
 };
 
-use super::{LOOK_PAUSE, PATIENCE};
+use super::{LOOK_PAUSE, TIMEOUT};
 
 /// A process of the fleet, killed when dropped.
 pub struct FleetProcess {
@@ -60,7 +60,7 @@
             let _ = sender.send(line);
         });
         let line = receiver
-            .recv_timeout(PATIENCE)
+            .recv_timeout(TIMEOUT)
             .expect("the program prints a line");
         assert!(!line.is_empty(), "{program} ended: see {}", file.display());
         Self {
@@ -104,7 +104,7 @@
 
     /// Waits for the process to end by itself; gives whether it exited with 0.
     pub fn wait_end(&mut self) -> bool {
-        let deadline = time::Instant::now() + PATIENCE;
+        let deadline = time::Instant::now() + TIMEOUT;
         while time::Instant::now() < deadline {
             if let Some(status) = self.child.try_wait().expect("the process can be looked at") {
                 return status.success();
--- a/tests/tls.rs
+++ b/tests/tls.rs
@@ -36,7 +36,7 @@
     let name = pki_types::ServerName::try_from("localhost").expect("the name is valid");
     let client = rustls::ClientConnection::new(Arc::new(config), name).expect("it begins");
     let socket = net::TcpStream::connect(address)?;
-    socket.set_read_timeout(Some(support::PATIENCE))?;
+    socket.set_read_timeout(Some(support::TIMEOUT))?;
     let mut stream = rustls::StreamOwned::new(client, socket);
     stream.write_all(b"GET /healthz HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\n\r\n")?;
     let mut answer = Vec::new();
--- a/tests/truncated_answers.rs
+++ b/tests/truncated_answers.rs
@@ -34,7 +34,7 @@
         attempt: "a".parse().expect("the name is valid"),
         resume_after: None,
         keep: None,
-        patience: time::Duration::from_secs(10),
+        timeout: time::Duration::from_secs(10),
     }
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -170,7 +170,7 @@
     use std::io::{Read as _, Write as _};
     let mut socket = std::net::TcpStream::connect(address).expect("it connects");
     socket
-        .set_read_timeout(Some(support::PATIENCE))
+        .set_read_timeout(Some(support::TIMEOUT))
         .expect("the timeout is set");
     for part in parts {
         let _ = socket.write_all(part);
