--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -24,8 +24,8 @@
 /// one request at once must last for less than 400 ms; this is a quarter of it.
 const HANDOVER_TIME: time::Duration = time::Duration::from_millis(100);
 
-/// Such waits without a head after which a place in a queue elsewhere will do: no
-/// work is seen to be lost, and a kept connection may be silent for good.
+/// How many times as long as for a free slot a head is waited for until a place in a
+/// queue elsewhere will do: no work is seen to be lost, and a kept connection may be silent for good.
 const QUEUE_WAITS: u32 = 2;
 /// Least time between two connections that ask whether a slow endpoint's machine
 /// is there. Each costs the endpoint about 1 ms; a run may be slow at each event.
