--- a/src/cli/explain_command.rs
+++ b/src/cli/explain_command.rs
@@ -23,8 +23,31 @@
     /// End of the span.
     #[arg(long, conflicts_with = "id")]
     pub to: Option<SpanEdge>,
+    /// Reports on each so many seconds of the span by themselves.
+    #[arg(long, value_name = "SECONDS", conflicts_with = "id")]
+    pub each: Option<StepLength>,
 }
 
+/// Length of the steps in which a span is reported on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StepLength(f64);
+
+impl std::str::FromStr for StepLength {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.parse::<f64>() {
+            Ok(seconds) if (LEAST_STEP_S..).contains(&seconds) => Ok(Self(seconds)),
+            _ => Err(format!(
+                "it is not a number of seconds from {LEAST_STEP_S} on"
+            )),
+        }
+    }
+}
+
+/// Shortest step, in seconds: an hour of logs makes 36,000 of them.
+const LEAST_STEP_S: f64 = 0.1;
+
 /// An end of a span of time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum SpanEdge {
@@ -68,7 +91,10 @@
         None => {
             let from = flags.from.map_or(first, |edge| edge.after(first));
             let to = flags.to.map_or(LogTime(u64::MAX), |edge| edge.after(first));
-            print_losses(&loss_report::report(&lines, from, to), form);
+            match flags.each {
+                Some(step) => print_steps(&lines, from, to, step, form),
+                None => print_losses(&loss_report::report(&lines, from, to), form),
+            }
             Ok(())
         }
     }
@@ -117,7 +143,38 @@
     })
 }
 
+/// Prints what was lost in each step of a span.
+fn print_steps(
+    lines: &[LogLine],
+    from: LogTime,
+    to: LogTime,
+    step: StepLength,
+    form: output::OutputForm,
+) {
+    let last = lines.iter().map(|line| line.at).max().unwrap_or(from);
+    let steps = loss_report::steps(lines, from, to.min(last.plus_seconds(step.0)), step.0);
+    let mut rows = Vec::new();
+    for (after_s, report) in &steps {
+        for mut row in loss_rows(report) {
+            row["after_s"] = serde_json::json!(after_s);
+            rows.push(row);
+        }
+    }
+    let fields = ["after_s", "route", "cause", "count", "worst_ms", "example"];
+    output::print(form, &serde_json::json!(rows), &rows, &fields);
+}
+
 fn print_losses(report: &loss_report::LossReport, form: output::OutputForm) {
+    let fields = ["route", "cause", "count", "worst_ms", "example"];
+    output::print(
+        form,
+        &serde_json::json!(report),
+        &loss_rows(report),
+        &fields,
+    );
+}
+
+fn loss_rows(report: &loss_report::LossReport) -> Vec<serde_json::Value> {
     let mut rows: Vec<_> = report.rows.iter().map(|r| serde_json::json!(r)).collect();
     rows.push(total_row(
         "all requests",
@@ -125,8 +182,7 @@
         report.requests,
     ));
     rows.push(total_row("all jobs", report.jobs_in_time, report.jobs));
-    let fields = ["route", "cause", "count", "worst_ms", "example"];
-    output::print(form, &serde_json::json!(report), &rows, &fields);
+    rows
 }
 
 fn total_row(name: &str, in_time: usize, all: usize) -> serde_json::Value {
--- a/src/explain/loss_report.rs
+++ b/src/explain/loss_report.rs
@@ -80,6 +80,21 @@
     report
 }
 
+/// What was lost in each step of a span, with the seconds from its begin to the step.
+pub fn steps(lines: &[LogLine], from: LogTime, to: LogTime, step_s: f64) -> Vec<(f64, LossReport)> {
+    let mut steps = Vec::new();
+    for number in 0.. {
+        let after_s = f64::from(number) * step_s;
+        let begin = from.plus_seconds(after_s);
+        if begin >= to {
+            break;
+        }
+        let end = from.plus_seconds(after_s + step_s).min(to);
+        steps.push((after_s, report(lines, begin, end)));
+    }
+    steps
+}
+
 type RowTable = collections::BTreeMap<(String, String), LossRow>;
 
 fn add(rows: &mut RowTable, route: &str, cause: String, spent_ms: i64, id: Option<&str>) {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -136,3 +136,29 @@
     let cause = &report.rows[0].cause;
     assert_eq!(cause, "accepted late: the store took it late");
 }
+
+#[test]
+fn each_step_of_a_span_is_reported_on_by_itself() {
+    let end = |second, id: &str, outcome: &str| {
+        let text = format!(
+            "event=request_end request={id} route=r outcome={outcome} ms=9 first_ms=9 \
+             objective_ms=300"
+        );
+        line(second, &text)
+    };
+    let lines = [
+        end(1, "r-1", "answered"),
+        end(1, "r-2", "refused"),
+        end(3, "r-3", "cut"),
+    ];
+    let at = |second: u32| lines[0].at.plus_seconds(f64::from(second) - 1.25);
+    let steps = loss_report::steps(&lines, at(1), at(4), 1.0);
+    let counts: Vec<_> = steps
+        .iter()
+        .map(|(after_s, report)| (*after_s, report.requests, report.requests_in_time))
+        .collect();
+    assert_eq!(counts, [(0.0, 2, 1), (1.0, 0, 0), (2.0, 1, 0)]);
+    let whole = loss_report::report(&lines, at(1), at(4));
+    let all: usize = steps.iter().map(|(_, report)| report.requests).sum();
+    assert_eq!(all, whole.requests, "steps sum to the whole");
+}
