fix(serving): results and records of jobs that another writer touched harm no job

Cause: a part of results was read as a whole or not at all, and one that could not be read was read again for ever: the job never ran. Results of items that the job does not have, or a second one of an item, counted as its own: the job was over before all items had run. A record under another job's name was taken for that job, and one submitted at the end of time ended a dispatcher with overflow checks.

Change: a part that cannot be read has no results, and its number is taken; results that are of no item, or second ones, are passed over, by all readers alike; a record has to name the job of its key; the due time saturates.

--- a/src/serving/job_board.rs
+++ b/src/serving/job_board.rs
@@ -223,7 +223,7 @@
 pub fn due_of(context: &process::ProcessContext, record: &job_records::JobRecord) -> Option<u64> {
     let table = context.fleet.table();
     let span = table.find_batch(&record.host)?.completion_objective;
-    Some(record.submitted_ms + span.as_millis() as u64)
+    Some(record.submitted_ms.saturating_add(span.as_millis() as u64))
 }
 
 /// Works out when a job is due, if that was not known yet.
@@ -255,7 +255,14 @@
         if complete {
             break;
         }
-        let part = job_records::read_part(context.store.as_ref(), &id, parts).await?;
+        let part = match job_records::read_part(context.store.as_ref(), &id, parts).await {
+            // It stays as it is, and its number is taken: the items have no results in it.
+            Err(store::StoreError::Corrupt(why)) => {
+                log::warn!("event=part_unreadable job={id} part={parts} why=\"{why}\"");
+                Some(job_records::ResultPart::default())
+            }
+            part => part?,
+        };
         let Some(part) = part else { break };
         let mut job = job.borrow_mut();
         // Another reader of the same part may have been faster.
--- a/src/serving/job_records.rs
+++ b/src/serving/job_records.rs
@@ -33,7 +33,7 @@
 }
 
 /// A part of a job's results.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ResultPart {
     /// Position of its first result.
     pub start: usize,
@@ -96,11 +96,25 @@
     id: &ids::JobId,
 ) -> store::StoreResult<Option<JobRecord>> {
     match store.get(CallClass::Read, &job_key(id)).await? {
-        Some(object) => object.decode().map(Some),
+        Some(object) => decode_job(id.as_str(), &object.value)
+            .map(Some)
+            .map_err(store::StoreError::Corrupt),
         None => Ok(None),
     }
 }
 
+/// The job that the object of a name holds.
+///
+/// # Errors
+/// It is no job, or one of another name: its parts and its end would not be found.
+pub fn decode_job(name: &str, value: &[u8]) -> Result<JobRecord, String> {
+    let record: JobRecord = serde_json::from_slice(value).map_err(|e| e.to_string())?;
+    match record.id.as_str() == name {
+        true => Ok(record),
+        false => Err(format!("it names the job {}", record.id)),
+    }
+}
+
 /// Marks a job as ended.
 ///
 /// # Errors
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -80,7 +80,8 @@
     log::info!("event=jobs_listed count={}", found.len());
     for change in found {
         let Some(value) = change.value else { continue };
-        match serde_json::from_str::<job_records::JobRecord>(&value) {
+        let name = change.key.strip_prefix(&prefix).unwrap_or(&change.key);
+        match job_records::decode_job(name, value.as_bytes()) {
             Ok(record) => {
                 if context.job_owner(&record.id).as_ref() == Some(context.id()) {
                     job_runner::take_job(context, record);
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -198,11 +198,13 @@
     /// Takes a part that is in the store.
     pub(super) fn take_part(&mut self, part: job_records::ResultPart) {
         for result in part.results {
-            self.pending.retain(|p| p.id != result.id);
-            let index = self.record.items.iter().position(|i| i.id == result.id);
-            if let Some(progress) = index.and_then(|i| self.items.get_mut(i)) {
-                progress.phase = ItemPhase::Done;
-                progress.events = Vec::new();
+            if !self.take_result(&result) {
+                let (job, item) = (&self.record.id, &result.id);
+                log::warn!(
+                    "event=result_foreign job={job} part={} item={item}",
+                    self.parts
+                );
+                continue;
             }
             self.committed.push(result);
         }
@@ -210,6 +212,23 @@
         self.changed.send_replace(self.committed.len());
     }
 
+    /// Ends the work on an item that has a result in the store; says whether the result
+    /// counts: that of another job's item, or a second one, is of another writer.
+    fn take_result(&mut self, result: &wire::ItemResult) -> bool {
+        let items = &self.record.items;
+        let Some(index) = items.iter().position(|i| i.id == result.id) else {
+            return false;
+        };
+        let before = self.pending.len();
+        self.pending.retain(|p| p.id != result.id);
+        let was_pending = self.pending.len() < before;
+        let progress = &mut self.items[index];
+        let was_done = progress.phase == ItemPhase::Done;
+        progress.phase = ItemPhase::Done;
+        progress.events = Vec::new();
+        was_pending || !was_done
+    }
+
     /// Takes the result of an item that this process ran.
     pub fn finish(&mut self, index: usize, state: wire::ItemState) {
         let progress = &mut self.items[index];
