fix(serving): hundreds of members take one line of the log

Cause: a process that reads the members wrote a line for each, and since the runs of peers are told apart one more for each that it heard.

Change: more than eight changes at once have one line with their number; a peer that is heard for the first time has none, one that started again has.

--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -40,6 +40,17 @@
     }
 }
 
+/// In which run a peer was heard, by what was heard of it before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeardRun {
+    /// The same as before, or the peer is not listed.
+    Same,
+    /// The first one here.
+    First,
+    /// Another one: it started again.
+    Next,
+}
+
 /// What a process says of itself at each heartbeat.
 #[derive(Debug, Clone, Default)]
 pub struct PeerHeartbeat {
@@ -143,20 +154,23 @@
         PEER_SILENCE.mul_f64(pace_stretch(probed))
     }
 
-    /// Notes a heartbeat, and what the process says of itself; says whether it was
-    /// not heard in this run before.
+    /// Notes a heartbeat, and what the process says of itself.
     pub fn note_heard(
         &mut self,
         id: &ids::InstanceId,
         heartbeat: PeerHeartbeat,
         now: clock::Moment,
-    ) -> bool {
+    ) -> HeardRun {
         let Some(peer) = self.peers.get_mut(id) else {
-            return false;
+            return HeardRun::Same;
         };
-        peer.heard = Some(now);
+        let was_heard = peer.heard.replace(now).is_some();
         let before = std::mem::replace(&mut peer.heartbeat, heartbeat);
-        before.run != peer.heartbeat.run
+        match (was_heard, before.run == peer.heartbeat.run) {
+            (false, _) => HeardRun::First,
+            (true, true) => HeardRun::Same,
+            (true, false) => HeardRun::Next,
+        }
     }
 
     /// Takes all records that a peer knows; those that it lacks are forgotten,
--- a/src/serving/views.rs
+++ b/src/serving/views.rs
@@ -71,9 +71,7 @@
                 let is_first = since.0 == 0;
                 since = store::ObjectRevision(answer.revision);
                 context.members_known.set(true);
-                for change in answer.changes {
-                    take_member(&context, &prefix, change);
-                }
+                take_members(&context, &prefix, answer.changes);
                 context.members_news.notify_one();
                 let pause = match is_first {
                     true => FIRST_WATCH_PAUSE,
@@ -89,16 +87,39 @@
     }
 }
 
+/// Changes of the members that have a line each. More come at a start, or with all
+/// others when power returns: a line for each of hundreds would take the room in the log
+/// of what happens to requests in that second.
+const LINES_OF_MEMBERS: usize = 8;
+
+fn take_members(
+    context: &rc::Rc<process::ProcessContext>,
+    prefix: &str,
+    changes: Vec<crate::platform::ObjectChange>,
+) {
+    let level = match changes.len() > LINES_OF_MEMBERS {
+        true => log::Level::Debug,
+        false => log::Level::Info,
+    };
+    if level == log::Level::Debug {
+        log::info!("event=members_changed count={}", changes.len());
+    }
+    for change in changes {
+        take_member(context, prefix, change, level);
+    }
+}
+
 fn take_member(
     context: &rc::Rc<process::ProcessContext>,
     prefix: &str,
     change: crate::platform::ObjectChange,
+    level: log::Level,
 ) {
     let name = change.key.strip_prefix(prefix).unwrap_or(&change.key);
     let mut members = context.members.borrow_mut();
     let Some(value) = change.value else {
         if let Ok(id) = name.parse() {
-            log::info!("event=member_gone instance={name}");
+            log::log!(level, "event=member_gone instance={name}");
             members.remove(&id);
         }
         return;
@@ -106,7 +127,8 @@
     match serde_json::from_str::<members::MemberRecord>(&value) {
         Ok(record) if record.id == *context.id() => {}
         Ok(record) => {
-            log::info!("event=member_listed instance={name} at={}", record.address);
+            let address = record.address;
+            log::log!(level, "event=member_listed instance={name} at={address}");
             members.take(record);
         }
         Err(e) => log::warn!("event=member_unreadable instance={name} why=\"{e}\""),
@@ -209,15 +231,17 @@
 }
 
 fn hear(context: &process::ProcessContext, hello: &peers::PeerHello) {
-    if note_heard(context, hello) {
-        log::info!("event=peer_started peer={} run={}", hello.id, hello.run);
+    let heard = note_heard(context, hello);
+    if heard == members::HeardRun::Next {
+        log::info!("event=peer_restarted peer={} run={}", hello.id, hello.run);
+    }
+    if heard != members::HeardRun::Same {
         owners::release_ended(context);
     }
 }
 
-/// Takes what a peer says of itself; says whether this run of it was not
-/// heard before.
-fn note_heard(context: &process::ProcessContext, hello: &peers::PeerHello) -> bool {
+/// Takes what a peer says of itself.
+fn note_heard(context: &process::ProcessContext, hello: &peers::PeerHello) -> members::HeardRun {
     let now = context.clock.now();
     let heartbeat = members::PeerHeartbeat {
         run: hello.run,
@@ -227,13 +251,13 @@
         version: hello.version,
     };
     let mut members = context.members.borrow_mut();
-    let has_started = members.note_heard(&hello.id, heartbeat, now);
+    let heard = members.note_heard(&hello.id, heartbeat, now);
     let mut rooms = context.rooms.borrow_mut();
     rooms.retain(|(id, _), _| *id != hello.id);
     for (service, room) in &hello.rooms {
         rooms.insert((hello.id.clone(), service.clone()), *room);
     }
-    has_started
+    heard
 }
 
 /// Takes views that a peer has newer than this process.
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -74,10 +74,14 @@
         instance: id.clone(),
         run: number.parse().expect("a number"),
     };
-    assert!(table.note_heard(&id, heard("1"), now));
-    assert!(!table.note_heard(&id, heard("1"), now));
+    let mut hear = |number| table.note_heard(&id, heard(number), now);
+    assert_eq!(hear("1"), members::HeardRun::First);
+    assert_eq!(hear("1"), members::HeardRun::Same);
     assert!(!table.has_ended(&of("1"), now));
-    assert!(table.note_heard(&id, heard("2"), now));
+    assert_eq!(
+        table.note_heard(&id, heard("2"), now),
+        members::HeardRun::Next
+    );
     assert!(table.has_ended(&of("1"), now));
     assert!(!table.has_ended(&of("2"), now));
     let later = now + 2 * members::PEER_SILENCE + time::Duration::from_millis(1);
