--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -265,7 +265,10 @@
         let ledgers = self.ledgers.values();
         let owned: Vec<_> = ledgers.filter(|o| o.entry.service == ask.service).collect();
         let is_unwanted = |owned: &&&OwnedLedger| ask.tried.contains(&owned.entry.id);
-        let is_here = |h: &&PermitHolder| owned.iter().any(|o| o.entry.id == h.endpoint);
+        let is_here = |h: &&PermitHolder| {
+            let ledger = self.ledgers.get(&h.endpoint);
+            ledger.is_some_and(|o| o.entry.service == ask.service)
+        };
         let held: Vec<_> = self.holders.values().filter(is_here).collect();
         let holders: collections::HashSet<_> = held.iter().map(|h| &h.holder).collect();
         let ages = held
--- /dev/null
+++ b/tests/places.rs
@@ -0,0 +1,162 @@
+//! Places at the endpoints that a process owns, as plain values.
+
+use std::{net, rc, time};
+
+use jayhollow::{
+    clock, ids,
+    serving::{directory, peers, permits},
+};
+
+fn entry(id: &str, domain: &str) -> directory::EndpointEntry {
+    directory::EndpointEntry {
+        id: id.parse().expect("a name"),
+        service: "s".parse().expect("a name"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: domain.parse().expect("a name"),
+        slots: 4,
+        leaving: false,
+        started: None,
+    }
+}
+
+fn run(instance: &str) -> ids::InstanceRun {
+    ids::InstanceRun {
+        instance: instance.parse().expect("a name"),
+        run: ids::RunNumber::default(),
+    }
+}
+
+fn service() -> ids::ServiceName {
+    "s".parse().expect("a name")
+}
+
+fn ask_of(holder: ids::InstanceRun, number: u64) -> peers::PlaceAsk {
+    peers::PlaceAsk {
+        number,
+        holder,
+        domain: "z".parse().expect("a name"),
+        service: service(),
+        tried: Vec::new(),
+        may_queue: false,
+        wait: time::Duration::ZERO,
+    }
+}
+
+fn board(endpoints: &[directory::EndpointEntry]) -> permits::PermitBoard {
+    let mut board = permits::PermitBoard::default();
+    let owned: Vec<_> = endpoints.iter().cloned().map(rc::Rc::new).collect();
+    board.set_owned(&owned);
+    board
+}
+
+/// An owner that had stood still read on a new link that a place is given back, and
+/// then on the old one the request for it: the place was held for 15 s for nobody.
+#[test]
+fn a_place_that_was_given_back_before_it_was_asked_for_is_not_given() {
+    let mut board = board(&[entry("a", "z")]);
+    let now = clock::Moment(1);
+    let ask = |number| ask_of(run("g"), number);
+    assert_eq!(board.release(7), None);
+    assert_eq!(board.acquire(&ask(7), &Default::default(), now), None);
+    assert!(board.is_empty(), "nobody holds anything");
+    assert!(board.acquire(&ask(8), &Default::default(), now).is_some());
+    assert!(board.release(8).is_some());
+}
+
+#[test]
+fn online_requests_take_places_back_and_are_refused_beyond_the_bound() {
+    let mut board = board(&[entry("a", "z"), entry("b", "z")]);
+    let now = clock::Moment(1);
+    let none = Default::default();
+    let mut batch = 0;
+    while board.begin_batch(&service(), &none, now).is_some() {
+        batch += 1;
+    }
+    assert_eq!(batch, 6, "one place of four is left free at each");
+    let holder = run("g");
+    let mut preempted = 0;
+    let mut acquire = |numbers: std::ops::Range<u64>, may_queue| {
+        let granted = numbers.filter(|number| {
+            let ask = peers::PlaceAsk {
+                may_queue,
+                wait: time::Duration::from_millis(200),
+                ..ask_of(holder.clone(), number)
+            };
+            let place = board.acquire(&ask, &none, now);
+            preempted += place.as_ref().map_or(0, |p| p.preempted.len());
+            place.is_some()
+        });
+        granted.count()
+    };
+    assert_eq!(
+        acquire(0..20, false),
+        8,
+        "four for each endpoint of four slots"
+    );
+    assert_eq!(acquire(20..40, true), 2, "one in the queue of each");
+    assert_eq!(preempted, 6, "all batch streams gave way");
+    assert_eq!(board.totals(), (10, 0));
+    assert_eq!(
+        board.queue_room(&service(), time::Duration::from_millis(200)),
+        0
+    );
+    board.release_ended(|run| *run == holder);
+    assert_eq!(board.totals(), (0, 0), "a lost gateway holds nothing");
+}
+
+#[test]
+fn lent_places_come_back_from_a_lost_borrower() {
+    let mut board = board(&[entry("a", "z")]);
+    let now = clock::Moment(1);
+    let borrower = run("d");
+    let lent = board.lend_batch(&service(), &Default::default(), &borrower, 9, now);
+    assert_eq!(lent.len(), 3);
+    assert!(!board.is_empty());
+    board.release_ended(|run| *run == borrower);
+    assert!(board.is_empty());
+    assert_eq!(board.totals(), (0, 0));
+}
+
+#[test]
+fn places_of_one_run_end_without_those_of_the_next() {
+    let mut board = board(&[entry("a", "z")]);
+    let now = clock::Moment(1);
+    let none = Default::default();
+    let [first, next] = ["1", "2"].map(|number| ids::InstanceRun {
+        run: number.parse().expect("a number"),
+        ..run("g")
+    });
+    assert!(board
+        .acquire(&ask_of(first.clone(), 1), &none, now)
+        .is_some());
+    assert_eq!(board.lend_batch(&service(), &none, &first, 1, now).len(), 1);
+    assert!(board
+        .acquire(&ask_of(next.clone(), 2), &none, now)
+        .is_some());
+    assert_eq!(board.release_ended(|holder| *holder == first), 2);
+    assert_eq!(board.totals(), (1, 0));
+    assert_eq!(board.release_ended(|holder| *holder == first), 0);
+    assert_eq!(board.release_ended(|holder| *holder == next), 1);
+}
+
+#[test]
+fn a_denial_says_what_stands_in_the_way() {
+    let mut board = board(&[entry("a", "z"), entry("b", "z")]);
+    let now = clock::Moment(1);
+    let none = Default::default();
+    for number in 0..4 {
+        let mut ask = ask_of(run("g"), number);
+        ask.tried = vec!["b".parse().expect("a name")];
+        assert!(board.acquire(&ask, &none, now).is_some());
+    }
+    board.note_refused(&"b".parse().expect("a name"), now);
+    let later = now + time::Duration::from_millis(40);
+    let mut ask = ask_of(run("h"), 9);
+    ask.tried = vec!["a".parse().expect("a name")];
+    assert_eq!(board.acquire(&ask, &none, later), None);
+    let denial = board.denial(&ask, later).to_string();
+    assert_eq!(
+        denial,
+        "endpoints=2 unwanted=1 closed=1 online=4 holders=1 oldest_ms=40"
+    );
+}
--- a/tests/serving_views.rs
+++ b/tests/serving_views.rs
@@ -5,8 +5,8 @@
 use jayhollow::{
     clock, ids,
     serving::{
-        directory, event_split, fleet_model, fleet_source::FleetNews, members, peers, permits,
-        route_table, selection,
+        directory, event_split, fleet_model, fleet_source::FleetNews, members, route_table,
+        selection,
     },
 };
 
@@ -39,13 +39,6 @@
     }
 }
 
-fn run(instance: &str) -> ids::InstanceRun {
-    ids::InstanceRun {
-        instance: instance.parse().expect("a name"),
-        run: ids::RunNumber::default(),
-    }
-}
-
 fn service() -> ids::ServiceName {
     "s".parse().expect("a name")
 }
@@ -364,93 +357,6 @@
     }
 }
 
-fn board(endpoints: &[directory::EndpointEntry]) -> permits::PermitBoard {
-    let mut board = permits::PermitBoard::default();
-    let owned: Vec<_> = endpoints.iter().cloned().map(rc::Rc::new).collect();
-    board.set_owned(&owned);
-    board
-}
-
-/// An owner that had stood still read on a new link that a place is given back, and
-/// then on the old one the request for it: the place was held for 15 s for nobody.
-#[test]
-fn a_place_that_was_given_back_before_it_was_asked_for_is_not_given() {
-    let mut board = board(&[entry("a", "z")]);
-    let now = clock::Moment(1);
-    let ask = |number| peers::PlaceAsk {
-        number,
-        holder: run("g"),
-        domain: "z".parse().expect("a name"),
-        service: service(),
-        tried: Vec::new(),
-        may_queue: false,
-        wait: time::Duration::ZERO,
-    };
-    assert_eq!(board.release(7), None);
-    assert_eq!(board.acquire(&ask(7), &Default::default(), now), None);
-    assert!(board.is_empty(), "nobody holds anything");
-    assert!(board.acquire(&ask(8), &Default::default(), now).is_some());
-    assert!(board.release(8).is_some());
-}
-
-#[test]
-fn online_requests_take_places_back_and_are_refused_beyond_the_bound() {
-    let mut board = board(&[entry("a", "z"), entry("b", "z")]);
-    let now = clock::Moment(1);
-    let none = Default::default();
-    let mut batch = 0;
-    while board.begin_batch(&service(), &none, now).is_some() {
-        batch += 1;
-    }
-    assert_eq!(batch, 6, "one place of four is left free at each");
-    let holder = run("g");
-    let mut preempted = 0;
-    let mut acquire = |numbers: std::ops::Range<u64>, may_queue| {
-        let granted = numbers.filter(|number| {
-            let ask = peers::PlaceAsk {
-                number: *number,
-                holder: holder.clone(),
-                domain: "z".parse().expect("a name"),
-                service: service(),
-                tried: Vec::new(),
-                may_queue,
-                wait: std::time::Duration::from_millis(200),
-            };
-            let place = board.acquire(&ask, &none, now);
-            preempted += place.as_ref().map_or(0, |p| p.preempted.len());
-            place.is_some()
-        });
-        granted.count()
-    };
-    assert_eq!(
-        acquire(0..20, false),
-        8,
-        "four for each endpoint of four slots"
-    );
-    assert_eq!(acquire(20..40, true), 2, "one in the queue of each");
-    assert_eq!(preempted, 6, "all batch streams gave way");
-    assert_eq!(board.totals(), (10, 0));
-    assert_eq!(
-        board.queue_room(&service(), std::time::Duration::from_millis(200)),
-        0
-    );
-    board.release_ended(|run| *run == holder);
-    assert_eq!(board.totals(), (0, 0), "a lost gateway holds nothing");
-}
-
-#[test]
-fn lent_places_come_back_from_a_lost_borrower() {
-    let mut board = board(&[entry("a", "z")]);
-    let now = clock::Moment(1);
-    let borrower = run("d");
-    let lent = board.lend_batch(&service(), &Default::default(), &borrower, 9, now);
-    assert_eq!(lent.len(), 3);
-    assert!(!board.is_empty());
-    board.release_ended(|run| *run == borrower);
-    assert!(board.is_empty());
-    assert_eq!(board.totals(), (0, 0));
-}
-
 #[test]
 fn one_silence_ejects_no_endpoint_and_most_are_never_left_out() {
     let mut loads = selection::LoadBoard::default();
