--- a/tests/places.rs
+++ b/tests/places.rs
@@ -80,7 +80,7 @@
             let ask = peers::PlaceAsk {
                 may_queue,
                 wait: time::Duration::from_millis(200),
-                ..ask_of(holder.clone(), number)
+                ..ask_of(holder.clone(), *number)
             };
             let place = board.acquire(&ask, &none, now);
             preempted += place.as_ref().map_or(0, |p| p.preempted.len());
