fix(serving): a place that expired is free

The board forgot its holder then, but the ledger of the endpoint kept it until it gave its next place; one that is full gives none. Batch work looks for room and cleared it on the way; a plain service has none, so its endpoints stayed full for good.

A test of the board failed (4 places held after 16 s).

Also: a relay forgot a place that was given back before the owner had given it, so that nobody gave it back to the owner. Expired places are logged with their holder now, as none should expire.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -64,6 +64,8 @@
     pub bundle_generation: prometheus::IntGauge,
     /// Version of the desired state in force.
     pub state_version: prometheus::IntGauge,
+    /// Places at owned endpoints that somebody has, by what for.
+    pub held_places: prometheus::IntGaugeVec,
 }
 
 fn register<C: Collector + Clone + 'static>(registry: &prometheus::Registry, metric: C) -> C {
@@ -100,6 +102,16 @@
     register(registry, metric.expect("the name is valid"))
 }
 
+fn gauges(
+    registry: &prometheus::Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::IntGaugeVec {
+    let metric = prometheus::IntGaugeVec::new(prometheus::Opts::new(name, help), &[label]);
+    register(registry, metric.expect("the options are valid"))
+}
+
 impl Default for MetricSet {
     fn default() -> Self {
         let registry = prometheus::Registry::new();
@@ -164,6 +176,12 @@
             ),
             bundle_generation: gauge(r, "jayhollow_bundle_generation", "Bundle in use"),
             state_version: gauge(r, "jayhollow_state_version", "Desired state in force"),
+            held_places: gauges(
+                r,
+                "jayhollow_held_places",
+                "Places at owned endpoints that somebody has",
+                "class",
+            ),
             registry,
         }
     }
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -26,6 +26,11 @@
             metrics
                 .state_version
                 .set(version.try_into().unwrap_or(i64::MAX));
+            let (online, batch) = context.permits.borrow().totals();
+            for (class, held) in [("online", online), ("batch", batch)] {
+                let gauge = metrics.held_places.with_label_values(&[class]);
+                gauge.set(held.into());
+            }
             let unreadable = context.fleet.unreadable();
             metrics
                 .unreadable_objects
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -70,7 +70,7 @@
         if ticks.is_multiple_of(SWEEP_TICKS) {
             let now = context.clock.now();
             context.pool.sweep();
-            context.permits.borrow_mut().expire(now);
+            expire_permits(&context, now);
             crash_guard::expire(&context);
             release_ended(&context);
             let directory = context.fleet.directory.borrow();
@@ -112,6 +112,17 @@
     context.age() > SETTLE_TIME
 }
 
+/// Ends places that nobody gave back for longer than any request may take.
+fn expire_permits(context: &process::ProcessContext, now: clock::Moment) {
+    let expired = context.permits.borrow_mut().expire(now);
+    for (endpoint, holder) in &expired {
+        log::warn!("event=place_expired endpoint={endpoint} holder={holder}");
+    }
+    if !expired.is_empty() {
+        context.jobs.work.notify_one();
+    }
+}
+
 /// Ends what processes hold that have not been heard for a while, or held before they
 /// started again.
 pub(super) fn release_ended(context: &process::ProcessContext) {
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -219,7 +219,7 @@
         shunned: &collections::HashSet<ids::EndpointId>,
         now: clock::Moment,
     ) -> Option<GrantedPlace> {
-        if self.returned.pop(&ask.number).is_some() {
+        if self.take_returned(ask.number) {
             return None;
         }
         let usable = self
@@ -404,9 +404,23 @@
         self.holders.is_empty() && self.lent.is_empty()
     }
 
-    /// Forgets the permits that expired.
-    pub fn expire(&mut self, now: clock::Moment) {
-        self.holders.retain(|_, holder| holder.expiry > now);
+    /// Ends the permits that expired, and gives where they were and whose: nobody gave
+    /// them back, which is a fault of their holders or of the links to them.
+    ///
+    /// A ledger drops its own when it gives a place; one that is full gives none.
+    pub fn expire(&mut self, now: clock::Moment) -> Vec<(ids::EndpointId, ids::InstanceRun)> {
+        let expired = self.holders.iter().filter(|(_, h)| h.expiry <= now);
+        let expired: Vec<_> = expired.map(|(number, h)| (*number, h.clone())).collect();
+        let ended = expired.into_iter().map(|(number, held)| {
+            self.release(number);
+            (held.endpoint, held.holder)
+        });
+        ended.collect()
+    }
+
+    /// Whether a permit was given back that is not known here; it is told once.
+    pub fn take_returned(&mut self, number: admission::PermitNumber) -> bool {
+        self.returned.pop(&number).is_some()
     }
 
     /// Places that online requests of a service could have now.
--- a/src/serving/places.rs
+++ b/src/serving/places.rs
@@ -328,6 +328,12 @@
             .await;
         match answer {
             Ok(answer) if answer.endpoint.is_some() => {
+                let permit = HeldPermit::Peer(address, number);
+                if context.permits.borrow_mut().take_returned(number) {
+                    // The peer gave up waiting before the owner answered.
+                    end_permit(context, &permit, false);
+                    return None;
+                }
                 context.relayed.borrow_mut().put(number, address);
                 return Some(answer);
             }
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -160,3 +160,24 @@
         "endpoints=2 unwanted=1 closed=1 online=4 holders=1 oldest_ms=40"
     );
 }
+
+/// A plain service was refused as full for good, in a calm as well: its owner held places
+/// that nobody gave back, and let them go after 15 s, but only when it gave the next one,
+/// which it could not as it was full. Seen by the soak (seeds 7200 and 7704: "refused as
+/// full in a calm"), traced by its check that nobody holds a place when all work is done.
+#[test]
+fn places_that_expired_are_given_to_others() {
+    let mut board = board(&[entry("a", "z")]);
+    let now = clock::Moment(1);
+    let none = Default::default();
+    for number in 0..4 {
+        assert!(board
+            .acquire(&ask_of(run("g"), number), &none, now)
+            .is_some());
+    }
+    assert!(board.acquire(&ask_of(run("g"), 5), &none, now).is_none());
+    let later = now + time::Duration::from_secs(16);
+    board.expire(later);
+    assert_eq!(board.totals(), (0, 0));
+    assert!(board.acquire(&ask_of(run("g"), 6), &none, later).is_some());
+}
