fix(serving): slots whose lending was never heard of come back

Change: a question for slots has a number; a borrower without an answer tells it until it is heard, and the lender ends what it lent to it, or lends nothing if the word comes first.

Test: slots_that_a_borrower_never_heard_of_come_back; it does not build on the code before.

--- a/src/serving/lent_slots.rs
+++ b/src/serving/lent_slots.rs
@@ -2,7 +2,7 @@
 
 use std::{net, rc, time};
 
-use super::{job_runner, peers, process, ready_items, route_table};
+use super::{job_runner, peer_links, peers, process, ready_items, route_table};
 use crate::ids;
 
 /// Longest wait for an owner that may lend places.
@@ -46,6 +46,7 @@
             let address = context.members.borrow().address_of(&owner.id);
             let Some(address) = address else { continue };
             let ask = peers::SlotAsk {
+                number: rand::random(),
                 holder: context.run.clone(),
                 service: service.clone(),
                 count: waiting.min(MAX_LENT),
@@ -88,9 +89,15 @@
     address: net::SocketAddr,
     ask: peers::SlotAsk,
 ) -> Option<Vec<peers::LentSlot>> {
+    let number = ask.number;
     let answer = context.links.lend(address, ask, LATE_LEND_TIMEOUT).await;
     answer
-        .inspect_err(|e| log::info!("event=lend_failed owner={owner} why=\"{e}\""))
+        .inspect_err(|e| {
+            log::info!("event=lend_failed owner={owner} why=\"{e}\"");
+            if *e != peer_links::PeerError::NotSent {
+                context.links.cancel_lent(address, number);
+            }
+        })
         .ok()
 }
 
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -96,6 +96,10 @@
             drop(permits);
             context.jobs.work.notify_one();
         }
+        C::CancelLent(number) => {
+            context.permits.borrow_mut().cancel_lent(number);
+            context.jobs.work.notify_one();
+        }
         C::Preempt(slot) => context.jobs.preempt(&slot.endpoint, slot.number),
         C::WriteJob(record, sender) => {
             let context = context.clone();
@@ -139,7 +143,7 @@
     let now = context.clock.now();
     let mut permits = context.permits.borrow_mut();
     let shunned = permits.shunned(&context.loads.borrow(), now);
-    let lent = permits.lend_batch(&ask.service, &shunned, &ask.holder, ask.count, now);
+    let lent = permits.lend_batch(ask, &shunned, now);
     let lent = lent.into_iter();
     let slots = lent.map(|(endpoint, number)| peers::LentSlot { endpoint, number });
     slots.collect()
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -348,6 +348,11 @@
         tell_until_heard!(self, peer, give_back(slot));
     }
 
+    /// Gives back what may have been lent to a question whose answer did not come.
+    pub fn cancel_lent(&self, peer: net::SocketAddr, number: u64) {
+        tell_until_heard!(self, peer, cancel_lent(number));
+    }
+
     /// Takes a place of a batch stream back.
     pub fn preempt(&self, peer: net::SocketAddr, slot: LentSlot) {
         tell_peer!(self, peer, preempt(slot));
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -123,6 +123,10 @@
         self.tell(PeerCall::GiveBack(slot)).await;
     }
 
+    async fn cancel_lent(self, _: tarpc::context::Context, number: u64) {
+        self.tell(PeerCall::CancelLent(number)).await;
+    }
+
     async fn preempt(self, _: tarpc::context::Context, slot: LentSlot) {
         self.tell(PeerCall::Preempt(slot)).await;
     }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -105,6 +105,8 @@
 /// A request for places for batch streams.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct SlotAsk {
+    /// Number of this question, made by the asker at random.
+    pub number: u64,
     /// The asker.
     pub holder: ids::InstanceRun,
     /// The service.
@@ -181,6 +183,8 @@
     async fn lend(ask: SlotAsk) -> Option<Vec<LentSlot>>;
     /// Gives a place of a batch stream back.
     async fn give_back(slot: LentSlot);
+    /// Gives all places back that were lent to a question whose answer did not come.
+    async fn cancel_lent(number: u64);
     /// Takes a place of a batch stream back for an online request.
     async fn preempt(slot: LentSlot);
     /// Asks a peer to write an accepted job to the store.
@@ -226,6 +230,8 @@
     Lend(SlotAsk, oneshot::Sender<Vec<LentSlot>>),
     /// See [`PeerService::give_back`].
     GiveBack(LentSlot),
+    /// See [`PeerService::cancel_lent`].
+    CancelLent(u64),
     /// See [`PeerService::preempt`].
     Preempt(LentSlot),
     /// See [`PeerService::write_job`].
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -86,6 +86,14 @@
     begun: Option<clock::Moment>,
 }
 
+/// Who has a slot for a batch stream of another instance.
+#[derive(Debug, Clone)]
+struct SlotBorrower {
+    holder: ids::InstanceRun,
+    /// Number of the question that it was lent to.
+    ask: u64,
+}
+
 /// The ledgers of the owned endpoints.
 ///
 /// Invariant: each permit of `holders` is in the ledger of its endpoint.
@@ -94,10 +102,10 @@
     ledgers: collections::HashMap<ids::EndpointId, OwnedLedger>,
     holders: collections::HashMap<admission::PermitNumber, PermitHolder>,
     /// Batch streams that other instances run here.
-    lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), ids::InstanceRun>,
+    lent: collections::HashMap<(ids::EndpointId, admission::StreamNumber), SlotBorrower>,
     /// How long online requests of a service hold a slot.
     holds: collections::HashMap<ids::ServiceName, queue_limit::HoldEstimate>,
-    /// Permits that were given back and not known.
+    /// Permits, and questions for slots, that were given back and not known.
     ///
     /// An owner that stood still may read what came on a newer link first: the word that
     /// nobody waits for a place any more, and then the request for it.
@@ -323,7 +331,7 @@
     pub fn release_ended(&mut self, has_ended: impl Fn(&ids::InstanceRun) -> bool) -> usize {
         let held = self.holders.iter().filter(|(_, h)| has_ended(&h.holder));
         let held: Vec<_> = held.map(|(number, _)| *number).collect();
-        let lent = self.lent.iter().filter(|(_, holder)| has_ended(holder));
+        let lent = self.lent.iter().filter(|(_, b)| has_ended(&b.holder));
         let lent: Vec<_> = lent.map(|(key, _)| key.clone()).collect();
         let released = held.len() + lent.len();
         for number in held {
@@ -341,8 +349,8 @@
         endpoint: &ids::EndpointId,
         number: admission::StreamNumber,
     ) -> Option<ids::InstanceId> {
-        let holder = self.lent.remove(&(endpoint.clone(), number))?;
-        Some(holder.instance)
+        let borrower = self.lent.remove(&(endpoint.clone(), number))?;
+        Some(borrower.holder.instance)
     }
 
     /// The owned endpoints.
@@ -359,27 +367,45 @@
         loads.shunned(self.ledgers.len(), |id| self.ledgers.contains_key(id), now)
     }
 
-    /// Batch streams that a peer may begin, up to `count`.
+    /// Batch streams that a peer may begin, up to the number that it asks for.
     pub fn lend_batch(
         &mut self,
-        service: &ids::ServiceName,
+        ask: &peers::SlotAsk,
         shunned: &collections::HashSet<ids::EndpointId>,
-        borrower: &ids::InstanceRun,
-        count: usize,
         now: clock::Moment,
     ) -> Vec<(ids::EndpointId, admission::StreamNumber)> {
         let mut lent = Vec::new();
-        while lent.len() < count {
-            let Some((entry, number)) = self.begin_batch(service, shunned, now) else {
+        if self.take_returned(ask.number) {
+            return lent;
+        }
+        while lent.len() < ask.count {
+            let Some((entry, number)) = self.begin_batch(&ask.service, shunned, now) else {
                 break;
             };
             let key = (entry.id.clone(), number);
-            self.lent.insert(key.clone(), borrower.clone());
+            let borrower = SlotBorrower {
+                holder: ask.holder.clone(),
+                ask: ask.number,
+            };
+            self.lent.insert(key.clone(), borrower);
             lent.push(key);
         }
         lent
     }
 
+    /// Ends the batch streams that were lent to a question whose answer did not come. The
+    /// word of it may overtake the question.
+    pub fn cancel_lent(&mut self, ask: u64) {
+        let lent = self.lent.iter().filter(|(_, b)| b.ask == ask);
+        let lent: Vec<_> = lent.map(|(key, _)| key.clone()).collect();
+        if lent.is_empty() {
+            self.returned.put(ask, ());
+        }
+        for (endpoint, number) in lent {
+            self.end_batch(&endpoint, number);
+        }
+    }
+
     /// Notes that an owned endpoint refused a request that had a place there: it has
     /// less room than its ledger says, and gives no places for a while.
     pub fn note_refused(&mut self, endpoint: &ids::EndpointId, now: clock::Moment) {
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -109,7 +109,7 @@
     let mut board = board(&[entry("a", "z")]);
     let now = clock::Moment(1);
     let borrower = run("d");
-    let lent = board.lend_batch(&service(), &Default::default(), &borrower, 9, now);
+    let lent = board.lend_batch(&slots_of(borrower.clone(), 9), &Default::default(), now);
     assert_eq!(lent.len(), 3);
     assert!(!board.is_empty());
     board.release_ended(|run| *run == borrower);
@@ -117,6 +117,15 @@
     assert_eq!(board.totals(), (0, 0));
 }
 
+fn slots_of(holder: ids::InstanceRun, count: usize) -> peers::SlotAsk {
+    peers::SlotAsk {
+        number: 77,
+        holder,
+        service: service(),
+        count,
+    }
+}
+
 #[test]
 fn places_of_one_run_end_without_those_of_the_next() {
     let mut board = board(&[entry("a", "z")]);
@@ -129,7 +138,12 @@
     assert!(board
         .acquire(&ask_of(first.clone(), 1), &none, now)
         .is_some());
-    assert_eq!(board.lend_batch(&service(), &none, &first, 1, now).len(), 1);
+    assert_eq!(
+        board
+            .lend_batch(&slots_of(first.clone(), 1), &none, now)
+            .len(),
+        1
+    );
     assert!(board
         .acquire(&ask_of(next.clone(), 2), &none, now)
         .is_some());
@@ -181,3 +195,30 @@
     assert_eq!(board.totals(), (0, 0));
     assert!(board.acquire(&ask_of(run("g"), 6), &none, later).is_some());
 }
+
+/// An endpoint had one place less for batch work for good: the answer that lent a slot was
+/// lost with its link, so that the borrower did not know of it and the lender counted it.
+/// Seen by the soak's check for held places, seeds 5 and 10 of 12 s, beside `lend_failed`.
+#[test]
+fn slots_that_a_borrower_never_heard_of_come_back() {
+    let mut board = board(&[entry("a", "z")]);
+    let now = clock::Moment(1);
+    let none = Default::default();
+    let ask = |number| peers::SlotAsk {
+        number,
+        holder: run("d"),
+        service: service(),
+        count: 2,
+    };
+    assert_eq!(board.lend_batch(&ask(1), &none, now).len(), 2);
+    assert_eq!(board.lend_batch(&ask(2), &none, now).len(), 1);
+    board.cancel_lent(1);
+    assert_eq!(board.totals(), (0, 1), "those of the other question stay");
+    board.cancel_lent(3);
+    let late = board.lend_batch(&ask(3), &none, now);
+    assert!(
+        late.is_empty(),
+        "it came later than the word that nobody waits"
+    );
+    assert_eq!(board.lend_batch(&ask(4), &none, now).len(), 2);
+}
