fix(serving): a request that is blamed just now is judged a moment later

Cause: endpoints that end together, each with the same request at work that nobody had served yet, make three crashes of it within a quarter of a second.

Change: a caller's request is judged half a second after its last crash, or at once if that is longer ago. One that is to blame is refused that much later, once.

Test: a_request_that_is_blamed_just_now_is_judged_a_moment_later; it does not build on the code before.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -50,6 +50,12 @@
 /// a thousand are 130 crashes within an hour, and some 200 KB.
 const MAX_RECORDS: usize = 1024;
 
+/// How long what others saw of a request is awaited before its first hold is told to a
+/// caller. Guards one that comes often against endpoints that end together before it was
+/// ever served: its runs elsewhere end in half a second, and clear it. One that is to
+/// blame is refused that much later, once for each crash that counts.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
+
 /// Least time that an endpoint is away after a crash. What is sent to it sooner, by who
 /// knows that it ended, finds nobody: its address may still take connections for a
 /// moment, or something before it does.
@@ -360,6 +366,13 @@
         }
     }
 
+    /// How long to wait before a request is judged: nothing, unless it was blamed just now.
+    pub fn settles_in(&self, digest: ids::RequestDigest, now: clock::Moment) -> time::Duration {
+        let held = self.records.get(&digest).filter(|record| record.is_held());
+        let age = held.map_or(SETTLE_TIME, |record| now.since(record.last));
+        SETTLE_TIME.saturating_sub(age)
+    }
+
     /// Whether a request is held back by the crashes so far, trial or not.
     pub fn is_blamed(&self, digest: ids::RequestDigest) -> bool {
         let record = self.records.get(&digest);
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -88,6 +88,20 @@
     }
 }
 
+/// The same as [`admit`] for a caller's request, which is judged once it is settled.
+pub(super) async fn admit_settled(
+    context: &process::ProcessContext,
+    digest: ids::RequestDigest,
+    id: &str,
+) -> crash_ledger::CrashVerdict {
+    let now = context.clock.now();
+    let young = context.crashes.ledger.borrow().settles_in(digest, now);
+    if !young.is_zero() {
+        actix_rt::time::sleep(young).await;
+    }
+    admit(context, digest, id)
+}
+
 /// Whether a request may be sent to an endpoint now, or only once as a trial.
 pub(super) fn admit(
     context: &process::ProcessContext,
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -96,7 +96,8 @@
     let id = relay.request.terms.id.as_deref().unwrap_or("-");
     let digest = relay.request.forwarded.digest;
     // Known to be in vain, so it is not let wait for a place.
-    if let CrashVerdict::Held(left) = crash_guard::admit(&relay.context, digest, id) {
+    let verdict = crash_guard::admit_settled(&relay.context, digest, id).await;
+    if let CrashVerdict::Held(left) = verdict {
         return relay.refuse(&FinalError::Held(left));
     }
     let outcome = match relay.request.route.kind.is_stream() {
--- a/tests/crash_ledger.rs
+++ b/tests/crash_ledger.rs
@@ -167,6 +167,27 @@
     assert!(is_held(&ledger, "x", 45));
 }
 
+/// Three endpoints ended within a quarter of a second, each with the same new request at
+/// work, that nobody had served yet. Two callers of it were refused for ten minutes,
+/// though its other runs were served and cleared it 50 ms later (soak, seed 2 of 12 s).
+#[test]
+fn a_request_that_is_blamed_just_now_is_judged_a_moment_later() {
+    let mut ledger = CrashLedger::default();
+    let settle = |ledger: &CrashLedger, now| ledger.settles_in(digest("r"), now);
+    assert!(settle(&ledger, at(1)).is_zero(), "nothing is known of it");
+    for number in 0..3 {
+        assert!(settle(&ledger, at(1)).is_zero());
+        crash(&mut ledger, "r", number, 1);
+    }
+    assert_eq!(settle(&ledger, at(1)), time::Duration::from_millis(500));
+    assert!(
+        settle(&ledger, at(2)).is_zero(),
+        "it is refused at once from then on"
+    );
+    ledger.note_served(digest("r"), at(1));
+    assert!(settle(&ledger, at(1)).is_zero());
+}
+
 /// A gateway had just started and seen nothing served. Three endpoints crashed in its
 /// first seconds, and it had all others hold a request back that they serve all the
 /// while. Found by the soak, seed 9352 of 25 s: three callers were refused.
