perf(serving): a change of the endpoint list costs what it changes

Change: an index by name, address and service is kept up; only the entries at the address of a changed one are reassessed; the digest is kept up by addition and subtraction of hashes of the fields; ownership is reassessed for changed endpoints, and among the dispatchers of their domain.

--- a/src/decisions/endpoint_backoff.rs
+++ b/src/decisions/endpoint_backoff.rs
@@ -26,6 +26,15 @@
     is_backed_off: bool,
 }
 
+/// Endpoints whose state in an [`EndpointBackoff`] has changed by the passing of time.
+#[derive(Debug, Default)]
+pub struct ExpiredBackoffs {
+    /// Endpoints whose backoff ended.
+    pub reopened: Vec<ids::EndpointId>,
+    /// Endpoints whose last backoff ended long ago and that are no longer listed.
+    pub forgotten: Vec<ids::EndpointId>,
+}
+
 /// Endpoints that are backed off, or were recently.
 #[derive(Debug)]
 pub struct EndpointBackoff {
@@ -93,16 +102,27 @@
     /// Ends the backoffs that are over and removes old entries; returns whether any backoff
     /// ended.
     pub fn expire(&mut self, now: clock::MonotonicTime) -> bool {
-        let mut is_due = false;
-        for entry in self.entries.values_mut() {
-            let is_over = entry.is_backed_off && entry.until <= now;
-            entry.is_backed_off &= !is_over;
-            is_due |= is_over;
+        !self.take_expired(now).reopened.is_empty()
+    }
+
+    /// Ends the backoffs that are over and removes old entries; returns their endpoints.
+    pub fn take_expired(&mut self, now: clock::MonotonicTime) -> ExpiredBackoffs {
+        let mut expired = ExpiredBackoffs::default();
+        for (id, entry) in &mut self.entries {
+            if entry.is_backed_off && entry.until <= now {
+                entry.is_backed_off = false;
+                expired.reopened.push(id.clone());
+            }
         }
         let last = self.range.last;
-        self.entries
-            .retain(|_, entry| entry.is_backed_off || now.since(entry.until) < last);
-        is_due
+        self.entries.retain(|id, entry| {
+            let is_kept = entry.is_backed_off || now.since(entry.until) < last;
+            if !is_kept {
+                expired.forgotten.push(id.clone());
+            }
+            is_kept
+        });
+        expired
     }
 
     /// Removes the entries of endpoints for which `is_kept` returns false.
--- a/src/decisions/ownership.rs
+++ b/src/decisions/ownership.rs
@@ -1,6 +1,8 @@
 //! Assignment of endpoints to dispatchers by rendezvous hashing, preferring the same failure
 //! domain.
 
+use std::collections;
+
 use xxhash_rust::xxh3;
 
 use crate::ids;
@@ -35,6 +37,48 @@
     })
 }
 
+/// Dispatchers by failure domain, to compute the owners of many endpoints.
+#[derive(Debug, Default)]
+pub struct OwnerIndex<'a> {
+    all: Vec<&'a OwnerCandidate>,
+    by_domain: collections::HashMap<&'a ids::DomainName, Vec<&'a OwnerCandidate>>,
+}
+
+impl<'a> OwnerIndex<'a> {
+    /// Indexes the live dispatchers.
+    pub fn new(candidates: &'a [OwnerCandidate]) -> Self {
+        let mut index = Self::default();
+        for candidate in candidates {
+            index.all.push(candidate);
+            let of_domain = index.by_domain.entry(&candidate.domain).or_default();
+            of_domain.push(candidate);
+        }
+        index
+    }
+
+    /// Returns whether an instance is one of the dispatchers.
+    pub fn contains(&self, instance: &ids::InstanceId) -> bool {
+        self.all.iter().any(|c| c.id == *instance)
+    }
+
+    /// Returns whether an instance owns an endpoint, see [`owner_of`].
+    ///
+    /// The cost depends on the number of dispatchers in the domain of the endpoint, or on
+    /// the number of all dispatchers if there is none.
+    pub fn is_owner(
+        &self,
+        instance: &ids::InstanceId,
+        endpoint: &ids::EndpointId,
+        domain: &ids::DomainName,
+    ) -> bool {
+        let candidates = self.by_domain.get(domain).unwrap_or(&self.all);
+        let seed = xxh3::xxh3_64(endpoint.as_str().as_bytes());
+        let weight = |c: &&&OwnerCandidate| xxh3::xxh3_64_with_seed(c.id.as_str().as_bytes(), seed);
+        let owner = candidates.iter().max_by_key(weight);
+        owner.is_some_and(|owner| owner.id == *instance)
+    }
+}
+
 /// Returns the rank of `instance` among `candidates` for a chunk; 0 is the first choice.
 pub fn chunk_rank(
     instance: &ids::InstanceId,
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -1,9 +1,10 @@
 //! Directory of the listed endpoints and their state.
 
-use std::{collections, fmt, net, rc, time};
+use std::{collections, net, rc, time};
 
-use xxhash_rust::xxh3;
+pub use super::endpoint_entry::{EndpointChange, EndpointEntry};
 
+use super::endpoint_index;
 use crate::{clock, decisions::endpoint_backoff, ids, protection};
 
 /// Backoff of an endpoint at whose address another endpoint responded.
@@ -19,68 +20,6 @@
     spread: 0.0,
 };
 
-/// Entry of an endpoint in the list.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct EndpointEntry {
-    /// Name of the endpoint, which it keeps over restarts.
-    pub id: ids::EndpointId,
-    /// Service that the endpoint runs.
-    pub service: ids::ServiceName,
-    /// Address of the endpoint.
-    pub address: net::SocketAddr,
-    /// Failure domain of the endpoint.
-    pub domain: ids::DomainName,
-    /// Number of requests that the endpoint runs concurrently.
-    pub slots: u32,
-    /// Whether the endpoint is draining and gets no new work.
-    pub leaving: bool,
-    /// Start time, if the entry has one.
-    pub started: Option<ids::StartTime>,
-    /// How long the endpoint stays cold, in milliseconds from the time of the entry. A cold
-    /// endpoint accepts only a limited rate of requests.
-    pub cold_ms: u32,
-}
-
-impl EndpointEntry {
-    /// Returns whether this entry is of an earlier start than another; false if either
-    /// start time is unknown.
-    fn started_before(&self, other: &Self) -> bool {
-        match (self.started, other.started) {
-            (Some(own), Some(other)) => own < other,
-            _ => false,
-        }
-    }
-}
-
-/// Change of one endpoint in the list.
-#[derive(Debug, Clone)]
-pub enum EndpointChange {
-    /// The endpoint was added or its entry has changed.
-    Listed(EndpointEntry),
-    /// The entry of the endpoint was removed.
-    Removed(ids::EndpointId),
-}
-
-impl fmt::Display for EndpointChange {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Listed(entry) => write!(
-                f,
-                "change=listed endpoint={} service={} address={} domain={} slots={} leaving={} started={} cold_ms={}",
-                entry.id,
-                entry.service,
-                entry.address,
-                entry.domain,
-                entry.slots,
-                entry.leaving,
-                entry.started.map_or("-".to_owned(), |at| at.to_string()),
-                entry.cold_ms
-            ),
-            Self::Removed(id) => write!(f, "change=removed endpoint={id}"),
-        }
-    }
-}
-
 /// State of an entry that expired during a store outage and is removed later.
 #[derive(Debug, Clone, Copy)]
 struct ExpiredEntry {
@@ -119,13 +58,14 @@
 
 /// Directory of all listed endpoints.
 ///
-/// Invariants: `services` holds exactly the entries of `entries` that may get new work.
+/// Invariants: the services of `index` hold exactly the entries that may get new work.
 /// `unusable` names the others: those that are draining, whose address belongs to a later
-/// start, that are backed off as misidentified, or whose domain is evacuated. `unverified` names the usable entries
-/// whose endpoint may not be the one at their address. `digest` covers all of `entries`.
+/// start, that are backed off as misidentified, or whose domain is evacuated. `unverified`
+/// names the usable entries whose endpoint may not be the one at their address. All of it
+/// is reassessed for the entries at an address when one of them changes.
 #[derive(Debug)]
 pub struct EndpointDirectory {
-    entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
+    index: endpoint_index::EndpointIndex,
     expired: collections::HashMap<ids::EndpointId, ExpiredEntry>,
     earlier: collections::HashMap<ids::EndpointId, DelayedEntry>,
     misidentified: endpoint_backoff::EndpointBackoff,
@@ -134,21 +74,20 @@
     verified: collections::HashSet<ids::EndpointId>,
     unverified: collections::HashSet<ids::EndpointId>,
     ended_runs: Vec<EndedRun>,
-    services: collections::HashMap<ids::ServiceName, Vec<rc::Rc<EndpointEntry>>>,
+    /// Endpoints that were reassessed since [`Self::take_reassessed`] was last called.
+    reassessed: collections::HashSet<ids::EndpointId>,
     /// When the endpoints that reported to be cold are warm.
     cold: collections::HashMap<ids::EndpointId, clock::MonotonicTime>,
     /// Evacuated domains.
     evacuated: collections::BTreeSet<ids::DomainName>,
     /// Until when all endpoints of a domain count as cold after its evacuation.
     returned: collections::BTreeMap<ids::DomainName, clock::MonotonicTime>,
-    /// See [`Self::digest`]; recomputed on each change, because each probe sends it.
-    digest: u64,
 }
 
 impl Default for EndpointDirectory {
     fn default() -> Self {
         Self {
-            entries: collections::HashMap::new(),
+            index: endpoint_index::EndpointIndex::default(),
             expired: collections::HashMap::new(),
             earlier: collections::HashMap::new(),
             misidentified: endpoint_backoff::EndpointBackoff::new(MISIDENTIFIED_BACKOFF),
@@ -156,11 +95,10 @@
             verified: collections::HashSet::new(),
             unverified: collections::HashSet::new(),
             ended_runs: Vec::new(),
-            services: collections::HashMap::new(),
+            reassessed: collections::HashSet::new(),
             cold: collections::HashMap::new(),
             evacuated: collections::BTreeSet::new(),
             returned: collections::BTreeMap::new(),
-            digest: 0,
         }
     }
 }
@@ -177,7 +115,6 @@
                 EndpointChange::Removed(id) => self.remove(id, timing.remove_at),
             }
         }
-        self.rebuild();
     }
 
     fn record_cold(&mut self, entry: &EndpointEntry, now: clock::MonotonicTime) {
@@ -195,7 +132,7 @@
         apply_earlier_at: Option<clock::MonotonicTime>,
     ) {
         entry.leaving &= !protection::is_disabled("leaving_endpoint");
-        let known = self.entries.get(&entry.id);
+        let known = self.index.get(&entry.id);
         if let (Some(known), Some(apply_at)) = (known, apply_earlier_at) {
             if entry.started_before(known) {
                 let mut known = (**known).clone();
@@ -228,26 +165,42 @@
         // A fresh entry shows that its endpoint is alive at this address.
         self.misidentified.forget(&entry.id);
         self.verified.remove(&entry.id);
-        let previous = self.entries.get(&entry.id);
-        if let Some(previous) = previous.filter(|previous| previous.started != entry.started) {
-            self.ended_runs.push(EndedRun {
-                id: previous.id.clone(),
-                address: previous.address,
-            });
+        let (id, address, started) = (entry.id.clone(), entry.address, entry.started);
+        let previous = self.index.insert(entry);
+        if let Some(previous) = previous {
+            if previous.started != started {
+                self.ended_runs.push(EndedRun {
+                    id,
+                    address: previous.address,
+                });
+            }
+            if previous.address != address {
+                self.reassess(previous.address);
+            }
         }
-        self.entries.insert(entry.id.clone(), rc::Rc::new(entry));
+        self.reassess(address);
     }
 
     fn remove(&mut self, id: ids::EndpointId, remove_at: Option<clock::MonotonicTime>) {
         self.earlier.remove(&id);
         match remove_at {
-            Some(remove_at) if self.entries.contains_key(&id) => {
+            Some(remove_at) if self.index.get(&id).is_some() => {
                 self.expired.entry(id).or_insert(ExpiredEntry { remove_at });
             }
-            _ => {
-                self.entries.remove(&id);
-                self.expired.remove(&id);
-            }
+            _ => self.drop_entry(&id),
+        }
+    }
+
+    /// Drops an entry and all that is kept about it.
+    fn drop_entry(&mut self, id: &ids::EndpointId) {
+        self.expired.remove(id);
+        self.cold.remove(id);
+        self.verified.remove(id);
+        self.unusable.remove(id);
+        self.unverified.remove(id);
+        if let Some(entry) = self.index.remove(id) {
+            self.reassessed.insert(entry.id.clone());
+            self.reassess(entry.address);
         }
     }
 
@@ -265,13 +218,14 @@
         started: Option<ids::StartTime>,
         now: clock::MonotonicTime,
     ) -> bool {
-        let known = self.entries.get(id);
-        if known.is_none_or(|known| known.started != started) {
+        let known = self.index.get(id);
+        let Some(known) = known.filter(|known| known.started == started) else {
             return false;
-        }
+        };
+        let address = known.address;
         let is_new = self.misidentified.record(id, now, &mut rand::rng());
         if is_new {
-            self.rebuild();
+            self.reassess(address);
         }
         is_new
     }
@@ -284,14 +238,14 @@
         }
         self.misidentified.forget(id);
         self.verified.insert(id.clone());
-        self.rebuild();
+        self.reassess_named(id);
         true
     }
 
-    /// Returns the usable endpoints that may not be the ones at their address. They get
+    /// Returns whether an endpoint is usable but may not be the one at its address. It gets
     /// one request at a time, which is enough to find out.
-    pub fn unverified(&self) -> &collections::HashSet<ids::EndpointId> {
-        &self.unverified
+    pub fn is_unverified(&self, id: &ids::EndpointId) -> bool {
+        self.unverified.contains(id)
     }
 
     /// Replaces the evacuated domains. The endpoints of domains that were evacuated until
@@ -304,8 +258,15 @@
         for domain in self.evacuated.difference(&evacuated) {
             self.returned.insert(domain.clone(), cold_until);
         }
-        self.evacuated = evacuated;
-        self.rebuild();
+        let previous = std::mem::replace(&mut self.evacuated, evacuated);
+        let changed: collections::BTreeSet<_> =
+            previous.symmetric_difference(&self.evacuated).collect();
+        let entries = self.index.entries();
+        let affected = entries.filter(|entry| changed.contains(&entry.domain));
+        let addresses: Vec<_> = affected.map(|entry| entry.address).collect();
+        for address in addresses {
+            self.reassess(address);
+        }
     }
 
     /// Returns until when an endpoint is cold, if it is or was.
@@ -317,11 +278,13 @@
 
     /// Returns the changes that turn this list into a given one.
     pub fn changes_to(&self, entries: Vec<EndpointEntry>) -> Vec<EndpointChange> {
-        let listed: collections::HashSet<_> = entries.iter().map(|e| e.id.clone()).collect();
-        let missing = self.entries.keys().filter(|id| !listed.contains(*id));
-        let removed: Vec<_> = missing.cloned().map(EndpointChange::Removed).collect();
+        let listed: collections::HashSet<_> = entries.iter().map(|e| &e.id).collect();
+        let missing = self.index.entries().filter(|e| !listed.contains(&e.id));
+        let removed: Vec<_> = missing
+            .map(|entry| EndpointChange::Removed(entry.id.clone()))
+            .collect();
         let is_new = |entry: &EndpointEntry| {
-            let known = self.entries.get(&entry.id);
+            let known = self.index.get(&entry.id);
             known.is_none_or(|k| **k != *entry) || self.expired.contains_key(&entry.id)
         };
         let changed = entries
@@ -340,7 +303,7 @@
     pub fn filter_peer_entries(&self, snapshot: DirectorySnapshot) -> Vec<EndpointEntry> {
         let expired: collections::HashSet<_> = snapshot.expired.into_iter().collect();
         let is_accepted = |entry: &EndpointEntry| {
-            let is_known = self.is_empty() || self.entries.contains_key(&entry.id);
+            let is_known = self.is_empty() || self.index.get(&entry.id).is_some();
             is_known || !expired.contains(&entry.id)
         };
         let mut entries = snapshot.entries;
@@ -369,11 +332,7 @@
             .filter(|(_, expired)| expired.remove_at <= now);
         let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
-            self.expired.remove(id);
-            self.entries.remove(id);
-        }
-        if !due.is_empty() {
-            self.rebuild();
+            self.drop_entry(id);
         }
         !due.is_empty()
     }
@@ -388,133 +347,122 @@
         let due: Vec<_> = due.map(|delayed| delayed.entry.clone()).collect();
         for entry in &due {
             self.earlier.remove(&entry.id);
-            if self.entries.contains_key(&entry.id) {
+            if self.index.get(&entry.id).is_some() {
                 self.insert(entry.clone());
             }
         }
-        if !due.is_empty() {
-            self.rebuild();
-        }
         !due.is_empty()
     }
 
     /// Makes misidentified endpoints usable again after their backoff. Returns whether
     /// there were any.
     pub fn retry_misidentified(&mut self, now: clock::MonotonicTime) -> bool {
-        let is_retried = self.misidentified.expire(now);
-        if is_retried {
-            self.rebuild();
+        let expired = self.misidentified.take_expired(now);
+        for id in expired.reopened.iter().chain(&expired.forgotten) {
+            self.reassess_named(id);
         }
-        is_retried
-    }
-
-    fn rebuild(&mut self) {
-        self.unusable = self.find_unusable();
-        self.unverified = self.find_unverified();
-        let entries = &self.entries;
-        self.verified.retain(|id| entries.contains_key(id));
-        self.cold.retain(|id, _| entries.contains_key(id));
-        self.services.clear();
-        for entry in self.entries.values() {
-            if self.unusable.contains(&entry.id) {
-                continue;
-            }
-            let list = self.services.entry(entry.service.clone()).or_default();
-            list.push(entry.clone());
+        !expired.reopened.is_empty()
+    }
+
+    /// Takes the names of the endpoints that were added, changed or removed since the last
+    /// call, or whose usability may have changed.
+    pub fn take_reassessed(&mut self) -> collections::HashSet<ids::EndpointId> {
+        std::mem::take(&mut self.reassessed)
+    }
+
+    /// Reassesses the entries at the address of a listed endpoint.
+    fn reassess_named(&mut self, id: &ids::EndpointId) {
+        if let Some(entry) = self.index.get(id) {
+            self.reassess(entry.address);
         }
-        for list in self.services.values_mut() {
-            list.sort_by(|a, b| a.id.cmp(&b.id));
+    }
+
+    /// Reassesses which entries at an address may get new work, and which of these are
+    /// verified.
+    fn reassess(&mut self, address: net::SocketAddr) {
+        let holders = self.index.at(&address).to_vec();
+        let latest = self.latest_start(&holders);
+        for entry in &holders {
+            let is_usable = !entry.leaving
+                && !self.evacuated.contains(&entry.domain)
+                && !self.misidentified.is_backed_off(&entry.id)
+                && !latest.is_some_and(|latest| entry.started_before(latest));
+            match is_usable {
+                true => self.unusable.remove(&entry.id),
+                false => self.unusable.insert(entry.id.clone()),
+            };
+            self.index.set_in_service(entry, is_usable);
+            self.reassessed.insert(entry.id.clone());
         }
-        let hashes = self.entries.values().map(|entry| {
-            let text = format!("{entry:?}");
-            xxh3::xxh3_64(text.as_bytes())
-        });
-        self.digest = hashes.fold(0, u64::wrapping_add);
-    }
-
-    /// Returns the usable entries that may not be the ones at their address: they share
-    /// it with another entry, or were rejected there recently.
-    fn find_unverified(&self) -> collections::HashSet<ids::EndpointId> {
-        let mut address_counts: collections::HashMap<_, usize> = collections::HashMap::new();
-        for entry in self.all_usable() {
-            *address_counts.entry(entry.address).or_default() += 1;
+        let is_usable = |entry: &&rc::Rc<EndpointEntry>| !self.unusable.contains(&entry.id);
+        let is_shared = holders.iter().filter(is_usable).count() > 1;
+        for entry in &holders {
+            let is_unconfirmed = is_shared && !self.verified.contains(&entry.id);
+            let is_doubtful = is_unconfirmed || self.misidentified.contains(&entry.id);
+            match is_doubtful && !self.unusable.contains(&entry.id) {
+                true => self.unverified.insert(entry.id.clone()),
+                false => self.unverified.remove(&entry.id),
+            };
         }
-        let is_unverified = |entry: &&rc::Rc<EndpointEntry>| {
-            let is_shared = address_counts
-                .get(&entry.address)
-                .is_some_and(|count| *count > 1);
-            let is_shared_unverified = is_shared && !self.verified.contains(&entry.id);
-            is_shared_unverified || self.misidentified.contains(&entry.id)
-        };
-        let unverified = self.all_usable().filter(is_unverified);
-        unverified.map(|entry| entry.id.clone()).collect()
     }
 
-    /// Returns the entries that get no new work.
-    fn find_unusable(&self) -> collections::HashSet<ids::EndpointId> {
-        let mut latest: collections::HashMap<_, &rc::Rc<EndpointEntry>> =
-            collections::HashMap::new();
-        for entry in self.entries.values() {
-            if entry.started.is_none() || self.misidentified.is_backed_off(&entry.id) {
-                continue;
-            }
-            let holder = latest.entry(entry.address).or_insert(entry);
-            if holder.started_before(entry) {
-                *holder = entry;
-            }
-        }
-        let is_unusable = |entry: &&rc::Rc<EndpointEntry>| {
-            let holder = latest.get(&entry.address);
-            entry.leaving
-                || self.evacuated.contains(&entry.domain)
-                || self.misidentified.is_backed_off(&entry.id)
-                || holder.is_some_and(|holder| entry.started_before(holder))
-        };
-        let unusable = self.entries.values().filter(is_unusable);
-        unusable.map(|entry| entry.id.clone()).collect()
+    /// Returns the entry of the latest known start among those at one address, without the
+    /// backed-off ones.
+    fn latest_start<'a>(
+        &self,
+        holders: &'a [rc::Rc<EndpointEntry>],
+    ) -> Option<&'a rc::Rc<EndpointEntry>> {
+        let started = holders.iter().filter(|e| e.started.is_some());
+        let candidates = started.filter(|e| !self.misidentified.is_backed_off(&e.id));
+        candidates.max_by_key(|e| e.started)
     }
 
     /// Returns the endpoints of a service that may get new work, sorted by name.
     pub fn of_service(&self, service: &ids::ServiceName) -> &[rc::Rc<EndpointEntry>] {
-        self.services.get(service).map_or(&[], Vec::as_slice)
+        self.index.of_service(service)
     }
 
     /// Returns an endpoint if it may get new work.
     pub fn usable(&self, id: &ids::EndpointId) -> Option<&rc::Rc<EndpointEntry>> {
-        self.entries
+        self.index
             .get(id)
             .filter(|e| !self.unusable.contains(&e.id))
     }
 
     /// Returns all endpoints that may get new work.
     pub fn all_usable(&self) -> impl Iterator<Item = &rc::Rc<EndpointEntry>> {
-        let entries = self.entries.values();
+        let entries = self.index.entries();
         entries.filter(|entry| !self.unusable.contains(&entry.id))
     }
 
     /// Returns whether an endpoint is listed with another start time than the given one.
     pub fn has_other_start(&self, id: &ids::EndpointId, started: Option<ids::StartTime>) -> bool {
-        self.entries.get(id).is_some_and(|e| e.started != started)
+        self.index.get(id).is_some_and(|e| e.started != started)
     }
 
     /// Returns all entries, including unusable ones.
     pub fn entries(&self) -> impl Iterator<Item = &rc::Rc<EndpointEntry>> {
-        self.entries.values()
+        self.index.entries()
     }
 
     /// Returns a digest of all entries; equal lists have equal digests.
     pub fn digest(&self) -> u64 {
-        self.digest
+        self.index.digest()
     }
 
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.index.len()
+    }
+
+    /// Returns the number of entries that changes have examined so far.
+    pub fn examined(&self) -> u64 {
+        self.index.examined()
     }
 
     /// Returns whether no endpoint is listed.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.index.len() == 0
     }
 }
 
--- a/src/serving/endpoint_index.rs
+++ b/src/serving/endpoint_index.rs
@@ -44,7 +44,8 @@
         let entry = self.entries.remove(id)?;
         self.digest = self.digest.wrapping_sub(hash_of(&entry));
         if let Some(holders) = self.addresses.get_mut(&entry.address) {
-            self.examined.set(self.examined.get() + holders.len() as u64);
+            self.examined
+                .set(self.examined.get() + holders.len() as u64);
             holders.retain(|holder| holder.id != entry.id);
             if holders.is_empty() {
                 self.addresses.remove(&entry.address);
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -20,6 +20,8 @@
 mod crash_guard;
 mod crash_watch;
 pub mod directory;
+pub mod endpoint_entry;
+mod endpoint_index;
 mod endpoint_reports;
 pub mod evacuations;
 pub mod event_flow;
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, rc, time};
 
-use super::{context, crash_guard, job_checkpoints, limit_links, members};
+use super::{context, crash_guard, directory, job_checkpoints, limit_links, members};
 use crate::{
     clock,
     decisions::{cold_start, ownership},
@@ -168,7 +168,7 @@
     context.fleet.set_follows_store(is_follower(context, now));
     let change_number = Some(context.fleet.change_number());
     if context.owned_change_number.replace(change_number) != change_number || changed {
-        refresh_owned(context);
+        refresh_owned(context, changed);
     }
     if changed {
         job_checkpoints::hand_off_moved(context);
@@ -176,19 +176,36 @@
     }
 }
 
-/// Recomputes which of the listed endpoints this process owns.
-fn refresh_owned(context: &rc::Rc<context::ProcessContext>) {
+/// Updates which of the listed endpoints this process owns: of all endpoints if the owners
+/// have changed, otherwise of those that have changed.
+fn refresh_owned(context: &rc::Rc<context::ProcessContext>, owners_changed: bool) {
+    let reassessed = context.fleet.directory.borrow_mut().take_reassessed();
     let directory = context.fleet.directory.borrow();
-    let owners = context.owners();
-    let owned = directory.all_usable().filter(|e| {
-        let owner = ownership::owner_of(&e.id, &e.domain, &owners);
-        owner.is_some_and(|o| o.id == *context.id())
-    });
-    let owned: Vec<_> = owned.cloned().collect();
-    let unverified = directory.unverified().clone();
+    let candidates = context.owners();
+    let owners = ownership::OwnerIndex::new(&candidates);
+    let may_own = owners.contains(context.id());
+    let is_owned = |entry: &&rc::Rc<directory::EndpointEntry>| {
+        may_own && owners.is_owner(context.id(), &entry.id, &entry.domain)
+    };
     let mut permits = context.permits.borrow_mut();
-    permits.set_unverified(unverified);
-    let dropped = permits.set_owned(&owned);
+    let dropped = match owners_changed {
+        true if may_own => {
+            let owned: Vec<_> = directory.all_usable().filter(is_owned).cloned().collect();
+            permits.set_owned(&owned)
+        }
+        true => permits.set_owned(&[]),
+        false => {
+            let mut dropped = Vec::new();
+            for id in reassessed {
+                let owned = directory.usable(&id).filter(is_owned);
+                if permits.update_owned(&id, owned) {
+                    dropped.push(id);
+                }
+            }
+            dropped
+        }
+    };
+    permits.set_unverified(|id| directory.is_unverified(id));
     let table = context.fleet.table();
     permits.set_cold(|entry| {
         if protection::is_disabled("cold_limit") {
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -116,8 +116,6 @@
     early_releases: lru::LruCache<admission::PermitNumber, ()>,
     /// Endpoints that are backed off after a refusal.
     refusals: endpoint_backoff::EndpointBackoff,
-    /// Endpoints whose identity is not confirmed; each gets one request at a time until then.
-    unverified: collections::HashSet<ids::EndpointId>,
 }
 
 /// An owned endpoint and the ledger of its slots.
@@ -125,6 +123,8 @@
 struct OwnedLedger {
     entry: rc::Rc<directory::EndpointEntry>,
     ledger: admission::EndpointLedger,
+    /// Whether its identity is not confirmed; it gets one request at a time until then.
+    is_unverified: bool,
     cold_gate: cold_start::ColdGate,
 }
 
@@ -135,6 +135,7 @@
         Self {
             entry: entry.clone(),
             ledger,
+            is_unverified: false,
             cold_gate: cold_start::ColdGate::default(),
         }
     }
@@ -186,7 +187,6 @@
             hold_times: collections::HashMap::new(),
             early_releases: lru::LruCache::new(MAX_EARLY_RELEASES),
             refusals: endpoint_backoff::EndpointBackoff::new(REFUSAL_BACKOFF),
-            unverified: collections::HashSet::new(),
         }
     }
 }
@@ -223,9 +223,37 @@
         dropped
     }
 
-    /// Sets the endpoints at whose address another endpoint may respond.
-    pub fn set_unverified(&mut self, unverified: collections::HashSet<ids::EndpointId>) {
-        self.unverified = unverified;
+    /// Updates one endpoint: `owned` is its entry if this process owns it. Returns whether
+    /// it is no longer owned or has restarted; its permits and streams are dropped then.
+    ///
+    /// The cost does not depend on the number of owned endpoints.
+    pub fn update_owned(
+        &mut self,
+        id: &ids::EndpointId,
+        owned: Option<&rc::Rc<directory::EndpointEntry>>,
+    ) -> bool {
+        let started = owned.map(|entry| entry.started);
+        let known = self.ledgers.get(id);
+        let is_dropped = known.is_some_and(|known| started != Some(known.entry.started));
+        if is_dropped {
+            self.ledgers.remove(id);
+            self.holders.retain(|_, holder| holder.endpoint != *id);
+            self.borrowed.retain(|(endpoint, _), _| endpoint != id);
+            self.refusals.forget(id);
+        }
+        if let Some(entry) = owned {
+            let ledger = self.ledgers.entry(id.clone());
+            let ledger = ledger.or_insert_with(|| OwnedLedger::new(entry));
+            ledger.entry = entry.clone();
+        }
+        is_dropped
+    }
+
+    /// Sets at which owned endpoints another endpoint may respond.
+    pub fn set_unverified(&mut self, is_unverified: impl Fn(&ids::EndpointId) -> bool) {
+        for (id, owned) in &mut self.ledgers {
+            owned.is_unverified = is_unverified(id);
+        }
     }
 
     /// Sets the limit of each owned endpoint that is cold.
@@ -523,7 +551,7 @@
         let owned = self.ledgers.values();
         owned.filter(move |owned| {
             let id = &owned.entry.id;
-            let awaits_response = self.unverified.contains(id) && owned.is_held();
+            let awaits_response = owned.is_unverified && owned.is_held();
             let is_open = !self.refusals.is_backed_off(id) && owned.cold_gate.is_open(now);
             owned.entry.service == *service && is_open && !awaits_response
         })
@@ -548,10 +576,10 @@
         ejected: &collections::HashSet<ids::EndpointId>,
         now: clock::MonotonicTime,
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
-        let (refusals, unverified) = (&self.refusals, &self.unverified);
+        let refusals = &self.refusals;
         let usable = self.ledgers.values_mut().filter(|owned| {
             let id = &owned.entry.id;
-            let awaits_response = unverified.contains(id) && owned.is_held();
+            let awaits_response = owned.is_unverified && owned.is_held();
             let is_open = !refusals.is_backed_off(id) && owned.cold_gate.is_open(now);
             let is_open = is_open && !awaits_response;
             owned.entry.service == *service && !ejected.contains(id) && is_open
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -249,14 +249,15 @@
     let entries = entries.map(EndpointChange::Listed).to_vec();
     directory.apply(entries, from_store(0));
     let mut unverified: Vec<_> = directory
-        .unverified()
-        .iter()
+        .all_usable()
+        .map(|entry| &entry.id)
+        .filter(|id| directory.is_unverified(id))
         .map(|id| id.to_string())
         .collect();
     unverified.sort();
     assert_eq!(unverified, ["a", "b"]);
     let mut board = board(&[entry("a", 1, None), entry("b", 1, None)]);
-    board.set_unverified(directory.unverified().clone());
+    board.set_unverified(|id| directory.is_unverified(id));
     for number in 0..2 {
         assert!(board.acquire(&request(number), &none, at(0)).is_some());
     }
@@ -264,14 +265,11 @@
     assert!(board.begin_batch(&service(), &none, at(0)).is_none());
     assert!(directory.record_verified(&id("b")));
     assert!(directory.record_misidentified(&id("a"), None, at(0)));
-    board.set_unverified(directory.unverified().clone());
+    board.set_unverified(|id| directory.is_unverified(id));
     assert!(board.acquire(&request(3), &none, at(0)).is_some());
     assert!(directory.retry_misidentified(at(1000)));
-    assert!(
-        directory.unverified().contains(&id("a")),
-        "it was rejected before"
-    );
-    assert!(!directory.unverified().contains(&id("b")));
+    assert!(directory.is_unverified(&id("a")), "it was rejected before");
+    assert!(!directory.is_unverified(&id("b")));
 }
 
 #[test]
