perf(serving): each change of the list goes to each process once, and beats on request

Change: a list that differs has a revision of its own, so changes after the revision are enough; one of three probes exchanges the beats of others in a large fleet; there the first three owners read the jobs and tell the owners, and an end is told to the first 16 candidates of the job. Identifiers share their text, and the entries of the list the names of services and domains.

--- a/src/decisions/peer_subset.rs
+++ b/src/decisions/peer_subset.rs
@@ -20,18 +20,18 @@
     pub other_domains: usize,
 }
 
-/// Subset of a dispatcher. Its members are drawn from all domains alike, so the links of
-/// all dispatchers together form a random graph in which any two are few links apart.
+/// Subset of a dispatcher. The links of all dispatchers together form a random graph in
+/// which any two are few links apart.
 pub const DISPATCHER_SUBSET: SubsetSize = SubsetSize {
-    same_domain: 3,
-    other_domains: 6,
+    same_domain: 6,
+    other_domains: 3,
 };
 
 /// Subset of a gateway, which requests slots from it. Most are in its own domain, as each
 /// event of a response from another domain crosses the boundary.
 pub const GATEWAY_SUBSET: SubsetSize = SubsetSize {
-    same_domain: 8,
-    other_domains: 4,
+    same_domain: 6,
+    other_domains: 2,
 };
 
 /// Returns the subset of the process `own` among the dispatchers: all of them in a small
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,6 +1,6 @@
 //! Names and identifiers, each with its own type so that they cannot be confused.
 
-use std::{borrow, fmt, num, str};
+use std::{borrow, fmt, marker, num, str, sync};
 
 use xxhash_rust::xxh3;
 
@@ -30,15 +30,28 @@
     Err(IdError { kind, text })
 }
 
+/// Reads an identifier without a copy of its text in between.
+struct TextVisitor<T>(marker::PhantomData<T>);
+
+impl<T: str::FromStr<Err = IdError>> serde::de::Visitor<'_> for TextVisitor<T> {
+    type Value = T;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an identifier")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<T, E> {
+        text.parse().map_err(E::custom)
+    }
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(
-            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash,
-            serde::Serialize, serde::Deserialize,
-        )]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $name(String);
+        ///
+        /// Copies share their text.
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(sync::Arc<str>);
 
         impl $name {
             /// Returns the identifier as text.
@@ -58,7 +71,7 @@
 
             fn from_str(text: &str) -> Result<Self, IdError> {
                 check(stringify!($name), text)?;
-                Ok(Self(text.to_owned()))
+                Ok(Self(text.into()))
             }
         }
 
@@ -66,8 +79,19 @@
             type Error = IdError;
 
             fn try_from(text: String) -> Result<Self, IdError> {
-                check(stringify!($name), &text)?;
-                Ok(Self(text))
+                text.parse()
+            }
+        }
+
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> serde::Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                deserializer.deserialize_str(TextVisitor::<Self>(marker::PhantomData))
             }
         }
 
@@ -83,7 +107,7 @@
 
         impl From<$name> for String {
             fn from(id: $name) -> String {
-                id.0
+                id.as_str().to_owned()
             }
         }
     };
--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -337,9 +337,33 @@
         owner.map(|c| c.id.clone())
     }
 
+    /// Returns the live processes that own a job or may own it after others are lost, the
+    /// owner first. Processes may disagree on the first one while members change.
+    pub fn job_candidates(&self, job: &ids::JobId) -> Vec<ids::InstanceId> {
+        let owners = self.owners();
+        let mut weighted: Vec<_> = owners
+            .iter()
+            .map(|c| (ownership::weight(c.id.as_str(), job.as_str()), &c.id))
+            .collect();
+        weighted.sort_by(|(a, _), (b, _)| b.cmp(a));
+        let candidates = weighted.into_iter().map(|(_, id)| id.clone());
+        candidates.take(peer_subset::MAX_FULL_MESH).collect()
+    }
+
+    /// Returns the heartbeat of this process for a peer that wants the beats of other
+    /// dispatchers or not. In a large fleet they are most of its bytes.
+    pub fn heartbeat_for(&self, wants_beats: bool) -> peers::HeartbeatMessage {
+        let mut heartbeat = self.heartbeat();
+        if !wants_beats {
+            let own = liveness::MemberHash::of(self.id());
+            heartbeat.beats.retain(|beat| beat.member == own);
+        }
+        heartbeat
+    }
+
     /// Returns the heartbeat of this process, which is rebuilt once it is some
     /// milliseconds old.
-    pub fn heartbeat(&self) -> peers::HeartbeatMessage {
+    fn heartbeat(&self) -> peers::HeartbeatMessage {
         let now = self.clock.now();
         if let Some((at, heartbeat)) = &*self.cached_heartbeat.borrow() {
             if now.since(*at) < HEARTBEAT_MAX_AGE && heartbeat.leaving == self.is_leaving() {
@@ -403,6 +427,7 @@
             digest: self.fleet.digest(),
             evacuations: self.fleet.evacuations(),
             beat,
+            wants_beats: true,
             beats: self.passed_beats(&members, beat, follows_store, now),
             hears_dispatchers: !members.live_dispatchers(now).is_empty(),
             follows_store,
--- a/src/serving/directory_transfer.rs
+++ b/src/serving/directory_transfer.rs
@@ -73,16 +73,13 @@
         self.changes.push_back((revision, id));
     }
 
-    /// Returns the endpoints that changed at or after a revision, or `None` if not all of
-    /// them are known.
-    ///
-    /// Changes at the revision itself are included, as some may have come after the peer
-    /// got its list.
+    /// Returns the endpoints that changed after a revision, or `None` if not all of them are
+    /// known.
     pub fn since(&self, revision: u64) -> Option<collections::BTreeSet<&ids::EndpointId>> {
         if revision < self.complete_since || revision == 0 {
             return None;
         }
-        let from = self.changes.partition_point(|(at, _)| *at < revision);
+        let from = self.changes.partition_point(|(at, _)| *at <= revision);
         let recent = self.changes.range(from..);
         Some(recent.map(|(_, id)| id).collect())
     }
--- a/src/serving/endpoint_index.rs
+++ b/src/serving/endpoint_index.rs
@@ -3,7 +3,7 @@
 //! A change costs what it changes: the number of entries examined does not depend on the
 //! number of entries listed, but for a binary search within a service.
 
-use std::{cell, collections, net, rc};
+use std::{cell, collections, hash, net, rc};
 
 use xxhash_rust::xxh3;
 
@@ -20,6 +20,9 @@
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
     addresses: collections::HashMap<net::SocketAddr, Vec<rc::Rc<EndpointEntry>>>,
     services: collections::HashMap<ids::ServiceName, Vec<rc::Rc<EndpointEntry>>>,
+    /// Names of services and domains, of which all entries share the text.
+    service_names: collections::HashSet<ids::ServiceName>,
+    domain_names: collections::HashSet<ids::DomainName>,
     digest: u64,
     /// Number of entries that changes have examined so far.
     examined: cell::Cell<u64>,
@@ -27,8 +30,10 @@
 
 impl EndpointIndex {
     /// Adds or replaces an entry, which is in no service yet. Returns the replaced one.
-    pub(super) fn insert(&mut self, entry: EndpointEntry) -> Option<rc::Rc<EndpointEntry>> {
+    pub(super) fn insert(&mut self, mut entry: EndpointEntry) -> Option<rc::Rc<EndpointEntry>> {
         let previous = self.remove(&entry.id);
+        entry.service = share(&mut self.service_names, entry.service);
+        entry.domain = share(&mut self.domain_names, entry.domain);
         let entry = rc::Rc::new(entry);
         self.digest = self.digest.wrapping_add(hash_of(&entry));
         let holders = self.addresses.entry(entry.address);
@@ -125,6 +130,17 @@
     }
 }
 
+/// Returns the copy of a name that all entries share.
+fn share<T: Clone + Eq + hash::Hash>(names: &mut collections::HashSet<T>, name: T) -> T {
+    match names.get(&name) {
+        Some(known) => known.clone(),
+        None => {
+            names.insert(name.clone());
+            name
+        }
+    }
+}
+
 /// Returns the hash of an entry, which covers all its fields.
 fn hash_of(entry: &EndpointEntry) -> u64 {
     let EndpointEntry {
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -281,6 +281,7 @@
                     return;
                 }
                 let list_revision = revision.saturating_mul(LISTS_PER_REVISION);
+                let list_revision = self.unused_revision(list_revision, &changes);
                 self.apply_changes(list_revision, changes, self.change_timing());
             }
             U::EvacuationsExpected => self.expects_evacuations.set(true),
@@ -364,9 +365,21 @@
             self.change_log.borrow_mut().restart(list_revision);
             return;
         }
+        let list_revision = self.unused_revision(list_revision, &changes);
         self.apply_changes(list_revision, changes, timing);
     }
 
+    /// Returns the revision of the list after changes up to `list_revision`: a list that
+    /// differs from the known one has another revision, so that peers get all changes since
+    /// theirs and none of them twice.
+    fn unused_revision(&self, list_revision: u64, changes: &[directory::EndpointChange]) -> u64 {
+        let known = self.revision();
+        match changes.is_empty() {
+            true => list_revision,
+            false => list_revision.max(known + 1),
+        }
+    }
+
     /// Applies changes that lead to the list of the given revision.
     fn apply_changes(
         &self,
--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -148,14 +148,19 @@
 /// Number of rounds between two probes of a dispatcher by a gateway of a large fleet.
 const GATEWAY_ROUNDS: usize = 2;
 
+/// In a large fleet, one of so many probes exchanges the beats of all dispatchers.
+const BEAT_EXCHANGE_PERIOD: usize = 3;
+
 /// Probes a bounded subset of the dispatchers, whose heartbeats also tell of the others. A
 /// process without any live dispatcher searches for one, and a gateway for a relay, among
 /// all peers in turn.
 pub(super) async fn probe_peers(context: rc::Rc<context::ProcessContext>) {
     let mut round = 0_usize;
     loop {
-        for record in probe_targets(&context, round) {
-            actix_rt::spawn(probe(context.clone(), record));
+        let is_large = context.members.borrow().is_large();
+        for (number, record) in probe_targets(&context, round).into_iter().enumerate() {
+            let wants_beats = !is_large || (number + round).is_multiple_of(BEAT_EXCHANGE_PERIOD);
+            actix_rt::spawn(probe(context.clone(), record, wants_beats));
         }
         round = round.wrapping_add(1);
         // New peers are probed at once: after a start this process knows no owners until
@@ -213,9 +218,14 @@
     window.map(|id| (*id).clone()).collect()
 }
 
-async fn probe(context: rc::Rc<context::ProcessContext>, record: members::MemberRecord) {
+async fn probe(
+    context: rc::Rc<context::ProcessContext>,
+    record: members::MemberRecord,
+    wants_beats: bool,
+) {
     context.links.try_connect(record.address).await;
-    let mut heartbeat = context.heartbeat();
+    let mut heartbeat = context.heartbeat_for(wants_beats);
+    heartbeat.wants_beats = wants_beats;
     let deposit = limit_links::add_deposit(&context, &record.id, &mut heartbeat);
     let response = context
         .links
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -251,12 +251,13 @@
     http_server::plain(StatusCode::OK, "")
 }
 
-/// Ends a job in this process and notifies all owners.
+/// Ends a job in this process and notifies those that may run it: all owners in a small
+/// fleet, and the first few for this job in a large one.
 pub fn notify_end(context: &rc::Rc<context::ProcessContext>, job: &ids::JobId) {
     job_supervisor::forget(job);
     super::job_runner::end_job(context, job);
-    for owner in context.owners().iter() {
-        let address = context.members.borrow().address_of(&owner.id);
+    for owner in context.job_candidates(job) {
+        let address = context.members.borrow().address_of(&owner);
         if let Some(address) = address {
             context.links.end_job(address, job.clone());
         }
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -1,7 +1,7 @@
 //! Adopts the jobs that this process owns, watches for their ends, and removes old
 //! ones.
 
-use std::{rc, time};
+use std::{collections, rc, time};
 
 use super::{context, job_checkpoints, job_records, job_runner, members, open_job, owners};
 use crate::{clock, ids, platform, store};
@@ -28,12 +28,26 @@
 /// late readers.
 const RESULTS_RETENTION: time::Duration = time::Duration::from_secs(120);
 
+/// Timeout of asking the owner of a job to read it from the store.
+const OFFER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
 /// Interval between searches for old jobs.
 const REMOVAL_INTERVAL: time::Duration = time::Duration::from_secs(30);
 
-/// Searches the store for jobs of this process whenever the owners change.
+/// Returns whether this process searches the store for jobs: all owners do in a small
+/// fleet, and the first few for all others in a large one, as the jobs of a day hold many
+/// megabytes.
+fn is_job_lister(context: &context::ProcessContext) -> bool {
+    let owners = context.owners();
+    let place = owners.iter().position(|o| o.id == *context.id());
+    let is_large = context.members.borrow().is_large();
+    place.is_some_and(|place| !is_large || place < members::STORE_FOLLOWERS)
+}
+
+/// Searches the store for jobs whenever the owners change.
 pub(super) async fn adopt_jobs(context: rc::Rc<context::ProcessContext>) {
     let mut has_offered = false;
+    let mut offered = collections::HashMap::new();
     loop {
         context.jobs.owners_changed.notified().await;
         wait_for_owners(&context).await;
@@ -42,11 +56,10 @@
             // jobs.
             actix_rt::spawn(job_checkpoints::offer_replicas(context.clone()));
         }
-        let is_owner = context.owners().iter().any(|o| o.id == *context.id());
-        if !is_owner {
+        if !is_job_lister(&context) {
             continue;
         }
-        while let Err(e) = adopt_stored_jobs(&context).await {
+        while let Err(e) = adopt_stored_jobs(&context, &mut offered).await {
             log::warn!("event=jobs_unread why=\"{e}\"");
             actix_rt::time::sleep(STORE_RETRY_DELAY).await;
         }
@@ -77,7 +90,16 @@
     context.members_known.get() && dispatchers.all(|r| members.was_heard(&r.id))
 }
 
-async fn adopt_stored_jobs(context: &rc::Rc<context::ProcessContext>) -> store::StoreResult<()> {
+/// Adopts the stored jobs that this process owns. In a large fleet, tells the owners of the
+/// others; `offered` holds the owner that was last told of each job.
+///
+/// # Errors
+/// Returns an error if the store does not respond.
+async fn adopt_stored_jobs(
+    context: &rc::Rc<context::ProcessContext>,
+    offered: &mut collections::HashMap<ids::JobId, ids::InstanceId>,
+) -> store::StoreResult<()> {
+    let is_large = context.members.borrow().is_large();
     let prefix = format!("{}/", job_records::JOB_KIND);
     let found = store::list_all(context.store.as_ref(), &prefix).await?;
     log::info!("event=jobs_listed count={}", found.len());
@@ -85,17 +107,35 @@
         let Some(value) = change.value else { continue };
         let name = change.key.strip_prefix(&prefix).unwrap_or(&change.key);
         match job_records::decode_job(name, value.as_bytes()) {
-            Ok(record) => {
-                if context.job_owner(&record.id).as_ref() == Some(context.id()) {
+            Ok(record) => match context.job_owner(&record.id) {
+                Some(owner) if owner == *context.id() => {
                     job_runner::adopt_job(context, record);
                 }
-            }
+                Some(owner) if is_large => {
+                    let previous = offered.insert(record.id.clone(), owner.clone());
+                    if previous.as_ref() != Some(&owner) {
+                        offer_job(context, &record.id, &owner).await;
+                    }
+                }
+                _ => {}
+            },
             Err(e) => log::warn!("event=job_unreadable key={} why=\"{e}\"", change.key),
         }
     }
     Ok(())
 }
 
+/// Asks the owner of a job to read it from the store.
+async fn offer_job(context: &context::ProcessContext, job: &ids::JobId, owner: &ids::InstanceId) {
+    let address = context.members.borrow().address_of(owner);
+    let Some(address) = address else { return };
+    context.links.try_connect(address).await;
+    let sent = context.links.find_job(address, job.clone(), OFFER_TIMEOUT);
+    if let Err(e) = sent.await {
+        log::info!("event=job_untaken job={job} owner={owner} why=\"{e}\"");
+    }
+}
+
 /// Watches the end marks of jobs.
 pub(super) async fn watch_ends(context: rc::Rc<context::ProcessContext>) {
     let prefix = format!("{}/", job_records::END_KIND);
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -33,7 +33,7 @@
     match call {
         C::Probe(heartbeat, sender) => {
             fleet_sync::receive_probe(context, &heartbeat);
-            reply(sender, context.heartbeat());
+            reply(sender, context.heartbeat_for(heartbeat.wants_beats));
         }
         C::Acquire(request, sender) => {
             let now = context.clock.now();
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -38,7 +38,10 @@
     pub evacuations: evacuations::EvacuationSet,
     /// Beat of the process.
     pub beat: liveness::BeatNumber,
-    /// Latest beats of dispatchers, including its own if it is one.
+    /// Whether the response is to contain the beats of other dispatchers.
+    pub wants_beats: bool,
+    /// Latest beats of dispatchers: its own if it is one, and in some heartbeats those of
+    /// others.
     pub beats: Vec<BeatMessage>,
     /// Whether it receives heartbeats of a dispatcher.
     pub hears_dispatchers: bool,
