--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -59,6 +59,8 @@
     change_log: cell::RefCell<directory_transfer::ChangeLog>,
     /// Whether the list differs from that of a peer although all its changes were applied.
     needs_whole_list: cell::Cell<bool>,
+    /// Whether a list of a peer was waited for.
+    has_waited_for_list: cell::Cell<bool>,
     /// When a whole list was last sent to a peer.
     whole_sent_at: cell::Cell<Option<clock::MonotonicTime>>,
     is_source_responding: cell::Cell<bool>,
@@ -90,6 +92,7 @@
             list_revision: cell::Cell::new(0),
             change_log: cell::RefCell::default(),
             needs_whole_list: cell::Cell::new(false),
+            has_waited_for_list: cell::Cell::new(false),
             whole_sent_at: cell::Cell::new(None),
             is_source_responding: cell::Cell::new(false),
             unreachable_since: cell::Cell::new(None),
@@ -127,8 +130,30 @@
         self.list_revision.get()
     }
 
+    /// Returns whether no list of endpoints was received yet.
+    pub fn has_no_list(&self) -> bool {
+        self.list_revision.get() == 0
+    }
+
+    /// Waits for the list of a peer; returns whether it came within the timeout. Only the
+    /// first caller waits: the list may also come later.
+    pub async fn listed_by_peer(&self, timeout: time::Duration) -> bool {
+        if self.has_waited_for_list.replace(true) {
+            return false;
+        }
+        let mut changes = self.subscribe();
+        let listed = async {
+            while self.directory.borrow().is_empty() {
+                if changes.changed().await.is_err() {
+                    return future::pending().await;
+                }
+            }
+        };
+        tokio::time::timeout(timeout, listed).await.is_ok()
+    }
+
     /// Returns the store revision that the list reflects.
-    fn store_revision(&self) -> u64 {
+    pub fn store_revision(&self) -> u64 {
         self.list_revision.get() / LISTS_PER_REVISION
     }
 
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -107,6 +107,10 @@
 /// process follows the store because nobody else does.
 const FOLLOW_DELAY_STEP: time::Duration = time::Duration::from_millis(20);
 
+/// How long a starting process waits for the list of members before it follows the store
+/// although it may be one of many.
+const MEMBER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// Number of owners, and of all processes in a small fleet, that follow the store at once if
 /// nobody else does.
 const PROMPT_FOLLOWERS: usize = 16;
@@ -116,12 +120,20 @@
 /// The first few owners do. Others do if no live peer does: in a large fleet after a delay
 /// by their place, as the store could not serve all of them at once.
 fn is_follower(context: &context::ProcessContext, now: clock::MonotonicTime) -> bool {
-    let owners = context.owners();
-    let place = owners.iter().position(|o| o.id == *context.id());
+    if !context.members_known.get() && context.age() < MEMBER_TIMEOUT {
+        return false;
+    }
+    let members = context.members.borrow();
+    let place = match members.is_large() && !is_settled(context) {
+        true => listed_place(context, &members),
+        false => {
+            let owners = context.owners();
+            owners.iter().position(|o| o.id == *context.id())
+        }
+    };
     if place.is_some_and(|place| place < members::STORE_FOLLOWERS) {
         return true;
     }
-    let members = context.members.borrow();
     if members.has_live_follower(now) {
         context.unfollowed_since.set(None);
         return false;
@@ -131,12 +143,26 @@
     let place = match place {
         Some(place) => place,
         None if !members.is_large() => 0,
-        None => owners.len() + place_among(context.id(), members.len()),
+        None => members.len() + place_among(context.id(), members.len()),
     };
     let delay = FOLLOW_DELAY_STEP * place.saturating_sub(PROMPT_FOLLOWERS) as u32;
     now.since(since) >= delay
 }
 
+/// Returns the place of this dispatcher among those listed. A process that has just started
+/// has heard few of them, and would take itself for one of the first.
+fn listed_place(
+    context: &context::ProcessContext,
+    members: &members::MemberTable,
+) -> Option<usize> {
+    if context.options.member.role != members::MemberRole::Dispatcher {
+        return None;
+    }
+    let dispatchers = members.dispatchers();
+    let before = dispatchers.iter().filter(|d| d.id < *context.id());
+    Some(before.count())
+}
+
 /// Returns a place among a number of processes that is the same at each call.
 fn place_among(id: &ids::InstanceId, count: usize) -> usize {
     let weight = ownership::weight(id.as_str(), "followers");
