fix(serving): jobs of a large fleet are read by its first dispatchers

Change: a dispatcher waits for the members, from the store or a peer, up to 5 s before it searches for jobs; in a large fleet the first three of the listed dispatchers search, the next ones once those are known to be lost.

--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -435,6 +435,7 @@
             members.merge(records, now);
             members.advance_revision(heartbeat.members_revision);
             drop(members);
+            context.members_known.set(true);
             context.members_updated.notify_one();
         }
         Err(e) => log::info!(
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -15,6 +15,9 @@
 /// unless they are lost.
 const STARTUP_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
+/// Process age from which the store is searched even if the members are not known.
+const MEMBER_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// Interval at which a new process checks whether all dispatchers have responded.
 const STARTUP_POLL_INTERVAL: time::Duration = time::Duration::from_millis(25);
 
@@ -38,10 +41,11 @@
 /// fleet, and the first few for all others in a large one, as the jobs of a day hold many
 /// megabytes.
 fn is_job_lister(context: &context::ProcessContext) -> bool {
-    let owners = context.owners();
-    let place = owners.iter().position(|o| o.id == *context.id());
-    let is_large = context.members.borrow().is_large();
-    place.is_some_and(|place| !is_large || place < members::STORE_FOLLOWERS)
+    let is_owner = context.owners().iter().any(|o| o.id == *context.id());
+    match context.members.borrow().is_large() {
+        true => is_owner && owners::is_first_listed(context),
+        false => is_owner,
+    }
 }
 
 /// Searches the store for jobs whenever the owners change.
@@ -57,6 +61,10 @@
             actix_rt::spawn(job_checkpoints::offer_replicas(context.clone()));
         }
         if !is_job_lister(&context) {
+            log::info!(
+                "event=jobs_left_to_others owners={}",
+                context.owners().len()
+            );
             continue;
         }
         while let Err(e) = adopt_stored_jobs(&context, &mut offered).await {
@@ -72,6 +80,10 @@
 /// leaves all jobs idle: with fixed delays the first jobs start 2.1 s after a joint
 /// start, without them after 0.1 s.
 async fn wait_for_owners(context: &rc::Rc<context::ProcessContext>) {
+    // Without the members, this process would take itself for the owner of all jobs.
+    while !context.members_known.get() && context.age() < MEMBER_TIMEOUT {
+        actix_rt::time::sleep(STARTUP_POLL_INTERVAL).await;
+    }
     if context.age() >= STARTUP_TIMEOUT {
         return actix_rt::time::sleep(ADOPTION_DELAY).await;
     }
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -149,6 +149,19 @@
     now.since(since) >= delay
 }
 
+/// Returns whether this is one of the few dispatchers that read the store for all others of a
+/// large fleet.
+pub(super) fn is_first_listed(context: &context::ProcessContext) -> bool {
+    let now = context.clock.now();
+    let members = context.members.borrow();
+    let dispatchers = members.dispatchers();
+    let before = dispatchers.iter().filter(|d| d.id < *context.id());
+    // Those that are lost leave their place to the next ones once this process knows it.
+    let is_counted = |id: &ids::InstanceId| !is_settled(context) || !members.is_lost(id, now);
+    let place = before.filter(|d| is_counted(&d.id)).count();
+    place < members::STORE_FOLLOWERS
+}
+
 /// Returns the place of this dispatcher among those listed. A process that has just started
 /// has heard few of them, and would take itself for one of the first.
 fn listed_place(
