perf(serving,platform): the first list of a process of a large fleet comes from a peer

Change: the first list is read once the members are known: in a large fleet from a peer, and from the store by the first three dispatchers or after 4 s without one. The registration of a process no longer waits for, nor holds up, that reading.

--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -44,6 +44,16 @@
 /// endpoints 20 lists of 0.7 MB a second.
 const WHOLE_LIST_SPACING: time::Duration = time::Duration::from_micros(5);
 
+/// Where a process gets the list of endpoints at its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartSource {
+    /// From the store: the fleet is small, or this process reads for the others.
+    Store,
+    /// From peers, and from the store only if none of them has it: in a large fleet, the
+    /// store could not serve all processes that start together.
+    Peers,
+}
+
 /// Fleet state of a process.
 ///
 /// Invariants: neither the version of the desired state nor `list_revision` ever
@@ -59,8 +69,8 @@
     change_log: cell::RefCell<directory_transfer::ChangeLog>,
     /// Whether the list differs from that of a peer although all its changes were applied.
     needs_whole_list: cell::Cell<bool>,
-    /// Whether a list of a peer was waited for.
-    has_waited_for_list: cell::Cell<bool>,
+    /// See [`Self::start_source`]; `None` until the members are known.
+    start_source: watch::Sender<Option<StartSource>>,
     /// When a whole list was last sent to a peer.
     whole_sent_at: cell::Cell<Option<clock::MonotonicTime>>,
     is_source_responding: cell::Cell<bool>,
@@ -92,7 +102,7 @@
             list_revision: cell::Cell::new(0),
             change_log: cell::RefCell::default(),
             needs_whole_list: cell::Cell::new(false),
-            has_waited_for_list: cell::Cell::new(false),
+            start_source: watch::Sender::new(None),
             whole_sent_at: cell::Cell::new(None),
             is_source_responding: cell::Cell::new(false),
             unreachable_since: cell::Cell::new(None),
@@ -130,30 +140,38 @@
         self.list_revision.get()
     }
 
-    /// Returns whether no list of endpoints was received yet.
-    pub fn has_no_list(&self) -> bool {
-        self.list_revision.get() == 0
+    /// Sets where this process gets the list of endpoints at its start, as soon as it knows
+    /// the members.
+    pub fn set_start_source(&self, source: StartSource) {
+        self.start_source.send_replace(Some(source));
     }
 
-    /// Waits for the list of a peer; returns whether it came within the timeout. Only the
-    /// first caller waits: the list may also come later.
-    pub async fn listed_by_peer(&self, timeout: time::Duration) -> bool {
-        if self.has_waited_for_list.replace(true) {
-            return false;
+    /// Returns where this process gets its first list of endpoints from; from the store if
+    /// the members are not known within the timeout.
+    pub async fn start_source(&self, timeout: time::Duration) -> StartSource {
+        let mut source = self.start_source.subscribe();
+        let known = source.wait_for(Option::is_some);
+        if tokio::time::timeout(timeout, known).await.is_err() {
+            log::info!("event=members_unknown why=\"the store did not send them in time\"");
         }
+        let source = *self.start_source.borrow();
+        source.unwrap_or(StartSource::Store)
+    }
+
+    /// Waits until a list of endpoints is known, at most for the timeout. Returns whether it
+    /// is.
+    pub async fn listed(&self, timeout: time::Duration) -> bool {
         let mut changes = self.subscribe();
-        let listed = async {
-            while self.directory.borrow().is_empty() {
-                if changes.changed().await.is_err() {
-                    return future::pending().await;
-                }
-            }
-        };
-        tokio::time::timeout(timeout, listed).await.is_ok()
+        let is_listed = || !self.directory.borrow().is_empty();
+        let listed = async { while !is_listed() && changes.changed().await.is_ok() {} };
+        if tokio::time::timeout(timeout, listed).await.is_err() {
+            log::info!("event=peers_without_endpoints");
+        }
+        is_listed()
     }
 
     /// Returns the store revision that the list reflects.
-    pub fn store_revision(&self) -> u64 {
+    fn store_revision(&self) -> u64 {
         self.list_revision.get() / LISTS_PER_REVISION
     }
 
--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -43,8 +43,8 @@
 /// Longest duration of one watch of the members.
 const MEMBER_WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(25);
 
-/// Registers this process in the store and watches the records of the other processes.
-pub(super) async fn watch_members(context: rc::Rc<context::ProcessContext>) {
+/// Registers this process in the store.
+pub(super) async fn register(context: rc::Rc<context::ProcessContext>) {
     let key = format!("{}/{}", context::MEMBER_KIND, context.id());
     let own = store::encode(&context.options.member);
     let always = store::WriteCondition::Always;
@@ -56,6 +56,10 @@
         log::warn!("event=member_record_unwritten why=\"{e}\"");
         actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
     }
+}
+
+/// Watches the records of the other processes.
+pub(super) async fn watch_members(context: rc::Rc<context::ProcessContext>) {
     let prefix = format!("{}/", context::MEMBER_KIND);
     let mut since = store::ObjectRevision(0);
     while !context.is_stopping() {
@@ -80,6 +84,11 @@
                 }
                 apply_member_changes(&context, &prefix, response.changes);
                 context.members_updated.notify_one();
+                if is_first {
+                    context
+                        .fleet
+                        .set_start_source(owners::start_source(&context));
+                }
                 let delay = match is_first {
                     true => FIRST_WATCH_DELAY,
                     false => NEXT_WATCH_DELAY,
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, rc, time};
 
-use super::{context, crash_guard, directory, job_checkpoints, limit_links, members};
+use super::{context, crash_guard, directory, fleet_model, job_checkpoints, limit_links, members};
 use crate::{
     clock,
     decisions::{cold_start, ownership},
@@ -162,6 +162,16 @@
     place < members::STORE_FOLLOWERS
 }
 
+/// Returns where this process gets its first list of endpoints from.
+pub(super) fn start_source(context: &context::ProcessContext) -> fleet_model::StartSource {
+    let is_dispatcher = context.options.member.role == members::MemberRole::Dispatcher;
+    let reads_for_all = is_dispatcher && is_first_listed(context);
+    match context.members.borrow().is_large() && !reads_for_all {
+        true => fleet_model::StartSource::Peers,
+        false => fleet_model::StartSource::Store,
+    }
+}
+
 /// Returns the place of this dispatcher among those listed. A process that has just started
 /// has heard few of them, and would take itself for one of the first.
 fn listed_place(
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -39,6 +39,7 @@
     metrics_page::start(&context)?;
     actix_rt::spawn(context.source.run(context.fleet.clone()));
     actix_rt::spawn(peer_calls::serve_peers(context.clone(), calls));
+    actix_rt::spawn(fleet_sync::register(context.clone()));
     actix_rt::spawn(fleet_sync::watch_members(context.clone()));
     actix_rt::spawn(fleet_sync::probe_peers(context.clone()));
     actix_rt::spawn(fleet_sync::refresh_periodically(context.clone()));
