--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -1,13 +1,11 @@
-//! Synchronises fleet state: members from the store, heartbeats, and newer state from
-//! peers.
+//! Handles heartbeats, fetches newer state from peers, and reads the store again in case a
+//! watch missed a change.
 
-use std::{collections, net, rc, time};
+use std::{net, rc, time};
 
 use super::{
-    context, crash_guard, fleet_source, limit_links, members, owners, peer_links, peers, permits,
-    state_transfer,
+    context, crash_guard, fleet_source, limit_links, members, owners, peers, state_transfer,
 };
-use crate::{decisions::call_budget::CallClass, ids, store};
 
 /// Timeout for the members of a peer, and for the next bytes of its list of endpoints.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -21,248 +19,9 @@
 /// again. Its own watch delivers most changes at about the same time.
 const DIVERGENCE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
-/// Timeout of a probe; a round trip takes 1 to 4 ms.
-const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-
-/// Delay before a failed access to the member records is retried.
-const MEMBER_RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
-
 /// Minimum interval between two requests for the members of a peer.
 const MEMBER_FETCH_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Delay between the first read of the members and the first watch. By then, peers that
-/// watch the store report changes.
-const FIRST_WATCH_DELAY: time::Duration = time::Duration::from_millis(700);
-
-/// Delay after each further watch response, so that records that change shortly after
-/// each other, as in a rolling restart, cost one store call. Peers get the changes
-/// through probes, so a process that starts becomes known at most a quarter of a second
-/// later.
-const NEXT_WATCH_DELAY: time::Duration = time::Duration::from_millis(250);
-
-/// Longest duration of one watch of the members.
-const MEMBER_WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(25);
-
-/// Registers this process in the store.
-pub(super) async fn register(context: rc::Rc<context::ProcessContext>) {
-    let key = format!("{}/{}", context::MEMBER_KIND, context.id());
-    let own = store::encode(&context.options.member);
-    let always = store::WriteCondition::Always;
-    while let Err(e) = context
-        .store
-        .put(CallClass::Control, &key, own.clone(), always)
-        .await
-    {
-        log::warn!("event=member_record_unwritten why=\"{e}\"");
-        actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
-    }
-}
-
-/// Watches the records of the other processes.
-pub(super) async fn watch_members(context: rc::Rc<context::ProcessContext>) {
-    let prefix = format!("{}/", context::MEMBER_KIND);
-    let mut since = store::ObjectRevision(0);
-    while !context.is_stopping() {
-        let learns_from_peers = since.0 > 0 && !context.fleet.follows_store();
-        if learns_from_peers || !context.fleet.is_reachable() {
-            actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
-            continue;
-        }
-        let response = context.store.watch(&[&prefix], since, MEMBER_WATCH_TIMEOUT);
-        let response = tokio::select! {
-            response = response => response,
-            () = context.fleet.source_recovered() => continue,
-        };
-        match response {
-            Ok(response) => {
-                let is_first = since.0 == 0;
-                since = store::ObjectRevision(response.revision);
-                context.members_known.set(true);
-                if !response.changes.is_empty() {
-                    let mut members = context.members.borrow_mut();
-                    members.advance_revision(response.revision);
-                }
-                apply_member_changes(&context, &prefix, response.changes);
-                context.members_updated.notify_one();
-                if is_first {
-                    context
-                        .fleet
-                        .set_start_source(owners::start_source(&context));
-                }
-                let delay = match is_first {
-                    true => FIRST_WATCH_DELAY,
-                    false => NEXT_WATCH_DELAY,
-                };
-                actix_rt::time::sleep(delay).await;
-            }
-            Err(e) => {
-                log::info!("event=members_unread why=\"{e}\"");
-                actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Number of member changes up to which each is logged. More come at a start, or from all
-/// processes at once when power returns; hundreds of lines would displace the log lines
-/// about requests of that second.
-const MAX_MEMBER_LINES: usize = 8;
-
-fn apply_member_changes(
-    context: &rc::Rc<context::ProcessContext>,
-    prefix: &str,
-    changes: Vec<crate::platform::ObjectChange>,
-) {
-    let level = match changes.len() > MAX_MEMBER_LINES {
-        true => log::Level::Debug,
-        false => log::Level::Info,
-    };
-    if level == log::Level::Debug {
-        log::info!("event=members_changed count={}", changes.len());
-    }
-    for change in changes {
-        apply_member_change(context, prefix, change, level);
-    }
-}
-
-fn apply_member_change(
-    context: &rc::Rc<context::ProcessContext>,
-    prefix: &str,
-    change: crate::platform::ObjectChange,
-    level: log::Level,
-) {
-    let name = change.key.strip_prefix(prefix).unwrap_or(&change.key);
-    let mut members = context.members.borrow_mut();
-    let Some(value) = change.value else {
-        if let Ok(id) = name.parse() {
-            log::log!(level, "event=member_gone instance={name}");
-            members.remove(&id);
-        }
-        return;
-    };
-    match serde_json::from_str::<members::MemberRecord>(&value) {
-        Ok(record) if record.id == *context.id() => {}
-        Ok(record) => {
-            let address = record.address;
-            log::log!(level, "event=member_listed instance={name} at={address}");
-            members.upsert(record);
-        }
-        Err(e) => log::warn!("event=member_unreadable instance={name} why=\"{e}\""),
-    }
-}
-
-/// Number of further peers that a process without any live dispatcher probes per round.
-const SEARCH_WINDOW: usize = 16;
-
-/// Number of rounds between two probes of a dispatcher by a gateway of a large fleet.
-const GATEWAY_ROUNDS: usize = 2;
-
-/// In a large fleet, one of so many probes exchanges the beats of all dispatchers.
-const BEAT_EXCHANGE_PERIOD: usize = 3;
-
-/// Probes a bounded subset of the dispatchers, whose heartbeats also tell of the others. A
-/// process without any live dispatcher searches for one, and a gateway for a relay, among
-/// all peers in turn.
-pub(super) async fn probe_peers(context: rc::Rc<context::ProcessContext>) {
-    let mut round = 0_usize;
-    loop {
-        let is_large = context.members.borrow().is_large();
-        for (number, record) in probe_targets(&context, round).into_iter().enumerate() {
-            let wants_beats = !is_large || (number + round).is_multiple_of(BEAT_EXCHANGE_PERIOD);
-            actix_rt::spawn(probe(context.clone(), record, wants_beats));
-        }
-        round = round.wrapping_add(1);
-        // New peers are probed at once: after a start this process knows no owners until
-        // they have responded.
-        tokio::select! {
-            () = actix_rt::time::sleep(members::PROBE_INTERVAL) => {}
-            () = context.members_updated.notified() => {}
-        }
-    }
-}
-
-/// Returns the peers to probe in a round.
-fn probe_targets(context: &context::ProcessContext, round: usize) -> Vec<members::MemberRecord> {
-    let subset = context.subset();
-    let now = context.clock.now();
-    let members = context.members.borrow();
-    let is_gateway = context.options.member.role == members::MemberRole::Gateway;
-    let rounds = match is_gateway && members.is_large() {
-        true => GATEWAY_ROUNDS,
-        false => 1,
-    };
-    let subset = subset.iter().enumerate();
-    let due = subset.filter(|(n, id)| (n + round).is_multiple_of(rounds) || !members.was_heard(id));
-    let mut targets: collections::BTreeSet<ids::InstanceId> =
-        due.map(|(_, id)| id.clone()).collect();
-    // A holder of permits or a depositor of shares must be heard.
-    let mut granted_at = context.granted_at.borrow_mut();
-    granted_at.retain(|_, at| now.since(*at) < permits::PERMIT_TTL);
-    targets.extend(granted_at.keys().cloned());
-    if context.fleet.table().workspaces().is_required() {
-        let shares = context.shares.borrow();
-        targets.extend(shares.quota_servers().iter().cloned());
-    }
-    if members.live_dispatchers(now).is_empty() {
-        targets.extend(search_window(&members, is_gateway, round));
-    }
-    targets.remove(context.id());
-    let records = targets.iter().filter_map(|id| members.record_of(id));
-    records.cloned().collect()
-}
-
-/// Returns the part of all peers that is searched in a round: of the dispatchers, or for a
-/// gateway of all processes.
-fn search_window(
-    members: &members::MemberTable,
-    is_gateway: bool,
-    round: usize,
-) -> Vec<ids::InstanceId> {
-    let records = members.records();
-    let candidates = records.filter(|r| is_gateway || r.role == members::MemberRole::Dispatcher);
-    let candidates: Vec<_> = candidates.map(|r| &r.id).collect();
-    let skipped = (round * SEARCH_WINDOW) % candidates.len().max(1);
-    let window = candidates.iter().cycle().skip(skipped);
-    let window = window.take(SEARCH_WINDOW.min(candidates.len()));
-    window.map(|id| (*id).clone()).collect()
-}
-
-async fn probe(
-    context: rc::Rc<context::ProcessContext>,
-    record: members::MemberRecord,
-    wants_beats: bool,
-) {
-    context.links.try_connect(record.address).await;
-    let mut heartbeat = context.heartbeat_for(wants_beats);
-    heartbeat.wants_beats = wants_beats;
-    let deposit = limit_links::add_deposit(&context, &record.id, &mut heartbeat);
-    let response = context
-        .links
-        .probe(record.address, heartbeat, PROBE_TIMEOUT)
-        .await;
-    limit_links::settle_deposit(&context, deposit, &response);
-    match response {
-        Ok(heartbeat) if heartbeat.id == record.id => {
-            limit_links::record_stamp(&context, &heartbeat);
-            receive_heartbeat(&context, &heartbeat);
-            crash_guard::pull_from(&context, record.address, &heartbeat);
-            catch_up(&context, record.address, &heartbeat).await;
-        }
-        Ok(heartbeat) => log::warn!(
-            "event=peer_differs listed={} found={}",
-            record.id,
-            heartbeat.id
-        ),
-        Err(e) => {
-            let now = context.clock.now();
-            context.members.borrow_mut().record_failure(&record.id, now);
-            if e == peer_links::PeerError::TimedOut {
-                context.links.close_if_silent(record.address);
-            }
-        }
-    }
-}
-
 /// Handles a probe from a peer.
 pub(super) fn receive_probe(
     context: &rc::Rc<context::ProcessContext>,
@@ -280,6 +39,18 @@
     }
 }
 
+/// Handles the response of a peer to a probe.
+pub(super) async fn receive_response(
+    context: &rc::Rc<context::ProcessContext>,
+    peer: net::SocketAddr,
+    heartbeat: &peers::HeartbeatMessage,
+) {
+    limit_links::record_stamp(context, heartbeat);
+    receive_heartbeat(context, heartbeat);
+    crash_guard::pull_from(context, peer, heartbeat);
+    catch_up(context, peer, heartbeat).await;
+}
+
 /// Returns whether to request the list of endpoints from a peer that probes this process.
 /// A process that the store rejects may itself probe no peer that watches the store.
 fn should_fetch_endpoints(
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -6,7 +6,7 @@
 
 use super::{
     checkpoint_file, context, crash_guard, fleet_sync, job_checkpoints, job_runner, listener,
-    members, metrics_page, owners, peer_calls, peer_server, suspension,
+    member_sync, members, metrics_page, owners, peer_calls, peer_server, probes, suspension,
 };
 use crate::{clock, decisions::call_budget::CallClass, protection, store};
 
@@ -39,9 +39,9 @@
     metrics_page::start(&context)?;
     actix_rt::spawn(context.source.run(context.fleet.clone()));
     actix_rt::spawn(peer_calls::serve_peers(context.clone(), calls));
-    actix_rt::spawn(fleet_sync::register(context.clone()));
-    actix_rt::spawn(fleet_sync::watch_members(context.clone()));
-    actix_rt::spawn(fleet_sync::probe_peers(context.clone()));
+    actix_rt::spawn(member_sync::register(context.clone()));
+    actix_rt::spawn(member_sync::watch_members(context.clone()));
+    actix_rt::spawn(probes::probe_peers(context.clone()));
     actix_rt::spawn(fleet_sync::refresh_periodically(context.clone()));
     actix_rt::spawn(crash_guard::read_quarantined(context.clone()));
     actix_rt::spawn(owners::tick(context.clone()));
