--- a/src/decisions/peer_subset.rs
+++ b/src/decisions/peer_subset.rs
@@ -5,6 +5,8 @@
 //! dispatchers, and each dispatcher about the same number of processes, without
 //! coordination and with few moves when members change.
 
+use std::time;
+
 use super::ownership;
 use crate::ids;
 
@@ -62,3 +64,18 @@
     let chosen = same_domain.chain(other_domains.take(take_others));
     chosen.cloned().collect()
 }
+
+/// Interval between the processes of a large fleet that read the store because no peer has
+/// sent them the list of endpoints.
+const READ_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+/// How long peers have to send the list of endpoints to a process that starts.
+const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(4);
+
+/// Returns how long a starting process waits for the list of a peer before it reads the
+/// store, by its place among `members` processes. All at once would take the store so long
+/// that none of them got the whole list.
+pub fn list_timeout(own: &ids::InstanceId, members: usize) -> time::Duration {
+    let place = ownership::weight(own.as_str(), "readers") % members.max(1) as u64;
+    PEER_TIMEOUT + READ_INTERVAL * place as u32
+}
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -51,7 +51,10 @@
     Store,
     /// From peers, and from the store only if none of them has it: in a large fleet, the
     /// store could not serve all processes that start together.
-    Peers,
+    Peers {
+        /// How long peers have to send it.
+        timeout: time::Duration,
+    },
 }
 
 /// Fleet state of a process.
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -5,7 +5,7 @@
 use super::{context, crash_guard, directory, fleet_model, job_checkpoints, limit_links, members};
 use crate::{
     clock,
-    decisions::{cold_start, ownership},
+    decisions::{cold_start, ownership, peer_subset},
     ids, protection,
 };
 
@@ -166,8 +166,11 @@
 pub(super) fn start_source(context: &context::ProcessContext) -> fleet_model::StartSource {
     let is_dispatcher = context.options.member.role == members::MemberRole::Dispatcher;
     let reads_for_all = is_dispatcher && is_first_listed(context);
-    match context.members.borrow().is_large() && !reads_for_all {
-        true => fleet_model::StartSource::Peers,
+    let members = context.members.borrow();
+    match members.is_large() && !reads_for_all {
+        true => fleet_model::StartSource::Peers {
+            timeout: peer_subset::list_timeout(context.id(), members.len()),
+        },
         false => fleet_model::StartSource::Store,
     }
 }
--- a/tests/peer_subset.rs
+++ b/tests/peer_subset.rs
@@ -223,3 +223,18 @@
     let pairs = living.len() * (living.len() - 1);
     assert_eq!(fleet.believed(&living, &dead, now), pairs);
 }
+
+/// After a kill of all, 985 processes waited 4 s for a list that no peer had yet, and then
+/// all read the store at once: none had the list 20 s later.
+#[rstest]
+#[case(985)]
+#[case(2_000)]
+fn processes_that_get_no_list_from_peers_read_the_store_one_after_another(#[case] count: usize) {
+    let mut starts = collections::BTreeMap::<u64, usize>::new();
+    for process in fleet("p", count) {
+        let timeout = peer_subset::list_timeout(&process.id, count);
+        *starts.entry(timeout.as_secs()).or_default() += 1;
+    }
+    let busiest = starts.values().max().copied().unwrap_or_default();
+    assert!(busiest <= 80, "{busiest} of {count} in one second");
+}
