--- a/src/serving/directory_transfer.rs
+++ b/src/serving/directory_transfer.rs
@@ -46,7 +46,7 @@
     Whole(DirectorySnapshot),
 }
 
-/// Names of the endpoints that changed lately, with the revision of the list at which each
+/// Names of the endpoints that changed recently, with the revision of the list at which each
 /// did.
 ///
 /// Invariants: revisions never decrease; the log holds all changes after `complete_since`.
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -93,7 +93,7 @@
     owners::refresh_owners(context);
 }
 
-/// Returns whether every listed dispatcher has been heard at least once.
+/// Returns whether a heartbeat or beat of every listed dispatcher was received.
 fn receives_from_dispatchers(context: &context::ProcessContext) -> bool {
     let members = context.members.borrow();
     let mut dispatchers = members
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -324,7 +324,7 @@
     }
 
     /// Returns whether this process can reach a live peer: it receives its heartbeats, or
-    /// its beats arrive through others and no request has failed lately.
+    /// its beats arrive through others and no request has failed recently.
     pub fn receives_from(&self, id: &ids::InstanceId, now: clock::MonotonicTime) -> bool {
         let peer = self.peers.get(id);
         peer.is_some_and(|peer| self.is_live(peer, now))
@@ -437,7 +437,7 @@
         peer.last_seen.max(advanced_at)
     }
 
-    /// Returns whether a process is unknown, has never been heard, or has been silent for
+    /// Returns whether a process is unknown, was never received from, or has been silent for
     /// twice the timeout.
     pub fn is_lost(&self, id: &ids::InstanceId, now: clock::MonotonicTime) -> bool {
         let Some(peer) = self.peers.get(id) else {
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -176,7 +176,7 @@
 }
 
 /// Returns the place of this dispatcher among those listed. A process that has just started
-/// has heard few of them, and would take itself for one of the first.
+/// has received few heartbeats, and would count itself among the first.
 fn listed_place(
     context: &context::ProcessContext,
     members: &members::MemberTable,
--- a/src/serving/probes.rs
+++ b/src/serving/probes.rs
@@ -52,7 +52,7 @@
     let due = subset.filter(|(n, id)| (n + round).is_multiple_of(rounds) || !members.was_heard(id));
     let mut targets: collections::BTreeSet<ids::InstanceId> =
         due.map(|(_, id)| id.clone()).collect();
-    // A holder of permits or a depositor of shares must be heard.
+    // Owners release the permits, and quota servers the shares, of a silent process.
     let mut granted_at = context.granted_at.borrow_mut();
     granted_at.retain(|_, at| now.since(*at) < permits::PERMIT_TTL);
     targets.extend(granted_at.keys().cloned());
