feat(serving): delays of the event loop are logged and counted

Everything seemed to stall at once, but nothing showed whether a process, an endpoint or the whole machine had stood still.

Each process compares when its 50 ms tick fires with when it was due, and logs `event=loop_delayed ms=...` from 250 ms on; `jayhollow_loop_delay_ms_total` adds them up. The timer existed, so there are no more wake-ups.

Test: a process stopped for 1.2 s says so, its peer does not.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,6 +48,8 @@
     pub store_errors: prometheus::IntCounterVec,
     /// Batch items, by outcome.
     pub batch_items: prometheus::IntCounterVec,
+    /// Delays of the event loop, in milliseconds.
+    pub loop_delay_ms: prometheus::IntCounter,
     /// Batch streams cancelled in favour of online requests.
     pub preempted: prometheus::IntCounter,
     /// Messages dropped because their sender did not know the link secret.
@@ -156,6 +158,11 @@
             store_calls: counters(r, "jayhollow_store_calls_total", "Store calls", "class"),
             store_errors: counters(r, "jayhollow_store_errors_total", "Store errors", "kind"),
             batch_items: counters(r, "jayhollow_batch_items_total", "Batch items", "outcome"),
+            loop_delay_ms: counter(
+                r,
+                "jayhollow_loop_delay_ms_total",
+                "Delays of the event loop of 250 ms and more, in milliseconds",
+            ),
             preempted: counter(r, "jayhollow_preempted_total", "Batch streams cancelled"),
             strangers: counter(r, "jayhollow_strangers_total", "Unknown peers dropped"),
             unserved: counter(
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -41,6 +41,7 @@
 pub mod job_upkeep;
 mod limit_links;
 pub mod listener;
+mod loop_delay;
 mod member_sync;
 pub mod members;
 pub mod metrics_page;
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, rc, time};
 
-use super::{context, crash_guard, directory, fleet_model, job_checkpoints, limit_links, members};
+use super::{
+    context, crash_guard, directory, fleet_model, job_checkpoints, limit_links, loop_delay, members,
+};
 use crate::{
     clock,
     decisions::{cold_start, ownership, peer_subset},
@@ -80,10 +82,12 @@
             let listed = |id: &ids::EndpointId| directory.usable(id).is_some();
             context.loads.borrow_mut().retain(listed);
         }
+        let wakeup = loop_delay::ExpectedWakeup::after(&context, TICK_INTERVAL);
         tokio::select! {
             () = actix_rt::time::sleep(TICK_INTERVAL) => {}
             changed = changes.changed() => if changed.is_err() { return },
         }
+        wakeup.report(&context);
     }
 }
 
