fix(serving): a request is quarantined by a trial, not by the number of crashes

Cause: three crashes of endpoints while a request was in flight were a verdict for ten minutes. A popular request is in flight at every crash, whoever causes it, and only a completed run counted against that. The log of a failing run: all four engines crash within 0.3 s of the first requests under another request, the popular stream is counted for three of them, nothing had been served yet.

Change: - Three crashes make a suspect. One run in the whole fleet is its trial, two seconds after the last crash, granted by the owner that ranks first for its digest. Served, it is cleared everywhere; if its endpoint crashes too, it is quarantined as before. Requests that come meanwhile wait for the outcome for a second at most, or are refused at once with the time until the trial. - Crashes that another suspect explains do not count: more endpoints crashed during that one. - A trial that may have failed because of another suspect is repeated. All trials together remain three.

Why it works: the verdict needs a run of that request alone among the suspects, and a wrong suspicion ends with the first run that is served.

Tests, against the code before: `a_request_that_crashes_nothing_is_served_soon_ after_crashes` fails in all three cases (no other fault, restart of all, a silent dispatcher), refused beyond the 12 s of a recovery. With the change it passes, and so do the tests of requests that do crash endpoints, unchanged; new ones hold the trials to three with simultaneous tries at three gateways, also beside a silent dispatcher. The soak holds a suspected caller's Retry-After to the recovery time.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -5,48 +5,21 @@
 //! crash every endpoint, so its earlier crashes no longer count. Only requests that crash
 //! endpoint after endpoint and are served nowhere are quarantined.
 //!
-//! The crashes of a request form a grow-only set, and so do its cleared crashes. Sets of two
-//! processes are merged in any order and any number of times, so a crash that one process has
-//! cleared is not restored by an update from another.
+//! Many crashes alone do not convict a request: a frequent one is in flight wherever an
+//! endpoint crashes. It is suspected then, and its next run is a trial; the quarantine is
+//! long only after a trial has failed. Crashes that another request explains do not count.
 
 use std::{collections, fmt, num, time};
 
-use xxhash_rust::xxh3;
-
+pub use super::crash_record::{
+    CrashId, CrashMessage, CrashUpdate, CrashedRun, MAX_CRASHES, MAX_TRIALS,
+};
+use super::crash_record::{CrashRecord, MIN_DOWNTIME};
 use crate::{clock, ids};
 
-/// Number of crashes after which a request is quarantined. Up to the third, endpoints may
-/// crash during a request by coincidence, or before the processes have exchanged updates.
-pub const MAX_CRASHES: usize = 3;
-
-/// Number of trials that a quarantined request gets in total, each after a longer quarantine.
-/// Trials release requests that ran beside the one that crashed the endpoints, and requests
-/// whose fault has been fixed at the endpoints. Each trial may crash one more endpoint.
-pub const MAX_TRIALS: usize = 3;
-
-/// Duration of the first quarantine. A crashed endpoint takes the other requests that run
-/// there with it and is unavailable for seconds; ten minutes make that rare, and are short
-/// enough for a caller whose request is harmless.
-const INITIAL_QUARANTINE: time::Duration = time::Duration::from_secs(600);
-
-/// Factor by which the quarantine grows after each trial that crashed an endpoint.
-const QUARANTINE_GROWTH: u32 = 8;
-
 /// Time after which another trial is allowed if the outcome of the last one is unknown;
-/// longer than requests take.
-const TRIAL_TIMEOUT: time::Duration = time::Duration::from_secs(60);
-
-/// Retention of the record of a quarantined request after its last crash.
-const QUARANTINED_RETENTION: time::Duration = time::Duration::from_secs(7 * 24 * 3600);
-
-/// Retention of the record of any other suspect: its next attempt comes within minutes or not
-/// at all.
-const SUSPECT_RETENTION: time::Duration = time::Duration::from_secs(3600);
-
-/// Time before the end of its retention in which a record is no longer sent to other
-/// processes. Two processes whose records expire at slightly different times would otherwise
-/// restore them to each other indefinitely.
-const SHARING_CUTOFF: time::Duration = time::Duration::from_secs(60);
+/// longer than most requests take.
+const TRIAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// Maximum number of records. Each crash adds up to eight, one for each request that was
 /// running there, so 1024 records cover about 130 crashes within an hour and take about 200
@@ -60,11 +33,6 @@
 /// later, once for each counted crash.
 const VERDICT_DELAY: time::Duration = time::Duration::from_millis(500);
 
-/// Minimum time that an endpoint is unavailable after a crash. A request that is sent to it
-/// earlier does not reach it: its address, or a proxy in front of it, may still accept
-/// connections for a moment.
-const MIN_DOWNTIME: time::Duration = time::Duration::from_secs(1);
-
 /// Maximum number of endpoints whose last crash is remembered for that time.
 const MAX_CRASHED_RUNS: num::NonZeroUsize =
     num::NonZeroUsize::new(256).expect("the capacity is not zero");
@@ -80,55 +48,6 @@
 const MAX_SERVED: num::NonZeroUsize =
     num::NonZeroUsize::new(4096).expect("the capacity is not zero");
 
-/// Identifier of one crash of an endpoint.
-#[derive(
-    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
-pub struct CrashId {
-    /// Run of the endpoint, as listed.
-    pub run: ids::EndpointRun,
-    /// Sequence number of the crash within the run: an endpoint may return and crash again before
-    /// it is listed with its new start time.
-    pub ordinal: u32,
-}
-
-impl fmt::Display for CrashId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}#{}", self.run, self.ordinal)
-    }
-}
-
-/// Crash record of a request as sent between processes.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct CrashUpdate {
-    /// Digest of the request.
-    pub digest: ids::RequestDigest,
-    /// Crashes while the request was running.
-    pub crashes: collections::BTreeSet<CrashId>,
-    /// Subset of `crashes` that no longer counts, as the request was served since.
-    pub cleared: collections::BTreeSet<CrashId>,
-    /// Time since the last crash.
-    pub age: time::Duration,
-}
-
-impl CrashUpdate {
-    /// Returns the number of crashes that count.
-    pub fn count(&self) -> usize {
-        self.crashes.difference(&self.cleared).count()
-    }
-}
-
-/// Run of a request during which its endpoint crashed.
-#[derive(Debug, Clone)]
-pub struct CrashedRun {
-    /// Digest of the request.
-    pub digest: ids::RequestDigest,
-    /// Run of the endpoint.
-    pub endpoint: ids::EndpointRun,
-    /// Time at which the request was sent to the endpoint.
-    pub sent_at: clock::MonotonicTime,
-}
-
 /// Outcome of recording a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashOutcome {
@@ -163,102 +82,6 @@
     }
 }
 
-/// Crash record of one request.
-///
-/// Invariant: `cleared` is a subset of `crashes`.
-#[derive(Debug, Clone)]
-struct CrashRecord {
-    /// Crashes, with the time at which this process learned of each.
-    crashes: collections::BTreeMap<CrashId, clock::MonotonicTime>,
-    cleared: collections::BTreeSet<CrashId>,
-    last_crash: clock::MonotonicTime,
-    /// End of the current trial, if one was started.
-    trial_until: Option<clock::MonotonicTime>,
-    /// Whether the record is young enough to be sent to other processes.
-    is_shared: bool,
-}
-
-impl CrashRecord {
-    fn new(now: clock::MonotonicTime) -> Self {
-        Self {
-            crashes: collections::BTreeMap::new(),
-            cleared: collections::BTreeSet::new(),
-            last_crash: now,
-            trial_until: None,
-            is_shared: true,
-        }
-    }
-
-    fn count(&self) -> usize {
-        self.crashes.len() - self.cleared.len()
-    }
-
-    fn is_quarantined(&self) -> bool {
-        self.count() >= MAX_CRASHES
-    }
-
-    fn retention(&self) -> time::Duration {
-        match self.is_quarantined() {
-            true => QUARANTINED_RETENTION,
-            false => SUSPECT_RETENTION,
-        }
-    }
-
-    /// Returns the end of the quarantine; once all trials are used up, the end of the record's
-    /// retention.
-    fn quarantined_until(&self) -> clock::MonotonicTime {
-        let trials = self.count() - MAX_CRASHES;
-        if trials >= MAX_TRIALS {
-            return self.last_crash + QUARANTINED_RETENTION;
-        }
-        // `trials` is below MAX_TRIALS, so the power does not overflow.
-        let growth = QUARANTINE_GROWTH.pow(trials as u32);
-        self.last_crash + INITIAL_QUARANTINE * growth
-    }
-
-    fn update(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> CrashUpdate {
-        CrashUpdate {
-            digest,
-            crashes: self.crashes.keys().cloned().collect(),
-            cleared: self.cleared.clone(),
-            age: now.since(self.last_crash),
-        }
-    }
-
-    /// Returns a hash of the record, or 0 for a record that is no longer shared.
-    fn fingerprint(&self, digest: ids::RequestDigest) -> u64 {
-        if !self.is_shared {
-            return 0;
-        }
-        let mut hasher = xxh3::Xxh3::new();
-        hasher.update(digest.to_string().as_bytes());
-        for id in self.crashes.keys() {
-            hasher.update(format!("+{id}").as_bytes());
-        }
-        for id in &self.cleared {
-            hasher.update(format!("-{id}").as_bytes());
-        }
-        hasher.digest()
-    }
-
-    /// Returns the identifier of the crash during `run`, or `None` if that crash is recorded
-    /// already.
-    ///
-    /// A request that was sent after a recorded crash reached the endpoint after its return, so
-    /// the crash during it is a new one.
-    fn next_crash(&self, run: &CrashedRun) -> Option<CrashId> {
-        let known = self.crashes.iter().filter(|(m, _)| m.run == run.endpoint);
-        let latest = known.max_by_key(|(id, _)| id.ordinal);
-        let ordinal = match latest {
-            None => 1,
-            Some((id, learned)) if run.sent_at > *learned + MIN_DOWNTIME => id.ordinal + 1,
-            Some(_) => return None,
-        };
-        let run = run.endpoint.clone();
-        Some(CrashId { run, ordinal })
-    }
-}
-
 /// Crash records of all suspects.
 ///
 /// Invariant: `fingerprint` is the wrapping sum of the fingerprints of `records`.
@@ -293,11 +116,8 @@
             return CrashOutcome::Excused;
         }
         let count = self.update_record(run.digest, now, |record| {
-            let id = record.next_crash(run)?;
-            record.crashes.insert(id, now);
-            record.last_crash = now;
-            record.trial_until = None;
-            Some(record.count())
+            let is_new = record.add_crash(run, now);
+            is_new.then(|| record.count())
         });
         count.map_or(CrashOutcome::Known, CrashOutcome::Counted)
     }
@@ -327,9 +147,7 @@
         self.served.put(digest, now);
         let is_suspect = self.records.get(&digest).is_some_and(|r| r.count() > 0);
         if is_suspect {
-            self.update_record(digest, now, |record| {
-                record.cleared.extend(record.crashes.keys().cloned());
-            });
+            self.update_record(digest, now, CrashRecord::clear);
         }
         is_suspect
     }
@@ -341,36 +159,64 @@
         let was_served = served_at.is_some_and(|at| now.since(*at) < EXCUSE_DURATION);
         let is_suspect = self.records.get(&digest).is_some_and(|r| r.count() > 0);
         if was_served && is_suspect {
-            self.update_record(digest, now, |record| {
-                record.cleared.extend(record.crashes.keys().cloned());
-            });
+            self.update_record(digest, now, CrashRecord::clear);
         }
         was_served && is_suspect
     }
 
-    /// Decides whether a request may be sent now, and starts the trial if it is one.
+    /// Decides whether a request may be sent now, and starts the trial if one is due.
     pub fn admit(&mut self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> CrashVerdict {
-        let verdict = self.verdict(digest, now);
-        if verdict == CrashVerdict::Trial {
-            if let Some(record) = self.records.get_mut(&digest) {
-                record.trial_until = Some(now + TRIAL_TIMEOUT);
-            }
+        let is_due = self.trial_delay(digest, now).is_some_and(|d| d.is_zero());
+        if !is_due {
+            return self.verdict(digest, now);
+        }
+        self.begin_trial(digest, now);
+        CrashVerdict::Trial
+    }
+
+    /// Returns the time until a trial of a suspect may begin; `None` for other requests.
+    ///
+    /// The first trial is due long before the quarantine ends: too many crashes alone do not
+    /// show that the request causes them.
+    pub fn trial_delay(
+        &self,
+        digest: ids::RequestDigest,
+        now: clock::MonotonicTime,
+    ) -> Option<time::Duration> {
+        let record = self.suspect(digest)?;
+        let due_at = match self.is_convicted(digest) {
+            true => record.quarantined_until(self.convictions(digest, record)),
+            false => record.first_trial_at(),
+        };
+        Some(due_at.since(now))
+    }
+
+    /// Records that a trial of a request begins.
+    pub fn begin_trial(&mut self, digest: ids::RequestDigest, now: clock::MonotonicTime) {
+        if let Some(record) = self.records.get_mut(&digest) {
+            record.begin_trial(now, TRIAL_TIMEOUT);
+        }
+    }
+
+    /// Returns whether a trial of a request is under way.
+    pub fn is_on_trial(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> bool {
+        let record = self.records.get(&digest);
+        record.is_some_and(|record| record.is_on_trial(now))
+    }
+
+    /// Records that the trial of a request did not run, so that another may begin.
+    pub fn cancel_trial(&mut self, digest: ids::RequestDigest) {
+        if let Some(record) = self.records.get_mut(&digest) {
+            record.cancel_trial();
         }
-        verdict
     }
 
     /// Decides whether a request may be sent now, without starting a trial.
     pub fn verdict(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> CrashVerdict {
-        let quarantined = self
-            .records
-            .get(&digest)
-            .filter(|record| record.is_quarantined());
-        let Some(record) = quarantined else {
+        let Some(record) = self.suspect(digest) else {
             return CrashVerdict::Allowed;
         };
-        let until = record
-            .quarantined_until()
-            .max(record.trial_until.unwrap_or_default());
+        let until = record.quarantined_until(self.convictions(digest, record));
         match until > now {
             true => CrashVerdict::Quarantined(until.since(now)),
             false => CrashVerdict::Trial,
@@ -378,29 +224,72 @@
     }
 
     /// Returns how long to wait before deciding on a request: zero, unless its last crash is very
-    /// recent and quarantines it.
+    /// recent and makes it a suspect.
     pub fn verdict_delay(
         &self,
         digest: ids::RequestDigest,
         now: clock::MonotonicTime,
     ) -> time::Duration {
-        let quarantined = self
-            .records
-            .get(&digest)
-            .filter(|record| record.is_quarantined());
-        let age = quarantined.map_or(VERDICT_DELAY, |record| now.since(record.last_crash));
+        let suspect = self.suspect(digest);
+        let age = suspect.map_or(VERDICT_DELAY, |record| now.since(record.last_crash()));
         VERDICT_DELAY.saturating_sub(age)
     }
 
-    /// Returns whether the crashes so far quarantine a request, even if a trial is due.
+    /// Returns whether the crashes so far make a request a suspect, even if a trial is due.
     pub fn is_quarantined(&self, digest: ids::RequestDigest) -> bool {
-        let record = self.records.get(&digest);
-        record.is_some_and(CrashRecord::is_quarantined)
+        self.suspect(digest).is_some()
     }
 
-    /// Returns whether any request is quarantined.
+    /// Returns the number of crashes of a request that count, explained ones included.
+    pub fn count(&self, digest: ids::RequestDigest) -> usize {
+        self.records.get(&digest).map_or(0, CrashRecord::count)
+    }
+
+    /// Returns whether a trial has shown that a suspect crashes endpoints, or no trial is left.
+    pub fn is_convicted(&self, digest: ids::RequestDigest) -> bool {
+        self.suspect(digest).is_some_and(|record| {
+            let has_trials_left = record.failed_trials().count() < MAX_TRIALS;
+            !has_trials_left || self.convictions(digest, record) > 0
+        })
+    }
+
+    /// Returns whether any request may be quarantined.
     pub fn has_quarantined(&self) -> bool {
-        self.records.values().any(CrashRecord::is_quarantined)
+        self.records.values().any(CrashRecord::is_suspect)
+    }
+
+    /// Returns the numbers of requests that are suspected only, and that are convicted.
+    pub fn suspect_counts(&self) -> (usize, usize) {
+        let suspects = self.records.keys().filter(|d| self.is_quarantined(**d));
+        let verdicts: Vec<_> = suspects.map(|d| self.is_convicted(*d)).collect();
+        let convicted = verdicts.iter().filter(|verdict| **verdict).count();
+        (verdicts.len() - convicted, convicted)
+    }
+
+    /// Returns the record of a request if enough crashes count that nothing else explains.
+    fn suspect(&self, digest: ids::RequestDigest) -> Option<&CrashRecord> {
+        let record = self.records.get(&digest).filter(|r| r.is_suspect())?;
+        let unexplained = record.counted().filter(|id| {
+            let mut others = self.others(digest);
+            !others.any(|other| explains(other, record, id))
+        });
+        (unexplained.count() >= MAX_CRASHES).then_some(record)
+    }
+
+    /// Returns the number of failed trials that no other request may have caused.
+    fn convictions(&self, digest: ids::RequestDigest, record: &CrashRecord) -> usize {
+        let alone = record.failed_trials().filter(|id| {
+            let mut others = self.others(digest);
+            !others.any(|other| other.counts(id))
+        });
+        alone.count()
+    }
+
+    fn others(&self, digest: ids::RequestDigest) -> impl Iterator<Item = &CrashRecord> {
+        let records = self.records.iter();
+        records
+            .filter(move |(other, _)| **other != digest)
+            .map(|(_, record)| record)
     }
 
     /// Returns the record of a request, to be sent to other processes.
@@ -413,45 +302,52 @@
         Some(record.update(digest, now))
     }
 
+    /// Returns the message about a request for other processes.
+    pub fn message_of(
+        &self,
+        digest: ids::RequestDigest,
+        now: clock::MonotonicTime,
+    ) -> Option<CrashMessage> {
+        let record = self.records.get(&digest)?;
+        Some(record.message(digest, now))
+    }
+
     /// Returns all records that are still shared with other processes.
     pub fn snapshot(&self, now: clock::MonotonicTime) -> Vec<CrashUpdate> {
-        let shared = self.records.iter().filter(|(_, record)| record.is_shared);
+        let messages = self.messages(now).into_iter();
+        messages.map(|message| message.update).collect()
+    }
+
+    /// Returns the messages that transfer all shared records to another process.
+    pub fn messages(&self, now: clock::MonotonicTime) -> Vec<CrashMessage> {
+        let shared = self.records.iter().filter(|(_, record)| record.is_shared());
         shared
-            .map(|(digest, record)| record.update(*digest, now))
+            .map(|(digest, record)| record.message(*digest, now))
             .collect()
     }
 
+    /// Merges a message from another process; returns whether it changed anything.
+    pub fn merge_message(&mut self, message: CrashMessage, now: clock::MonotonicTime) -> bool {
+        let digest = message.update.digest;
+        let is_new = self.merge(message.update, now);
+        if !self.records.contains_key(&digest) {
+            return is_new;
+        }
+        let has_new_trials =
+            self.update_record(digest, now, |record| record.merge_trials(&message.trials));
+        is_new || has_new_trials
+    }
+
     /// Merges an update from another process; returns whether it changed anything.
     pub fn merge(&mut self, update: CrashUpdate, now: clock::MonotonicTime) -> bool {
         let known = self.records.get(&update.digest);
-        let is_expiring = update.age + SHARING_CUTOFF >= retention_of(&update);
-        if known.is_none() && (is_expiring || update.crashes.is_empty()) {
+        if known.is_none() && (update.is_expiring() || update.crashes.is_empty()) {
             return false;
         }
-        let is_new = known.is_none_or(|known| {
-            let mut crashes = update.crashes.iter();
-            crashes.any(|id| !known.crashes.contains_key(id))
-                || !update.cleared.is_subset(&known.cleared)
-        });
-        if !is_new {
+        if known.is_some_and(|known| !known.lacks(&update)) {
             return false;
         }
-        let crashed_at = now.before(update.age);
-        self.update_record(update.digest, now, |record| {
-            let is_new_record = record.crashes.is_empty();
-            for id in update
-                .crashes
-                .into_iter()
-                .chain(update.cleared.iter().cloned())
-            {
-                record.crashes.entry(id).or_insert(now);
-            }
-            record.cleared.extend(update.cleared);
-            record.last_crash = match is_new_record {
-                true => crashed_at,
-                false => record.last_crash.max(crashed_at),
-            };
-        });
+        self.update_record(update.digest, now, |record| record.merge(update, now));
         true
     }
 
@@ -460,11 +356,9 @@
         let mut fingerprint = 0_u64;
         let mut released = Vec::new();
         self.records.retain(|digest, record| {
-            let age = now.since(record.last_crash);
-            record.is_shared = age + SHARING_CUTOFF < record.retention();
+            let is_retained = record.expire(now);
             fingerprint = fingerprint.wrapping_add(record.fingerprint(*digest));
-            let is_retained = age < record.retention();
-            if !is_retained && record.is_quarantined() {
+            if !is_retained && record.is_suspect() {
                 released.push(*digest);
             }
             is_retained
@@ -502,12 +396,9 @@
         }
         let record = self.records.entry(digest);
         let record = record.or_insert_with(|| CrashRecord::new(now));
-        let before = match record.crashes.is_empty() {
-            true => 0,
-            false => record.fingerprint(digest),
-        };
+        let before = record.fingerprint(digest);
         let changed = change(record);
-        record.is_shared = now.since(record.last_crash) + SHARING_CUTOFF < record.retention();
+        record.expire(now);
         let after = record.fingerprint(digest);
         self.fingerprint = self.fingerprint.wrapping_sub(before).wrapping_add(after);
         changed
@@ -518,7 +409,7 @@
         if self.records.len() < MAX_RECORDS {
             return;
         }
-        let key = |record: &CrashRecord| (record.is_quarantined(), record.last_crash);
+        let key = |record: &CrashRecord| (record.is_suspect(), record.last_crash());
         let oldest = self.records.iter().min_by_key(|(_, record)| key(record));
         let Some(digest) = oldest.map(|(digest, _)| *digest) else {
             return;
@@ -529,10 +420,8 @@
     }
 }
 
-/// Returns how long the record in an update is retained after its last crash.
-fn retention_of(update: &CrashUpdate) -> time::Duration {
-    match update.count() >= MAX_CRASHES {
-        true => QUARANTINED_RETENTION,
-        false => SUSPECT_RETENTION,
-    }
+/// Returns whether `other` explains a crash during the request of `record`: it is a suspect
+/// itself, and more endpoints crashed during it.
+fn explains(other: &CrashRecord, record: &CrashRecord, crash: &CrashId) -> bool {
+    other.is_suspect() && other.count() > record.count() && other.counts(crash)
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,6 +36,8 @@
     pub refusals: prometheus::IntCounterVec,
     /// Request runs during which the endpoint ended, by evidence.
     pub ended_runs: prometheus::IntCounterVec,
+    /// Requests during which endpoints crashed, by state: suspected or convicted.
+    pub quarantined_requests: prometheus::IntGaugeVec,
     /// Store objects that could not be read.
     pub unreadable_objects: prometheus::IntGauge,
     /// Failure domains that are evacuated.
@@ -144,6 +146,12 @@
                 "Runs of requests under which their endpoint ended",
                 "evidence",
             ),
+            quarantined_requests: gauges(
+                r,
+                "jayhollow_quarantined_requests",
+                "Requests under which endpoints crashed, suspected or convicted",
+                "state",
+            ),
             unreadable_objects: gauge(
                 r,
                 "jayhollow_unreadable_objects",
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -106,6 +106,7 @@
                 None => {
                     let slot = self.find_slot().await?;
                     self.log.record_start(&slot.endpoint.id);
+                    self.set_trial_run(true);
                     self.start(slot, None)
                 }
             };
@@ -147,6 +148,13 @@
         }
     }
 
+    /// Records for the trial that this request may be whether it has run or may have.
+    fn set_trial_run(&self, has_run: bool) {
+        if let Some(trial) = &self.trial {
+            trial.set_run(has_run);
+        }
+    }
+
     /// Returns whether the request is quarantined, which its own attempts may have caused.
     pub(super) fn is_blamed(&self) -> bool {
         let digest = self.request.forwarded.digest;
@@ -279,6 +287,7 @@
             O::NotRun(proof) => {
                 self.log.not_run += 1;
                 self.log.recent_not_run += 1;
+                self.set_trial_run(self.log.ran > 0);
                 let reason = proof.reason();
                 self.record_attempt(&endpoint.id, "not_run", &reason.to_string());
                 slot.record_refused(reason);
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -7,7 +7,7 @@
 
 use std::{cell, collections, net, rc, time};
 
-use super::{context, members, peers, single_flight};
+use super::{context, crash_trials, members, peers, single_flight};
 use crate::{
     clock,
     decisions::{call_budget::CallClass, crash_ledger, retry},
@@ -52,6 +52,9 @@
     pub crashes: collections::BTreeSet<crash_ledger::CrashId>,
     /// Crashes of which the request was cleared.
     pub cleared: collections::BTreeSet<crash_ledger::CrashId>,
+    /// Crashes that ended a trial.
+    #[serde(default)]
+    pub trials: collections::BTreeSet<crash_ledger::CrashId>,
     /// Time of the last crash, in milliseconds since the epoch.
     pub last_ms: u64,
 }
@@ -60,6 +63,8 @@
 #[derive(Default)]
 pub(super) struct CrashGuard {
     ledger: cell::RefCell<crash_ledger::CrashLedger>,
+    /// Trials of suspects.
+    pub(super) trials: crash_trials::TrialState,
     /// Requests whose records are being written to the store.
     saving: cell::RefCell<collections::HashSet<ids::RequestDigest>>,
     /// Guard that allows one pull at a time.
@@ -86,38 +91,71 @@
         self.ledger.borrow().has_quarantined()
     }
 
-    /// Returns the updates that transfer the whole ledger to a peer.
-    pub(super) fn updates(&self, now: clock::MonotonicTime) -> Vec<crash_ledger::CrashUpdate> {
-        self.ledger.borrow().snapshot(now)
+    /// Returns the messages that transfer the whole ledger to a peer.
+    pub(super) fn messages(&self, now: clock::MonotonicTime) -> Vec<crash_ledger::CrashMessage> {
+        self.ledger.borrow().messages(now)
     }
-}
 
-/// Like [`admit`], but waits until the verdict on a caller's request has settled.
-pub(super) async fn admit_settled(
-    context: &context::ProcessContext,
-    digest: ids::RequestDigest,
-    id: &str,
-) -> crash_ledger::CrashVerdict {
-    let now = context.clock.now();
-    let settling_time = context.crashes.ledger.borrow().verdict_delay(digest, now);
-    if !settling_time.is_zero() {
-        actix_rt::time::sleep(settling_time).await;
+    /// Returns the message about a request for a peer.
+    pub(super) fn message_of(
+        &self,
+        digest: ids::RequestDigest,
+        now: clock::MonotonicTime,
+    ) -> Option<crash_ledger::CrashMessage> {
+        self.ledger.borrow().message_of(digest, now)
     }
-    admit(context, digest, id)
-}
 
-/// Decides whether a request may be sent to an endpoint, or only once as a trial.
-pub(super) fn admit(
-    context: &context::ProcessContext,
-    digest: ids::RequestDigest,
-    id: &str,
-) -> crash_ledger::CrashVerdict {
-    let now = context.clock.now();
-    let verdict = context.crashes.ledger.borrow_mut().admit(digest, now);
-    if verdict != crash_ledger::CrashVerdict::Allowed {
-        log::info!("event=request_held request={id} digest={digest} verdict=\"{verdict}\"");
+    /// Returns the time until a trial of a suspect may begin; `None` if the request may be
+    /// sent to an endpoint.
+    pub(super) fn trial_delay(
+        &self,
+        digest: ids::RequestDigest,
+        now: clock::MonotonicTime,
+    ) -> Option<time::Duration> {
+        self.ledger.borrow().trial_delay(digest, now)
+    }
+
+    /// Returns how long to wait until the verdict on a request has settled.
+    pub(super) fn settling_time(
+        &self,
+        digest: ids::RequestDigest,
+        now: clock::MonotonicTime,
+    ) -> time::Duration {
+        self.ledger.borrow().verdict_delay(digest, now)
+    }
+
+    /// Returns whether a trial has shown that a request crashes endpoints.
+    pub(super) fn is_convicted(&self, digest: ids::RequestDigest) -> bool {
+        self.ledger.borrow().is_convicted(digest)
+    }
+
+    /// Returns whether a trial of a request is under way, as far as this process knows.
+    pub(super) fn is_on_trial(
+        &self,
+        digest: ids::RequestDigest,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        self.ledger.borrow().is_on_trial(digest, now)
+    }
+
+    /// Grants the trial of a request if it is due.
+    pub(super) fn grant_trial(
+        &self,
+        digest: ids::RequestDigest,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        self.ledger.borrow_mut().admit(digest, now) == crash_ledger::CrashVerdict::Trial
+    }
+
+    /// Records that this process runs the trial of a request.
+    pub(super) fn begin_trial(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) {
+        self.ledger.borrow_mut().begin_trial(digest, now);
+    }
+
+    /// Records that the trial of a request did not run.
+    pub(super) fn cancel_trial(&self, digest: ids::RequestDigest) {
+        self.ledger.borrow_mut().cancel_trial(digest);
     }
-    verdict
 }
 
 /// Records that an endpoint ended during a request, and notifies the owners.
@@ -142,29 +180,29 @@
     let now = context.clock.now();
     let mut ledger = context.crashes.ledger.borrow_mut();
     let was_quarantined = ledger.is_quarantined(digest);
+    let has_stored_record = ledger.count(digest) >= crash_ledger::MAX_CRASHES;
     let is_cleared = ledger.record_served(digest, now);
     drop(ledger);
     if !is_cleared {
         return;
     }
     log::info!("event=request_cleared digest={digest} held={was_quarantined}");
+    context.crashes.trials.changed.notify_waiters();
     notify_owners(context, digest);
-    if was_quarantined {
+    if has_stored_record {
         actix_rt::spawn(save(context.clone(), digest));
     }
 }
 
 /// Sends the ledger's entry of a request to the owners. Other processes pull it from them.
 fn notify_owners(context: &context::ProcessContext, digest: ids::RequestDigest) {
-    let update = context.crashes.ledger.borrow();
-    let Some(update) = update.update_of(digest, context.clock.now()) else {
-        return;
-    };
+    let message = context.crashes.message_of(digest, context.clock.now());
+    let Some(message) = message else { return };
     let owners = context.owners();
     let others = owners.iter().filter(|owner| owner.id != *context.id());
     for owner in others {
         if let Some(address) = context.members.borrow().address_of(&owner.id) {
-            context.links.crash_news(address, update.clone());
+            context.links.crash_news(address, message.clone());
         }
     }
 }
@@ -176,11 +214,11 @@
 /// the sum of the crashes.
 pub(super) fn apply_update(
     context: &rc::Rc<context::ProcessContext>,
-    update: crash_ledger::CrashUpdate,
+    message: crash_ledger::CrashMessage,
 ) -> bool {
-    let digest = update.digest;
+    let digest = message.update.digest;
     let was_quarantined = context.crashes.is_blamed(digest);
-    let is_new = merge(context, update);
+    let is_new = merge(context, message);
     let now = context.clock.now();
     // A process that has just started has not seen the request succeed and may blame it
     // wrongly; a process that has seen it exonerates it here.
@@ -189,6 +227,9 @@
         notify_owners(context, digest);
     }
     let has_changed = was_quarantined != context.crashes.is_blamed(digest);
+    if has_changed {
+        context.crashes.trials.changed.notify_waiters();
+    }
     if has_changed && is_writer(context) {
         actix_rt::spawn(save(context.clone(), digest));
     }
@@ -197,16 +238,20 @@
 
 /// Merges an update of another process or of the store into the ledger, and returns
 /// whether it contained anything new.
-fn merge(context: &context::ProcessContext, update: crash_ledger::CrashUpdate) -> bool {
+fn merge(context: &context::ProcessContext, message: crash_ledger::CrashMessage) -> bool {
     let now = context.clock.now();
-    let digest = update.digest;
+    let digest = message.update.digest;
     let mut ledger = context.crashes.ledger.borrow_mut();
     let was_quarantined = ledger.is_quarantined(digest);
-    let is_new = ledger.merge(update, now);
+    let was_convicted = ledger.is_convicted(digest);
+    let is_new = ledger.merge_message(message, now);
     let is_quarantined = ledger.is_quarantined(digest);
-    if was_quarantined != is_quarantined {
+    let is_convicted = ledger.is_convicted(digest);
+    if was_quarantined != is_quarantined || was_convicted != is_convicted {
         let verdict = ledger.verdict(digest, now);
-        log::info!("event=held_elsewhere digest={digest} verdict=\"{verdict}\"");
+        log::info!(
+            "event=held_elsewhere digest={digest} verdict=\"{verdict}\" convicted={is_convicted}"
+        );
     }
     is_new
 }
@@ -248,7 +293,7 @@
         Ok(all) => {
             let new = all
                 .into_iter()
-                .filter(|update| apply_update(&context, update.clone()));
+                .filter(|message| apply_update(&context, message.clone()));
             let count = new.count();
             log::info!("event=crashes_from_peer peer={id} new={count}");
             count > 0
@@ -273,6 +318,15 @@
 pub(super) fn expire(context: &rc::Rc<context::ProcessContext>) {
     let now = context.clock.now();
     let expired = context.crashes.ledger.borrow_mut().expire(now);
+    context.crashes.trials.expire(now);
+    let (suspected, convicted) = context.crashes.ledger.borrow().suspect_counts();
+    let gauge = &context.metrics.quarantined_requests;
+    gauge
+        .with_label_values(&["suspected"])
+        .set(suspected as i64);
+    gauge
+        .with_label_values(&["convicted"])
+        .set(convicted as i64);
     let owners = context.owners();
     let is_first = owners.first().is_some_and(|o| o.id == *context.id());
     for digest in expired {
@@ -296,14 +350,20 @@
     let mut written = None;
     for attempt in 0..MAX_SAVE_ATTEMPTS {
         let now = context.clock.now();
-        let update = context.crashes.ledger.borrow().update_of(digest, now);
-        let Some(update) = update else { break };
-        let counts = (update.crashes.len(), update.cleared.len());
+        let Some(message) = context.crashes.message_of(digest, now) else {
+            break;
+        };
+        let update = &message.update;
+        let counts = (
+            update.crashes.len(),
+            update.cleared.len(),
+            message.trials.len(),
+        );
         // Another crash may have been recorded during the last write.
         if written == Some(counts) {
             break;
         }
-        match write(&context, update).await {
+        match write(&context, message).await {
             Ok(()) => written = Some(counts),
             Err(e) => {
                 log::info!("event=held_request_unwritten digest={digest} why=\"{e}\"");
@@ -317,13 +377,15 @@
 
 async fn write(
     context: &context::ProcessContext,
-    update: crash_ledger::CrashUpdate,
+    message: crash_ledger::CrashMessage,
 ) -> store::StoreResult<()> {
+    let crash_ledger::CrashMessage { update, trials } = message;
     let key = record_key(update.digest);
     let age = update.age.as_millis() as u64;
     let record = QuarantineRecord {
         crashes: update.crashes,
         cleared: update.cleared,
+        trials,
         last_ms: clock::epoch_ms().saturating_sub(age),
     };
     let value = store::encode(&record);
@@ -394,7 +456,8 @@
             if update.count() < crash_ledger::MAX_CRASHES {
                 actix_rt::spawn(remove(context.clone(), digest));
             }
-            merge(context, update);
+            let trials = record.trials;
+            merge(context, crash_ledger::CrashMessage { update, trials });
         }
         Err(e) => log::warn!(
             "event=held_request_unreadable key={} why=\"{e}\"",
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -78,6 +78,7 @@
         self.job.borrow_mut().streams.insert(key.clone());
         let before = self.last_event();
         let started_at = self.context.clock.now();
+        self.context.crashes.trials.begin_item(self.digest());
         let end = {
             let work = self.stream();
             futures::pin_mut!(work);
--- a/src/serving/loop_delay.rs
+++ b/src/serving/loop_delay.rs
@@ -28,6 +28,9 @@
             return;
         }
         log::info!("event=loop_delayed ms={}", delay.as_millis());
-        context.metrics.loop_delay_ms.inc_by(delay.as_millis() as u64);
+        context
+            .metrics
+            .loop_delay_ms
+            .inc_by(delay.as_millis() as u64);
     }
 }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -18,6 +18,7 @@
 pub mod connection_pool;
 pub mod context;
 mod crash_guard;
+mod crash_trials;
 mod crash_watch;
 pub mod directory;
 pub mod directory_transfer;
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -5,8 +5,8 @@
 use tokio::sync::mpsc;
 
 use super::{
-    context, crash_guard, fleet_sync, job_calls, job_checkpoints, job_records, job_runner,
-    job_supervisor, limit_links, peers, slots,
+    context, crash_guard, crash_trials, fleet_sync, job_calls, job_checkpoints, job_records,
+    job_runner, job_supervisor, limit_links, peers, slots,
 };
 use crate::{decisions::admission, ids, store};
 
@@ -53,10 +53,12 @@
         }
         C::Release(ended) => release(context, ended),
         C::Report(report) => apply_report(context, &report),
-        C::CrashUpdate(update) => {
-            crash_guard::apply_update(context, update);
+        C::CrashUpdate(message) => {
+            crash_guard::apply_update(context, message);
         }
-        C::Crashes(sender) => reply(sender, context.crashes.updates(context.clock.now())),
+        C::Crashes(sender) => reply(sender, context.crashes.messages(context.clock.now())),
+        C::ClaimTrial(message, sender) => reply(sender, crash_trials::grant(context, message)),
+        C::ReturnTrial(digest) => crash_trials::cancel(context, digest),
         C::StatePart(request, sender) => {
             let table = context.fleet.table();
             if !table.is_known() {
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -228,8 +228,27 @@
     }
 
     /// Reports a request during which an endpoint crashed, or that was served since.
-    pub fn crash_news(&self, peer: net::SocketAddr, update: crash_ledger::CrashUpdate) {
-        notify_peer!(self, peer, crash_news(update));
+    pub fn crash_news(&self, peer: net::SocketAddr, message: crash_ledger::CrashMessage) {
+        notify_peer!(self, peer, crash_news(message));
+    }
+
+    /// Requests the trial of a request that is suspected of crashing endpoints; returns
+    /// whether it is granted.
+    ///
+    /// # Errors
+    /// The peer does not respond.
+    pub async fn claim_trial(
+        &self,
+        peer: net::SocketAddr,
+        message: crash_ledger::CrashMessage,
+        timeout: time::Duration,
+    ) -> Result<bool, PeerError> {
+        call_peer!(self, peer, timeout, claim_trial(message))
+    }
+
+    /// Returns a trial that did not run.
+    pub fn return_trial(&self, peer: net::SocketAddr, digest: ids::RequestDigest) {
+        notify_peer!(self, peer, return_trial(digest));
     }
 
     /// Requests all records about such requests: up to 200 KB, for which the call waits
@@ -241,7 +260,7 @@
         &self,
         peer: net::SocketAddr,
         idle: time::Duration,
-    ) -> Result<Vec<crash_ledger::CrashUpdate>, PeerError> {
+    ) -> Result<Vec<crash_ledger::CrashMessage>, PeerError> {
         let request = async { call_peer!(self, peer, LIST_TIMEOUT, crashes()) };
         tokio::select! {
             response = request => response,
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -83,11 +83,11 @@
             .await
     }
 
-    async fn crash_news(self, _: tarpc::context::Context, update: crash_ledger::CrashUpdate) {
-        self.notify(PeerCall::CrashUpdate(update)).await;
+    async fn crash_news(self, _: tarpc::context::Context, message: crash_ledger::CrashMessage) {
+        self.notify(PeerCall::CrashUpdate(message)).await;
     }
 
-    async fn crashes(self, _: tarpc::context::Context) -> Option<Vec<crash_ledger::CrashUpdate>> {
+    async fn crashes(self, _: tarpc::context::Context) -> Option<Vec<crash_ledger::CrashMessage>> {
         self.send_request(PeerCall::Crashes).await
     }
 
@@ -179,6 +179,19 @@
             .await
     }
 
+    async fn claim_trial(
+        self,
+        _: tarpc::context::Context,
+        message: crash_ledger::CrashMessage,
+    ) -> Option<bool> {
+        self.send_request(|reply| PeerCall::ClaimTrial(message, reply))
+            .await
+    }
+
+    async fn return_trial(self, _: tarpc::context::Context, digest: ids::RequestDigest) {
+        self.notify(PeerCall::ReturnTrial(digest)).await;
+    }
+
     async fn write_end(self, _: tarpc::context::Context, job: ids::JobId) -> Option<WriteOutcome> {
         self.send_request(|reply| PeerCall::WriteEnd(job, reply))
             .await
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -208,9 +208,9 @@
     /// Reports an observation of an endpoint.
     async fn report(report: EndpointReport);
     /// Reports a request during which an endpoint crashed, or that was served since.
-    async fn crash_news(update: crash_ledger::CrashUpdate);
+    async fn crash_news(message: crash_ledger::CrashMessage);
     /// Requests all records about such requests.
-    async fn crashes() -> Option<Vec<crash_ledger::CrashUpdate>>;
+    async fn crashes() -> Option<Vec<crash_ledger::CrashMessage>>;
     /// Requests a part of the desired state.
     async fn state_part(
         request: state_snapshot::StatePartRequest,
@@ -249,6 +249,11 @@
     async fn draw_tokens(
         request: limit_messages::TokenRequest,
     ) -> Option<limit_messages::TokenResponse>;
+    /// Requests the trial of a request that is suspected of crashing endpoints; returns
+    /// whether it is granted.
+    async fn claim_trial(message: crash_ledger::CrashMessage) -> Option<bool>;
+    /// Returns a trial that did not run.
+    async fn return_trial(digest: ids::RequestDigest);
 }
 
 /// Incoming call of a peer and the channel for its response.
@@ -262,9 +267,13 @@
     /// See [`PeerService::report`].
     Report(EndpointReport),
     /// See [`PeerService::crash_news`].
-    CrashUpdate(crash_ledger::CrashUpdate),
+    CrashUpdate(crash_ledger::CrashMessage),
     /// See [`PeerService::crashes`].
-    Crashes(oneshot::Sender<Vec<crash_ledger::CrashUpdate>>),
+    Crashes(oneshot::Sender<Vec<crash_ledger::CrashMessage>>),
+    /// See [`PeerService::claim_trial`].
+    ClaimTrial(crash_ledger::CrashMessage, oneshot::Sender<bool>),
+    /// See [`PeerService::return_trial`].
+    ReturnTrial(ids::RequestDigest),
     /// See [`PeerService::state_part`].
     StatePart(
         state_snapshot::StatePartRequest,
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use super::{context, crash_guard, item_run, job_runner, job_table, open_job, route_table, wire};
+use super::{context, crash_trials, item_run, job_runner, job_table, open_job, route_table, wire};
 use crate::{
     clock,
     decisions::{crash_ledger::CrashVerdict, item_order},
@@ -123,7 +123,7 @@
     let mut job = job.borrow_mut();
     let item = &job.record.items[index];
     let digest = item_run::item_digest(&job.record.host, item);
-    let verdict = crash_guard::admit(context, digest, &item.id);
+    let verdict = crash_trials::admit_item(context, digest, &item.id);
     let CrashVerdict::Quarantined(remaining) = verdict else {
         return false;
     };
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -5,10 +5,11 @@
 use actix_http::{header, StatusCode};
 
 use super::{
-    attempt, attempt_flow, context, crash_guard, event_flow, request_admission, response_copy,
-    route_table, slots, suspension, wire,
+    attempt, attempt_flow, context, crash_guard,
+    crash_trials::{self, TrialAdmission},
+    event_flow, request_admission, response_copy, route_table, slots, suspension, wire,
 };
-use crate::{clock, decisions::crash_ledger::CrashVerdict, http_server, ids};
+use crate::{clock, http_server, ids};
 
 /// Outcome of a request that got a complete response from an endpoint.
 pub(super) const ANSWERED: &str = "answered";
@@ -16,6 +17,9 @@
 /// Response body for a request that is quarantined for crashing endpoints.
 const QUARANTINED_BODY: &str = "held back: each endpoint that began to run this request crashed\n";
 
+/// Response body for a request whose trial is pending.
+const SUSPECTED_BODY: &str = "suspected: endpoints crashed while they ran this request\n";
+
 /// An active request of a caller.
 pub struct CallerRequest {
     /// Route that the request matched.
@@ -62,12 +66,25 @@
     NotRun(time::Duration, String),
     /// It did not run; it is quarantined for this time, as it crashes endpoints.
     Held(time::Duration),
+    /// It did not run; endpoints crashed during it, and a trial within this time decides
+    /// whether it is quarantined.
+    Suspected(time::Duration),
     /// It may have run, and failed.
     Failed(String),
     /// Its deadline has passed.
     Late,
 }
 
+impl FinalError {
+    /// Returns after which time the caller may retry, if the request did not run.
+    fn retry_after(&self) -> Option<time::Duration> {
+        match self {
+            Self::NotRun(delay, _) | Self::Held(delay) | Self::Suspected(delay) => Some(*delay),
+            Self::Failed(_) | Self::Late => None,
+        }
+    }
+}
+
 /// The state of one request over all its attempts.
 pub(super) struct RequestRelay {
     pub(super) context: rc::Rc<context::ProcessContext>,
@@ -80,6 +97,8 @@
     pub(super) is_started: bool,
     /// Time from the arrival of the request to the first event sent to the caller.
     first_event: std::cell::Cell<Option<time::Duration>>,
+    /// Trial that this request is, if it is suspected of crashing endpoints.
+    pub(super) trial: Option<crash_trials::TrialGuard>,
     _active: ActiveRequest,
 }
 
@@ -97,14 +116,18 @@
         last_event,
         is_started: false,
         first_event: std::cell::Cell::new(None),
+        trial: None,
         _active: active,
     };
     let id = relay.request.terms.id.as_deref().unwrap_or("-");
     let digest = relay.request.forwarded.digest;
     // A quarantined request must not wait for a slot.
-    let verdict = crash_guard::admit_settled(&relay.context, digest, id).await;
-    if let CrashVerdict::Quarantined(left) = verdict {
-        return relay.refuse(&FinalError::Held(left));
+    let time_left = relay.time_left();
+    match crash_trials::admit(&relay.context, digest, id, time_left).await {
+        TrialAdmission::Allowed => {}
+        TrialAdmission::Trial(guard) => relay.trial = Some(guard),
+        TrialAdmission::Suspected(left) => return relay.refuse(&FinalError::Suspected(left)),
+        TrialAdmission::Quarantined(left) => return relay.refuse(&FinalError::Held(left)),
     }
     let outcome = match relay.request.route.kind.is_stream() {
         true => relay.open_stream(None).await,
@@ -297,6 +320,7 @@
         let (outcome, status) = match error {
             FinalError::NotRun(..) => ("refused", StatusCode::SERVICE_UNAVAILABLE),
             FinalError::Held(_) => ("held", StatusCode::SERVICE_UNAVAILABLE),
+            FinalError::Suspected(_) => ("suspected", StatusCode::SERVICE_UNAVAILABLE),
             FinalError::Failed(_) => ("failed", StatusCode::BAD_GATEWAY),
             FinalError::Late => ("late", StatusCode::GATEWAY_TIMEOUT),
         };
@@ -304,7 +328,8 @@
             "event=request_given_up request={} error=\"{error:?}\"",
             self.request.terms.id.as_deref().unwrap_or("-")
         );
-        if matches!(error, FinalError::NotRun(..) | FinalError::Held(_)) {
+        let retry_after = error.retry_after();
+        if retry_after.is_some() {
             if let Some(token) = self.request.token.take() {
                 token.refund();
             }
@@ -312,11 +337,12 @@
         self.record_end(outcome, status.as_u16());
         let mut response = actix_http::Response::build(status);
         self.close_if_stopping(&mut response);
-        if let FinalError::NotRun(delay, _) | FinalError::Held(delay) = error {
+        if let Some(delay) = retry_after {
             response.insert_header((header::RETRY_AFTER, format!("{:.2}", delay.as_secs_f64())));
         }
         let body = match error {
             FinalError::Held(_) => QUARANTINED_BODY,
+            FinalError::Suspected(_) => SUSPECTED_BODY,
             _ => outcome,
         };
         response.body(body).map_into_boxed_body()
