test: a removed endpoint never comes back from a peer, whatever the order

Whether the newer transfer keeps the fix rested on two examples.

The property plays two processes that watch the store and two that do not: removals, changes, outages of one watcher, expiry, a log that no longer reaches back, restarts, lists and changes from any process to any other.

--- a/tests/directory_transfer.rs
+++ b/tests/directory_transfer.rs
@@ -3,7 +3,7 @@
 //! Each change of one endpoint sent the whole list to every process, 1 MB at 10,002
 //! endpoints, and only the few processes that watch the store sent it: 985 MB for a change.
 
-use std::{net, sync, time};
+use std::{collections, net, sync, time};
 
 use jayhollow::{
     clock, ids,
@@ -166,6 +166,132 @@
     assert!(usable(&other, 3));
 }
 
+/// Changes of the platform's list, and which process has followed up to which of them.
+struct ListHistory {
+    changes: Vec<EndpointChange>,
+    /// Endpoints that were removed; none is listed again.
+    removed: collections::BTreeSet<u32>,
+}
+
+impl ListHistory {
+    fn revision(&self) -> u64 {
+        self.changes.len() as u64
+    }
+
+    fn add(&mut self, change: EndpointChange) {
+        self.changes.push(change);
+    }
+
+    /// Returns the whole list as the store has it.
+    fn entries(&self) -> Vec<EndpointEntry> {
+        let mut entries = collections::BTreeMap::new();
+        for change in &self.changes {
+            match change {
+                EndpointChange::Listed(entry) => {
+                    entries.insert(entry.id.clone(), entry.clone());
+                }
+                EndpointChange::Removed(id) => {
+                    entries.remove(id);
+                }
+            }
+        }
+        entries.into_values().collect()
+    }
+
+    /// Has a process that watches the store read what it has missed.
+    fn follow(&self, model: &fleet_model::FleetModel) {
+        let known = model.revision() as usize;
+        for (number, change) in self.changes.iter().enumerate().skip(known) {
+            let change = vec![change.clone()];
+            model.apply(FleetUpdate::EndpointChanges(number as u64 + 1, change));
+        }
+    }
+
+    /// Has a process read the whole list after an outage of the store.
+    fn follow_after_outage(&self, model: &fleet_model::FleetModel, clock: &TestClock) {
+        model.apply(FleetUpdate::Reachable(false));
+        clock.pass(time::Duration::from_secs(5));
+        model.apply(FleetUpdate::Reachable(true));
+        model.apply(FleetUpdate::Endpoints(self.revision(), self.entries()));
+    }
+}
+
+/// Endpoints that a model lists, by number.
+fn listed(model: &fleet_model::FleetModel) -> collections::BTreeSet<u32> {
+    let directory = model.directory.borrow();
+    (0..REMOVABLE)
+        .filter(|n| directory.entry(&id(*n)).is_some())
+        .collect()
+}
+
+/// Endpoints of the test that are removed one after another.
+const REMOVABLE: u32 = 8;
+
+/// Changes after which a log no longer reaches back to the one before.
+const OVERFLOW: u32 = 5_000;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Guards against requests to an endpoint that is gone: a process took a removed entry back
+    /// from a peer that had missed the removal in an outage and had a newer list.
+    #[test]
+    fn a_removed_entry_never_comes_back_from_a_peer(
+        steps in prop::collection::vec((0_u32..12, 0_usize..4, 0_usize..4), 1..60),
+    ) {
+        let clock = sync::Arc::<TestClock>::default();
+        let mut models = [true, true, false, false].map(|follows| model(&clock, follows));
+        let mut history = ListHistory { changes: vec![], removed: collections::BTreeSet::new() };
+        // One endpoint stays, as a process without any accepts all that a peer has.
+        for number in (0..REMOVABLE).chain([100]) {
+            history.add(EndpointChange::Listed(entry(number, 7)));
+        }
+        models[..2].iter().for_each(|follower| history.follow(follower));
+        let mut dropped = [(); 4].map(|()| collections::BTreeSet::new());
+        for (kind, from, to) in steps {
+            let before = [0, 1, 2, 3].map(|n| listed(&models[n]));
+            let is_follower = to < 2;
+            match kind {
+                0 | 1 => {
+                    let number = history.removed.len() as u32;
+                    if number < REMOVABLE {
+                        history.removed.insert(number);
+                        history.add(EndpointChange::Removed(id(number)));
+                    }
+                }
+                2 => history.add(EndpointChange::Listed(entry(100, history.revision() as u32))),
+                3 | 4 if is_follower => history.follow(&models[to]),
+                5 if is_follower => history.follow_after_outage(&models[to], &clock),
+                6 => {
+                    clock.pass(time::Duration::from_millis(700));
+                    models.iter().for_each(fleet_model::FleetModel::expire);
+                }
+                7 if from == 0 => {
+                    for slots in 0..OVERFLOW {
+                        history.add(EndpointChange::Listed(entry(100, slots + 10)));
+                    }
+                }
+                8 if !is_follower => {
+                    models[to] = model(&clock, false);
+                    dropped[to].clear();
+                    continue;
+                }
+                _ if !is_follower => {
+                    sync(&models[from], &models[to]);
+                }
+                _ => {}
+            }
+            for number in 0..models.len() {
+                let now = listed(&models[number]);
+                let gone = before[number].difference(&now);
+                dropped[number].extend(gone.filter(|n| history.removed.contains(n)).copied());
+                let back: Vec<_> = dropped[number].intersection(&now).collect();
+                prop_assert!(back.is_empty(), "{:?} came back at process {}", back, number);
+            }
+        }
+    }
+}
+
 proptest! {
     /// Messages that are lost, late or repeated, over a chain of relays: nobody goes back to
     /// an older list, and all are equal when messages get through again.
@@ -234,7 +360,7 @@
         let mut log = directory_transfer::ChangeLog::default();
         log.restart(5);
         let mut revision = 5;
-        let mut expected = std::collections::BTreeSet::new();
+        let mut expected = collections::BTreeSet::new();
         for (step, number) in changes {
             revision += step;
             log.record(revision, id(number));
@@ -245,7 +371,7 @@
         match log.since(since) {
             None => prop_assert!(since < 5),
             Some(known) => {
-                let known: std::collections::BTreeSet<_> = known.into_iter().cloned().collect();
+                let known: collections::BTreeSet<_> = known.into_iter().cloned().collect();
                 prop_assert_eq!(known, expected);
             }
         }
