fix(serving): a slot granted to a caller that has left is released at once

Cause, found by reading which grants can lose their release: a caller that leaves while an owner is asked for a slot drops the request's handler and the wait for the response. The owner grants the slot all the same, and nothing is left that would release it before the permit expires.

Change: `PendingPermit` stands for a permit from the moment it is requested and releases it on drop unless the response arrived. Owners already accept a release that overtakes its request. The same holds for requests through a relay.

--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -31,6 +31,7 @@
 pub mod fleet_model;
 pub mod fleet_source;
 pub mod fleet_sync;
+mod held_permit;
 pub mod item_run;
 pub mod job_acceptance;
 pub mod job_calls;
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -1,14 +1,18 @@
 //! Slots for online requests: requested from an owner, or chosen by this process's own
 //! counts.
 
-use std::{cell, net, rc, time};
+use std::{cell, rc, time};
 
 use rand::seq::IndexedRandom as _;
 
-use super::{context, directory, endpoint_reports, peer_calls, peers};
+use super::{
+    context, directory, endpoint_reports,
+    held_permit::{self, HeldPermit},
+    peer_calls, peers,
+};
 use crate::{
     clock,
-    decisions::{admission, owner_order, ownership},
+    decisions::{owner_order, ownership},
     ids, outcome,
 };
 
@@ -86,17 +90,11 @@
     }
 }
 
-/// The process at which a permit is to be released.
-enum HeldPermit {
-    Here(admission::PermitNumber),
-    Peer(net::SocketAddr, admission::PermitNumber),
-}
-
 impl Drop for HeldSlot {
     fn drop(&mut self) {
         self.context.loads.borrow_mut().end(&self.endpoint.id);
-        if let Some(permit) = &self.permit {
-            release_permit(&self.context, permit, self.is_served.get());
+        if let Some(permit) = self.permit {
+            held_permit::release(&self.context, permit, self.is_served.get());
         }
     }
 }
@@ -377,15 +375,18 @@
         ..online_slot_request(context, request)
     };
     let permit = HeldPermit::Peer(relay.address, request.number);
+    let pending = held_permit::PendingPermit::new(context, permit);
     match context
         .links
         .acquire(relay.address, request, OWNER_TIMEOUT * 2)
         .await
     {
-        Ok(response) => accept_response(context, &relay.id, response, permit),
+        Ok(response) => {
+            pending.settle();
+            accept_response(context, &relay.id, response, permit)
+        }
         Err(e) => {
             log::info!("event=relay_silent relay={} why=\"{e}\"", relay.id);
-            release_permit(context, &permit, false);
             None
         }
     }
@@ -412,14 +413,14 @@
                 let permit = HeldPermit::Peer(address, number);
                 if context.permits.borrow_mut().take_early_release(number) {
                     // The peer stopped waiting before the owner responded.
-                    release_permit(context, &permit, false);
+                    held_permit::release(context, permit, false);
                     return None;
                 }
                 context.relayed_slots.borrow_mut().put(number, address);
                 return Some(response);
             }
             Ok(_) => {}
-            Err(_) => release_permit(context, &HeldPermit::Peer(address, number), false),
+            Err(_) => held_permit::release(context, HeldPermit::Peer(address, number), false),
         }
     }
     None
@@ -442,15 +443,18 @@
         let Some(address) = context.members.borrow().address_of(owner) else {
             return OwnerReply::None(SlotReply::Silent);
         };
+        let permit = HeldPermit::Peer(address, number);
+        let pending = held_permit::PendingPermit::new(context, permit);
         match context.links.acquire(address, request, OWNER_TIMEOUT).await {
-            Ok(response) => (response, HeldPermit::Peer(address, number)),
+            Ok(response) => {
+                pending.settle();
+                (response, permit)
+            }
             Err(e) => {
                 count_permit(context, "silent");
                 let now = context.clock.now();
                 context.members.borrow_mut().record_failure(owner, now);
                 set_free_slots(context, owner, service, 0);
-                // The owner may still grant the slot, which would be held until it expires.
-                release_permit(context, &HeldPermit::Peer(address, number), false);
                 log::info!("event=owner_silent owner={owner} why=\"{e}\"");
                 return OwnerReply::None(SlotReply::Silent);
             }
@@ -506,7 +510,7 @@
         log::info!(
             "event=place_refused endpoint={id} from={from} why=\"the endpoint is not listed here\""
         );
-        release_permit(context, &permit, false);
+        held_permit::release(context, permit, false);
         return None;
     };
     count_permit(context, "granted");
@@ -523,12 +527,3 @@
         acquired_at: context.clock.now(),
     })
 }
-
-/// Releases a permit at the process that granted it.
-fn release_permit(context: &context::ProcessContext, permit: &HeldPermit, is_served: bool) {
-    let release = |number| peers::SlotRelease { number, is_served };
-    match *permit {
-        HeldPermit::Here(number) => peer_calls::release(context, release(number)),
-        HeldPermit::Peer(peer, number) => context.links.release(peer, release(number)),
-    }
-}
