fix(serving): calls that a request waits for connect to their peer first

Cause: processes of a fleet of over 16 dispatchers are linked to a subset of their peers. A call to another one failed as "not sent", and only began to connect. In the logs of all 195 processes: 1,005 reads of results that went to the store instead, 721 owners that counted as silent and were never asked, 306 loans and 109 jobs, all with "there is no connection to the peer".

Change: requests for slots, results, borrowed slots, jobs and trials connect first, within the timeout of the call.

A peer that refuses connections still fails at once.

--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -124,6 +124,17 @@
     }};
 }
 
+/// Like [`call_peer`], but connects first: in a large fleet a process is linked to a few
+/// peers only, and the ones that it calls for a request are often others.
+macro_rules! connect_and_call {
+    ($links:expr, $peer:expr, $timeout:expr, $method:ident($($argument:expr),*)) => {{
+        let context = deadline_in($timeout);
+        $links.connect_before($peer, context.deadline).await;
+        let client = $links.connected($peer).ok_or(PeerError::NotSent)?;
+        into_result(client.$method(context, $($argument),*).await)
+    }};
+}
+
 /// Sends a peer a message without a response. Lost messages are made up for by other
 /// means, such as a timeout or a later read.
 macro_rules! notify_peer {
@@ -213,7 +224,7 @@
         request: OnlineSlotRequest,
         timeout: time::Duration,
     ) -> Result<OnlineSlotResponse, PeerError> {
-        call_peer!(self, peer, timeout, acquire(request))
+        connect_and_call!(self, peer, timeout, acquire(request))
     }
 
     /// Releases a slot, retrying while its owner is unreachable: the owner holds the slot
@@ -243,7 +254,7 @@
         message: crash_ledger::CrashMessage,
         timeout: time::Duration,
     ) -> Result<bool, PeerError> {
-        call_peer!(self, peer, timeout, claim_trial(message))
+        connect_and_call!(self, peer, timeout, claim_trial(message))
     }
 
     /// Returns a trial that did not run.
@@ -322,7 +333,7 @@
         record: job_records::JobRecord,
         timeout: time::Duration,
     ) -> Result<bool, PeerError> {
-        call_peer!(self, peer, timeout, take_job(record))
+        connect_and_call!(self, peer, timeout, take_job(record))
     }
 
     /// Requests that an owner reads a job from the store and takes it over; returns
@@ -363,7 +374,7 @@
         request: ResultRequest,
         timeout: time::Duration,
     ) -> Result<wire::ResultPage, PeerError> {
-        call_peer!(self, peer, timeout, read_results(request))
+        connect_and_call!(self, peer, timeout, read_results(request))
     }
 
     /// Notifies a peer that a job was ended; the store records the end as well.
@@ -381,7 +392,7 @@
         request: BatchSlotRequest,
         timeout: time::Duration,
     ) -> Result<Vec<BorrowedSlot>, PeerError> {
-        call_peer!(self, peer, timeout, lend(request))
+        connect_and_call!(self, peer, timeout, lend(request))
     }
 
     /// Returns a borrowed batch slot, retrying while its owner is unreachable.
@@ -480,6 +491,17 @@
         }
     }
 
+    /// Connects to a peer if necessary, and gives up at a deadline.
+    async fn connect_before(&self, peer: net::SocketAddr, deadline: time::Instant) {
+        let connecting = self.try_connect(peer);
+        if tokio::time::timeout_at(deadline.into(), connecting)
+            .await
+            .is_err()
+        {
+            log::debug!("event=peer_connection_awaited peer={peer}");
+        }
+    }
+
     /// Connects to a peer that is just starting, with retries. Returns whether it
     /// succeeds within the timeout.
     pub async fn connect_within(&self, peer: net::SocketAddr, timeout: time::Duration) -> bool {
