fix(serving): a trial is claimed to its end though its caller leaves

The note that a claim is under way stayed for good, so that gateway never asked again, and its callers were refused until the quarantine ended elsewhere. A trial that was granted all the same blocked the others for ten seconds.

Change: the claim is a task of its own; a trial that nobody awaits any more is returned on drop. Granted trials of items are returned the same way if the item gets no slot in five seconds.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -292,16 +292,6 @@
             .map(|(_, record)| record)
     }
 
-    /// Returns the record of a request, to be sent to other processes.
-    pub fn update_of(
-        &self,
-        digest: ids::RequestDigest,
-        now: clock::MonotonicTime,
-    ) -> Option<CrashUpdate> {
-        let record = self.records.get(&digest)?;
-        Some(record.update(digest, now))
-    }
-
     /// Returns the message about a request for other processes.
     pub fn message_of(
         &self,
--- a/src/serving/crash_trials.rs
+++ b/src/serving/crash_trials.rs
@@ -41,12 +41,18 @@
 pub(super) struct TrialState {
     /// Requests whose trial is being claimed.
     claiming: cell::RefCell<collections::HashSet<ids::RequestDigest>>,
-    /// Granted trials of items that wait for a slot, with their expiry.
-    granted: cell::RefCell<collections::HashMap<ids::RequestDigest, clock::MonotonicTime>>,
+    /// Granted trials of items that wait for a slot.
+    granted: cell::RefCell<collections::HashMap<ids::RequestDigest, ItemGrant>>,
     /// Notified when a request is cleared or suspected.
     pub(super) changed: tokio::sync::Notify,
 }
 
+/// Granted trial of an item that waits for a slot.
+struct ItemGrant {
+    trial: TrialGuard,
+    expires_at: clock::MonotonicTime,
+}
+
 /// Whether a request may run, with regard to the crashes during it.
 pub(super) enum TrialAdmission {
     Allowed,
@@ -107,9 +113,11 @@
         let Some(trial_delay) = context.crashes.trial_delay(digest, now) else {
             return TrialAdmission::Allowed;
         };
-        if trial_delay.is_zero() && claim(context, digest).await {
-            log::info!("event=trial_begun request={id} digest={digest}");
-            return TrialAdmission::Trial(TrialGuard::new(context, digest));
+        if trial_delay.is_zero() {
+            if let Some(trial) = claim(context, digest).await {
+                log::info!("event=trial_begun request={id} digest={digest}");
+                return TrialAdmission::Trial(trial);
+            }
         }
         if context.crashes.is_convicted(digest) {
             let left = trial_delay.max(RETRY_AFTER);
@@ -163,10 +171,11 @@
 }
 
 async fn claim_for_item(context: rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) {
-    if claim(&context, digest).await {
+    if let Some(trial) = claim(&context, digest).await {
         let expires_at = context.clock.now() + ITEM_GRANT_TTL;
+        let grant = ItemGrant { trial, expires_at };
         let trials = &context.crashes.trials;
-        trials.granted.borrow_mut().insert(digest, expires_at);
+        trials.granted.borrow_mut().insert(digest, grant);
         context.jobs.work.notify_one();
     }
 }
@@ -174,31 +183,50 @@
 impl TrialState {
     fn is_granted(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> bool {
         let granted = self.granted.borrow();
-        granted.get(&digest).is_some_and(|expiry| now < *expiry)
+        let grant = granted.get(&digest);
+        grant.is_some_and(|grant| now < grant.expires_at)
     }
 
     /// Uses up the granted trial of an item that begins to run.
     pub(super) fn begin_item(&self, digest: ids::RequestDigest) {
-        if self.granted.borrow_mut().remove(&digest).is_some() {
-            log::info!("event=trial_begun request=item digest={digest}");
+        if let Some(grant) = self.granted.borrow_mut().remove(&digest) {
+            log::info!("event=trial_begun request=- digest={digest}");
+            grant.trial.set_run(true);
         }
     }
 
-    /// Removes granted trials of items that got no slot in time.
+    /// Returns the granted trials of items that got no slot in time.
     pub(super) fn expire(&self, now: clock::MonotonicTime) {
-        self.granted.borrow_mut().retain(|_, expiry| now < *expiry);
+        let mut granted = self.granted.borrow_mut();
+        granted.retain(|_, grant| now < grant.expires_at);
     }
 }
 
-/// Requests the trial of a suspect from its arbiter; returns whether it was granted.
-async fn claim(context: &rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) -> bool {
-    let claiming = &context.crashes.trials.claiming;
-    if !claiming.borrow_mut().insert(digest) {
-        return false;
+/// Requests the trial of a suspect from its arbiter, unless a request is under way.
+///
+/// The request is a task of its own: if the caller leaves meanwhile, a trial that is granted
+/// all the same is returned.
+async fn claim(
+    context: &rc::Rc<context::ProcessContext>,
+    digest: ids::RequestDigest,
+) -> Option<TrialGuard> {
+    let is_new = context.crashes.trials.claiming.borrow_mut().insert(digest);
+    if !is_new {
+        return None;
+    }
+    let context = context.clone();
+    let claiming = actix_rt::spawn(async move {
+        let is_granted = request_grant(&context, digest).await;
+        context.crashes.trials.claiming.borrow_mut().remove(&digest);
+        is_granted.then(|| TrialGuard::new(&context, digest))
+    });
+    match claiming.await {
+        Ok(trial) => trial,
+        Err(e) => {
+            log::warn!("event=trial_unclaimed digest={digest} why=\"{e}\"");
+            None
+        }
     }
-    let is_granted = request_grant(context, digest).await;
-    claiming.borrow_mut().remove(&digest);
-    is_granted
 }
 
 async fn request_grant(
