refactor(serving): trials and pending permits stay outside the circle of imports

The state of trials is a module of its own that imports nothing of the circle, and pending permits release through the links alone. Granted trials of items that expire are returned by the periodic tick.

--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -7,7 +7,7 @@
 
 use std::{cell, collections, net, rc, time};
 
-use super::{context, crash_trials, members, peers, single_flight};
+use super::{context, members, peers, single_flight, trial_state};
 use crate::{
     clock,
     decisions::{call_budget::CallClass, crash_ledger, retry},
@@ -64,7 +64,7 @@
 pub(super) struct CrashGuard {
     ledger: cell::RefCell<crash_ledger::CrashLedger>,
     /// Trials of suspects.
-    pub(super) trials: crash_trials::TrialState,
+    pub(super) trials: trial_state::TrialState,
     /// Requests whose records are being written to the store.
     saving: cell::RefCell<collections::HashSet<ids::RequestDigest>>,
     /// Guard that allows one pull at a time.
@@ -318,7 +318,6 @@
 pub(super) fn expire(context: &rc::Rc<context::ProcessContext>) {
     let now = context.clock.now();
     let expired = context.crashes.ledger.borrow_mut().expire(now);
-    context.crashes.trials.expire(now);
     let (suspected, convicted) = context.crashes.ledger.borrow().suspect_counts();
     let gauge = &context.metrics.quarantined_requests;
     gauge
--- a/src/serving/crash_trials.rs
+++ b/src/serving/crash_trials.rs
@@ -5,11 +5,10 @@
 //! request, grants the trial, so that of all processes only one runs it. Requests that
 //! arrive meanwhile wait for the outcome for a short time.
 
-use std::{cell, collections, rc, time};
+use std::{cell, rc, time};
 
 use super::{context, crash_guard};
 use crate::{
-    clock,
     decisions::{
         crash_ledger::{self, CrashVerdict},
         ownership,
@@ -33,26 +32,6 @@
 /// `Retry-After` of a request that was refused while a trial runs elsewhere.
 const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
-/// Time for which a granted trial of an item is kept until the item gets a slot.
-const ITEM_GRANT_TTL: time::Duration = time::Duration::from_secs(5);
-
-/// State of the trials of a process.
-#[derive(Default)]
-pub(super) struct TrialState {
-    /// Requests whose trial is being claimed.
-    claiming: cell::RefCell<collections::HashSet<ids::RequestDigest>>,
-    /// Granted trials of items that wait for a slot.
-    granted: cell::RefCell<collections::HashMap<ids::RequestDigest, ItemGrant>>,
-    /// Notified when a request is cleared or suspected.
-    pub(super) changed: tokio::sync::Notify,
-}
-
-/// Granted trial of an item that waits for a slot.
-struct ItemGrant {
-    trial: TrialGuard,
-    expires_at: clock::MonotonicTime,
-}
-
 /// Whether a request may run, with regard to the crashes during it.
 pub(super) enum TrialAdmission {
     Allowed,
@@ -172,33 +151,19 @@
 
 async fn claim_for_item(context: rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) {
     if let Some(trial) = claim(&context, digest).await {
-        let expires_at = context.clock.now() + ITEM_GRANT_TTL;
-        let grant = ItemGrant { trial, expires_at };
+        // Returned by `expire` if the item gets no slot.
+        trial.set_run(true);
         let trials = &context.crashes.trials;
-        trials.granted.borrow_mut().insert(digest, grant);
+        trials.keep_for_item(digest, context.clock.now());
         context.jobs.work.notify_one();
     }
 }
 
-impl TrialState {
-    fn is_granted(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> bool {
-        let granted = self.granted.borrow();
-        let grant = granted.get(&digest);
-        grant.is_some_and(|grant| now < grant.expires_at)
-    }
-
-    /// Uses up the granted trial of an item that begins to run.
-    pub(super) fn begin_item(&self, digest: ids::RequestDigest) {
-        if let Some(grant) = self.granted.borrow_mut().remove(&digest) {
-            log::info!("event=trial_begun request=- digest={digest}");
-            grant.trial.set_run(true);
-        }
-    }
-
-    /// Returns the granted trials of items that got no slot in time.
-    pub(super) fn expire(&self, now: clock::MonotonicTime) {
-        let mut granted = self.granted.borrow_mut();
-        granted.retain(|_, grant| now < grant.expires_at);
+/// Returns the granted trials of items that got no slot in time.
+pub(super) fn expire(context: &context::ProcessContext) {
+    let expired = context.crashes.trials.take_expired(context.clock.now());
+    for digest in expired {
+        return_trial(context, digest);
     }
 }
 
@@ -210,14 +175,13 @@
     context: &rc::Rc<context::ProcessContext>,
     digest: ids::RequestDigest,
 ) -> Option<TrialGuard> {
-    let is_new = context.crashes.trials.claiming.borrow_mut().insert(digest);
-    if !is_new {
+    if !context.crashes.trials.begin_claim(digest) {
         return None;
     }
     let context = context.clone();
     let claiming = actix_rt::spawn(async move {
         let is_granted = request_grant(&context, digest).await;
-        context.crashes.trials.claiming.borrow_mut().remove(&digest);
+        context.crashes.trials.end_claim(digest);
         is_granted.then(|| TrialGuard::new(&context, digest))
     });
     match claiming.await {
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -3,7 +3,8 @@
 use std::{collections, rc, time};
 
 use super::{
-    context, crash_guard, directory, fleet_model, job_checkpoints, limit_links, loop_delay, members,
+    context, crash_guard, crash_trials, directory, fleet_model, job_checkpoints, limit_links,
+    loop_delay, members,
 };
 use crate::{
     clock,
@@ -75,6 +76,7 @@
             context.pool.sweep();
             expire_permits(&context, now);
             crash_guard::expire(&context);
+            crash_trials::expire(&context);
             limit_links::forget_idle(&context);
             context.members.borrow_mut().expire_beats(now);
             release_ended(&context);
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -1,18 +1,14 @@
 //! Slots for online requests: requested from an owner, or chosen by this process's own
 //! counts.
 
-use std::{cell, rc, time};
+use std::{cell, net, rc, time};
 
 use rand::seq::IndexedRandom as _;
 
-use super::{
-    context, directory, endpoint_reports,
-    held_permit::{self, HeldPermit},
-    peer_calls, peers,
-};
+use super::{context, directory, endpoint_reports, peer_calls, peers, pending_permit};
 use crate::{
     clock,
-    decisions::{owner_order, ownership},
+    decisions::{admission, owner_order, ownership},
     ids, outcome,
 };
 
@@ -90,11 +86,18 @@
     }
 }
 
+/// The process at which a permit is to be released.
+#[derive(Debug, Clone, Copy)]
+enum HeldPermit {
+    Here(admission::PermitNumber),
+    Peer(net::SocketAddr, admission::PermitNumber),
+}
+
 impl Drop for HeldSlot {
     fn drop(&mut self) {
         self.context.loads.borrow_mut().end(&self.endpoint.id);
         if let Some(permit) = self.permit {
-            held_permit::release(&self.context, permit, self.is_served.get());
+            release_permit(&self.context, permit, self.is_served.get());
         }
     }
 }
@@ -375,7 +378,7 @@
         ..online_slot_request(context, request)
     };
     let permit = HeldPermit::Peer(relay.address, request.number);
-    let pending = held_permit::PendingPermit::new(context, permit);
+    let pending = pending_permit::PendingPermit::new(context, relay.address, request.number);
     match context
         .links
         .acquire(relay.address, request, OWNER_TIMEOUT * 2)
@@ -413,14 +416,14 @@
                 let permit = HeldPermit::Peer(address, number);
                 if context.permits.borrow_mut().take_early_release(number) {
                     // The peer stopped waiting before the owner responded.
-                    held_permit::release(context, permit, false);
+                    release_permit(context, permit, false);
                     return None;
                 }
                 context.relayed_slots.borrow_mut().put(number, address);
                 return Some(response);
             }
             Ok(_) => {}
-            Err(_) => held_permit::release(context, HeldPermit::Peer(address, number), false),
+            Err(_) => release_permit(context, HeldPermit::Peer(address, number), false),
         }
     }
     None
@@ -444,7 +447,7 @@
             return OwnerReply::None(SlotReply::Silent);
         };
         let permit = HeldPermit::Peer(address, number);
-        let pending = held_permit::PendingPermit::new(context, permit);
+        let pending = pending_permit::PendingPermit::new(context, address, number);
         match context.links.acquire(address, request, OWNER_TIMEOUT).await {
             Ok(response) => {
                 pending.settle();
@@ -510,7 +513,7 @@
         log::info!(
             "event=place_refused endpoint={id} from={from} why=\"the endpoint is not listed here\""
         );
-        held_permit::release(context, permit, false);
+        release_permit(context, permit, false);
         return None;
     };
     count_permit(context, "granted");
@@ -527,3 +530,12 @@
         acquired_at: context.clock.now(),
     })
 }
+
+/// Releases a permit at the process that granted it.
+fn release_permit(context: &context::ProcessContext, permit: HeldPermit, is_served: bool) {
+    let release = |number| peers::SlotRelease { number, is_served };
+    match permit {
+        HeldPermit::Here(number) => peer_calls::release(context, release(number)),
+        HeldPermit::Peer(peer, number) => context.links.release(peer, release(number)),
+    }
+}
