fix(serving): an owner of excluded endpoints only is not a full service

Callers saw 503 although endpoints were free: a gateway that knew one of two owners asked it for another attempt; the request excluded the only endpoint of that owner, which had just crashed (place_denied endpoints=1 unwanted=1), and its denial counted as "full" (no_place owners_asked=1).

The response now says that the request excludes all endpoints of the responder. Such a reply says nothing about other owners: the gateway asks the next owner, and goes ahead on its own counts if none is full.

tests/slots.rs: an_owner_without_candidates_is_not_full and two cases of a_service_is_full_if_all_its_owners_are_full; the reply did not exist before.

--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -189,6 +189,7 @@
     let ejected = permits.ejected(&context.loads.borrow(), now);
     let granted = permits.acquire(request, &ejected, now);
     let owns = permits.owns(&request.service);
+    let excludes_all = permits.are_all_excluded(request);
     let free_slots = permits.free_online_slots(&request.service, now);
     let free_queue_slots = permits.free_queue_slots(&request.service, request.wait, now);
     let denial = granted.is_none().then(|| permits.denial(request, now));
@@ -210,6 +211,7 @@
     peers::OnlineSlotResponse {
         endpoint,
         owns,
+        excludes_all,
         free_slots,
         free_queue_slots,
     }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -112,6 +112,8 @@
     /// Whether the responder owns endpoints of the service. Processes may disagree on
     /// ownership for a moment when members change.
     pub owns: bool,
+    /// Whether the request excludes all endpoints of the service that the responder owns.
+    pub excludes_all: bool,
     /// Free online slots of the owner after this response.
     #[serde(rename = "room")]
     pub free_slots: u32,
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -522,6 +522,13 @@
         self.owned().any(|entry| entry.service == *service)
     }
 
+    /// Returns whether this process owns endpoints of the requested service and the request
+    /// excludes all of them.
+    pub fn are_all_excluded(&self, request: &peers::OnlineSlotRequest) -> bool {
+        let mut owned = self.owned().filter(|e| e.service == request.service);
+        self.owns(&request.service) && owned.all(|e| request.tried.contains(&e.id))
+    }
+
     /// Returns the number of slots of a service that online requests can get now.
     pub fn free_online_slots(&self, service: &ids::ServiceName, now: clock::MonotonicTime) -> u32 {
         self.of_service(service, now)
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -126,6 +126,9 @@
     Full(u32),
     /// It owns no endpoint of the service.
     NotOwner,
+    /// The request excludes all endpoints of the service that it owns, which says nothing
+    /// about the endpoints of other owners.
+    Excluded,
     /// It gave no usable response.
     Silent,
 }
@@ -472,6 +475,10 @@
         return OwnerReply::None(SlotReply::NotOwner);
     }
     set_free_slots(context, owner, service, response.free_slots);
+    if response.endpoint.is_none() && response.excludes_all {
+        count_permit(context, "excluded");
+        return OwnerReply::None(SlotReply::Excluded);
+    }
     if response.endpoint.is_none() {
         count_permit(context, "full");
         return OwnerReply::None(SlotReply::Full(response.free_queue_slots));
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -261,6 +261,8 @@
 #[case::all_full(&[SlotReply::Full(0), SlotReply::Full(3)], true)]
 #[case::the_only_owner_is_full(&[SlotReply::NotOwner, SlotReply::Full(0)], true)]
 #[case::one_owner_is_silent(&[SlotReply::Full(0), SlotReply::Silent], false)]
+#[case::the_only_owner_is_excluded(&[SlotReply::Excluded], false)]
+#[case::one_owner_is_excluded(&[SlotReply::Excluded, SlotReply::Full(0)], true)]
 fn a_service_is_full_if_all_its_owners_are_full(
     #[case] replies: &[SlotReply],
     #[case] is_full: bool,
@@ -274,3 +276,21 @@
     assert!(table.owns(&service()));
     assert!(!table.owns(&"other".parse().expect("a name")));
 }
+
+/// Guards against a refusal as full by the owner of nothing but endpoints that the request
+/// has tried, while other owners have free slots.
+#[test]
+fn an_owner_without_candidates_is_not_full() {
+    let table = table(&[entry("a", "z"), entry("b", "z")]);
+    let request = |tried: &[&str]| peers::OnlineSlotRequest {
+        tried: tried.iter().map(|id| id.parse().expect("an id")).collect(),
+        ..slot_request(run("g"), 1)
+    };
+    assert!(!table.are_all_excluded(&request(&["a"])));
+    assert!(table.are_all_excluded(&request(&["a", "b"])));
+    let foreign = peers::OnlineSlotRequest {
+        service: "other".parse().expect("a name"),
+        ..request(&["a", "b"])
+    };
+    assert!(!table.are_all_excluded(&foreign));
+}
