fix(serving): the first reads at a start do not wait for each other

A process read the desired state 208 ms, the members 510 ms and the list of endpoints 520 ms after its start: the first two waited until the store counted as reachable, which the read of the list decides, and that read waits for the members. Requests were refused until then.

The first failure of the store is logged even if it never responded before: a test relied on that line and raced with the faster start.

--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -501,7 +501,8 @@
     fn record_reachable(&self, reachable: bool) {
         let previous = self.is_source_responding.replace(reachable);
         let now = self.clock.now();
-        if reachable != previous {
+        let is_first_failure = !reachable && self.unreachable_since.get().is_none();
+        if reachable != previous || is_first_failure {
             log::warn!("event=store_reachable now={reachable}");
         }
         match (previous, reachable) {
--- a/src/serving/member_sync.rs
+++ b/src/serving/member_sync.rs
@@ -40,12 +40,17 @@
 pub(super) async fn watch_members(context: rc::Rc<context::ProcessContext>) {
     let prefix = format!("{}/", context::MEMBER_KIND);
     let mut since = store::ObjectRevision(0);
+    // Whether the store responds is learned from the list of endpoints, which is read after
+    // the members: the first read must not wait for it.
+    let mut was_read = false;
     while !context.is_stopping() {
         let learns_from_peers = since.0 > 0 && !context.fleet.follows_store();
-        if learns_from_peers || !context.fleet.is_reachable() {
+        let is_unreachable = was_read && !context.fleet.is_reachable();
+        if learns_from_peers || is_unreachable {
             actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
             continue;
         }
+        was_read = true;
         let response = context.store.watch(&[&prefix], since, MEMBER_WATCH_TIMEOUT);
         let response = tokio::select! {
             response = response => response,
