feat(serving): deposit the time since the start with the first deposit

Cause: after a restart of all processes a gateway makes its first deposit 200 ms after the last change of its list of quota servers, and each change forfeits the time before it. The token pools of all workspaces stay empty for as long, and callers get 429.

Change: a gateway that has made no deposit in this run deposits the time since its own start, whatever lists of quota servers it has seen. No quota server has received any of that time, and an earlier run ended before it. The first deposit is due at once; it follows the first response of a quota server that has the same member records, and both sides update their lists of quota servers when the first message arrives instead of at the next tick. The limit of credits by the age of a quota server is unchanged, and so is the bound.

--- a/src/bench/limit_fleet/pooled.rs
+++ b/src/bench/limit_fleet/pooled.rs
@@ -20,7 +20,6 @@
 const DEPOSIT_BYTES: usize = 48;
 
 /// A gateway.
-#[derive(Default)]
 struct GatewayState {
     run: ids::RunNumber,
     shares: ShareClock,
@@ -62,7 +61,9 @@
             tolerance: *tolerance,
             workspaces: (0..plan.workspaces).map(|n| name("w", n)).collect(),
             boards: boards.collect(),
-            gateways: (0..plan.gateways).map(|_| Self::fresh_gateway()).collect(),
+            gateways: (0..plan.gateways)
+                .map(|_| Self::fresh_gateway(begun))
+                .collect(),
             names,
             rng: rngs::SmallRng::seed_from_u64(plan.seed),
             messages: 0,
@@ -70,10 +71,11 @@
         }
     }
 
-    fn fresh_gateway() -> GatewayState {
+    fn fresh_gateway(now: clock::MonotonicTime) -> GatewayState {
         GatewayState {
             run: ids::RunNumber::random(),
-            ..GatewayState::default()
+            shares: ShareClock::starting_at(now),
+            cache: TokenCache::default(),
         }
     }
 
@@ -181,7 +183,7 @@
         }
         for gateway in 0..self.gateways.len() {
             if world.gateway_begins(gateway, STEP) {
-                self.gateways[gateway] = Self::fresh_gateway();
+                self.gateways[gateway] = Self::fresh_gateway(world.now());
             }
             if world.serves(gateway) {
                 self.deposit(world, gateway);
--- a/src/decisions/rate_limits/share_clock.rs
+++ b/src/decisions/rate_limits/share_clock.rs
@@ -100,9 +100,11 @@
 /// Times at which a gateway's share was last deposited, by quota server.
 ///
 /// Invariant: each instant of the gateway's time is deposited at most once with each quota
-/// server.
-#[derive(Debug, Clone, Default)]
+/// server, and none from before the start of this run: an earlier run may have deposited it.
+#[derive(Debug, Clone)]
 pub struct ShareClock {
+    /// Start of this run of the gateway.
+    started_at: clock::MonotonicTime,
     view: Option<QuotaServerView>,
     quota_servers: Vec<ids::InstanceId>,
     deposited_at: collections::BTreeMap<ids::InstanceId, clock::MonotonicTime>,
@@ -110,8 +112,22 @@
 }
 
 impl ShareClock {
+    /// Creates the clock of a gateway run that started at `started_at`.
+    pub fn starting_at(started_at: clock::MonotonicTime) -> Self {
+        Self {
+            started_at,
+            view: None,
+            quota_servers: Vec::new(),
+            deposited_at: collections::BTreeMap::new(),
+            number: DepositNumber::default(),
+        }
+    }
+
     /// Replaces the list of quota servers. If it changes, the time since the last deposits is
     /// forfeited: a workspace may have moved to a quota server that received a deposit since.
+    ///
+    /// Before the first deposit of this run nothing is forfeited, as no quota server has
+    /// received any of its time.
     pub fn set_quota_servers(
         &mut self,
         quota_servers: &[ids::InstanceId],
@@ -120,8 +136,11 @@
         let view = QuotaServerView::of(quota_servers);
         if self.view.replace(view) != Some(view) {
             self.quota_servers = quota_servers.to_vec();
-            let from_now = quota_servers.iter().map(|k| (k.clone(), now));
-            self.deposited_at = from_now.collect();
+            let from = match self.number == DepositNumber::default() {
+                true => self.started_at,
+                false => now,
+            };
+            self.deposited_at = quota_servers.iter().map(|k| (k.clone(), from)).collect();
         }
     }
 
@@ -130,6 +149,12 @@
         &self.quota_servers
     }
 
+    /// Returns whether a quota server has received no deposit of this run. Its first one is
+    /// due at once.
+    pub fn awaits_first(&self, quota_server: &ids::InstanceId) -> bool {
+        self.deposited_at.get(quota_server) == Some(&self.started_at)
+    }
+
     /// Takes the deposit for a quota server, if it is due.
     pub fn take(
         &mut self,
@@ -138,12 +163,11 @@
         rng: &mut impl rand::Rng,
     ) -> Option<DueDeposit> {
         let view = self.view?;
+        let is_first = self.awaits_first(quota_server);
         let last = self.deposited_at.get_mut(quota_server)?;
         let passed = now.since(*last);
-        let is_first = self.number == DepositNumber::default();
-        let is_early =
-            passed >= MIN_DEPOSIT_INTERVAL && (is_first || rng.random_bool(EARLY_PROBABILITY));
-        if passed < DEPOSIT_INTERVAL && !is_early {
+        let is_early = passed >= MIN_DEPOSIT_INTERVAL && rng.random_bool(EARLY_PROBABILITY);
+        if passed < DEPOSIT_INTERVAL && !is_early && !is_first {
             return None;
         }
         *last = now;
--- a/src/decisions/rate_limits/token_pools.rs
+++ b/src/decisions/rate_limits/token_pools.rs
@@ -148,6 +148,11 @@
         self.pools = pools;
     }
 
+    /// Returns the digest of the list of quota servers.
+    pub fn view(&self) -> Option<QuotaServerView> {
+        self.view
+    }
+
     /// Returns the fraction of a workspace's limit that is deposited here.
     fn fraction_of(&self, workspace: &ids::WorkspaceId) -> Option<f64> {
         let order = share_clock::quota_servers_of(workspace, &self.quota_servers);
--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -182,9 +182,19 @@
     pub(super) ids: rc::Rc<Vec<ids::InstanceId>>,
 }
 
-/// Run and latest clock stamp of each peer.
-type PeerStamps =
-    collections::HashMap<ids::InstanceId, (ids::RunNumber, limit_messages::ClockStamp)>;
+/// What the latest response of a peer to a probe says for deposits.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PeerStamp {
+    /// Run of the peer.
+    pub(super) run: ids::RunNumber,
+    /// Its clock.
+    pub(super) stamp: limit_messages::ClockStamp,
+    /// Digest of its member records.
+    pub(super) members: u64,
+}
+
+/// Latest stamp of each peer.
+type PeerStamps = collections::HashMap<ids::InstanceId, PeerStamp>;
 
 impl ProcessContext {
     /// Creates the state of a starting process.
@@ -231,7 +241,7 @@
             members_requested_at: cell::Cell::new(None),
             limiter: limiter::Limiter::default(),
             pools: cell::RefCell::new(pools),
-            shares: cell::RefCell::default(),
+            shares: cell::RefCell::new(share_clock::ShareClock::starting_at(started_at)),
             stamps: cell::RefCell::default(),
             crashes: crash_guard::CrashGuard::default(),
             state_transfer: state_transfer::StateTransfer::default(),
--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -4,7 +4,7 @@
 use std::{net, rc, time};
 
 use super::{
-    context, crash_guard, fleet_source, limit_links, members, owners, peers, state_transfer,
+    context, crash_guard, fleet_source, limit_links, members, owners, peers, probes, state_transfer,
 };
 
 /// Timeout for the members of a peer, and for the next bytes of its list of endpoints.
@@ -47,6 +47,9 @@
 ) {
     limit_links::record_stamp(context, heartbeat);
     receive_heartbeat(context, heartbeat);
+    if limit_links::awaits_deposit(context, &heartbeat.id) {
+        probes::probe_again(context, &heartbeat.id);
+    }
     crash_guard::pull_from(context, peer, heartbeat);
     catch_up(context, peer, heartbeat).await;
 }
--- a/src/serving/limit_links.rs
+++ b/src/serving/limit_links.rs
@@ -240,14 +240,17 @@
     peer: &ids::InstanceId,
     heartbeat: &mut peers::HeartbeatMessage,
 ) -> Option<SentDeposit> {
-    let (run, stamp) = context.stamps.borrow().get(peer).copied()?;
+    let known = context.stamps.borrow().get(peer).copied()?;
+    if !is_accepted_at(context, peer, &known) {
+        return None;
+    }
     let due = take_due_deposit(context, peer, context.clock.now())?;
     heartbeat.deposit = Some(limit_messages::ShareDeposit {
         number: due.number,
         time: share_clock::ShareTime::of(due.time, gateway_count(context)),
         view: due.view,
-        run,
-        stamp,
+        run: known.run,
+        stamp: known.stamp,
     });
     Some(SentDeposit {
         quota_server: peer.clone(),
@@ -255,6 +258,36 @@
     })
 }
 
+/// Returns whether a peer probably has the same list of quota servers, as far as that
+/// matters for a deposit.
+///
+/// The first deposit of a run covers the most time. If all processes start together, it
+/// would be lost at a quota server that does not know the members yet.
+fn is_accepted_at(
+    context: &context::ProcessContext,
+    peer: &ids::InstanceId,
+    known: &context::PeerStamp,
+) -> bool {
+    let is_young = context.age() < members::QUOTA_SERVER_TIMEOUT;
+    let own_members = || {
+        let members = context.members.borrow();
+        members.digest(&context.options.member)
+    };
+    !is_young || !context.shares.borrow().awaits_first(peer) || known.members == own_members()
+}
+
+/// Returns whether the first deposit of this run can be made now at a peer that has just
+/// responded to a probe.
+pub(super) fn awaits_deposit(context: &context::ProcessContext, peer: &ids::InstanceId) -> bool {
+    let is_gateway = context.options.member.role == members::MemberRole::Gateway;
+    if !is_gateway || !context.members_known.get() || context.is_stopping() {
+        return false;
+    }
+    let known = context.stamps.borrow().get(peer).copied();
+    context.shares.borrow().awaits_first(peer)
+        && known.is_some_and(|known| is_accepted_at(context, peer, &known))
+}
+
 /// Takes a deposit back if it was certainly not sent, so that it can be made again.
 pub(super) fn settle_deposit(
     context: &context::ProcessContext,
@@ -269,8 +302,18 @@
 
 /// Records the clock stamp of a peer that may be a quota server.
 pub(super) fn record_stamp(context: &context::ProcessContext, heartbeat: &peers::HeartbeatMessage) {
+    let stamp = context::PeerStamp {
+        run: heartbeat.run,
+        stamp: heartbeat.stamp,
+        members: heartbeat.members,
+    };
     let mut stamps = context.stamps.borrow_mut();
-    stamps.insert(heartbeat.id.clone(), (heartbeat.run, heartbeat.stamp));
+    let previous = stamps.insert(heartbeat.id.clone(), stamp);
+    drop(stamps);
+    if previous.is_none_or(|previous| previous.run != heartbeat.run) {
+        // The members may have been received since the last tick.
+        update_quota_servers(context);
+    }
 }
 
 /// Credits the deposit in a gateway's heartbeat, if there is one.
@@ -281,6 +324,10 @@
     let Some(deposit) = heartbeat.deposit else {
         return;
     };
+    if context.pools.borrow().view() != Some(deposit.view) {
+        // The members may have been received since the last tick.
+        update_quota_servers(context);
+    }
     let outcome = match deposit.run == context.run.run {
         true => {
             let deposit = token_pools::PoolDeposit {
--- a/src/serving/probes.rs
+++ b/src/serving/probes.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, rc, time};
 
+use futures::future;
+
 use super::{context, fleet_sync, limit_links, members, peer_links, permits};
 use crate::ids;
 
@@ -84,6 +86,17 @@
     window.map(|id| (*id).clone()).collect()
 }
 
+/// Probes a peer again at once, as there is something to report to it.
+pub(super) fn probe_again(context: &rc::Rc<context::ProcessContext>, id: &ids::InstanceId) {
+    let record = context.members.borrow().record_of(id).cloned();
+    if let Some(record) = record {
+        // Boxed, as a probe may be followed by another one.
+        let again: future::LocalBoxFuture<'static, ()> =
+            Box::pin(probe(context.clone(), record, false));
+        actix_rt::spawn(again);
+    }
+}
+
 async fn probe(
     context: rc::Rc<context::ProcessContext>,
     record: members::MemberRecord,
--- a/tests/limit_model.rs
+++ b/tests/limit_model.rs
@@ -1,7 +1,7 @@
 //! Exhaustive exploration of a small fleet up to a number of steps: three gateways and two
 //! quota servers of one limit, running the decision code of the product.
 //!
-//! Each step lasts a second and combines one of four partitions, one of six events, and
+//! Each step lasts a second and combines one of four partitions, one of seven events, and
 //! callers that take either all available tokens or none. Nothing is left to chance.
 
 use std::{cell, time};
@@ -15,7 +15,7 @@
     },
     ids,
 };
-use rand::{rngs, SeedableRng as _};
+use rand::{rngs, Rng as _, SeedableRng as _};
 
 const GATEWAYS: usize = 3;
 const QUOTA_SERVERS: usize = 2;
@@ -45,15 +45,18 @@
     DepositsAreLate,
     /// Deposits arrive twice.
     DepositsAreRepeated,
+    /// All processes restart; the gateways learn of the quota servers one after the other.
+    AllRestart,
 }
 
-const EVENTS: [StepEvent; 6] = [
+const EVENTS: [StepEvent; 7] = [
     StepEvent::Nothing,
     StepEvent::QuotaServerRestarts,
     StepEvent::GatewayRestarts,
     StepEvent::QuotaServerFreezes,
     StepEvent::DepositsAreLate,
     StepEvent::DepositsAreRepeated,
+    StepEvent::AllRestart,
 ];
 
 /// Defect injected into the model, to show that the exploration detects it.
@@ -95,10 +98,10 @@
         .expect("the identifier is valid")
 }
 
-fn fresh_gateway(seed: u64) -> GatewayState {
+fn fresh_gateway(seed: u64, now: MonotonicTime) -> GatewayState {
     GatewayState {
         run: ids::RunNumber::random(),
-        shares: ShareClock::default(),
+        shares: ShareClock::starting_at(now),
         rng: rngs::SmallRng::seed_from_u64(seed),
     }
 }
@@ -131,20 +134,28 @@
     fn begin(&self) -> FleetState {
         let mut state = FleetState {
             now_ms: 0,
-            gateways: (0..GATEWAYS).map(|g| fresh_gateway(g as u64)).collect(),
+            gateways: Vec::new(),
             tables: Vec::new(),
             in_flight: Vec::new(),
             spent: 0,
         };
-        state.tables = (0..QUOTA_SERVERS)
-            .map(|k| self.new_table(k, state.now()))
-            .collect();
+        self.restart_all(&mut state);
         while state.now_ms < WARM_UP_MS {
             self.tick(&mut state, &PARTITIONS[0], StepEvent::Nothing, false);
         }
         state
     }
 
+    /// Restarts all processes. Messages in flight are lost with their connections.
+    fn restart_all(&self, state: &mut FleetState) {
+        let now = state.now();
+        let gateways = 0..GATEWAYS;
+        state.gateways = gateways.map(|g| fresh_gateway(g as u64, now)).collect();
+        let quota_servers = 0..QUOTA_SERVERS;
+        state.tables = quota_servers.map(|k| self.new_table(k, now)).collect();
+        state.in_flight.clear();
+    }
+
     /// Returns the quota servers on the same side of the partition as a process.
     fn reachable_quota_servers(
         partition: &[bool; GATEWAYS + QUOTA_SERVERS],
@@ -250,7 +261,15 @@
         }
         match event {
             StepEvent::QuotaServerRestarts => state.tables[0] = self.new_table(0, now),
-            StepEvent::GatewayRestarts => state.gateways[0] = fresh_gateway(7),
+            StepEvent::GatewayRestarts => state.gateways[0] = fresh_gateway(7, now),
+            StepEvent::AllRestart => {
+                self.restart_all(state);
+                // The gateways first know one quota server only.
+                for gateway in &mut state.gateways {
+                    let first = [quota_server_id(0)];
+                    gateway.shares.set_quota_servers(&first, now);
+                }
+            }
             _ => {}
         }
         for _ in 0..STEP_MS / TICK_MS {
@@ -311,3 +330,72 @@
     without_defect.explore_all(2);
     assert!(model.most_spent.get() > without_defect.most_spent.get());
 }
+
+/// Admitted requests per second of the rate, in each quarter of a second after a restart of
+/// all processes. A gateway probes at its own pace, first knows a part of the quota servers,
+/// and knows all of them half a second after its start.
+fn admitted_after_restart(seed: u64) -> Vec<f64> {
+    const PROCESSES: u64 = 40;
+    let model = FleetModel::new(5, InjectedDefect::None);
+    let mut rng = rngs::SmallRng::seed_from_u64(seed);
+    let at = |ms: u64| MonotonicTime((1_000_000 + ms) * 1000);
+    let mut tables: Vec<_> = (0..QUOTA_SERVERS)
+        .map(|k| model.new_table(k, at(0)))
+        .collect();
+    let all: Vec<_> = (0..QUOTA_SERVERS).map(quota_server_id).collect();
+    for table in &mut tables {
+        table.set_quota_servers(&all, |_| Some(model.limit), at(0));
+    }
+    let mut gateways: Vec<_> = (0..PROCESSES)
+        .map(|g| (fresh_gateway(seed + g, at(0)), rng.random_range(450..550)))
+        .collect();
+    let workspace = "w".parse().expect("the identifier is valid");
+    let mut admitted = vec![0.0; 16];
+    for ms in 0..admitted.len() as u64 * 250 {
+        for (gateway, knows_at) in &mut gateways {
+            match ms {
+                100 => gateway.shares.set_quota_servers(&all[..1], at(ms)),
+                _ if ms == *knows_at => gateway.shares.set_quota_servers(&all, at(ms)),
+                _ => {}
+            }
+            if ms < *knows_at || (ms - *knows_at) % 250 != 0 {
+                continue;
+            }
+            for (table, id) in tables.iter_mut().zip(&all) {
+                let Some(due) = gateway.shares.take(id, at(ms), &mut gateway.rng) else {
+                    continue;
+                };
+                let deposit = PoolDeposit {
+                    run: gateway.run,
+                    number: due.number,
+                    time: ShareTime::of(due.time, PROCESSES as usize),
+                    view: due.view,
+                    stamp: at(ms),
+                };
+                table.deposit(&deposit, at(ms));
+            }
+        }
+        for table in &mut tables {
+            if let TokenGrant::Tokens(count) = table.grant(&workspace, &model.limit, 99, at(ms)) {
+                admitted[ms as usize / 250] += f64::from(count);
+            }
+        }
+    }
+    let due = model.limit.rate.per_second() / 4.0;
+    admitted.iter().map(|count| count / due).collect()
+}
+
+/// Guards against pools that stay empty after a power loss: deposits that cover only the
+/// time since the last change of the list of quota servers.
+#[test]
+fn the_rate_is_admitted_soon_after_a_restart_of_all_processes() {
+    for seed in 0..8 {
+        let admitted = admitted_after_restart(seed);
+        println!("seed={seed} admitted={admitted:.2?}");
+        let from_start: f64 = admitted[..8].iter().sum::<f64>() / 8.0;
+        let afterwards: f64 = admitted[8..].iter().sum::<f64>() / 8.0;
+        println!("from_start={from_start:.3} afterwards={afterwards:.3}");
+        assert!(afterwards >= 0.95, "{afterwards}");
+        assert!(from_start >= 0.75, "{from_start}");
+    }
+}
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -100,7 +100,7 @@
         let quota_servers = [quota_server.clone()];
         let mut table = PoolTable::new(quota_server.clone(), TOLERANCE, at_ms(0));
         table.set_quota_servers(&quota_servers, |_| None, at_ms(0));
-        let mut shares = ShareClock::default();
+        let mut shares = ShareClock::starting_at(at_ms(0));
         shares.set_quota_servers(&quota_servers, at_ms(0));
         Self {
             table,
