fix(serving): do not wait for a quota server that is silent

Cause: after a start the quota servers include listed dispatchers that no longer run, and a frozen one counts as alive for 0.8 s. Each draw asked it first with probability one half and lost 30 ms, and a draw that another quota server had denied waited for the silent one until its timeout of 0.8 s. Each such draw logged keeper_silent "there is no connection to the peer", also for processes that were never heard.

Change: a quota server that does not respond within 30 ms is asked last for 1 s, and its response is not awaited once another one has denied the request. keeper_silent is logged for quota servers that were heard before.

--- a/src/serving/limit_links.rs
+++ b/src/serving/limit_links.rs
@@ -83,7 +83,16 @@
             let response = context.links.draw_tokens(address, request, timeout).await;
             response
                 .inspect_err(|e| {
-                    log::info!("event=keeper_silent keeper={quota_server} why=\"{e}\"")
+                    // A process that has just started lists all dispatchers, also those that
+                    // no longer run. Nothing was expected of one that was never heard.
+                    let level = match context.members.borrow().was_heard(&quota_server) {
+                        true => log::Level::Info,
+                        false => log::Level::Debug,
+                    };
+                    log::log!(
+                        level,
+                        "event=keeper_silent keeper={quota_server} why=\"{e}\""
+                    );
                 })
                 .ok()
         }
--- a/src/serving/workspaces/limiter.rs
+++ b/src/serving/workspaces/limiter.rs
@@ -16,6 +16,9 @@
 const FLIGHT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Delay after which a hedged request goes to the next quota server.
 const HEDGE_DELAY: time::Duration = time::Duration::from_millis(30);
+/// Time for which a quota server that did not respond within [`HEDGE_DELAY`] is asked after
+/// the others. It covers the time until its heartbeats count as missing.
+const SLOW_DURATION: time::Duration = time::Duration::from_secs(1);
 /// Range of the random delay that is added to the retry times of refused callers.
 const RETRY_JITTER: time::Duration = time::Duration::from_millis(800);
 /// Retry delay for a caller whose limit could not be checked.
@@ -57,6 +60,8 @@
 pub struct Limiter {
     cache: cell::RefCell<token_cache::TokenCache>,
     flights: cell::RefCell<collections::HashMap<ids::WorkspaceId, rc::Rc<TokenFlight>>>,
+    /// When quota servers last responded late or not at all.
+    slow: cell::RefCell<collections::HashMap<ids::InstanceId, clock::MonotonicTime>>,
 }
 
 /// Guard that ends a flight when dropped, so that a cancelled request ends it too.
@@ -147,7 +152,8 @@
     }
 
     /// Queries the quota servers in order, with a hedged request to the next one while a
-    /// response is slow.
+    /// response is slow. Slow ones are asked last, and their responses are not awaited after
+    /// another one has denied the request.
     ///
     /// # Errors
     /// Returns the denial if no quota server granted a token.
@@ -159,7 +165,10 @@
         flight: &TokenFlight,
     ) -> Result<(), token_cache::Denial> {
         let mut denial = token_cache::Denial::Silent;
-        let mut quota_servers = source.quota_servers(workspace).into_iter();
+        let mut quota_servers = source.quota_servers(workspace);
+        quota_servers.sort_by_key(|quota_server| self.is_slow(quota_server, clock.now()));
+        let mut quota_servers = quota_servers.into_iter();
+        let mut pending = Vec::new();
         let mut requests = stream::FuturesUnordered::new();
         loop {
             if let Some(quota_server) = quota_servers.next() {
@@ -167,10 +176,11 @@
                 let workspace = workspace.clone();
                 let requested_at = clock.now();
                 let request = source.send_request(
-                    quota_server,
+                    quota_server.clone(),
                     limit_messages::TokenRequest { workspace, wanted },
                 );
-                requests.push(request.map(move |response| (response, requested_at)));
+                pending.push(quota_server.clone());
+                requests.push(request.map(move |response| (quota_server, response, requested_at)));
             }
             if requests.is_empty() {
                 return Err(denial);
@@ -178,7 +188,13 @@
             let is_last = quota_servers.len() == 0;
             tokio::select! {
                 biased;
-                Some((response, requested_at)) = requests.next() => match response {
+                Some((quota_server, response, requested_at)) = requests.next() => {
+                    pending.retain(|other| *other != quota_server);
+                    match response {
+                        Some(_) => drop(self.slow.borrow_mut().remove(&quota_server)),
+                        None => self.record_slow([quota_server], clock.now()),
+                    }
+                    match response {
                     Some(limit_messages::TokenResponse::Tokens(count)) => {
                         self.cache.borrow_mut().put(workspace, count, requested_at);
                         return Ok(());
@@ -187,12 +203,34 @@
                         denial = merge_wait(denial, time::Duration::from_millis(ms.into()));
                     }
                     Some(limit_messages::TokenResponse::NotKeeper) | None => {}
+                    }
                 },
-                () = tokio::time::sleep(HEDGE_DELAY), if !is_last => {}
+                () = tokio::time::sleep(HEDGE_DELAY), if !is_last || is_denied(denial) => {
+                    self.record_slow(pending.drain(..), clock.now());
+                    if is_last {
+                        return Err(denial);
+                    }
+                }
             }
         }
     }
 
+    fn is_slow(&self, quota_server: &ids::InstanceId, now: clock::MonotonicTime) -> bool {
+        let slow = self.slow.borrow();
+        let at = slow.get(quota_server);
+        at.is_some_and(|at| now.since(*at) < SLOW_DURATION)
+    }
+
+    fn record_slow(
+        &self,
+        quota_servers: impl IntoIterator<Item = ids::InstanceId>,
+        now: clock::MonotonicTime,
+    ) {
+        let mut slow = self.slow.borrow_mut();
+        slow.retain(|_, at| now.since(*at) < SLOW_DURATION);
+        slow.extend(quota_servers.into_iter().map(|id| (id, now)));
+    }
+
     /// Returns the number of tokens to request, including those for waiting requests.
     fn wanted(&self, workspace: &ids::WorkspaceId, flight: &TokenFlight) -> u32 {
         let waiting = flight.waiting.get() + 1;
@@ -209,6 +247,10 @@
     }
 }
 
+fn is_denied(denial: token_cache::Denial) -> bool {
+    matches!(denial, token_cache::Denial::Exceeded(_))
+}
+
 /// Merges the wait that another quota server reports into a denial; the shortest counts.
 fn merge_wait(denial: token_cache::Denial, wait: time::Duration) -> token_cache::Denial {
     match denial {
