feat(serving): single-attempt requests avoid endpoints that failed

An endpoint that reset connections freed its slot within 2 ms and always had the least load; an owner with more than 40 % of its endpoints ejected ignored all ejections. 40 requests that may run only once were lost at one endpoint in 0.4 s.

Owners hold an endpoint suspect from a failure until a sign of life, for at most 5 s. A request with its last attempt left gets a slot there only once no queried owner has another one; repeatable requests probe it one at a time. The maximum share of ejected endpoints applies to the whole service. Holders report an overdue first event at 0.8 of the objective and an overdue event at half of the gap, and a sign of life when the stream goes on.

--- /dev/null
+++ b/src/decisions/endpoint_doubt.rs
@@ -0,0 +1,187 @@
+//! Doubt about endpoints: which ones are suspect after a failure, and which requests may
+//! still be sent there.
+//!
+//! An endpoint is suspect from a failure until a later sign of life. Requests that allow
+//! only one attempt are lost if they are sent to a dead endpoint, so they avoid suspect
+//! endpoints; repeatable requests probe them one at a time.
+
+use std::{collections, time};
+
+use super::admission;
+use crate::{clock, ids};
+
+/// Maximum time for which an endpoint is suspect after its last failure.
+///
+/// Requests time out after about 5 s, so the requests that were under way at the failure have
+/// ended by then, and each of them has reported a failure or a sign of life.
+pub const MAX_DOUBT: time::Duration = time::Duration::from_secs(5);
+
+/// Minimum time between a failure and the next probe.
+///
+/// An endpoint that resets connections frees the slot of a probe within 2 ms and would get
+/// each repeatable request. A third of an objective of 300 ms finds a returned endpoint
+/// before the next request to it would be late.
+pub const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Evidence of a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureEvidence {
+    /// The connection was reset or closed, or the response was unusable.
+    Broken,
+    /// No connection was established, or a stream broke off without a response.
+    Unreachable,
+    /// A response or an event is overdue.
+    Silent,
+}
+
+impl FailureEvidence {
+    /// Returns the name for log lines and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// What a request risks at a suspect endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestRisk {
+    /// It may run only once and is lost if the endpoint is dead.
+    SingleAttempt,
+    /// It may run again elsewhere.
+    Repeatable,
+    /// Nothing else is left: it accepts a suspect endpoint.
+    LastResort,
+}
+
+/// Why and since when an endpoint is suspect.
+#[derive(Debug, Clone)]
+struct DoubtEntry {
+    /// Time of the first failure since the last sign of life.
+    since: clock::MonotonicTime,
+    /// Time of the last failure.
+    failed_at: clock::MonotonicTime,
+    /// Request that probes the endpoint now.
+    probe: Option<admission::PermitNumber>,
+}
+
+/// The suspect endpoints as known to one process.
+///
+/// Invariant: it holds an entry for each endpoint without a sign of life since its last
+/// failure, and for no other.
+#[derive(Debug, Default)]
+pub struct DoubtTable {
+    entries: collections::HashMap<ids::EndpointId, DoubtEntry>,
+}
+
+impl DoubtTable {
+    /// Records a failure; returns whether the endpoint has become suspect by it.
+    pub fn record_failure(&mut self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
+        let was_suspect = self.is_suspect(id, now);
+        let fresh_entry = DoubtEntry {
+            since: now,
+            failed_at: now,
+            probe: None,
+        };
+        let entry = self.entries.entry(id.clone()).or_insert(fresh_entry);
+        entry.failed_at = entry.failed_at.max(now);
+        if !was_suspect {
+            entry.since = now;
+        }
+        !was_suspect
+    }
+
+    /// Records a sign of life; returns for how long the endpoint was suspect, if it was.
+    pub fn record_life(
+        &mut self,
+        id: &ids::EndpointId,
+        now: clock::MonotonicTime,
+    ) -> Option<time::Duration> {
+        let entry = self.entries.remove(id)?;
+        Some(now.since(entry.since))
+    }
+
+    /// Returns whether the endpoint is suspect.
+    pub fn is_suspect(&self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| now.since(entry.failed_at) < MAX_DOUBT)
+    }
+
+    /// Returns whether a request may be sent to the endpoint.
+    pub fn admits(
+        &self,
+        id: &ids::EndpointId,
+        risk: RequestRisk,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        let Some(entry) = self.entries.get(id).filter(|_| self.is_suspect(id, now)) else {
+            return true;
+        };
+        match risk {
+            RequestRisk::LastResort => true,
+            RequestRisk::SingleAttempt => false,
+            RequestRisk::Repeatable => {
+                entry.probe.is_none() && now.since(entry.failed_at) >= PROBE_INTERVAL
+            }
+        }
+    }
+
+    /// Records that a request is sent to the endpoint; returns whether the endpoint is
+    /// suspect, so that the request is its probe.
+    pub fn begin(
+        &mut self,
+        id: &ids::EndpointId,
+        number: admission::PermitNumber,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        if !self.is_suspect(id, now) {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.probe.get_or_insert(number);
+        }
+        true
+    }
+
+    /// Records that a request has ended, which allows the next probe if it was one.
+    pub fn end(&mut self, id: &ids::EndpointId, number: admission::PermitNumber) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            if entry.probe == Some(number) {
+                entry.probe = None;
+            }
+        }
+    }
+
+    /// Returns the endpoints that are suspect.
+    pub fn suspects(&self, now: clock::MonotonicTime) -> impl Iterator<Item = &ids::EndpointId> {
+        let entries = self.entries.iter();
+        let suspects = entries.filter(move |(_, e)| now.since(e.failed_at) < MAX_DOUBT);
+        suspects.map(|(id, _)| id)
+    }
+
+    /// Removes and returns the endpoints of which nothing was heard for `MAX_DOUBT` since
+    /// their last failure.
+    pub fn take_expired(&mut self, now: clock::MonotonicTime) -> Vec<ids::EndpointId> {
+        let mut expired = Vec::new();
+        self.entries.retain(|id, entry| {
+            let is_kept = now.since(entry.failed_at) < MAX_DOUBT;
+            if !is_kept {
+                expired.push(id.clone());
+            }
+            is_kept
+        });
+        expired
+    }
+
+    /// Removes the endpoints for which `is_kept` returns false.
+    pub fn retain(&mut self, is_kept: impl Fn(&ids::EndpointId) -> bool) {
+        self.entries.retain(|id, _| is_kept(id));
+    }
+
+    /// Removes an endpoint.
+    pub fn forget(&mut self, id: &ids::EndpointId) {
+        self.entries.remove(id);
+    }
+}
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -12,6 +12,7 @@
 pub mod crash_ledger;
 mod crash_record;
 pub mod endpoint_backoff;
+pub mod endpoint_doubt;
 pub mod health;
 pub mod index_ranges;
 pub mod item_order;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,12 @@
     pub limit_deposits: prometheus::IntCounterVec,
     /// Held slots at owned endpoints, by class.
     pub held_slots: prometheus::IntGaugeVec,
+    /// Owned endpoints that are suspect after a failure.
+    pub suspect_endpoints: prometheus::IntGauge,
+    /// Owned endpoints that have become suspect, by evidence.
+    pub doubts: prometheus::IntCounterVec,
+    /// Slots granted at suspect endpoints, by kind of request.
+    pub probes: prometheus::IntCounterVec,
 }
 
 fn register<C: Collector + Clone + 'static>(registry: &prometheus::Registry, metric: C) -> C {
@@ -220,6 +226,23 @@
                 "Places at owned endpoints that somebody has",
                 "class",
             ),
+            suspect_endpoints: gauge(
+                r,
+                "jayhollow_suspect_endpoints",
+                "Owned endpoints that are suspect after a failure",
+            ),
+            doubts: counters(
+                r,
+                "jayhollow_endpoint_doubts_total",
+                "Owned endpoints that became suspect",
+                "evidence",
+            ),
+            probes: counters(
+                r,
+                "jayhollow_endpoint_probes_total",
+                "Slots granted at suspect endpoints",
+                "kind",
+            ),
             registry,
         }
     }
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -179,6 +179,7 @@
             service: &service,
             tried,
             objective: self.request.route.objective,
+            single_attempt: self.attempts_left() <= 1,
         };
         // A request that has run may exceed the capacity at which new ones are refused.
         Ok(match self.log.ran > 0 {
@@ -274,8 +275,9 @@
                 self.log.ran += 1;
                 let status = open.incoming.head.status;
                 let may_retry = attempt::is_failure(status) && self.attempts_left() > 0;
-                if attempt::is_failure(status) {
-                    slot.record_failed(false);
+                match attempt::is_failure(status) {
+                    true => slot.record_fault(),
+                    false => slot.record_life(),
                 }
                 if may_retry && self.may_repeat() {
                     self.record_attempt(&endpoint.id, "failed", status.as_str());
--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -269,6 +269,17 @@
         *self.stopping.borrow()
     }
 
+    /// Returns the owned endpoints that are ejected for failures.
+    pub fn ejected_endpoints(
+        &self,
+        permits: &permits::PermitTable,
+        now: clock::MonotonicTime,
+    ) -> collections::HashSet<ids::EndpointId> {
+        let directory = self.fleet.directory.borrow();
+        let listed = |service: &ids::ServiceName| directory.of_service(service).len();
+        permits.ejected(&self.loads.borrow(), listed, now)
+    }
+
     /// Returns whether the process is draining, for a stop or because its instance is retired.
     pub fn is_leaving(&self) -> bool {
         self.is_stopping() || self.retiring.get()
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -6,7 +6,10 @@
 use std::net;
 
 use super::{context, directory, peer_calls, peers};
-use crate::{decisions::health, outcome};
+use crate::{
+    decisions::{endpoint_doubt, health},
+    outcome,
+};
 
 /// Grantor of the slot in which an observation was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +33,38 @@
     })
 }
 
+/// Returns the observation by this process that the endpoint failed a request and said so.
+pub(super) fn fault(context: &context::ProcessContext) -> peers::EndpointObservation {
+    peers::EndpointObservation::Faulty(health::FailureReport {
+        reporter: context.id().clone(),
+        is_silent: false,
+    })
+}
+
+/// What an observation says about whether the endpoint is alive.
+pub(super) enum LifeEvidence {
+    /// It gave a response.
+    Alive,
+    /// It failed.
+    Failed(endpoint_doubt::FailureEvidence),
+    /// Nothing.
+    None,
+}
+
+/// Returns what an observation says about whether the endpoint is alive.
+pub(super) fn life_evidence(observation: &peers::EndpointObservation) -> LifeEvidence {
+    use endpoint_doubt::FailureEvidence as E;
+    use peers::EndpointObservation as O;
+
+    match observation {
+        O::Failed(failure) if failure.is_silent => LifeEvidence::Failed(E::Unreachable),
+        O::Failed(_) => LifeEvidence::Failed(E::Broken),
+        O::Overdue(_) => LifeEvidence::Failed(E::Silent),
+        O::Full | O::Faulty(_) | O::Alive => LifeEvidence::Alive,
+        O::Misnamed => LifeEvidence::None,
+    }
+}
+
 /// Returns the observation that follows from an attempt that did not run.
 pub(super) fn from_refusal(
     context: &context::ProcessContext,
@@ -79,11 +114,23 @@
 ) {
     let now = context.clock.now();
     let mut loads = context.loads.borrow_mut();
+    match life_evidence(observation) {
+        LifeEvidence::Alive => {
+            loads.doubts.record_life(&endpoint.id, now);
+        }
+        LifeEvidence::Failed(_) => {
+            loads.doubts.record_failure(&endpoint.id, now);
+        }
+        LifeEvidence::None => {}
+    }
     match observation {
         peers::EndpointObservation::Failed(failure) if failure.is_silent => {
             loads.health.record_silence(&endpoint.id, now);
         }
-        peers::EndpointObservation::Failed(_) => loads.health.record_failure(&endpoint.id, now),
+        peers::EndpointObservation::Failed(_) | peers::EndpointObservation::Faulty(_) => {
+            loads.health.record_failure(&endpoint.id, now);
+        }
+        peers::EndpointObservation::Overdue(_) | peers::EndpointObservation::Alive => {}
         peers::EndpointObservation::Full => loads.record_full(endpoint, now),
         peers::EndpointObservation::Misnamed => {
             context
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -6,7 +6,7 @@
 
 use super::{
     attempt, connection, context, crash_guard, crash_watch, directory, endpoint_reports,
-    event_split, job_table, open_job, peers, wire,
+    event_split, job_table, open_job, peer_calls, peers, wire,
 };
 use crate::{
     clock,
@@ -292,7 +292,11 @@
             RunEnd::Completed => {
                 let mut loads = context.loads.borrow_mut();
                 loads.health.record_success(&self.endpoint.id);
+                loads
+                    .doubts
+                    .record_life(&self.endpoint.id, context.clock.now());
                 drop(loads);
+                peer_calls::record_life(context, &self.endpoint.id, "served");
                 let mut permits = context.permits.borrow_mut();
                 return permits.record_served(&self.endpoint.id);
             }
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -155,7 +155,7 @@
     let now = context.clock.now();
     let slot = {
         let mut permits = context.permits.borrow_mut();
-        let ejected = permits.ejected(&context.loads.borrow(), now);
+        let ejected = context.ejected_endpoints(&permits, now);
         permits.begin_batch(&target.service, &ejected, now)
     };
     let Some((endpoint, number)) = slot else {
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -70,6 +70,7 @@
         context.fleet.expire();
         forget_ended_runs(&context);
         context.permits.borrow_mut().reopen(context.clock.now());
+        expire_doubts(&context);
         refresh_owners(&context);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             let now = context.clock.now();
@@ -93,6 +94,15 @@
     }
 }
 
+/// Ends the doubt about endpoints of which nothing was heard for long.
+fn expire_doubts(context: &context::ProcessContext) {
+    let now = context.clock.now();
+    context.loads.borrow_mut().doubts.take_expired(now);
+    for endpoint in context.permits.borrow_mut().take_expired_doubts(now) {
+        log::info!("event=endpoint_trusted endpoint={endpoint} sign=none");
+    }
+}
+
 /// Discards loads, health and connections of endpoints that have restarted.
 ///
 /// The new run has no requests yet, and connections to the old one are dead.
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -5,8 +5,8 @@
 use tokio::sync::mpsc;
 
 use super::{
-    context, crash_guard, crash_trials, fleet_sync, job_calls, job_checkpoints, job_records,
-    job_runner, job_supervisor, limit_links, peers, slots,
+    context, crash_guard, crash_trials, endpoint_reports, fleet_sync, job_calls, job_checkpoints,
+    job_records, job_runner, job_supervisor, limit_links, peers, slots,
 };
 use crate::{decisions::admission, ids, store};
 
@@ -172,7 +172,7 @@
     }
     let now = context.clock.now();
     let mut permits = context.permits.borrow_mut();
-    let ejected = permits.ejected(&context.loads.borrow(), now);
+    let ejected = context.ejected_endpoints(&permits, now);
     let lent = permits.lend_batch(request, &ejected, now);
     let lent = lent.into_iter();
     let slots = lent.map(|(endpoint, number)| peers::BorrowedSlot { endpoint, number });
@@ -186,22 +186,39 @@
 ) -> peers::OnlineSlotResponse {
     let now = context.clock.now();
     let mut permits = context.permits.borrow_mut();
-    let ejected = permits.ejected(&context.loads.borrow(), now);
+    let ejected = context.ejected_endpoints(&permits, now);
     let granted = permits.acquire(request, &ejected, now);
     let owns = permits.owns(&request.service);
     let excludes_all = permits.are_all_excluded(request);
+    let only_suspect = granted.is_none() && permits.has_only_suspect(request, &ejected, now);
+    let is_probe = granted
+        .as_ref()
+        .is_some_and(|slot| permits.is_suspect(&slot.endpoint, now));
     let free_slots = permits.free_online_slots(&request.service, now);
     let free_queue_slots = permits.free_queue_slots(&request.service, request.wait, now);
     let denial = granted.is_none().then(|| permits.denial(request, now));
     drop(permits);
     if let Some(denial) = denial {
         log::info!(
-            "event=place_denied service={} asker={} may_queue={} {denial}",
+            "event=place_denied service={} asker={} may_queue={} only_suspect={only_suspect} {denial}",
             request.service,
             request.holder,
             request.may_queue,
         );
     }
+    if let Some(slot) = granted.as_ref().filter(|_| is_probe) {
+        let kind = match (request.accepts_suspect, request.single_attempt) {
+            (true, _) => "last_resort",
+            (false, true) => "single_attempt",
+            (false, false) => "repeatable",
+        };
+        context.metrics.probes.with_label_values(&[kind]).inc();
+        log::info!(
+            "event=endpoint_probed endpoint={} asker={} kind={kind}",
+            slot.endpoint,
+            request.holder
+        );
+    }
     let endpoint = granted.map(|slot| {
         for stream in &slot.preempted {
             preempt(context, &slot.endpoint, *stream);
@@ -214,6 +231,8 @@
         excludes_all,
         free_slots,
         free_queue_slots,
+        only_suspect,
+        is_probe,
     }
 }
 
@@ -250,6 +269,7 @@
         if ended.is_served {
             context.loads.borrow_mut().record_served(&endpoint);
             context.fleet.record_verified(&endpoint);
+            record_life(context, &endpoint, "served");
         }
         context.jobs.work.notify_one();
         return;
@@ -260,6 +280,48 @@
     }
 }
 
+/// Records a sign of life of an owned endpoint, which ends the doubt about it.
+pub(super) fn record_life(
+    context: &context::ProcessContext,
+    endpoint: &ids::EndpointId,
+    sign: &str,
+) {
+    let now = context.clock.now();
+    let doubted = context.permits.borrow_mut().record_life(endpoint, now);
+    if let Some(duration) = doubted {
+        log::info!(
+            "event=endpoint_trusted endpoint={endpoint} sign={sign} suspect_ms={}",
+            duration.as_millis()
+        );
+    }
+}
+
+/// Records what an observation says about whether an owned endpoint is alive.
+fn record_life_evidence(
+    context: &context::ProcessContext,
+    endpoint: &ids::EndpointId,
+    observation: &peers::EndpointObservation,
+) {
+    let evidence = match endpoint_reports::life_evidence(observation) {
+        endpoint_reports::LifeEvidence::Failed(evidence) => evidence,
+        endpoint_reports::LifeEvidence::Alive => return record_life(context, endpoint, "reported"),
+        endpoint_reports::LifeEvidence::None => return,
+    };
+    let reporter = match observation {
+        peers::EndpointObservation::Failed(failure) => &failure.reporter,
+        peers::EndpointObservation::Overdue(reporter) => reporter,
+        _ => return,
+    };
+    let now = context.clock.now();
+    if context.permits.borrow_mut().record_failure(endpoint, now) {
+        let label = evidence.label();
+        context.metrics.doubts.with_label_values(&[label]).inc();
+        log::info!(
+            "event=endpoint_suspect endpoint={endpoint} evidence={label} reporter={reporter}"
+        );
+    }
+}
+
 /// Applies an observation that the holder of a slot reported.
 pub fn apply_report(context: &context::ProcessContext, report: &peers::EndpointReport) {
     let peers::EndpointReport {
@@ -274,9 +336,11 @@
         log::info!("event=report_outdated endpoint={endpoint} news=\"{observation:?}\"");
         return;
     }
+    record_life_evidence(context, endpoint, observation);
     let now = context.clock.now();
     match observation {
-        peers::EndpointObservation::Failed(failure) => {
+        peers::EndpointObservation::Failed(failure)
+        | peers::EndpointObservation::Faulty(failure) => {
             let mut loads = context.loads.borrow_mut();
             if loads.record_peer_failure(endpoint, failure, now) {
                 log::info!(
@@ -292,5 +356,6 @@
         peers::EndpointObservation::Misnamed => {
             context.fleet.record_misidentified(endpoint, *started)
         }
+        peers::EndpointObservation::Overdue(_) | peers::EndpointObservation::Alive => {}
     }
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -102,6 +102,10 @@
     pub may_queue: bool,
     /// How long the request may wait in a queue and still be on time.
     pub wait: time::Duration,
+    /// Whether the request may run only once.
+    pub single_attempt: bool,
+    /// Whether a suspect endpoint is acceptable, as other owners have no slot.
+    pub accepts_suspect: bool,
 }
 
 /// Response of an owner to a slot request.
@@ -120,6 +124,11 @@
     /// Free queue slots of its endpoints after this response.
     #[serde(rename = "queue_room")]
     pub free_queue_slots: u32,
+    /// Whether only suspect endpoints, which the request does not accept, have a free slot.
+    pub only_suspect: bool,
+    /// Whether the endpoint of the slot is suspect, so that the requester must report its
+    /// first sign of life at once.
+    pub is_probe: bool,
 }
 
 /// Release of the slot of a permit.
@@ -140,6 +149,12 @@
     Full,
     /// Another endpoint is at the address and refused the request.
     Misnamed,
+    /// The endpoint responded that the request failed.
+    Faulty(health::FailureReport),
+    /// A response or an event is overdue; holds the observer.
+    Overdue(ids::InstanceId),
+    /// The endpoint responds again after a report that it failed.
+    Alive,
 }
 
 /// Report of an observation to the owner of the endpoint.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -6,8 +6,8 @@
 use super::{directory, peers, selection};
 use crate::{
     clock,
-    decisions::{admission, cold_start, endpoint_backoff, queue_limit},
-    ids,
+    decisions::{admission, cold_start, endpoint_backoff, endpoint_doubt, queue_limit},
+    ids, protection,
 };
 
 /// TTL of a permit that is not released; longer than the longest request timeout.
@@ -116,6 +116,10 @@
     early_releases: lru::LruCache<admission::PermitNumber, ()>,
     /// Endpoints that are backed off after a refusal.
     refusals: endpoint_backoff::EndpointBackoff,
+    /// Owned endpoints that are suspect after a failure.
+    ///
+    /// Invariant: each of them is in `ledgers`.
+    doubts: endpoint_doubt::DoubtTable,
 }
 
 /// An owned endpoint and the ledger of its slots.
@@ -187,6 +191,7 @@
             hold_times: collections::HashMap::new(),
             early_releases: lru::LruCache::new(MAX_EARLY_RELEASES),
             refusals: endpoint_backoff::EndpointBackoff::new(REFUSAL_BACKOFF),
+            doubts: endpoint_doubt::DoubtTable::default(),
         }
     }
 }
@@ -220,6 +225,9 @@
             let ledger = ledger.or_insert_with(|| OwnedLedger::new(entry));
             ledger.entry = entry.clone();
         }
+        // A restarted endpoint stays suspect until the new run gives a sign of life.
+        let ledgers = &self.ledgers;
+        self.doubts.retain(|id| ledgers.contains_key(id));
         dropped
     }
 
@@ -245,6 +253,8 @@
             let ledger = self.ledgers.entry(id.clone());
             let ledger = ledger.or_insert_with(|| OwnedLedger::new(entry));
             ledger.entry = entry.clone();
+        } else {
+            self.doubts.forget(id);
         }
         is_dropped
     }
@@ -282,7 +292,8 @@
         }
         let usable = self
             .of_service(&request.service, now)
-            .filter(|owned| !request.tried.contains(&owned.entry.id));
+            .filter(|owned| !request.tried.contains(&owned.entry.id))
+            .filter(|owned| self.is_acceptable(owned, request, ejected, now));
         let best = usable.min_by_key(|owned| {
             let is_full = owned.spare_slots() <= 0;
             let load = match is_full {
@@ -308,6 +319,7 @@
         let owned = self.ledgers.get_mut(&endpoint)?;
         let grant = owned.ledger.request_permit(request.number, now)?;
         owned.cold_gate.record(now);
+        self.doubts.begin(&endpoint, request.number, now);
         let holder = PermitHolder {
             endpoint: endpoint.clone(),
             holder: request.holder.clone(),
@@ -389,6 +401,7 @@
         if let Some(owned) = self.ledgers.get_mut(&holder.endpoint) {
             owned.ledger.release_permit(number);
         }
+        self.doubts.end(&holder.endpoint, number);
         Some(holder.endpoint)
     }
 
@@ -424,12 +437,94 @@
     }
 
     /// Returns the owned endpoints that are ejected for failures.
+    ///
+    /// `listed` returns the number of endpoints of a service at all owners. The maximum
+    /// share of ejected endpoints applies to these: an owner that has mostly ejected ones
+    /// does not ignore the ejections while other owners have most of the service.
     pub fn ejected(
         &self,
         loads: &selection::LoadTable,
+        listed: impl Fn(&ids::ServiceName) -> usize,
         now: clock::MonotonicTime,
     ) -> collections::HashSet<ids::EndpointId> {
-        loads.ejected(self.ledgers.len(), |id| self.ledgers.contains_key(id), now)
+        let mut ejected = loads.ejected_uncapped(|id| self.ledgers.contains_key(id), now);
+        let service_of = |id: &ids::EndpointId| self.ledgers.get(id).map(|o| &o.entry.service);
+        let mut counts = collections::HashMap::<_, usize>::new();
+        for service in ejected.iter().filter_map(service_of) {
+            *counts.entry(service).or_default() += 1;
+        }
+        let is_capped = |service| {
+            let count = counts.get(service).copied().unwrap_or_default();
+            selection::exceeds_ejection_limit(count, listed(service))
+        };
+        ejected.retain(|id| service_of(id).is_some_and(|service| !is_capped(service)));
+        ejected
+    }
+
+    /// Returns whether a request may be sent to an owned endpoint, considering what is
+    /// known of the endpoint's failures.
+    fn is_acceptable(
+        &self,
+        owned: &OwnedLedger,
+        request: &peers::OnlineSlotRequest,
+        ejected: &collections::HashSet<ids::EndpointId>,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        if request.accepts_suspect || protection::is_disabled("endpoint_doubt") {
+            return true;
+        }
+        let risk = match request.single_attempt {
+            true => endpoint_doubt::RequestRisk::SingleAttempt,
+            false => endpoint_doubt::RequestRisk::Repeatable,
+        };
+        let id = &owned.entry.id;
+        !ejected.contains(id) && self.doubts.admits(id, risk, now)
+    }
+
+    /// Returns whether the request would get a free slot if it accepted suspect endpoints.
+    pub fn has_only_suspect(
+        &self,
+        request: &peers::OnlineSlotRequest,
+        ejected: &collections::HashSet<ids::EndpointId>,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        let candidates = self
+            .of_service(&request.service, now)
+            .filter(|owned| !request.tried.contains(&owned.entry.id));
+        let mut free = candidates
+            .filter(|owned| owned.free_online_slots() > 0)
+            .map(|owned| self.is_acceptable(owned, request, ejected, now))
+            .peekable();
+        free.peek().is_some() && !free.any(|is_acceptable| is_acceptable)
+    }
+
+    /// Returns whether an owned endpoint is suspect.
+    pub fn is_suspect(&self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
+        self.doubts.is_suspect(id, now)
+    }
+
+    /// Returns the number of owned endpoints that are suspect.
+    pub fn suspect_count(&self, now: clock::MonotonicTime) -> usize {
+        self.doubts.suspects(now).count()
+    }
+
+    /// Records a failure of an owned endpoint; returns whether it has become suspect by it.
+    pub fn record_failure(&mut self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
+        self.ledgers.contains_key(id) && self.doubts.record_failure(id, now)
+    }
+
+    /// Records a sign of life of an endpoint; returns for how long it was suspect, if it was.
+    pub fn record_life(
+        &mut self,
+        id: &ids::EndpointId,
+        now: clock::MonotonicTime,
+    ) -> Option<time::Duration> {
+        self.doubts.record_life(id, now)
+    }
+
+    /// Removes and returns the endpoints that are no longer suspect by the passing of time.
+    pub fn take_expired_doubts(&mut self, now: clock::MonotonicTime) -> Vec<ids::EndpointId> {
+        self.doubts.take_expired(now)
     }
 
     /// Lends slots for batch streams to a peer, up to the requested number.
@@ -529,9 +624,11 @@
         self.owns(&request.service) && owned.all(|e| request.tried.contains(&e.id))
     }
 
-    /// Returns the number of slots of a service that online requests can get now.
+    /// Returns the number of slots of a service that online requests can get now, without
+    /// those of suspect endpoints.
     pub fn free_online_slots(&self, service: &ids::ServiceName, now: clock::MonotonicTime) -> u32 {
         self.of_service(service, now)
+            .filter(|owned| !self.is_suspect(&owned.entry.id, now))
             .map(OwnedLedger::free_online_slots)
             .sum()
     }
@@ -583,12 +680,19 @@
         ejected: &collections::HashSet<ids::EndpointId>,
         now: clock::MonotonicTime,
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
-        let refusals = &self.refusals;
+        let (refusals, doubts) = (&self.refusals, &self.doubts);
+        let is_suspect = |id: &ids::EndpointId| {
+            doubts.is_suspect(id, now) && !protection::is_disabled("endpoint_doubt")
+        };
+        // Without a choice, the items would wait for endpoints that no batch stream probes.
+        let mut of_service = self.ledgers.values();
+        let has_choice =
+            of_service.any(|o| o.entry.service == *service && !is_suspect(&o.entry.id));
         let usable = self.ledgers.values_mut().filter(|owned| {
             let id = &owned.entry.id;
             let awaits_response = owned.is_unverified && owned.is_held();
             let is_open = !refusals.is_backed_off(id) && owned.cold_gate.is_open(now);
-            let is_open = is_open && !awaits_response;
+            let is_open = is_open && !awaits_response && !(has_choice && is_suspect(id));
             owned.entry.service == *service && !ejected.contains(id) && is_open
         });
         let available = usable.filter_map(|owned| {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -7,7 +7,8 @@
 use super::{
     attempt, attempt_flow, context, crash_guard,
     crash_trials::{self, TrialAdmission},
-    event_flow, request_admission, response_copy, route_table, slots, suspension, wire,
+    event_flow, request_admission, response_copy, route_table, slots, slow_attempt, suspension,
+    wire,
 };
 use crate::{clock, http_server, ids};
 
@@ -175,7 +176,8 @@
         allowed.saturating_sub(self.log.ran)
     }
 
-    /// Waits for an endpoint, and reports a failure if it takes longer than the objective.
+    /// Waits for an endpoint, and reports a failure if it takes longer than a share of the
+    /// objective.
     ///
     /// The wait goes on, as the request may not run elsewhere; the report lets other
     /// requests avoid the endpoint.
@@ -185,15 +187,16 @@
         waiting: impl std::future::Future<Output = T>,
     ) -> T {
         tokio::pin!(waiting);
-        let objective = self.request.route.objective;
-        if let Ok(done) = tokio::time::timeout(objective, &mut waiting).await {
+        let silence = self.request.route.objective;
+        let silence = silence.mul_f64(slow_attempt::SILENCE_SHARE);
+        if let Ok(done) = tokio::time::timeout(silence, &mut waiting).await {
             return done;
         }
         log::info!(
             "event=endpoint_suspected request={} endpoint={} silent_ms={}",
             self.request.terms.id.as_deref().unwrap_or("-"),
             slot.endpoint.id,
-            objective.as_millis()
+            silence.as_millis()
         );
         slot.record_failed(false);
         waiting.await
--- a/src/serving/selection.rs
+++ b/src/serving/selection.rs
@@ -5,7 +5,11 @@
 use rand::Rng;
 
 use super::{directory, wire};
-use crate::{clock, decisions::health, ids};
+use crate::{
+    clock,
+    decisions::{endpoint_doubt, health},
+    ids, protection,
+};
 
 /// Age after which an endpoint's load report is outdated; requests last about this long.
 const REPORT_AGE: time::Duration = time::Duration::from_millis(500);
@@ -31,6 +35,14 @@
     pub health: health::HealthTracker,
     /// Health of owned endpoints by the reports of processes that held slots there.
     reported: health::HealthTracker,
+    /// Endpoints that are suspect by the observations of this process's own requests.
+    pub doubts: endpoint_doubt::DoubtTable,
+}
+
+/// Returns whether so many endpoints of a service are ejected that the fault is likely
+/// elsewhere.
+pub fn exceeds_ejection_limit(ejected: usize, listed: usize) -> bool {
+    ejected * 100 > listed * MAX_EJECTED_PERCENT
 }
 
 impl LoadTable {
@@ -120,6 +132,7 @@
     pub fn retain(&mut self, listed: impl Fn(&ids::EndpointId) -> bool) {
         self.loads.retain(|id, load| load.own > 0 || listed(id));
         self.health.retain(&listed);
+        self.doubts.retain(&listed);
         self.reported.retain(listed);
     }
 
@@ -134,16 +147,41 @@
         is_listed: impl Fn(&ids::EndpointId) -> bool,
         now: clock::MonotonicTime,
     ) -> collections::HashSet<ids::EndpointId> {
-        let ejected = self.health.ejected(now).chain(self.reported.ejected(now));
-        let ejected: collections::HashSet<_> =
-            ejected.filter(|id| is_listed(id)).cloned().collect();
-        match ejected.len() * 100 > count * MAX_EJECTED_PERCENT {
+        let ejected = self.ejected_uncapped(is_listed, now);
+        match exceeds_ejection_limit(ejected.len(), count) {
             true => collections::HashSet::new(),
             false => ejected,
         }
     }
 
-    /// Chooses an endpoint that is not excluded: healthy ones first, then the least known
+    /// Returns the endpoints of a list that are ejected for failures, whatever their share.
+    pub fn ejected_uncapped(
+        &self,
+        is_listed: impl Fn(&ids::EndpointId) -> bool,
+        now: clock::MonotonicTime,
+    ) -> collections::HashSet<ids::EndpointId> {
+        let ejected = self.health.ejected(now).chain(self.reported.ejected(now));
+        ejected.filter(|id| is_listed(id)).cloned().collect()
+    }
+
+    /// Returns the endpoints of a list that are suspect, or none if their share is too
+    /// large: the fault is then likely at this process.
+    pub fn suspects(
+        &self,
+        count: usize,
+        is_listed: impl Fn(&ids::EndpointId) -> bool,
+        now: clock::MonotonicTime,
+    ) -> collections::HashSet<ids::EndpointId> {
+        let suspects = self.doubts.suspects(now).filter(|id| is_listed(id));
+        let suspects: collections::HashSet<_> = suspects.cloned().collect();
+        let is_ignored = exceeds_ejection_limit(suspects.len(), count);
+        match is_ignored || protection::is_disabled("endpoint_doubt") {
+            true => collections::HashSet::new(),
+            false => suspects,
+        }
+    }
+
+    /// Chooses an endpoint that is not excluded: healthy and trusted ones first, then the least known
     /// load, then those in the given domain, then at random.
     pub fn choose(
         &self,
@@ -154,11 +192,12 @@
         rng: &mut impl Rng,
     ) -> Option<rc::Rc<directory::EndpointEntry>> {
         let is_listed = |id: &ids::EndpointId| candidates.iter().any(|e| e.id == *id);
-        let ejected = self.ejected(candidates.len(), is_listed, now);
+        let mut avoided = self.ejected(candidates.len(), is_listed, now);
+        avoided.extend(self.suspects(candidates.len(), is_listed, now));
         let allowed = candidates.iter().filter(|e| !is_excluded(e));
         let chosen = allowed.min_by_key(|e| {
             (
-                ejected.contains(&e.id),
+                avoided.contains(&e.id),
                 self.load_of(&e.id, now),
                 e.domain != *domain,
                 rng.random::<u32>(),
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -18,6 +18,11 @@
 const OWNER_TIMEOUT: time::Duration = time::Duration::from_millis(40);
 /// Maximum number of owners queried before a request is sent without a permit or refused.
 const MAX_QUERIED_OWNERS: usize = 3;
+/// Maximum number of owners with suspect endpoints only that are queried in addition.
+///
+/// Each costs a round trip of 1 to 4 ms, and a request that is sent to a dead endpoint may
+/// be lost.
+const MAX_SUSPECT_OWNERS: usize = 3;
 /// Number of free slots assumed of an owner that has not reported any.
 const ASSUMED_FREE_SLOTS: u32 = 8;
 /// Number of endpoints whose owners are queried if no known owner has a free slot.
@@ -30,6 +35,9 @@
     pub endpoint: rc::Rc<directory::EndpointEntry>,
     permit: Option<HeldPermit>,
     is_served: cell::Cell<bool>,
+    /// Whether the owner holds the endpoint suspect, so that a sign of life is reported
+    /// before the release.
+    is_doubted: cell::Cell<bool>,
     acquired_at: clock::MonotonicTime,
 }
 
@@ -43,6 +51,8 @@
     pub fn record_served(&self) {
         let mut loads = self.context.loads.borrow_mut();
         loads.health.record_success(&self.endpoint.id);
+        drop(loads);
+        self.record_life();
         if !self.is_served.replace(true) {
             self.context.fleet.record_verified(&self.endpoint.id);
             let mut firsts = self.context.first_estimates.borrow_mut();
@@ -51,8 +61,38 @@
         }
     }
 
+    /// Records that the endpoint has responded; reports it if the owner doubts it.
+    pub fn record_life(&self) {
+        let now = self.context.clock.now();
+        let mut loads = self.context.loads.borrow_mut();
+        loads.doubts.record_life(&self.endpoint.id, now);
+        drop(loads);
+        if self.is_doubted.replace(false) {
+            self.report(peers::EndpointObservation::Alive);
+        }
+    }
+
+    /// Records that a response or an event is overdue, and reports it to the owner.
+    ///
+    /// The endpoint counts as served only if it goes on.
+    pub fn record_overdue(&self) {
+        self.is_served.set(false);
+        self.is_doubted.set(true);
+        let observer = self.context.id().clone();
+        self.report(peers::EndpointObservation::Overdue(observer));
+    }
+
+    /// Records that the endpoint responded that the request failed.
+    pub fn record_fault(&self) {
+        self.is_served.set(false);
+        self.report(endpoint_reports::fault(&self.context));
+    }
+
     /// Records that the endpoint makes progress after a failure was recorded.
     pub fn record_progress(&self) {
+        if self.is_doubted.get() {
+            self.record_life();
+        }
         if !self.is_served.replace(true) {
             let mut loads = self.context.loads.borrow_mut();
             loads.health.record_success(&self.endpoint.id);
@@ -64,6 +104,7 @@
     /// `is_silent` says that it gave no response at all.
     pub fn record_failed(&self, is_silent: bool) {
         self.is_served.set(false);
+        self.is_doubted.set(true);
         self.report(endpoint_reports::failure(&self.context, is_silent));
     }
 
@@ -129,6 +170,8 @@
     /// The request excludes all endpoints of the service that it owns, which says nothing
     /// about the endpoints of other owners.
     Excluded,
+    /// Only suspect endpoints, which the request does not accept, have a free slot.
+    OnlySuspect,
     /// It gave no usable response.
     Silent,
 }
@@ -148,6 +191,8 @@
     pub tried: &'a [ids::EndpointId],
     /// Latency objective for the first event.
     pub objective: time::Duration,
+    /// Whether the request may run only once.
+    pub single_attempt: bool,
 }
 
 /// Acquires a slot for a new request.
@@ -178,16 +223,48 @@
     owners: &'a [ids::InstanceId],
 ) -> Result<HeldSlot, Vec<(SlotReply, &'a ids::InstanceId)>> {
     let mut replies = Vec::new();
-    for owner in owners.iter().take(MAX_QUERIED_OWNERS) {
-        let slot = online_slot_request(context, request);
+    let mut suspect_owners = 0;
+    for owner in owners {
+        let answered = replies.len() - suspect_owners;
+        if answered >= MAX_QUERIED_OWNERS || suspect_owners > MAX_SUSPECT_OWNERS {
+            break;
+        }
+        let slot = online_slot_request(context, request, false);
         match send_request(context, owner, slot).await {
             OwnerReply::Slot(slot) => return Ok(slot),
-            OwnerReply::None(reply) => replies.push((reply, owner)),
+            OwnerReply::None(reply) => {
+                suspect_owners += usize::from(reply == SlotReply::OnlySuspect);
+                replies.push((reply, owner));
+            }
         }
     }
     Err(replies)
 }
 
+/// Requests a slot at a suspect endpoint from the owners that have no other free slot.
+async fn request_suspect_slot(
+    context: &rc::Rc<context::ProcessContext>,
+    request: &SlotParams<'_>,
+    denials: &[(SlotReply, &ids::InstanceId)],
+) -> Option<HeldSlot> {
+    let is_withheld = |reply: &SlotReply| match reply {
+        SlotReply::OnlySuspect => true,
+        // All its endpoints may be suspect by the observations of this process.
+        SlotReply::Excluded => request.single_attempt,
+        _ => false,
+    };
+    let withheld = denials.iter().filter(|(reply, _)| is_withheld(reply));
+    for (_, owner) in withheld.take(MAX_SUSPECT_OWNERS) {
+        let slot = peers::OnlineSlotRequest {
+            ..online_slot_request(context, request, true)
+        };
+        if let OwnerReply::Slot(slot) = send_request(context, owner, slot).await {
+            return Some(slot);
+        }
+    }
+    None
+}
+
 /// Acquires a slot for a request that has run, even if a new request would be refused.
 ///
 /// # Errors
@@ -215,7 +292,12 @@
     };
     let replies: Vec<_> = denials.iter().map(|(reply, _)| *reply).collect();
     if !all_full(&replies) {
-        return OwnerReply::None(SlotReply::Silent);
+        let slot = match replies.contains(&SlotReply::Silent) {
+            // The silent owner may have trusted endpoints, which are chosen without it.
+            true => None,
+            false => request_suspect_slot(context, request, &denials).await,
+        };
+        return slot.map_or(OwnerReply::None(SlotReply::Silent), OwnerReply::Slot);
     }
     let with_queue = denials.iter().filter_map(|(reply, owner)| match reply {
         SlotReply::Full(free_queue_slots) if *free_queue_slots > 0 => {
@@ -226,12 +308,15 @@
     if let Some((_, owner)) = with_queue.max() {
         let queued = peers::OnlineSlotRequest {
             may_queue: true,
-            ..online_slot_request(context, request)
+            ..online_slot_request(context, request, false)
         };
         if let OwnerReply::Slot(slot) = send_request(context, owner, queued).await {
             return OwnerReply::Slot(slot);
         }
     }
+    if let Some(slot) = request_suspect_slot(context, request, &denials).await {
+        return OwnerReply::Slot(slot);
+    }
     log::info!(
         "event=no_place service={service} owners_asked={} owners={}",
         replies.len(),
@@ -270,6 +355,7 @@
         endpoint,
         permit: None,
         is_served: cell::Cell::new(false),
+        is_doubted: cell::Cell::new(false),
         acquired_at: context.clock.now(),
     })
 }
@@ -336,10 +422,12 @@
     owners
 }
 
-/// Builds a request for a slot that excludes the endpoints ejected by this process.
+/// Builds a request for a slot that excludes the endpoints ejected by this process, and
+/// the suspect ones if the request may run only once and does not accept them.
 fn online_slot_request(
     context: &context::ProcessContext,
     request: &SlotParams<'_>,
+    accepts_suspect: bool,
 ) -> peers::OnlineSlotRequest {
     let SlotParams { service, tried, .. } = *request;
     let first = context.first_estimates.borrow().get(service).copied();
@@ -352,9 +440,14 @@
     let loads = context.loads.borrow();
     // An endpoint that fails for this process may serve others, so it is excluded from
     // this request only.
-    let ejected = loads.ejected(count, is_listed, context.clock.now());
+    let now = context.clock.now();
+    let mut avoided = loads.ejected(count, is_listed, now);
+    // Repeatable requests probe suspect endpoints, which their owner permits.
+    if request.single_attempt && !accepts_suspect {
+        avoided.extend(loads.suspects(count, is_listed, now));
+    }
     let mut excluded = tried.to_vec();
-    excluded.extend(ejected.into_iter().filter(|id| !tried.contains(id)));
+    excluded.extend(avoided.into_iter().filter(|id| !tried.contains(id)));
     peers::OnlineSlotRequest {
         number: rand::random(),
         holder: context.run.clone(),
@@ -363,6 +456,8 @@
         tried: excluded,
         may_queue: false,
         wait: first.unwrap_or_default().max_wait(request.objective),
+        single_attempt: request.single_attempt,
+        accepts_suspect,
     }
 }
 
@@ -378,7 +473,7 @@
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
     let request = peers::OnlineSlotRequest {
         may_queue,
-        ..online_slot_request(context, request)
+        ..online_slot_request(context, request, false)
     };
     let permit = HeldPermit::Peer(relay.address, request.number);
     let pending = pending_permit::PendingPermit::new(context, relay.address, request.number);
@@ -407,7 +502,16 @@
     request.holder = context.run.clone();
     let number = request.number;
     let owners = owner_order(context, &request.service);
-    for owner in owners.iter().take(MAX_QUERIED_OWNERS) {
+    let owners = &owners[..owners.len().min(MAX_QUERIED_OWNERS)];
+    // A suspect endpoint qualifies once no queried owner has another one.
+    let rounds = owners.iter().map(|owner| (owner, false));
+    let rounds = rounds.chain(owners.iter().map(|owner| (owner, true)));
+    let mut withheld = Vec::new();
+    for (owner, accepts_suspect) in rounds {
+        if accepts_suspect && !withheld.contains(&owner) {
+            continue;
+        }
+        request.accepts_suspect = accepts_suspect;
         let address = context.members.borrow().address_of(owner);
         let Some(address) = address else { continue };
         let response = context
@@ -425,6 +529,7 @@
                 context.relayed_slots.borrow_mut().put(number, address);
                 return Some(response);
             }
+            Ok(response) if response.only_suspect => withheld.push(owner),
             Ok(_) => {}
             Err(_) => release_permit(context, HeldPermit::Peer(address, number), false),
         }
@@ -475,6 +580,10 @@
         return OwnerReply::None(SlotReply::NotOwner);
     }
     set_free_slots(context, owner, service, response.free_slots);
+    if response.endpoint.is_none() && response.only_suspect {
+        count_permit(context, "only_suspect");
+        return OwnerReply::None(SlotReply::OnlySuspect);
+    }
     if response.endpoint.is_none() && response.excludes_all {
         count_permit(context, "excluded");
         return OwnerReply::None(SlotReply::Excluded);
@@ -534,6 +643,7 @@
         endpoint,
         permit: Some(permit),
         is_served: cell::Cell::new(false),
+        is_doubted: cell::Cell::new(response.is_probe),
         acquired_at: context.clock.now(),
     })
 }
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -15,7 +15,7 @@
 use crate::{clock, ids, outcome};
 
 /// Share of the latency objective after which an attempt without a response is slow.
-const SILENCE_SHARE: f64 = 0.8;
+pub(super) const SILENCE_SHARE: f64 = 0.8;
 /// Share of the longest allowed gap between events after which a stream is slow.
 const GAP_SHARE: f64 = 0.5;
 /// How long a slow run is kept, unread, until the next endpoint has accepted the request.
@@ -153,7 +153,7 @@
         let begun = clock::BootInstant::now();
         let waiting = async {
             match awaited {
-                Awaited::NextEvent => waiting.await,
+                Awaited::NextEvent => self.report_if_overdue(slot, waiting).await,
                 _ => self.report_if_slow(slot, waiting).await,
             }
         };
@@ -167,6 +167,30 @@
         }
     }
 
+    /// Waits for the next event, and reports the endpoint while the event is overdue.
+    async fn report_if_overdue<T>(
+        &self,
+        slot: &slots::HeldSlot,
+        waiting: impl future::Future<Output = T>,
+    ) -> T {
+        tokio::pin!(waiting);
+        let Some(gap) = self.request.route.gap_objective else {
+            return waiting.await;
+        };
+        let overdue_after = gap.mul_f64(GAP_SHARE);
+        if let Ok(done) = tokio::time::timeout(overdue_after, &mut waiting).await {
+            return done;
+        }
+        log::info!(
+            "event=event_overdue request={} endpoint={} silent_ms={}",
+            self.request.terms.id.as_deref().unwrap_or("-"),
+            slot.endpoint.id,
+            overdue_after.as_millis()
+        );
+        slot.record_overdue();
+        waiting.await
+    }
+
     /// Logs and reports a slow run, unless it was slow before.
     ///
     /// Without this check, a run that is late with each event would be reported each time.
@@ -325,6 +349,7 @@
                 service: &service,
                 tried: &tried,
                 objective,
+                single_attempt: false,
             };
             match may_queue {
                 true => slots::acquire_or_choose_locally(&context, &request).await,
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -207,6 +207,8 @@
         tried: Vec::new(),
         may_queue: false,
         wait: time::Duration::ZERO,
+        single_attempt: false,
+        accepts_suspect: false,
     }
 }
 
