--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -30,5 +30,6 @@
 pub mod retry;
 pub mod return_schedule;
 pub mod routing;
+pub mod start_hold;
 pub mod step_model;
 pub mod workspace_limit;
