feat(serving): wait for a token instead of refusing a request at once

Cause: a request whose workspace has no token just now gets 429, also if the next token comes after some milliseconds, and its caller is told to return at a random time within 0.8 s, together with others.

Change: such a request waits if the expected wait ends within the half of the route's objective that is planned for waiting; otherwise it is refused at once. The expected wait is the time that the quota servers name plus the time per token for each request before it, which is learned from what this gateway is granted while the limit is used up. The digest of a request is computed before admission. Log lines token_waited and request_rejected name the inputs; counters jayhollow_token_waits_total and jayhollow_token_waiting; protection token_wait.

--- a/src/decisions/queue_limit.rs
+++ b/src/decisions/queue_limit.rs
@@ -22,6 +22,11 @@
 /// Number of waiting requests per slot while no run is recorded.
 const DEFAULT_PER_SLOT: f64 = 0.25;
 
+/// Returns the part of an objective that may be spent on waiting before the first event.
+pub fn planned_wait(objective: time::Duration) -> time::Duration {
+    objective.mul_f64(PLANNED_FRACTION)
+}
+
 /// Estimate of the time for which requests hold a slot.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HoldTimeEstimate {
@@ -65,6 +70,6 @@
     /// Returns how long a request may wait for a slot and still meet `objective`.
     pub fn max_wait(&self, objective: time::Duration) -> time::Duration {
         let first = time::Duration::from_secs_f64(self.estimate_s.unwrap_or(0.0));
-        objective.mul_f64(PLANNED_FRACTION).saturating_sub(first)
+        planned_wait(objective).saturating_sub(first)
     }
 }
--- a/src/decisions/rate_limits/token_cache.rs
+++ b/src/decisions/rate_limits/token_cache.rs
@@ -10,6 +10,9 @@
 const MAX_PREFETCH: f64 = 16.0;
 /// Time constant of the average of a workspace's demand.
 const DEMAND_WINDOW: time::Duration = time::Duration::from_secs(1);
+/// Minimum time for which the denial from an empty pool is reused, so that waiting requests
+/// do not ask more often than a token request takes.
+const MIN_DENIAL_TTL: time::Duration = time::Duration::from_millis(5);
 /// Maximum time for which the denial from an empty pool is reused.
 const MAX_DENIAL_TTL: time::Duration = time::Duration::from_millis(100);
 /// Time for which a denial is reused if no quota server responded.
@@ -24,6 +27,17 @@
     Silent,
 }
 
+/// A denial that is still reused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecentDenial {
+    /// The denial.
+    pub denial: Denial,
+    /// Time for which it is still reused; then the quota servers are asked again.
+    pub reused_for: time::Duration,
+    /// Time from now until the token that a quota server named; zero if none did.
+    pub named: time::Duration,
+}
+
 /// Tokens and demand of one workspace.
 ///
 /// Invariant: `lots` is sorted by expiry and contains no empty lot.
@@ -33,7 +47,8 @@
     /// Average demand in requests per second.
     demand: f64,
     seen_at: clock::MonotonicTime,
-    denied: Option<(clock::MonotonicTime, Denial)>,
+    /// The last denial, its time, and the time until which it is reused.
+    denied: Option<(Denial, clock::MonotonicTime, clock::MonotonicTime)>,
 }
 
 impl WorkspaceTokens {
@@ -118,10 +133,10 @@
         now: clock::MonotonicTime,
     ) {
         let ttl = match denial {
-            Denial::Exceeded(wait) => wait.min(MAX_DENIAL_TTL),
+            Denial::Exceeded(wait) => wait.clamp(MIN_DENIAL_TTL, MAX_DENIAL_TTL),
             Denial::Silent => SILENT_DENIAL_TTL,
         };
-        self.entry(workspace).denied = Some((now + ttl, denial));
+        self.entry(workspace).denied = Some((denial, now, now + ttl));
     }
 
     /// Returns the recorded denial, as long as it is reused.
@@ -130,8 +145,26 @@
         workspace: &ids::WorkspaceId,
         now: clock::MonotonicTime,
     ) -> Option<Denial> {
-        let (until, denial) = self.workspaces.get(workspace)?.denied?;
-        (now < until).then_some(denial)
+        self.recent_denial(workspace, now)
+            .map(|recent| recent.denial)
+    }
+
+    /// Returns the recorded denial and its times, as long as it is reused.
+    pub fn recent_denial(
+        &self,
+        workspace: &ids::WorkspaceId,
+        now: clock::MonotonicTime,
+    ) -> Option<RecentDenial> {
+        let (denial, at, until) = self.workspaces.get(workspace)?.denied?;
+        let named = match denial {
+            Denial::Exceeded(wait) => (at + wait).since(now),
+            Denial::Silent => time::Duration::ZERO,
+        };
+        (now < until).then(|| RecentDenial {
+            denial,
+            reused_for: until.since(now),
+            named,
+        })
     }
 
     /// Removes workspaces that had no request after `since`.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -72,6 +72,10 @@
     pub state_version: prometheus::IntGauge,
     /// Requests rejected because of their key or workspace limit, by reason.
     pub rejected: prometheus::IntCounterVec,
+    /// Requests whose workspace had no token at first, by outcome of the wait for one.
+    pub token_waits: prometheus::IntCounterVec,
+    /// Requests that wait for a token.
+    pub token_waiting: prometheus::IntGauge,
     /// Deposits to the token pools of this process, by outcome.
     pub limit_deposits: prometheus::IntCounterVec,
     /// Held slots at owned endpoints, by class.
@@ -195,6 +199,17 @@
                 "Requests rejected for their key or the limit of their workspace, by reason",
                 "reason",
             ),
+            token_waits: counters(
+                r,
+                "jayhollow_token_waits_total",
+                "Requests whose workspace had no token at first, by outcome",
+                "outcome",
+            ),
+            token_waiting: gauge(
+                r,
+                "jayhollow_token_waiting",
+                "Requests that wait for a token of their workspace",
+            ),
             limit_deposits: counters(
                 r,
                 "jayhollow_limit_deposits_total",
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -112,12 +112,13 @@
         };
         return job_calls::submit(&context, submission, body).await;
     }
-    let token = match request_admission::admit(&context, &workspace, &terms).await {
+    let (method, uri) = (request.method(), request.uri());
+    let digest = ids::RequestDigest::of(method.as_str(), &host, &uri.to_string(), &body);
+    let admitted = request_admission::admit(&context, &workspace, &terms, &route, digest).await;
+    let token = match admitted {
         Ok(token) => token,
         Err(response) => return response,
     };
-    let (method, uri) = (request.method(), request.uri());
-    let digest = ids::RequestDigest::of(method.as_str(), &host, &uri.to_string(), &body);
     let mut headers = attempt::forwarded_headers(request.head().headers());
     if table.workspaces().is_required() {
         let workspace = workspace.as_ref().map(|spec| &spec.id);
--- a/src/serving/request_admission.rs
+++ b/src/serving/request_admission.rs
@@ -10,7 +10,10 @@
     workspaces::{api_key, limiter, workspace_table},
 };
 use crate::{
-    decisions::authentication::{self, KeyFreshness, KeyMatch, KeyVerdict},
+    decisions::{
+        authentication::{self, KeyFreshness, KeyMatch, KeyVerdict},
+        queue_limit,
+    },
     http_server, ids, protection,
 };
 
@@ -146,7 +149,16 @@
         .map_into_boxed_body()
 }
 
-/// Spends a token of the rate limit of a request's workspace, if it has one.
+/// Returns the maximum time for which a request of a route may wait for a token.
+fn max_token_wait(route: &route_table::Route) -> time::Duration {
+    match protection::is_disabled("token_wait") {
+        true => time::Duration::ZERO,
+        false => queue_limit::planned_wait(route.objective),
+    }
+}
+
+/// Spends a token of the rate limit of a request's workspace, if it has one. Waits for one
+/// if the limit is used up and the wait fits into the objective of the route.
 ///
 /// # Errors
 /// The response that rejects the request.
@@ -154,6 +166,8 @@
     context: &rc::Rc<context::ProcessContext>,
     workspace: &CallerWorkspace,
     terms: &wire::CallerTerms,
+    route: &route_table::Route,
+    digest: ids::RequestDigest,
 ) -> Result<Option<SpentToken>, http_server::HttpResponse> {
     let Some(spec) = workspace else {
         return Ok(None);
@@ -166,28 +180,52 @@
     }
     let source = limit_links::LinkTokenSource::new(context);
     let clock = context.clock.as_ref();
-    let verdict = context.limiter.admit(&spec.id, &source, clock).await;
-    let (reason, status, delay) = match verdict {
-        limiter::LimitVerdict::Admitted => {
-            return Ok(Some(SpentToken {
-                context: context.clone(),
-                workspace: spec.id.clone(),
-            }))
+    let request = limiter::LimitedRequest {
+        workspace: &spec.id,
+        limit,
+        digest,
+        priority: spec.priority.unwrap_or(route.priority),
+        max_wait: max_token_wait(route),
+    };
+    let verdict = context.limiter.admit(&request, &source, clock).await;
+    let token = || SpentToken {
+        context: context.clone(),
+        workspace: spec.id.clone(),
+    };
+    let waits = &context.metrics.token_waits;
+    let (reason, status, refusal) = match verdict {
+        limiter::LimitVerdict::Admitted => return Ok(Some(token())),
+        limiter::LimitVerdict::AdmittedLate(waited) => {
+            waits.with_label_values(&["granted"]).inc();
+            log::info!(
+                "event=token_waited request={} workspace={} limit={limit} waited_ms={} max_wait_ms={}",
+                terms.id.as_deref().unwrap_or("-"),
+                spec.id,
+                waited.as_millis(),
+                request.max_wait.as_millis()
+            );
+            return Ok(Some(token()));
         }
-        limiter::LimitVerdict::Exceeded(delay) => {
-            ("rate_limited", StatusCode::TOO_MANY_REQUESTS, delay)
+        limiter::LimitVerdict::Exceeded(refusal) => {
+            ("rate_limited", StatusCode::TOO_MANY_REQUESTS, refusal)
         }
-        limiter::LimitVerdict::Unchecked(delay) => {
-            ("limit_unchecked", StatusCode::SERVICE_UNAVAILABLE, delay)
+        limiter::LimitVerdict::Unchecked(refusal) => {
+            ("limit_unchecked", StatusCode::SERVICE_UNAVAILABLE, refusal)
         }
     };
+    waits.with_label_values(&[refusal.reason.label()]).inc();
+    let delay = refusal.retry_after;
     let rejected = &context.metrics.rejected;
     rejected.with_label_values(&[reason]).inc();
     log::info!(
-        "event=request_rejected request={} reason={reason} workspace={} limit={limit} version={} retry_after_ms={}",
+        "event=request_rejected request={} reason={reason} workspace={} limit={limit} version={} why={} waited_ms={} expected_ms={} ahead={} retry_after_ms={}",
         terms.id.as_deref().unwrap_or("-"),
         spec.id,
         context.fleet.table().version(),
+        refusal.reason.label(),
+        refusal.waited.as_millis(),
+        refusal.expected.as_millis(),
+        refusal.ahead,
         delay.as_millis()
     );
     let body = match status {
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -30,6 +30,7 @@
 rate_limit       workspaces         a_limit_holds_over_all_gateways_together
 evacuation       evacuations        an_evacuated_domain_gets_nothing_until_the_order_is_withdrawn
 cold_limit       evacuations        a_cold_engine_gets_no_more_than_its_rate
+token_wait       workspaces         a_request_beyond_the_rate_waits_for_a_token
 item_attempts    system_faults      items_that_fail_are_given_up_after_the_allowed_attempts
 '
 unnoticed=0
