--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -35,6 +35,10 @@
             metrics
                 .suspect_endpoints
                 .set(suspects.try_into().unwrap_or(i64::MAX));
+            let waiting = context.limiter.waiting();
+            metrics
+                .token_waiting
+                .set(waiting.try_into().unwrap_or(i64::MAX));
             let unreadable = context.fleet.unreadable();
             metrics
                 .unreadable_objects
