fix(serving): requests beyond the capacity do not go to dead endpoints

With all trusted endpoints full, each single-attempt request went to an endpoint that resets connections, which is always free. While any queried owner has trusted endpoints, such a request is queued there, and uses a suspect endpoint only 500 ms after its last failure, one at a time.

A connection that is closed before the first byte of the request was written is now "not run", and the request goes elsewhere.

--- a/src/decisions/endpoint_doubt.rs
+++ b/src/decisions/endpoint_doubt.rs
@@ -23,6 +23,14 @@
 /// before the next request to it would be late.
 pub const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// Minimum time between a failure and the next request that accepts a suspect endpoint as
+/// all others are full.
+///
+/// Such a request is likely lost if the endpoint is dead, while a refused one is retried by
+/// its caller. An endpoint that is only slow gives a sign of life within the longest gap
+/// between events, 500 ms.
+pub const FALLBACK_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// Evidence of a failure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailureEvidence {
@@ -45,15 +53,19 @@
     }
 }
 
-/// What a request risks at a suspect endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RequestRisk {
-    /// It may run only once and is lost if the endpoint is dead.
-    SingleAttempt,
-    /// It may run again elsewhere.
-    Repeatable,
-    /// Nothing else is left: it accepts a suspect endpoint.
-    LastResort,
+/// Which endpoints with failures a request accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum SuspectUse {
+    /// None: it has one attempt left, and other owners have not been asked yet.
+    Avoid,
+    /// A suspect one as a probe: it may run again elsewhere.
+    Probe,
+    /// An ejected one, and a suspect one as a rare probe: no queried owner has a free slot
+    /// elsewhere, but some have trusted endpoints. An endpoint that resets connections is
+    /// always free, and would get all requests beyond the capacity of the others.
+    Fallback,
+    /// Any: all endpoints of the queried owners are suspect or ejected.
+    Any,
 }
 
 /// Why and since when an endpoint is suspect.
@@ -113,19 +125,19 @@
     pub fn admits(
         &self,
         id: &ids::EndpointId,
-        risk: RequestRisk,
+        use_of_suspects: SuspectUse,
         now: clock::MonotonicTime,
     ) -> bool {
         let Some(entry) = self.entries.get(id).filter(|_| self.is_suspect(id, now)) else {
             return true;
         };
-        match risk {
-            RequestRisk::LastResort => true,
-            RequestRisk::SingleAttempt => false,
-            RequestRisk::Repeatable => {
-                entry.probe.is_none() && now.since(entry.failed_at) >= PROBE_INTERVAL
-            }
-        }
+        let interval = match use_of_suspects {
+            SuspectUse::Any => return true,
+            SuspectUse::Avoid => return false,
+            SuspectUse::Probe => PROBE_INTERVAL,
+            SuspectUse::Fallback => FALLBACK_INTERVAL,
+        };
+        entry.probe.is_none() && now.since(entry.failed_at) >= interval
     }
 
     /// Records that a request is sent to the endpoint; returns whether the endpoint is
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -22,6 +22,8 @@
     OtherEndpoint,
     /// The attempt was abandoned before it was passed to a connection.
     NeverSent,
+    /// The connection was closed before any byte of the attempt was written.
+    ClosedBeforeSend,
 }
 
 impl fmt::Display for NotRunReason {
@@ -31,6 +33,7 @@
             Self::RefusedByEndpoint => "endpoint_full",
             Self::OtherEndpoint => "other_endpoint",
             Self::NeverSent => "never_sent",
+            Self::ClosedBeforeSend => "closed_before_send",
         })
     }
 }
@@ -50,6 +53,11 @@
         Self(NotRunReason::NeverConnected)
     }
 
+    /// Creates a proof from the error of a connection on which no byte was written.
+    pub fn closed_before_send(_: &std::io::Error) -> Self {
+        Self(NotRunReason::ClosedBeforeSend)
+    }
+
     /// Creates a proof from a rejection by the endpoint, as decoded by a protocol adapter.
     pub fn refused_by_endpoint() -> Self {
         Self(NotRunReason::RefusedByEndpoint)
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -111,6 +111,12 @@
             is_reused.set(true);
             match pooled.exchange(outgoing(context, request, terms)).await {
                 Ok(incoming) => return Ok(incoming),
+                Err(connection::ExchangeError::Unsent(e)) => {
+                    log::debug!(
+                        "event=kept_connection_closed endpoint={} why=\"{e}\"",
+                        endpoint.id
+                    );
+                }
                 Err(connection::ExchangeError::Broken(e)) if request.repeatable => {
                     log::debug!(
                         "event=kept_connection_closed endpoint={} why=\"{e}\"",
@@ -128,11 +134,14 @@
     }
     is_reused.set(false);
     let opened = connect(endpoint, timeout).await;
-    let opened = opened.map_err(|proof| match first_error {
-        Some(e) => O::Unknown(format!("{e}, then {}", proof.reason())),
-        None => O::NotRun(proof),
-    })?;
-    exchange_on(context, opened, request, terms).await
+    let sent = match opened {
+        Ok(opened) => exchange_on(context, opened, request, terms).await,
+        Err(proof) => Err(O::NotRun(proof)),
+    };
+    sent.map_err(|outcome| match (outcome, first_error) {
+        (O::NotRun(proof), Some(e)) => O::Unknown(format!("{e}, then {}", proof.reason())),
+        (outcome, _) => outcome,
+    })
 }
 
 /// Sends the request on the given connection.
@@ -143,7 +152,12 @@
     terms: &wire::AttemptTerms<'_>,
 ) -> Result<connection::IncomingResponse, outcome::AttemptOutcome<OpenResponse>> {
     let exchanged = opened.exchange(outgoing(context, request, terms)).await;
-    exchanged.map_err(|e| outcome::AttemptOutcome::Unknown(e.to_string()))
+    exchanged.map_err(|e| match e {
+        connection::ExchangeError::Unsent(e) => {
+            outcome::AttemptOutcome::NotRun(outcome::NotRunProof::closed_before_send(&e))
+        }
+        e => outcome::AttemptOutcome::Unknown(e.to_string()),
+    })
 }
 
 /// Returns whether an endpoint still accepts requests.
--- a/src/serving/connection.rs
+++ b/src/serving/connection.rs
@@ -22,6 +22,10 @@
 /// The reason why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
+    /// The connection was closed or reset before any byte of the request was written, so
+    /// that the request cannot have run.
+    #[error("the connection was closed before the request was sent: {0}")]
+    Unsent(io::Error),
     /// The connection was closed or reset.
     #[error("the connection broke: {0}")]
     Broken(#[from] io::Error),
@@ -95,7 +99,8 @@
     /// Sends a request and reads the head of its response.
     ///
     /// # Errors
-    /// The connection broke, or the response is malformed.
+    /// The connection broke, before or after the request was sent, or the response is
+    /// malformed.
     pub async fn exchange(
         mut self,
         request: OutgoingRequest,
@@ -119,12 +124,29 @@
     }
 
     /// Writes the request; stops early if a response arrives before it is sent in full.
-    async fn send(&mut self, mut out: &[u8]) -> io::Result<()> {
+    ///
+    /// # Errors
+    /// The connection broke; the error says whether any byte was written before.
+    async fn send(&mut self, out: &[u8]) -> Result<(), ExchangeError> {
+        if !self.is_reusable() {
+            let reason = "it was closed, or bytes arrived before the request";
+            return Err(ExchangeError::Unsent(io::Error::other(reason)));
+        }
+        let mut remaining = out;
+        let written = self.write(&mut remaining).await;
+        written.map_err(|e| match remaining.len() == out.len() {
+            true => ExchangeError::Unsent(e),
+            false => ExchangeError::Broken(e),
+        })
+    }
+
+    /// Writes the bytes of `out`, from which the written ones are removed.
+    async fn write(&mut self, out: &mut &[u8]) -> io::Result<()> {
         self.is_fully_sent = false;
         while !out.is_empty() {
             match self.socket.try_write(out) {
                 Ok(count) => {
-                    out = &out[count..];
+                    *out = &out[count..];
                     continue;
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -76,6 +76,7 @@
         R::NeverConnected => Some(failure(context, true)),
         R::RefusedByEndpoint => Some(peers::EndpointObservation::Full),
         R::OtherEndpoint => Some(peers::EndpointObservation::Misnamed),
+        R::ClosedBeforeSend => Some(failure(context, false)),
         R::NeverSent => None,
     }
 }
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -190,6 +190,7 @@
     let granted = permits.acquire(request, &ejected, now);
     let owns = permits.owns(&request.service);
     let excludes_all = permits.are_all_excluded(request);
+    let all_suspect = permits.are_all_suspect(request, &ejected, now);
     let only_suspect = granted.is_none() && permits.has_only_suspect(request, &ejected, now);
     let is_probe = granted
         .as_ref()
@@ -207,16 +208,16 @@
         );
     }
     if let Some(slot) = granted.as_ref().filter(|_| is_probe) {
-        let kind = match (request.accepts_suspect, request.single_attempt) {
-            (true, _) => "last_resort",
-            (false, true) => "single_attempt",
-            (false, false) => "repeatable",
+        let kind = match request.single_attempt {
+            true => "single_attempt",
+            false => "repeatable",
         };
         context.metrics.probes.with_label_values(&[kind]).inc();
         log::info!(
-            "event=endpoint_probed endpoint={} asker={} kind={kind}",
+            "event=endpoint_probed endpoint={} asker={} kind={kind} use={:?}",
             slot.endpoint,
-            request.holder
+            request.holder,
+            request.use_of_suspects,
         );
     }
     let endpoint = granted.map(|slot| {
@@ -232,6 +233,7 @@
         free_slots,
         free_queue_slots,
         only_suspect,
+        all_suspect,
         is_probe,
     }
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -11,7 +11,7 @@
     wire, workspaces::limit_messages,
 };
 use crate::{
-    decisions::{admission, crash_ledger, health, liveness},
+    decisions::{admission, crash_ledger, endpoint_doubt, health, liveness},
     ids,
 };
 
@@ -104,8 +104,8 @@
     pub wait: time::Duration,
     /// Whether the request may run only once.
     pub single_attempt: bool,
-    /// Whether a suspect endpoint is acceptable, as other owners have no slot.
-    pub accepts_suspect: bool,
+    /// Which endpoints with failures the request accepts.
+    pub use_of_suspects: endpoint_doubt::SuspectUse,
 }
 
 /// Response of an owner to a slot request.
@@ -124,8 +124,12 @@
     /// Free queue slots of its endpoints after this response.
     #[serde(rename = "queue_room")]
     pub free_queue_slots: u32,
-    /// Whether only suspect endpoints, which the request does not accept, have a free slot.
+    /// Whether only endpoints with failures, which the request does not accept, have a free
+    /// slot.
     pub only_suspect: bool,
+    /// Whether all endpoints of the service that the responder owns and the request does not
+    /// exclude are suspect or ejected.
+    pub all_suspect: bool,
     /// Whether the endpoint of the slot is suspect, so that the requester must report its
     /// first sign of life at once.
     pub is_probe: bool,
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -455,7 +455,9 @@
         }
         let is_capped = |service| {
             let count = counts.get(service).copied().unwrap_or_default();
-            selection::exceeds_ejection_limit(count, listed(service))
+            let listed = listed(service);
+            // One of two endpoints may be ejected, but not the only one.
+            count >= listed || (count > 1 && selection::exceeds_ejection_limit(count, listed))
         };
         ejected.retain(|id| service_of(id).is_some_and(|service| !is_capped(service)));
         ejected
@@ -470,15 +472,16 @@
         ejected: &collections::HashSet<ids::EndpointId>,
         now: clock::MonotonicTime,
     ) -> bool {
-        if request.accepts_suspect || protection::is_disabled("endpoint_doubt") {
+        use endpoint_doubt::SuspectUse as S;
+
+        if protection::is_disabled("endpoint_doubt") {
             return true;
         }
-        let risk = match request.single_attempt {
-            true => endpoint_doubt::RequestRisk::SingleAttempt,
-            false => endpoint_doubt::RequestRisk::Repeatable,
-        };
         let id = &owned.entry.id;
-        !ejected.contains(id) && self.doubts.admits(id, risk, now)
+        let use_of_suspects = request.use_of_suspects;
+        let accepts_ejected = matches!(use_of_suspects, S::Fallback | S::Any);
+        let is_ejected = ejected.contains(id) && !accepts_ejected;
+        !is_ejected && self.doubts.admits(id, use_of_suspects, now)
     }
 
     /// Returns whether the request would get a free slot if it accepted suspect endpoints.
@@ -498,6 +501,19 @@
         free.peek().is_some() && !free.any(|is_acceptable| is_acceptable)
     }
 
+    /// Returns whether all owned endpoints of the service that a request does not exclude
+    /// are suspect or ejected.
+    pub fn are_all_suspect(
+        &self,
+        request: &peers::OnlineSlotRequest,
+        ejected: &collections::HashSet<ids::EndpointId>,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        let owned = self.owned().filter(|e| e.service == request.service);
+        let mut candidates = owned.filter(|e| !request.tried.contains(&e.id));
+        candidates.all(|e| ejected.contains(&e.id) || self.is_suspect(&e.id, now))
+    }
+
     /// Returns whether an owned endpoint is suspect.
     pub fn is_suspect(&self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
         self.doubts.is_suspect(id, now)
@@ -633,8 +649,8 @@
             .sum()
     }
 
-    /// Returns the number of free queue slots of a service for requests that may wait for
-    /// `wait`.
+    /// Returns the number of free queue slots of a service, without those of suspect
+    /// endpoints, for requests that may wait for `wait`.
     pub fn free_queue_slots(
         &self,
         service: &ids::ServiceName,
@@ -642,7 +658,8 @@
         now: clock::MonotonicTime,
     ) -> u32 {
         let owned = self.of_service(service, now);
-        let free_slots = owned.map(|owned| owned.free_queue_slots(self.max_queued(owned, wait)));
+        let trusted = owned.filter(|owned| !self.is_suspect(&owned.entry.id, now));
+        let free_slots = trusted.map(|owned| owned.free_queue_slots(self.max_queued(owned, wait)));
         free_slots.sum()
     }
 
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -8,7 +8,7 @@
 use super::{context, directory, endpoint_reports, peer_calls, peers, pending_permit};
 use crate::{
     clock,
-    decisions::{admission, owner_order, ownership},
+    decisions::{admission, endpoint_doubt, owner_order, ownership},
     ids, outcome,
 };
 
@@ -170,15 +170,18 @@
     /// The request excludes all endpoints of the service that it owns, which says nothing
     /// about the endpoints of other owners.
     Excluded,
-    /// Only suspect endpoints, which the request does not accept, have a free slot.
-    OnlySuspect,
+    /// Only endpoints with failures, which the request does not accept, have a free slot;
+    /// holds how many more requests may queue at the others, and `None` if there are none.
+    OnlySuspect(Option<u32>),
     /// It gave no usable response.
     Silent,
 }
 
-/// Returns whether a service is full: every queried owner of its endpoints replied so.
+/// Returns whether a service is full: every queried owner of its endpoints replied so, or
+/// that only suspect ones are free.
 pub fn all_full(replies: &[SlotReply]) -> bool {
-    let is_full = |reply: &SlotReply| matches!(reply, SlotReply::Full(_));
+    let is_full =
+        |reply: &SlotReply| matches!(reply, SlotReply::Full(_) | SlotReply::OnlySuspect(_));
     replies.iter().any(is_full) && !replies.contains(&SlotReply::Silent)
 }
 
@@ -229,11 +232,11 @@
         if answered >= MAX_QUERIED_OWNERS || suspect_owners > MAX_SUSPECT_OWNERS {
             break;
         }
-        let slot = online_slot_request(context, request, false);
+        let slot = online_slot_request(context, request, first_use(request));
         match send_request(context, owner, slot).await {
             OwnerReply::Slot(slot) => return Ok(slot),
             OwnerReply::None(reply) => {
-                suspect_owners += usize::from(reply == SlotReply::OnlySuspect);
+                suspect_owners += usize::from(matches!(reply, SlotReply::OnlySuspect(_)));
                 replies.push((reply, owner));
             }
         }
@@ -241,23 +244,38 @@
     Err(replies)
 }
 
+/// Returns which endpoints with failures a request accepts after the replies of the owners.
+pub fn use_after_denials(replies: &[SlotReply]) -> endpoint_doubt::SuspectUse {
+    let has_trusted =
+        |reply: &SlotReply| matches!(reply, SlotReply::Full(_) | SlotReply::OnlySuspect(Some(_)));
+    match replies.iter().any(has_trusted) {
+        true => endpoint_doubt::SuspectUse::Fallback,
+        false => endpoint_doubt::SuspectUse::Any,
+    }
+}
+
 /// Requests a slot at a suspect endpoint from the owners that have no other free slot.
 async fn request_suspect_slot(
     context: &rc::Rc<context::ProcessContext>,
     request: &SlotParams<'_>,
     denials: &[(SlotReply, &ids::InstanceId)],
 ) -> Option<HeldSlot> {
+    let has_excluded = request.single_attempt && {
+        let loads = context.loads.borrow();
+        let mut suspects = loads.doubts.suspects(context.clock.now());
+        suspects.next().is_some()
+    };
     let is_withheld = |reply: &SlotReply| match reply {
-        SlotReply::OnlySuspect => true,
-        // All its endpoints may be suspect by the observations of this process.
-        SlotReply::Excluded => request.single_attempt,
+        SlotReply::OnlySuspect(_) => true,
+        // The free endpoints may be suspect by the observations of this process only.
+        SlotReply::Excluded | SlotReply::Full(_) => has_excluded,
         _ => false,
     };
+    let replies: Vec<_> = denials.iter().map(|(reply, _)| *reply).collect();
+    let use_of_suspects = use_after_denials(&replies);
     let withheld = denials.iter().filter(|(reply, _)| is_withheld(reply));
     for (_, owner) in withheld.take(MAX_SUSPECT_OWNERS) {
-        let slot = peers::OnlineSlotRequest {
-            ..online_slot_request(context, request, true)
-        };
+        let slot = online_slot_request(context, request, use_of_suspects);
         if let OwnerReply::Slot(slot) = send_request(context, owner, slot).await {
             return Some(slot);
         }
@@ -300,7 +318,9 @@
         return slot.map_or(OwnerReply::None(SlotReply::Silent), OwnerReply::Slot);
     }
     let with_queue = denials.iter().filter_map(|(reply, owner)| match reply {
-        SlotReply::Full(free_queue_slots) if *free_queue_slots > 0 => {
+        SlotReply::Full(free_queue_slots) | SlotReply::OnlySuspect(Some(free_queue_slots))
+            if *free_queue_slots > 0 =>
+        {
             Some((free_queue_slots, owner))
         }
         _ => None,
@@ -308,7 +328,7 @@
     if let Some((_, owner)) = with_queue.max() {
         let queued = peers::OnlineSlotRequest {
             may_queue: true,
-            ..online_slot_request(context, request, false)
+            ..online_slot_request(context, request, first_use(request))
         };
         if let OwnerReply::Slot(slot) = send_request(context, owner, queued).await {
             return OwnerReply::Slot(slot);
@@ -422,12 +442,20 @@
     owners
 }
 
+/// Returns which endpoints with failures a request accepts before all owners were asked.
+fn first_use(request: &SlotParams<'_>) -> endpoint_doubt::SuspectUse {
+    match request.single_attempt {
+        true => endpoint_doubt::SuspectUse::Avoid,
+        false => endpoint_doubt::SuspectUse::Probe,
+    }
+}
+
 /// Builds a request for a slot that excludes the endpoints ejected by this process, and
 /// the suspect ones if the request may run only once and does not accept them.
 fn online_slot_request(
     context: &context::ProcessContext,
     request: &SlotParams<'_>,
-    accepts_suspect: bool,
+    use_of_suspects: endpoint_doubt::SuspectUse,
 ) -> peers::OnlineSlotRequest {
     let SlotParams { service, tried, .. } = *request;
     let first = context.first_estimates.borrow().get(service).copied();
@@ -443,7 +471,7 @@
     let now = context.clock.now();
     let mut avoided = loads.ejected(count, is_listed, now);
     // Repeatable requests probe suspect endpoints, which their owner permits.
-    if request.single_attempt && !accepts_suspect {
+    if use_of_suspects == endpoint_doubt::SuspectUse::Avoid {
         avoided.extend(loads.suspects(count, is_listed, now));
     }
     let mut excluded = tried.to_vec();
@@ -457,7 +485,7 @@
         may_queue: false,
         wait: first.unwrap_or_default().max_wait(request.objective),
         single_attempt: request.single_attempt,
-        accepts_suspect,
+        use_of_suspects,
     }
 }
 
@@ -473,7 +501,7 @@
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
     let request = peers::OnlineSlotRequest {
         may_queue,
-        ..online_slot_request(context, request, false)
+        ..online_slot_request(context, request, first_use(request))
     };
     let permit = HeldPermit::Peer(relay.address, request.number);
     let pending = pending_permit::PendingPermit::new(context, relay.address, request.number);
@@ -507,11 +535,17 @@
     let rounds = owners.iter().map(|owner| (owner, false));
     let rounds = rounds.chain(owners.iter().map(|owner| (owner, true)));
     let mut withheld = Vec::new();
-    for (owner, accepts_suspect) in rounds {
-        if accepts_suspect && !withheld.contains(&owner) {
+    let mut has_trusted = false;
+    for (owner, is_last_round) in rounds {
+        if is_last_round && !withheld.contains(&owner) {
             continue;
         }
-        request.accepts_suspect = accepts_suspect;
+        if is_last_round {
+            request.use_of_suspects = match has_trusted {
+                true => endpoint_doubt::SuspectUse::Fallback,
+                false => endpoint_doubt::SuspectUse::Any,
+            };
+        }
         let address = context.members.borrow().address_of(owner);
         let Some(address) = address else { continue };
         let response = context
@@ -529,8 +563,12 @@
                 context.relayed_slots.borrow_mut().put(number, address);
                 return Some(response);
             }
-            Ok(response) if response.only_suspect => withheld.push(owner),
-            Ok(_) => {}
+            Ok(response) => {
+                has_trusted |= response.owns && !response.excludes_all && !response.all_suspect;
+                if response.only_suspect {
+                    withheld.push(owner);
+                }
+            }
             Err(_) => release_permit(context, HeldPermit::Peer(address, number), false),
         }
     }
@@ -582,7 +620,8 @@
     set_free_slots(context, owner, service, response.free_slots);
     if response.endpoint.is_none() && response.only_suspect {
         count_permit(context, "only_suspect");
-        return OwnerReply::None(SlotReply::OnlySuspect);
+        let free_queue_slots = (!response.all_suspect).then_some(response.free_queue_slots);
+        return OwnerReply::None(SlotReply::OnlySuspect(free_queue_slots));
     }
     if response.endpoint.is_none() && response.excludes_all {
         count_permit(context, "excluded");
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -4,7 +4,7 @@
 
 use jayhollow::{
     clock,
-    decisions::cold_start,
+    decisions::{cold_start, endpoint_doubt},
     ids,
     serving::{directory, peers, permits, selection},
 };
@@ -59,7 +59,7 @@
         may_queue: false,
         wait: time::Duration::ZERO,
         single_attempt: false,
-        accepts_suspect: false,
+        use_of_suspects: endpoint_doubt::SuspectUse::Probe,
     }
 }
 
--- a/tests/endpoint_doubt.rs
+++ b/tests/endpoint_doubt.rs
@@ -7,9 +7,12 @@
 
 use jayhollow::{
     clock,
-    decisions::endpoint_doubt::{self, RequestRisk},
+    decisions::endpoint_doubt::{self, SuspectUse},
     ids,
-    serving::{directory, peers, permits, selection},
+    serving::{
+        directory, peers, permits, selection,
+        slots::{self, SlotReply},
+    },
 };
 use rand::{rngs::StdRng, seq::SliceRandom as _, Rng as _, SeedableRng as _};
 
@@ -47,7 +50,10 @@
         may_queue: false,
         wait: time::Duration::ZERO,
         single_attempt,
-        accepts_suspect: false,
+        use_of_suspects: match single_attempt {
+            true => SuspectUse::Avoid,
+            false => SuspectUse::Probe,
+        },
     }
 }
 
@@ -66,8 +72,6 @@
 const DELAY_MS: u64 = 2;
 /// Time after which a holder reports a missing response: 0.8 of an objective of 300 ms.
 const OVERDUE_MS: u64 = 240;
-/// Maximum number of owners that a gateway queries in one round.
-const QUERIED_OWNERS: usize = 6;
 /// Number of owners.
 const OWNERS: usize = 4;
 /// Endpoints that fail at `FAULT_AT_MS`: six of the eight of the first owner, and some of
@@ -76,8 +80,10 @@
 const ENDPOINTS_PER_OWNER: usize = 8;
 const FAULT_AT_MS: u64 = 1000;
 const END_MS: u64 = 4000;
-/// Requests per ms, in thousandths: 400 per second take 60 of 168 slots that work.
-const REQUESTS_PER_SECOND: u64 = 400;
+/// Requests per second: they take 60 of the 168 slots that work.
+const LOAD: u64 = 400;
+/// Requests per second that take a quarter more slots than work.
+const OVERLOAD: u64 = 1400;
 
 /// A message to an owner.
 enum OwnerMessage {
@@ -99,8 +105,42 @@
     served: usize,
 }
 
-/// Plays a load in which a third of the endpoints fail; a share of it is repeatable.
-fn play(fault: FaultKind, repeatable_share: f64, seed: u64) -> LoadResult {
+/// Requests a slot as a gateway does: from each owner in turn, and if none grants one, from
+/// those that withhold their suspect endpoints.
+fn acquire(
+    owners: &mut [permits::PermitTable],
+    order: &[usize],
+    request: &peers::OnlineSlotRequest,
+    now: clock::MonotonicTime,
+) -> Option<(usize, ids::EndpointId)> {
+    let none = collections::HashSet::new();
+    let mut replies = Vec::new();
+    for owner in order {
+        let table = &mut owners[*owner];
+        if let Some(slot) = table.acquire(request, &none, now) {
+            return Some((*owner, slot.endpoint));
+        }
+        let has_trusted = !table.are_all_suspect(request, &none, now);
+        replies.push(match table.has_only_suspect(request, &none, now) {
+            true => SlotReply::OnlySuspect(has_trusted.then_some(0)),
+            false => SlotReply::Full(0),
+        });
+    }
+    let last_request = peers::OnlineSlotRequest {
+        use_of_suspects: slots::use_after_denials(&replies),
+        ..request.clone()
+    };
+    order.iter().zip(replies).find_map(|(owner, reply)| {
+        let is_withheld = matches!(reply, SlotReply::OnlySuspect(_));
+        let table = is_withheld.then(|| &mut owners[*owner])?;
+        let slot = table.acquire(&last_request, &none, now)?;
+        Some((*owner, slot.endpoint))
+    })
+}
+
+/// Plays a load in which a third of the endpoints fail and 30 % of the requests are
+/// repeatable.
+fn play(fault: FaultKind, requests_per_second: u64, seed: u64) -> LoadResult {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut owners: Vec<permits::PermitTable> = Vec::new();
     let mut failing = collections::HashSet::new();
@@ -114,7 +154,6 @@
         table.set_owned(&endpoints);
         owners.push(table);
     }
-    let none = collections::HashSet::new();
     let mut messages = collections::BTreeMap::<u64, Vec<(usize, OwnerMessage)>>::new();
     let mut result = LoadResult::default();
     let mut number = 0;
@@ -135,57 +174,43 @@
                 }
             }
         }
-        if rng.random_range(0..1000) >= REQUESTS_PER_SECOND {
-            continue;
-        }
-        let is_single = !rng.random_bool(repeatable_share);
-        let mut order: Vec<usize> = (0..OWNERS).collect();
-        order.shuffle(&mut rng);
-        number += 1;
-        let mut granted = None;
-        for accepts_suspect in [false, true] {
-            for owner in order.iter().copied().take(QUERIED_OWNERS) {
-                let request = peers::OnlineSlotRequest {
-                    accepts_suspect,
-                    ..slot_request(number, is_single)
-                };
-                let slot = owners[owner].acquire(&request, &none, now);
-                granted = granted.or(slot.map(|slot| (owner, slot.endpoint)));
-                if granted.is_some() {
-                    break;
-                }
+        let mut arriving = requests_per_second / 1000;
+        arriving += u64::from(rng.random_range(0..1000) < requests_per_second % 1000);
+        for _ in 0..arriving {
+            let is_single = rng.random_bool(0.7);
+            let mut order: Vec<usize> = (0..OWNERS).collect();
+            order.shuffle(&mut rng);
+            number += 1;
+            let request = slot_request(number, is_single);
+            let granted = acquire(&mut owners, &order, &request, now);
+            let Some((owner, endpoint)) = granted else {
+                result.refused += 1;
+                continue;
+            };
+            let mut send = |at, message| messages.entry(at).or_default().push((owner, message));
+            if ms + HOLD_MS < FAULT_AT_MS || !failing.contains(&endpoint) {
+                result.served += 1;
+                let served_at = ms + HOLD_MS + DELAY_MS;
+                send(served_at, OwnerMessage::Served(endpoint, number));
+                continue;
             }
-            if granted.is_some() {
-                break;
+            match is_single {
+                _ if ms < FAULT_AT_MS => result.interrupted += 1,
+                true => *result.lost.entry(endpoint.clone()).or_default() += 1,
+                false => result.repeated += 1,
             }
+            let (observed, ended) = match (fault, is_single) {
+                (FaultKind::Resets, _) => {
+                    let reset_at = ms.max(FAULT_AT_MS) + 2;
+                    (reset_at - ms, reset_at - ms)
+                }
+                // A repeatable request is handed off, the other one waits for its deadline.
+                (FaultKind::GoesDark, false) => (OVERDUE_MS, OVERDUE_MS + 5),
+                (FaultKind::GoesDark, true) => (OVERDUE_MS, 5000),
+            };
+            send(ms + observed + DELAY_MS, OwnerMessage::Failed(endpoint));
+            send(ms + ended + DELAY_MS, OwnerMessage::Released(number));
         }
-        let Some((owner, endpoint)) = granted else {
-            result.refused += 1;
-            continue;
-        };
-        let mut send = |at, message| messages.entry(at).or_default().push((owner, message));
-        if ms + HOLD_MS < FAULT_AT_MS || !failing.contains(&endpoint) {
-            result.served += 1;
-            let served_at = ms + HOLD_MS + DELAY_MS;
-            send(served_at, OwnerMessage::Served(endpoint, number));
-            continue;
-        }
-        match is_single {
-            _ if ms < FAULT_AT_MS => result.interrupted += 1,
-            true => *result.lost.entry(endpoint.clone()).or_default() += 1,
-            false => result.repeated += 1,
-        }
-        let (observed, ended) = match (fault, is_single) {
-            (FaultKind::Resets, _) => {
-                let reset_at = ms.max(FAULT_AT_MS) + 2;
-                (reset_at - ms, reset_at - ms)
-            }
-            // A repeatable request is handed off, the other one waits for its deadline.
-            (FaultKind::GoesDark, false) => (OVERDUE_MS, OVERDUE_MS + 5),
-            (FaultKind::GoesDark, true) => (OVERDUE_MS, 5000),
-        };
-        send(ms + observed + DELAY_MS, OwnerMessage::Failed(endpoint));
-        send(ms + ended + DELAY_MS, OwnerMessage::Released(number));
     }
     result
 }
@@ -195,7 +220,7 @@
 #[test]
 fn a_resetting_endpoint_costs_one_single_attempt_request() {
     for seed in 0..20 {
-        let result = play(FaultKind::Resets, 0.3, seed);
+        let result = play(FaultKind::Resets, LOAD, seed);
         let failing: usize = FAILING.iter().map(|failing| failing.len()).sum();
         let lost: usize = result.lost.values().sum();
         assert!(
@@ -213,15 +238,28 @@
     }
 }
 
+/// Guards against endpoints that reset connections and get all requests beyond the capacity
+/// of the others, as they are always free.
+#[test]
+fn an_overload_does_not_go_to_resetting_endpoints() {
+    for seed in 0..5 {
+        let result = play(FaultKind::Resets, OVERLOAD, seed);
+        let failing: usize = FAILING.iter().map(|failing| failing.len()).sum();
+        let lost: usize = result.lost.values().sum();
+        assert!(lost <= failing, "seed {seed}: {lost} lost");
+        assert!(result.refused > lost, "seed {seed}: the others are refused");
+    }
+}
+
 /// A dark endpoint costs the requests that it got before the first one of them was overdue.
 #[test]
 fn a_dark_endpoint_costs_no_request_after_the_first_overdue_response() {
     for seed in 0..20 {
-        let result = play(FaultKind::GoesDark, 0.3, seed);
+        let result = play(FaultKind::GoesDark, LOAD, seed);
         let lost: usize = result.lost.values().sum();
         let failing: usize = FAILING.iter().map(|failing| failing.len()).sum();
         // Its share of 240 ms, with a third more as it fills up while others empty.
-        let arriving = REQUESTS_PER_SECOND as usize * OVERDUE_MS as usize / 1000;
+        let arriving = LOAD as usize * OVERDUE_MS as usize / 1000;
         let expected = arriving * failing / (OWNERS * ENDPOINTS_PER_OWNER);
         assert!(
             lost <= expected * 4 / 3,
@@ -241,7 +279,7 @@
         "it was suspect"
     );
     let admits = |doubts: &endpoint_doubt::DoubtTable, ms| {
-        doubts.admits(&id("a"), RequestRisk::SingleAttempt, at_ms(ms))
+        doubts.admits(&id("a"), SuspectUse::Avoid, at_ms(ms))
     };
     assert!(!admits(&doubts, 5999));
     assert!(admits(&doubts, 6000));
@@ -290,7 +328,7 @@
         .acquire(&slot_request(1, true), &none, at_ms(1))
         .is_none());
     let last_resort = peers::OnlineSlotRequest {
-        accepts_suspect: true,
+        use_of_suspects: SuspectUse::Any,
         ..slot_request(2, true)
     };
     assert!(table.acquire(&last_resort, &none, at_ms(1)).is_some());
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -4,7 +4,7 @@
 
 use jayhollow::{
     clock,
-    decisions::{endpoint_backoff, retry},
+    decisions::{endpoint_backoff, endpoint_doubt, retry},
     ids,
     serving::{
         directory::{ChangeTiming, EndpointChange, EndpointDirectory, EndpointEntry},
@@ -208,7 +208,7 @@
         may_queue: false,
         wait: time::Duration::ZERO,
         single_attempt: false,
-        accepts_suspect: false,
+        use_of_suspects: endpoint_doubt::SuspectUse::Probe,
     }
 }
 
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -3,7 +3,9 @@
 use std::{net, rc, time};
 
 use jayhollow::{
-    clock, ids,
+    clock,
+    decisions::endpoint_doubt,
+    ids,
     serving::{
         directory, peers, permits,
         slots::{self, SlotReply},
@@ -44,7 +46,7 @@
         may_queue: false,
         wait: time::Duration::ZERO,
         single_attempt: false,
-        accepts_suspect: false,
+        use_of_suspects: endpoint_doubt::SuspectUse::Probe,
     }
 }
 
@@ -264,6 +266,7 @@
 #[case::the_only_owner_is_full(&[SlotReply::NotOwner, SlotReply::Full(0)], true)]
 #[case::one_owner_is_silent(&[SlotReply::Full(0), SlotReply::Silent], false)]
 #[case::the_only_owner_is_excluded(&[SlotReply::Excluded], false)]
+#[case::only_suspect_endpoints_are_free(&[SlotReply::OnlySuspect(None)], true)]
 #[case::one_owner_is_excluded(&[SlotReply::Excluded, SlotReply::Full(0)], true)]
 fn a_service_is_full_if_all_its_owners_are_full(
     #[case] replies: &[SlotReply],
