feat(serving): limited requests wait for a quota server at a start

A gateway knows the endpoints before it has a link to any quota server. In a trial with two gateways, two dispatchers and a limited workspace, all restarted, requests in the 60 to 300 ms after that got 503 limit_unchecked.

A request whose workspace has a limit is now also held until a quota server was heard, within the same bounds. If none is, the request goes on and the limiter decides as before.

--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -82,6 +82,7 @@
     } = arrival;
     let gate_request = readiness_gate::GateRequest {
         id: terms.id.as_deref(),
+        key: &terms.key,
         arrived,
         timeout: terms.timeout.unwrap_or(DEFAULT_TIMEOUT),
         bytes: head_bytes(&request),
--- a/src/serving/readiness_gate.rs
+++ b/src/serving/readiness_gate.rs
@@ -2,13 +2,16 @@
 
 use std::{cell, rc, time};
 
-use super::{context, refusals};
-use crate::{clock, decisions::start_hold, http_server, protection};
+use super::{context, refusals, workspaces::api_key};
+use crate::{clock, decisions::start_hold, http_server, ids, protection};
 
 /// `Retry-After` of a request that a process refuses because it is about to stop.
 ///
 /// It is short, as the next try goes to another process.
 const STOP_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
+/// Interval at which held requests check whether a quota server was heard; nothing notifies
+/// of it.
+const QUOTA_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
 /// Requests held until the process can serve.
 #[derive(Debug, Default)]
@@ -21,6 +24,8 @@
 pub struct GateRequest<'a> {
     /// Request id that the caller gave.
     pub id: Option<&'a str>,
+    /// API key that the caller presented.
+    pub key: &'a api_key::PresentedKey,
     /// When it arrived.
     pub arrived: clock::BootInstant,
     /// Time for which its caller waits from the arrival.
@@ -29,6 +34,15 @@
     pub bytes: usize,
 }
 
+/// What a request waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum MissingState {
+    /// The desired state, the endpoints or the evacuations.
+    Fleet,
+    /// The quota servers, one of which must check the limit of the request's workspace.
+    QuotaServers,
+}
+
 /// Counts a held request until the guard is dropped, also when its caller leaves.
 struct HeldRequest {
     gate: rc::Rc<ReadinessGate>,
@@ -63,9 +77,9 @@
     request: GateRequest<'_>,
 ) -> Result<(), http_server::HttpResponse> {
     refuse_if_stopping(context)?;
-    if context.fleet.is_known() {
+    let Some(missing) = missing_state(context, request.key) else {
         return Ok(());
-    }
+    };
     let early = start_hold::EarlyRequest {
         uptime: context.age(),
         remaining: request.timeout.saturating_sub(request.arrived.elapsed()),
@@ -78,16 +92,21 @@
     };
     let hold = match verdict {
         start_hold::HoldVerdict::Hold(hold) => hold,
+        // Only the limiter refuses a request whose limit cannot be checked.
+        start_hold::HoldVerdict::Refuse(_) if missing == MissingState::QuotaServers => {
+            return Ok(())
+        }
         start_hold::HoldVerdict::Refuse(delay) => {
             return Err(refuse_early(gate, context, &early, delay))
         }
     };
     let held = HeldRequest::begin(gate, request.bytes);
-    let is_ready = is_known_within(context, hold).await;
+    let missing = missing_after(context, request.key, hold).await;
     drop(held);
-    let outcome = match is_ready {
-        true => "ready",
-        false => "expired",
+    let outcome = match missing {
+        None => "ready",
+        Some(MissingState::QuotaServers) => "no_quota_server",
+        Some(MissingState::Fleet) => "expired",
     };
     let holds = &context.metrics.start_holds;
     holds.with_label_values(&[outcome]).inc();
@@ -99,22 +118,55 @@
         context.age().as_millis()
     );
     refuse_if_stopping(context)?;
-    match is_ready {
-        true => Ok(()),
-        false => {
+    match missing {
+        None | Some(MissingState::QuotaServers) => Ok(()),
+        Some(MissingState::Fleet) => {
             let delay = start_hold::retry_after(context.age(), spread);
             Err(refuse_early(gate, context, &early, delay))
         }
     }
 }
 
-/// Waits until enough is known to serve, at most for the timeout. Returns whether it is.
-async fn is_known_within(context: &context::ProcessContext, timeout: time::Duration) -> bool {
+/// Returns what is missing to serve a request with a key.
+fn missing_state(
+    context: &context::ProcessContext,
+    key: &api_key::PresentedKey,
+) -> Option<MissingState> {
+    if !context.fleet.is_known() {
+        return Some(MissingState::Fleet);
+    }
+    // One that is listed but not heard yet has no link, and would be asked in vain.
+    let is_heard = |id: &ids::InstanceId| id == context.id() || context.receives_from(id);
+    if context.shares.borrow().quota_servers().iter().any(is_heard) {
+        return None;
+    }
+    let api_key::PresentedKey::Key(digest) = key else {
+        return None;
+    };
+    let table = context.fleet.table();
+    let workspace = table.workspaces().find(digest)?;
+    workspace.limit.map(|_| MissingState::QuotaServers)
+}
+
+/// Waits until nothing is missing, at most for the timeout. Returns what still is.
+async fn missing_after(
+    context: &context::ProcessContext,
+    key: &api_key::PresentedKey,
+    timeout: time::Duration,
+) -> Option<MissingState> {
     let mut changes = context.fleet.subscribe();
-    let known = async { while !context.fleet.is_known() && changes.changed().await.is_ok() {} };
-    // Whether it timed out does not matter: what is known afterwards decides.
-    drop(tokio::time::timeout(timeout, known).await);
-    context.fleet.is_known()
+    let complete = async {
+        while let Some(missing) = missing_state(context, key) {
+            match missing {
+                MissingState::Fleet if changes.changed().await.is_err() => return,
+                MissingState::Fleet => {}
+                MissingState::QuotaServers => actix_rt::time::sleep(QUOTA_POLL_INTERVAL).await,
+            }
+        }
+    };
+    // Whether it timed out does not matter: what is missing afterwards decides.
+    drop(tokio::time::timeout(timeout, complete).await);
+    missing_state(context, key)
 }
 
 fn refuse_if_stopping(context: &context::ProcessContext) -> Result<(), http_server::HttpResponse> {
