fix(serving): the head of a stream is no sign of life

A sign of life is an event or a complete response now, and slow runs move to trusted endpoints only.

--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -275,9 +275,9 @@
                 self.log.ran += 1;
                 let status = open.incoming.head.status;
                 let may_retry = attempt::is_failure(status) && self.attempts_left() > 0;
-                match attempt::is_failure(status) {
-                    true => slot.record_fault(),
-                    false => slot.record_life(),
+                // The head of a stream is no sign of life: its first event may never come.
+                if attempt::is_failure(status) {
+                    slot.record_fault();
                 }
                 if may_retry && self.may_repeat() {
                     self.record_attempt(&endpoint.id, "failed", status.as_str());
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -62,7 +62,7 @@
     }
 
     /// Records that the endpoint has responded; reports it if the owner doubts it.
-    pub fn record_life(&self) {
+    fn record_life(&self) {
         let now = self.context.clock.now();
         let mut loads = self.context.loads.borrow_mut();
         loads.doubts.record_life(&self.endpoint.id, now);
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -349,7 +349,8 @@
                 service: &service,
                 tried: &tried,
                 objective,
-                single_attempt: false,
+                // The request moves for good, and a suspect endpoint is no better.
+                single_attempt: true,
             };
             match may_queue {
                 true => slots::acquire_or_choose_locally(&context, &request).await,
