feat(decisions): learn endpoint speeds and estimate completion times

An endpoint of speed 1.6 with six requests counts as busier than one of speed 0.6 with five, because load is a number of requests.

endpoint_speed keeps a model for each endpoint relative to its service: a moving mean of the logarithm of run times, weighted by the number of runs and decaying without them, and the slowdown that the endpoint reports, weighted by its age. endpoint_choice turns it into the cost of a request at an endpoint, the preference of a batch stream, and the cost for a process that chooses without an owner. Endpoints within a tenth of the mean, or whose difference is below two standard errors, cost the same.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -12,6 +12,8 @@
 pub mod crash_ledger;
 mod crash_record;
 pub mod endpoint_backoff;
+pub mod endpoint_choice;
+pub mod endpoint_speed;
 pub mod health;
 pub mod index_ranges;
 pub mod item_order;
