feat(serving): choose endpoints by expected completion time

Owners chose by number of requests, and the fourth figure of a load report was not read.

The figure is read into ReportedLoad. The holder of a slot measures the run and tells the owner with the release (SlotRelease.observation), and at once if the head of the response reports an unusual slowdown. The owner orders its endpoints by expected completion time and places batch streams where they harm online requests least; a gateway without an owner avoids slow endpoints at random, so that gateways of equal knowledge do not all choose the same one. Protection: expected_finish. Log line endpoint_speed, gauge jayhollow_endpoint_speed_ratio. Peers of an earlier build cannot read the new messages, nor this one theirs.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,9 @@
     pub limit_deposits: prometheus::IntCounterVec,
     /// Held slots at owned endpoints, by class.
     pub held_slots: prometheus::IntGaugeVec,
+    /// Speeds of the slowest and the fastest owned endpoint relative to their mean, by
+    /// service and bound: min or max.
+    pub endpoint_speed: prometheus::GaugeVec,
 }
 
 fn register<C: Collector + Clone + 'static>(registry: &prometheus::Registry, metric: C) -> C {
@@ -122,6 +125,16 @@
     register(registry, metric.expect("the options are valid"))
 }
 
+fn ratios(
+    registry: &prometheus::Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::GaugeVec {
+    let metric = prometheus::GaugeVec::new(prometheus::Opts::new(name, help), labels);
+    register(registry, metric.expect("the options are valid"))
+}
+
 impl Default for MetricSet {
     fn default() -> Self {
         let registry = prometheus::Registry::new();
@@ -220,6 +233,12 @@
                 "Places at owned endpoints that somebody has",
                 "class",
             ),
+            endpoint_speed: ratios(
+                r,
+                "jayhollow_endpoint_speed_ratio",
+                "Speeds of owned endpoints relative to the mean of their service",
+                &["service", "bound"],
+            ),
             registry,
         }
     }
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -5,7 +5,7 @@
 use actix_http::{header, Method, StatusCode};
 
 use super::{connection, context, directory, wire};
-use crate::{ids, outcome, protection};
+use crate::{decisions::endpoint_speed, ids, outcome, protection};
 
 /// Timeout for opening a connection.
 ///
@@ -180,10 +180,16 @@
 
     let metadata = context.wire.response_metadata(&incoming.head);
     if let Some(load) = metadata.load {
-        context
-            .loads
-            .borrow_mut()
-            .record_report(&endpoint.id, load, context.clock.now());
+        let now = context.clock.now();
+        let mut loads = context.loads.borrow_mut();
+        loads.record_report(&endpoint.id, load, now);
+        drop(loads);
+        if let Some(percent) = load.slowdown {
+            let age = time::Duration::ZERO;
+            let report = endpoint_speed::SlowdownReport { percent, age };
+            let mut permits = context.permits.borrow_mut();
+            permits.record_slowdown(&endpoint.id, report, now);
+        }
     }
     let status = incoming.head.status;
     if metadata.other_endpoint && metadata.answered_by.as_deref() != Some(endpoint.id.as_str()) {
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -272,6 +272,9 @@
         match outcome {
             O::Completed(open) => {
                 self.log.ran += 1;
+                if let Some(percent) = open.metadata.load.and_then(|load| load.slowdown) {
+                    slot.record_slowdown(percent);
+                }
                 let status = open.incoming.head.status;
                 let may_retry = attempt::is_failure(status) && self.attempts_left() > 0;
                 if attempt::is_failure(status) {
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -90,6 +90,8 @@
                 .fleet
                 .record_misidentified(&endpoint.id, endpoint.started);
         }
+        // Recorded with the load of the same response.
+        peers::EndpointObservation::Slowdown(_) => {}
     }
 }
 
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -58,7 +58,10 @@
                 }
             };
             let first = match first {
-                EventResult::Event(event) => Some(event),
+                EventResult::Event(event) => {
+                    slot.record_event();
+                    Some(event)
+                }
                 EventResult::Finished => None,
                 EventResult::Truncated(reason) => {
                     self.record_truncated(slot, "cut", &reason);
@@ -193,6 +196,7 @@
             match next {
                 EventResult::Event(event) => {
                     slot.record_progress();
+                    slot.record_event();
                     return Some(Ok(event.bytes));
                 }
                 EventResult::Finished => {
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -31,6 +31,14 @@
                 let gauge = metrics.held_slots.with_label_values(&[class]);
                 gauge.set(held.into());
             }
+            let ratios = context.permits.borrow().speed_ratios(context.clock.now());
+            metrics.endpoint_speed.reset();
+            for (service, slowest, fastest) in ratios {
+                for (bound, speed) in [("min", slowest), ("max", fastest)] {
+                    let labels = [service.as_str(), bound];
+                    metrics.endpoint_speed.with_label_values(&labels).set(speed);
+                }
+            }
             let unreadable = context.fleet.unreadable();
             metrics
                 .unreadable_objects
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -1,6 +1,6 @@
 //! Handles the calls of peers.
 
-use std::rc;
+use std::{rc, time};
 
 use tokio::sync::mpsc;
 
@@ -8,7 +8,10 @@
     context, crash_guard, crash_trials, fleet_sync, job_calls, job_checkpoints, job_records,
     job_runner, job_supervisor, limit_links, peers, slots,
 };
-use crate::{decisions::admission, ids, store};
+use crate::{
+    decisions::{admission, endpoint_speed},
+    ids, store,
+};
 
 /// Handles the calls of peers.
 pub(super) async fn serve_peers(
@@ -251,6 +254,9 @@
             context.loads.borrow_mut().record_served(&endpoint);
             context.fleet.record_verified(&endpoint);
         }
+        if let Some(observation) = &ended.observation {
+            record_run(context, &endpoint, observation);
+        }
         context.jobs.work.notify_one();
         return;
     }
@@ -260,6 +266,26 @@
     }
 }
 
+/// Records what was observed of a run at an owned endpoint.
+fn record_run(
+    context: &context::ProcessContext,
+    endpoint: &ids::EndpointId,
+    observation: &endpoint_speed::RunObservation,
+) {
+    let now = context.clock.now();
+    let mut permits = context.permits.borrow_mut();
+    let change = permits.record_run(endpoint, observation, now);
+    drop(permits);
+    if let Some(change) = change {
+        log::info!(
+            "event=endpoint_speed endpoint={endpoint} service={} time_ratio={:.2} before={:.2} run=\"{observation:?}\"",
+            change.service,
+            change.now,
+            change.before,
+        );
+    }
+}
+
 /// Applies an observation that the holder of a slot reported.
 pub fn apply_report(context: &context::ProcessContext, report: &peers::EndpointReport) {
     let peers::EndpointReport {
@@ -292,5 +318,13 @@
         peers::EndpointObservation::Misnamed => {
             context.fleet.record_misidentified(endpoint, *started)
         }
+        peers::EndpointObservation::Slowdown(percent) => {
+            let report = endpoint_speed::SlowdownReport {
+                percent: *percent,
+                age: time::Duration::ZERO,
+            };
+            let mut permits = context.permits.borrow_mut();
+            permits.record_slowdown(endpoint, report, now);
+        }
     }
 }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -11,7 +11,7 @@
     wire, workspaces::limit_messages,
 };
 use crate::{
-    decisions::{admission, crash_ledger, health, liveness},
+    decisions::{admission, crash_ledger, endpoint_speed, health, liveness},
     ids,
 };
 
@@ -129,6 +129,8 @@
     pub number: admission::PermitNumber,
     /// Whether the endpoint served the request.
     pub is_served: bool,
+    /// What the holder observed of the run, if the response arrived in part.
+    pub observation: Option<endpoint_speed::RunObservation>,
 }
 
 /// Observation of an endpoint by the holder of a slot.
@@ -140,6 +142,8 @@
     Full,
     /// Another endpoint is at the address and refused the request.
     Misnamed,
+    /// The endpoint reports that work takes unusually long or short at present.
+    Slowdown(endpoint_speed::SlowdownPercent),
 }
 
 /// Report of an observation to the owner of the endpoint.
--- a/src/serving/pending_permit.rs
+++ b/src/serving/pending_permit.rs
@@ -44,6 +44,7 @@
         let release = peers::SlotRelease {
             number,
             is_served: false,
+            observation: None,
         };
         self.context.links.release(self.peer, release);
     }
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -6,8 +6,10 @@
 use super::{directory, peers, selection};
 use crate::{
     clock,
-    decisions::{admission, cold_start, endpoint_backoff, queue_limit},
-    ids,
+    decisions::{
+        admission, cold_start, endpoint_backoff, endpoint_choice, endpoint_speed, queue_limit,
+    },
+    ids, protection,
 };
 
 /// TTL of a permit that is not released; longer than the longest request timeout.
@@ -38,6 +40,11 @@
     spread: 0.3,
 };
 
+/// Factor by which an endpoint's learned run times must change to be logged.
+const LOGGED_SPEED_FACTOR: f64 = 1.25;
+/// Minimum interval between two log lines about the speed of one endpoint.
+const SPEED_LOG_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
 /// A slot granted to an online request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GrantedSlot {
@@ -109,6 +116,8 @@
     borrowed: collections::HashMap<(ids::EndpointId, admission::StreamNumber), SlotBorrower>,
     /// Estimates of how long online requests of a service hold a slot.
     hold_times: collections::HashMap<ids::ServiceName, queue_limit::HoldTimeEstimate>,
+    /// What runs of a service take at the mean of its owned endpoints.
+    references: collections::HashMap<ids::ServiceName, endpoint_speed::ServiceReference>,
     /// Numbers of permits and of batch requests that were released before they arrived.
     ///
     /// An owner that was suspended may read a newer link first, and so receive the release
@@ -118,6 +127,24 @@
     refusals: endpoint_backoff::EndpointBackoff,
 }
 
+/// Base speed of an endpoint as it was last logged.
+#[derive(Debug, Clone, Copy, Default)]
+struct LoggedSpeed {
+    base: endpoint_speed::LogRatio,
+    at: Option<clock::MonotonicTime>,
+}
+
+/// Change of an endpoint's learned speed that is worth a log line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SpeedChange {
+    /// Service of the endpoint.
+    pub service: ids::ServiceName,
+    /// Ratio of its run times to the mean before.
+    pub before: f64,
+    /// Ratio of its run times to the mean now.
+    pub now: f64,
+}
+
 /// An owned endpoint and the ledger of its slots.
 #[derive(Debug)]
 struct OwnedLedger {
@@ -126,6 +153,8 @@
     /// Whether its identity is not confirmed; it gets one request at a time until then.
     is_unverified: bool,
     cold_gate: cold_start::ColdGate,
+    speed: endpoint_speed::EndpointSpeed,
+    logged_speed: LoggedSpeed,
 }
 
 impl OwnedLedger {
@@ -137,6 +166,8 @@
             ledger,
             is_unverified: false,
             cold_gate: cold_start::ColdGate::default(),
+            speed: endpoint_speed::EndpointSpeed::default(),
+            logged_speed: LoggedSpeed::default(),
         }
     }
 
@@ -151,6 +182,19 @@
         limit.saturating_sub(self.ledger.online().max(self.entry.slots))
     }
 
+    /// Returns the endpoint as a candidate for a choice.
+    fn candidate(&self, now: clock::MonotonicTime) -> endpoint_choice::EndpointCandidate {
+        let speed = match protection::is_disabled("expected_finish") {
+            true => endpoint_speed::SpeedEstimate::default(),
+            false => self.speed.estimate(now),
+        };
+        endpoint_choice::EndpointCandidate {
+            speed,
+            held: self.ledger.online(),
+            slots: self.entry.slots,
+        }
+    }
+
     /// Returns whether any slot is held.
     fn is_held(&self) -> bool {
         self.ledger.online() + self.ledger.batch() > 0
@@ -185,6 +229,7 @@
             holders: collections::HashMap::new(),
             borrowed: collections::HashMap::new(),
             hold_times: collections::HashMap::new(),
+            references: collections::HashMap::new(),
             early_releases: lru::LruCache::new(MAX_EARLY_RELEASES),
             refusals: endpoint_backoff::EndpointBackoff::new(REFUSAL_BACKOFF),
         }
@@ -268,9 +313,10 @@
 
     /// Grants a slot to an online request unless all endpoints are full.
     ///
-    /// Prefers an endpoint with a free slot, a warm one first, then the least loaded one and
-    /// among equals one in the domain of the requester. If none is free, the endpoint with the fewest
-    /// online requests gives up a batch stream or queues the request.
+    /// Prefers an endpoint with a free slot, a warm one first, then the one that is expected
+    /// to complete the request first and among equals one in the domain of the requester. If
+    /// none is free, the first of the endpoints in this order gives up a batch stream or queues
+    /// the request. Among alike endpoints, the number of requests decides.
     pub fn acquire(
         &mut self,
         request: &peers::OnlineSlotRequest,
@@ -280,6 +326,7 @@
         if self.take_early_release(request.number) {
             return None;
         }
+        let scale = self.speed_scale(&request.service, now);
         let usable = self
             .of_service(&request.service, now)
             .filter(|owned| !request.tried.contains(&owned.entry.id));
@@ -293,7 +340,7 @@
                 ejected.contains(&owned.entry.id),
                 is_full,
                 owned.cold_gate.is_cold(now),
-                load,
+                scale.finish_cost(&owned.candidate(now).speed, load),
                 owned.entry.domain != request.domain,
                 owned.entry.id.clone(),
             )
@@ -321,6 +368,90 @@
         })
     }
 
+    /// Returns what the owned endpoints of a service have in common in their speed.
+    fn speed_scale(
+        &self,
+        service: &ids::ServiceName,
+        now: clock::MonotonicTime,
+    ) -> endpoint_choice::SpeedScale {
+        let owned = self
+            .ledgers
+            .values()
+            .filter(|o| o.entry.service == *service);
+        endpoint_choice::SpeedScale::new(owned.map(|owned| owned.candidate(now)))
+    }
+
+    /// Records what the holder of a slot observed of a run at an owned endpoint.
+    ///
+    /// Returns the change of its learned speed if it is large, at most once in
+    /// [`SPEED_LOG_INTERVAL`].
+    pub fn record_run(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        observation: &endpoint_speed::RunObservation,
+        now: clock::MonotonicTime,
+    ) -> Option<SpeedChange> {
+        let owned = self.ledgers.get_mut(endpoint)?;
+        let service = owned.entry.service.clone();
+        let reference = self.references.entry(service.clone()).or_default();
+        owned.speed.record_run(reference, observation, now);
+        let logged = owned.logged_speed;
+        if logged
+            .at
+            .is_some_and(|at| now.since(at) < SPEED_LOG_INTERVAL)
+        {
+            return None;
+        }
+        let scale = self.speed_scale(&service, now);
+        let owned = self.ledgers.get_mut(endpoint)?;
+        let base = scale.base(&owned.speed.estimate(now));
+        if (base.0 - logged.base.0).abs() < LOGGED_SPEED_FACTOR.ln() {
+            return None;
+        }
+        owned.logged_speed = LoggedSpeed {
+            base,
+            at: Some(now),
+        };
+        Some(SpeedChange {
+            service,
+            before: logged.base.ratio(),
+            now: base.ratio(),
+        })
+    }
+
+    /// Records a slowdown that an endpoint reported; does nothing if it is not owned.
+    pub fn record_slowdown(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        report: endpoint_speed::SlowdownReport,
+        now: clock::MonotonicTime,
+    ) {
+        if let Some(owned) = self.ledgers.get_mut(endpoint) {
+            owned.speed.record_slowdown(report, now);
+        }
+    }
+
+    /// Returns the speeds of the slowest and the fastest owned endpoint of each service,
+    /// relative to their mean.
+    pub fn speed_ratios(&self, now: clock::MonotonicTime) -> Vec<(ids::ServiceName, f64, f64)> {
+        let mut ratios = collections::BTreeMap::new();
+        let mut scales = collections::HashMap::new();
+        for owned in self.ledgers.values() {
+            let service = &owned.entry.service;
+            let scale = scales
+                .entry(service)
+                .or_insert_with(|| self.speed_scale(service, now));
+            let speed = 1.0 / scale.base(&owned.speed.estimate(now)).ratio();
+            let (slowest, fastest) = ratios.entry(service).or_insert((speed, speed));
+            *slowest = speed.min(*slowest);
+            *fastest = speed.max(*fastest);
+        }
+        let ratios = ratios.into_iter();
+        let ratios =
+            ratios.map(|(service, (slowest, fastest))| (service.clone(), slowest, fastest));
+        ratios.collect()
+    }
+
     /// Returns why a request got no slot.
     pub fn denial(
         &self,
@@ -576,13 +707,15 @@
         free_slots.collect()
     }
 
-    /// Begins a batch stream at the owned endpoint of `service` with the most free slots.
+    /// Begins a batch stream at the owned endpoint of `service` with the most free slots,
+    /// where those of slow endpoints count more.
     pub fn begin_batch(
         &mut self,
         service: &ids::ServiceName,
         ejected: &collections::HashSet<ids::EndpointId>,
         now: clock::MonotonicTime,
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
+        let scale = self.speed_scale(service, now);
         let refusals = &self.refusals;
         let usable = self.ledgers.values_mut().filter(|owned| {
             let id = &owned.entry.id;
@@ -597,7 +730,9 @@
         });
         let best = available.max_by_key(|owned| {
             let is_warm = !owned.cold_gate.is_cold(now);
-            (is_warm, owned.spare_slots(), owned.entry.id.clone())
+            let speed = owned.candidate(now).speed;
+            let preference = scale.batch_preference(&speed, owned.spare_slots());
+            (is_warm, preference, owned.entry.id.clone())
         })?;
         let number = best.ledger.begin_stream(now);
         best.cold_gate.record(now);
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -254,6 +254,9 @@
     pub(super) fn finish_response(&self, responding: attempt_flow::RespondingAttempt) {
         if !attempt::is_failure(responding.open.incoming.head.status) {
             responding.slot.record_served();
+            if !self.request.route.kind.is_stream() {
+                responding.slot.record_complete();
+            }
         }
         let limit = responding.open.metadata.idle_limit;
         if let Some(connection) = responding.open.incoming.into_connection() {
--- a/src/serving/selection.rs
+++ b/src/serving/selection.rs
@@ -5,7 +5,11 @@
 use rand::Rng;
 
 use super::{directory, wire};
-use crate::{clock, decisions::health, ids};
+use crate::{
+    clock,
+    decisions::{endpoint_choice, endpoint_speed, health},
+    ids, protection,
+};
 
 /// Age after which an endpoint's load report is outdated; requests last about this long.
 const REPORT_AGE: time::Duration = time::Duration::from_millis(500);
@@ -21,6 +25,8 @@
     /// Number of active requests of other processes at the latest report.
     others: u32,
     reported_at: Option<clock::MonotonicTime>,
+    /// Latest reported slowdown and when it was reported.
+    slowdown: Option<(endpoint_speed::SlowdownPercent, clock::MonotonicTime)>,
 }
 
 /// Loads and health of endpoints, as observed by one process.
@@ -75,9 +81,10 @@
         now: clock::MonotonicTime,
     ) {
         let load = self.loads.entry(id.clone()).or_default();
-        let all = report.running + report.waiting;
+        let all = report.running.saturating_add(report.waiting);
         load.others = all.saturating_sub(load.own);
         load.reported_at = Some(now);
+        load.slowdown = report.slowdown.map(|percent| (percent, now));
     }
 
     /// Records that an endpoint refused a request because all its slots are in use.
@@ -97,6 +104,7 @@
         if let Some(load) = self.loads.get_mut(id) {
             load.others = 0;
             load.reported_at = None;
+            load.slowdown = None;
         }
         self.health.forget(id);
         self.reported.forget(id);
@@ -143,8 +151,20 @@
         }
     }
 
-    /// Chooses an endpoint that is not excluded: healthy ones first, then the least known
-    /// load, then those in the given domain, then at random.
+    /// Returns the latest slowdown that the endpoint reported to this process.
+    fn slowdown_of(
+        &self,
+        id: &ids::EndpointId,
+        now: clock::MonotonicTime,
+    ) -> Option<endpoint_speed::SlowdownReport> {
+        let (percent, at) = self.loads.get(id)?.slowdown?;
+        let age = now.since(at);
+        let report = endpoint_speed::SlowdownReport { percent, age };
+        (!protection::is_disabled("expected_finish")).then_some(report)
+    }
+
+    /// Chooses an endpoint that is not excluded: healthy ones first, then the earliest
+    /// expected completion by the known load and slowdown, then those in the given domain, then at random.
     pub fn choose(
         &self,
         candidates: &[rc::Rc<directory::EndpointEntry>],
@@ -159,7 +179,11 @@
         let chosen = allowed.min_by_key(|e| {
             (
                 ejected.contains(&e.id),
-                self.load_of(&e.id, now),
+                endpoint_choice::unowned_cost(
+                    self.slowdown_of(&e.id, now).as_ref(),
+                    self.load_of(&e.id, now),
+                    rng.random::<f64>(),
+                ),
                 e.domain != *domain,
                 rng.random::<u32>(),
             )
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -8,7 +8,7 @@
 use super::{context, directory, endpoint_reports, peer_calls, peers, pending_permit};
 use crate::{
     clock,
-    decisions::{admission, owner_order, ownership},
+    decisions::{admission, endpoint_speed, owner_order, ownership},
     ids, outcome,
 };
 
@@ -31,6 +31,20 @@
     permit: Option<HeldPermit>,
     is_served: cell::Cell<bool>,
     acquired_at: clock::MonotonicTime,
+    progress: cell::Cell<RunProgress>,
+}
+
+/// Progress of the run in a slot.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunProgress {
+    /// Times of the first and the latest event.
+    events_at: Option<(clock::MonotonicTime, clock::MonotonicTime)>,
+    /// Number of events.
+    events: u32,
+    /// When a response that is no stream was complete.
+    completed_at: Option<clock::MonotonicTime>,
+    /// Slowdown that the endpoint reported, and when.
+    slowdown: Option<(endpoint_speed::SlowdownPercent, clock::MonotonicTime)>,
 }
 
 impl HeldSlot {
@@ -59,6 +73,56 @@
         }
     }
 
+    /// Records an event of the response.
+    pub fn record_event(&self) {
+        let now = self.context.clock.now();
+        let mut progress = self.progress.get();
+        let first = progress.events_at.map_or(now, |(first, _)| first);
+        progress.events_at = Some((first, now));
+        progress.events += 1;
+        self.progress.set(progress);
+    }
+
+    /// Records that a response that is no stream is complete.
+    pub fn record_complete(&self) {
+        let mut progress = self.progress.get();
+        progress.completed_at = Some(self.context.clock.now());
+        self.progress.set(progress);
+    }
+
+    /// Records the slowdown that the endpoint reported with its response, and tells the owner
+    /// at once if it is unusual: it lasts only for a part of a run.
+    pub fn record_slowdown(&self, percent: endpoint_speed::SlowdownPercent) {
+        let mut progress = self.progress.get();
+        progress.slowdown = Some((percent, self.context.clock.now()));
+        self.progress.set(progress);
+        if percent.is_unusual() {
+            self.report(peers::EndpointObservation::Slowdown(percent));
+        }
+    }
+
+    /// Returns what was observed of the run, if the response arrived at least in part.
+    fn observation(&self) -> Option<endpoint_speed::RunObservation> {
+        let progress = self.progress.get();
+        let timing = match (progress.events_at, progress.completed_at) {
+            (Some((first, last)), _) => endpoint_speed::RunTiming::Stream {
+                first: first.since(self.acquired_at),
+                gap: last.since(first) / progress.events.saturating_sub(1).max(1),
+                events: progress.events,
+            },
+            (None, completed_at) => {
+                endpoint_speed::RunTiming::Complete(completed_at?.since(self.acquired_at))
+            }
+        };
+        let now = self.context.clock.now();
+        let slowdown = progress.slowdown;
+        let slowdown = slowdown.map(|(percent, at)| endpoint_speed::SlowdownReport {
+            percent,
+            age: now.since(at),
+        });
+        Some(endpoint_speed::RunObservation { timing, slowdown })
+    }
+
     /// Records that the endpoint failed, and reports it to the owner.
     ///
     /// `is_silent` says that it gave no response at all.
@@ -97,7 +161,14 @@
     fn drop(&mut self) {
         self.context.loads.borrow_mut().end(&self.endpoint.id);
         if let Some(permit) = self.permit {
-            release_permit(&self.context, permit, self.is_served.get());
+            let is_served = self.is_served.get();
+            let observation = self.observation().filter(|_| is_served);
+            let release = |number| peers::SlotRelease {
+                number,
+                is_served,
+                observation,
+            };
+            send_release(&self.context, permit, release);
         }
     }
 }
@@ -271,6 +342,7 @@
         permit: None,
         is_served: cell::Cell::new(false),
         acquired_at: context.clock.now(),
+        progress: cell::Cell::default(),
     })
 }
 
@@ -535,12 +607,26 @@
         permit: Some(permit),
         is_served: cell::Cell::new(false),
         acquired_at: context.clock.now(),
+        progress: cell::Cell::default(),
     })
 }
 
-/// Releases a permit at the process that granted it.
+/// Releases a permit of which no run was observed.
 fn release_permit(context: &context::ProcessContext, permit: HeldPermit, is_served: bool) {
-    let release = |number| peers::SlotRelease { number, is_served };
+    let release = |number| peers::SlotRelease {
+        number,
+        is_served,
+        observation: None,
+    };
+    send_release(context, permit, release);
+}
+
+/// Releases a permit at the process that granted it.
+fn send_release(
+    context: &context::ProcessContext,
+    permit: HeldPermit,
+    release: impl Fn(admission::PermitNumber) -> peers::SlotRelease,
+) {
     match permit {
         HeldPermit::Here(number) => peer_calls::release(context, release(number)),
         HeldPermit::Peer(peer, number) => context.links.release(peer, release(number)),
--- a/src/serving/wire.rs
+++ b/src/serving/wire.rs
@@ -5,7 +5,7 @@
 use actix_http::header;
 
 use super::workspaces::api_key;
-use crate::ids;
+use crate::{decisions::endpoint_speed, ids};
 
 /// Terms from the head of a caller's request.
 #[derive(Debug, Clone, Default)]
@@ -38,6 +38,8 @@
     pub running: u32,
     /// Number of requests that wait for a slot.
     pub waiting: u32,
+    /// How long work takes there at present, if the endpoint reports it.
+    pub slowdown: Option<endpoint_speed::SlowdownPercent>,
 }
 
 /// Metadata from the head of a response.
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -31,6 +31,7 @@
 evacuation       evacuations        an_evacuated_domain_gets_nothing_until_the_order_is_withdrawn
 cold_limit       evacuations        a_cold_engine_gets_no_more_than_its_rate
 item_attempts    system_faults      items_that_fail_are_given_up_after_the_allowed_attempts
+expected_finish  endpoint_choice    callers_get_faster_responses_where_endpoints_differ
 '
 unnoticed=0
 while read -r name file test; do
