--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -90,6 +90,9 @@
     pub doubts: prometheus::IntCounterVec,
     /// Slots granted at suspect endpoints, by kind of request.
     pub probes: prometheus::IntCounterVec,
+    /// Speeds of the slowest and the fastest owned endpoint relative to their mean, by
+    /// service and bound: min or max.
+    pub endpoint_speed: prometheus::GaugeVec,
 }
 
 fn register<C: Collector + Clone + 'static>(registry: &prometheus::Registry, metric: C) -> C {
@@ -136,6 +139,16 @@
     register(registry, metric.expect("the options are valid"))
 }
 
+fn ratios(
+    registry: &prometheus::Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::GaugeVec {
+    let metric = prometheus::GaugeVec::new(prometheus::Opts::new(name, help), labels);
+    register(registry, metric.expect("the options are valid"))
+}
+
 impl Default for MetricSet {
     fn default() -> Self {
         let registry = prometheus::Registry::new();
@@ -274,6 +287,12 @@
                 "Slots granted at suspect endpoints",
                 "kind",
             ),
+            endpoint_speed: ratios(
+                r,
+                "jayhollow_endpoint_speed_ratio",
+                "Speeds of owned endpoints relative to the mean of their service",
+                &["service", "bound"],
+            ),
             registry,
         }
     }
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -61,7 +61,7 @@
         O::Failed(_) => LifeEvidence::Failed(E::Broken),
         O::Overdue(_) => LifeEvidence::Failed(E::Silent),
         O::Full | O::Faulty(_) | O::Alive => LifeEvidence::Alive,
-        O::Misnamed => LifeEvidence::None,
+        O::Misnamed | O::Slowdown(_) => LifeEvidence::None,
     }
 }
 
@@ -138,6 +138,8 @@
                 .fleet
                 .record_misidentified(&endpoint.id, endpoint.started);
         }
+        // Recorded with the load of the same response.
+        peers::EndpointObservation::Slowdown(_) => {}
     }
 }
 
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -39,6 +39,14 @@
             metrics
                 .token_waiting
                 .set(waiting.try_into().unwrap_or(i64::MAX));
+            let ratios = context.permits.borrow().speed_ratios(context.clock.now());
+            metrics.endpoint_speed.reset();
+            for (service, slowest, fastest) in ratios {
+                for (bound, speed) in [("min", slowest), ("max", fastest)] {
+                    let labels = [service.as_str(), bound];
+                    metrics.endpoint_speed.with_label_values(&labels).set(speed);
+                }
+            }
             let unreadable = context.fleet.unreadable();
             metrics
                 .unreadable_objects
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -11,7 +11,7 @@
     wire, workspaces::limit_messages,
 };
 use crate::{
-    decisions::{admission, crash_ledger, endpoint_doubt, health, liveness},
+    decisions::{admission, crash_ledger, endpoint_doubt, endpoint_speed, health, liveness},
     ids,
 };
 
@@ -142,6 +142,8 @@
     pub number: admission::PermitNumber,
     /// Whether the endpoint served the request.
     pub is_served: bool,
+    /// What the holder observed of the run, if the response arrived in part.
+    pub observation: Option<endpoint_speed::RunObservation>,
 }
 
 /// Observation of an endpoint by the holder of a slot.
@@ -159,6 +161,8 @@
     Overdue(ids::InstanceId),
     /// The endpoint responds again after a report that it failed.
     Alive,
+    /// The endpoint reports that work takes unusually long or short at present.
+    Slowdown(endpoint_speed::SlowdownPercent),
 }
 
 /// Report of an observation to the owner of the endpoint.
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -34,6 +34,7 @@
 token_wait       workspaces         a_request_beyond_the_rate_waits_for_a_token
 item_attempts    system_faults      items_that_fail_are_given_up_after_the_allowed_attempts
 endpoint_doubt   single_attempts    engines_that_close_connections_cost_one_request_each
+expected_finish  endpoint_choice    callers_get_faster_responses_where_endpoints_differ
 '
 unnoticed=0
 while read -r name file test; do
