--- a/src/serving/selection.rs
+++ b/src/serving/selection.rs
@@ -181,8 +181,8 @@
         }
     }
 
-    /// Chooses an endpoint that is not excluded: healthy and trusted ones first, then the least known
-    /// load, then those in the given domain, then at random.
+    /// Chooses an endpoint that is not excluded: healthy and trusted ones first, then the
+    /// least known load, then those in the given domain, then at random.
     pub fn choose(
         &self,
         candidates: &[rc::Rc<directory::EndpointEntry>],
