fix(serving): slow endpoints are used before a request is refused

Callers were refused or late although slots were free: after a restart of all processes demand exceeds the capacity, first events are later than 0.8 of the objective, and each such wait made its endpoint suspect as if it had lost the request.

Evidence is kept apart now: an endpoint that lost a request is avoided as before; one whose response is only overdue is avoided while another endpoint has a free slot, and used before a request is queued or refused. Its slots are reported as free, and batch streams use them.

--- a/src/decisions/endpoint_doubt.rs
+++ b/src/decisions/endpoint_doubt.rs
@@ -60,6 +60,9 @@
     Avoid,
     /// A suspect one as a probe: it may run again elsewhere.
     Probe,
+    /// A slow one: no queried owner has a free slot elsewhere. Endpoints are slow when demand
+    /// exceeds the capacity, and without their slots even more requests would be refused.
+    Slow,
     /// An ejected one, and a suspect one as a rare probe: no queried owner has a free slot
     /// elsewhere, but some have trusted endpoints. An endpoint that resets connections is
     /// always free, and would get all requests beyond the capacity of the others.
@@ -75,6 +78,9 @@
     since: clock::MonotonicTime,
     /// Time of the last failure.
     failed_at: clock::MonotonicTime,
+    /// Whether a failure since the last sign of life lost its request; otherwise responses
+    /// are only overdue, and the endpoint may be slow.
+    is_broken: bool,
     /// Request that probes the endpoint now.
     probe: Option<admission::PermitNumber>,
 }
@@ -90,18 +96,26 @@
 
 impl DoubtTable {
     /// Records a failure; returns whether the endpoint has become suspect by it.
-    pub fn record_failure(&mut self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
+    pub fn record_failure(
+        &mut self,
+        id: &ids::EndpointId,
+        evidence: FailureEvidence,
+        now: clock::MonotonicTime,
+    ) -> bool {
         let was_suspect = self.is_suspect(id, now);
         let fresh_entry = DoubtEntry {
             since: now,
             failed_at: now,
+            is_broken: false,
             probe: None,
         };
         let entry = self.entries.entry(id.clone()).or_insert(fresh_entry);
         entry.failed_at = entry.failed_at.max(now);
         if !was_suspect {
             entry.since = now;
+            entry.is_broken = false;
         }
+        entry.is_broken |= evidence != FailureEvidence::Silent;
         !was_suspect
     }
 
@@ -121,6 +135,12 @@
         entry.is_some_and(|entry| now.since(entry.failed_at) < MAX_DOUBT)
     }
 
+    /// Returns whether the endpoint is suspect because a request was lost there.
+    pub fn is_broken(&self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.is_broken) && self.is_suspect(id, now)
+    }
+
     /// Returns whether a request may be sent to the endpoint.
     pub fn admits(
         &self,
@@ -135,6 +155,8 @@
             SuspectUse::Any => return true,
             SuspectUse::Avoid => return false,
             SuspectUse::Probe => PROBE_INTERVAL,
+            SuspectUse::Slow => return !entry.is_broken,
+            SuspectUse::Fallback if !entry.is_broken => return true,
             SuspectUse::Fallback => FALLBACK_INTERVAL,
         };
         entry.probe.is_none() && now.since(entry.failed_at) >= interval
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -22,23 +22,25 @@
     Peer(net::SocketAddr),
 }
 
+/// Returns the report of a failure by this process.
+pub(super) fn report(context: &context::ProcessContext, is_silent: bool) -> health::FailureReport {
+    health::FailureReport {
+        reporter: context.id().clone(),
+        is_silent,
+    }
+}
+
 /// Returns the observation of a failure by this process.
 pub(super) fn failure(
     context: &context::ProcessContext,
     is_silent: bool,
 ) -> peers::EndpointObservation {
-    peers::EndpointObservation::Failed(health::FailureReport {
-        reporter: context.id().clone(),
-        is_silent,
-    })
+    peers::EndpointObservation::Failed(report(context, is_silent))
 }
 
 /// Returns the observation by this process that the endpoint failed a request and said so.
 pub(super) fn fault(context: &context::ProcessContext) -> peers::EndpointObservation {
-    peers::EndpointObservation::Faulty(health::FailureReport {
-        reporter: context.id().clone(),
-        is_silent: false,
-    })
+    peers::EndpointObservation::Faulty(report(context, false))
 }
 
 /// What an observation says about whether the endpoint is alive.
@@ -59,7 +61,7 @@
     match observation {
         O::Failed(failure) if failure.is_silent => LifeEvidence::Failed(E::Unreachable),
         O::Failed(_) => LifeEvidence::Failed(E::Broken),
-        O::Overdue(_) => LifeEvidence::Failed(E::Silent),
+        O::Overdue(_) | O::Slow(_) => LifeEvidence::Failed(E::Silent),
         O::Full | O::Faulty(_) | O::Alive => LifeEvidence::Alive,
         O::Misnamed | O::Slowdown(_) => LifeEvidence::None,
     }
@@ -119,16 +121,20 @@
         LifeEvidence::Alive => {
             loads.doubts.record_life(&endpoint.id, now);
         }
-        LifeEvidence::Failed(_) => {
-            loads.doubts.record_failure(&endpoint.id, now);
+        LifeEvidence::Failed(evidence) => {
+            loads.doubts.record_failure(&endpoint.id, evidence, now);
         }
         LifeEvidence::None => {}
     }
     match observation {
-        peers::EndpointObservation::Failed(failure) if failure.is_silent => {
+        peers::EndpointObservation::Failed(failure) | peers::EndpointObservation::Slow(failure)
+            if failure.is_silent =>
+        {
             loads.health.record_silence(&endpoint.id, now);
         }
-        peers::EndpointObservation::Failed(_) | peers::EndpointObservation::Faulty(_) => {
+        peers::EndpointObservation::Failed(_)
+        | peers::EndpointObservation::Slow(_)
+        | peers::EndpointObservation::Faulty(_) => {
             loads.health.record_failure(&endpoint.id, now);
         }
         peers::EndpointObservation::Overdue(_) | peers::EndpointObservation::Alive => {}
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -316,12 +316,18 @@
         endpoint_reports::LifeEvidence::None => return,
     };
     let reporter = match observation {
-        peers::EndpointObservation::Failed(failure) => &failure.reporter,
+        peers::EndpointObservation::Failed(failure) | peers::EndpointObservation::Slow(failure) => {
+            &failure.reporter
+        }
         peers::EndpointObservation::Overdue(reporter) => reporter,
         _ => return,
     };
     let now = context.clock.now();
-    if context.permits.borrow_mut().record_failure(endpoint, now) {
+    if context
+        .permits
+        .borrow_mut()
+        .record_failure(endpoint, evidence, now)
+    {
         let label = evidence.label();
         context.metrics.doubts.with_label_values(&[label]).inc();
         log::info!(
@@ -368,6 +374,7 @@
     let now = context.clock.now();
     match observation {
         peers::EndpointObservation::Failed(failure)
+        | peers::EndpointObservation::Slow(failure)
         | peers::EndpointObservation::Faulty(failure) => {
             let mut loads = context.loads.borrow_mut();
             if loads.record_peer_failure(endpoint, failure, now) {
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -159,6 +159,8 @@
     Faulty(health::FailureReport),
     /// A response or an event is overdue; holds the observer.
     Overdue(ids::InstanceId),
+    /// A response or an event is so late that it counts as a failure; the request waits on.
+    Slow(health::FailureReport),
     /// The endpoint responds again after a report that it failed.
     Alive,
     /// The endpoint reports that work takes unusually long or short at present.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -657,8 +657,13 @@
     }
 
     /// Records a failure of an owned endpoint; returns whether it has become suspect by it.
-    pub fn record_failure(&mut self, id: &ids::EndpointId, now: clock::MonotonicTime) -> bool {
-        self.ledgers.contains_key(id) && self.doubts.record_failure(id, now)
+    pub fn record_failure(
+        &mut self,
+        id: &ids::EndpointId,
+        evidence: endpoint_doubt::FailureEvidence,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        self.ledgers.contains_key(id) && self.doubts.record_failure(id, evidence, now)
     }
 
     /// Records a sign of life of an endpoint; returns for how long it was suspect, if it was.
@@ -773,16 +778,16 @@
     }
 
     /// Returns the number of slots of a service that online requests can get now, without
-    /// those of suspect endpoints.
+    /// those of endpoints that lost a request.
     pub fn free_online_slots(&self, service: &ids::ServiceName, now: clock::MonotonicTime) -> u32 {
         self.of_service(service, now)
-            .filter(|owned| !self.is_suspect(&owned.entry.id, now))
+            .filter(|owned| !self.doubts.is_broken(&owned.entry.id, now))
             .map(OwnedLedger::free_online_slots)
             .sum()
     }
 
-    /// Returns the number of free queue slots of a service, without those of suspect
-    /// endpoints, for requests that may wait for `wait`.
+    /// Returns the number of free queue slots of a service, without those of endpoints that
+    /// lost a request, for requests that may wait for `wait`.
     pub fn free_queue_slots(
         &self,
         service: &ids::ServiceName,
@@ -790,7 +795,7 @@
         now: clock::MonotonicTime,
     ) -> u32 {
         let owned = self.of_service(service, now);
-        let trusted = owned.filter(|owned| !self.is_suspect(&owned.entry.id, now));
+        let trusted = owned.filter(|owned| !self.doubts.is_broken(&owned.entry.id, now));
         let free_slots = trusted.map(|owned| owned.free_queue_slots(self.max_queued(owned, wait)));
         free_slots.sum()
     }
@@ -832,18 +837,17 @@
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
         let scale = self.speed_scale(service, now);
         let (refusals, doubts) = (&self.refusals, &self.doubts);
-        let is_suspect = |id: &ids::EndpointId| {
-            doubts.is_suspect(id, now) && !protection::is_disabled("endpoint_doubt")
+        let is_broken = |id: &ids::EndpointId| {
+            doubts.is_broken(id, now) && !protection::is_disabled("endpoint_doubt")
         };
         // Without a choice, the items would wait for endpoints that no batch stream probes.
         let mut of_service = self.ledgers.values();
-        let has_choice =
-            of_service.any(|o| o.entry.service == *service && !is_suspect(&o.entry.id));
+        let has_choice = of_service.any(|o| o.entry.service == *service && !is_broken(&o.entry.id));
         let usable = self.ledgers.values_mut().filter(|owned| {
             let id = &owned.entry.id;
             let awaits_response = owned.is_unverified && owned.is_held();
             let is_open = !refusals.is_backed_off(id) && owned.cold_gate.is_open(now);
-            let is_open = is_open && !awaits_response && !(has_choice && is_suspect(id));
+            let is_open = is_open && !awaits_response && !(has_choice && is_broken(id));
             owned.entry.service == *service && !ejected.contains(id) && is_open
         });
         let available = usable.filter_map(|owned| {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -186,10 +186,10 @@
         allowed.saturating_sub(self.log.ran)
     }
 
-    /// Waits for an endpoint, and reports a failure if it takes longer than a share of the
-    /// objective.
+    /// Waits for an endpoint, reports it as overdue after a share of the objective, and as
+    /// slow after the whole objective.
     ///
-    /// The wait goes on, as the request may not run elsewhere; the report lets other
+    /// The wait goes on, as the request may not run elsewhere; the reports let other
     /// requests avoid the endpoint.
     pub(super) async fn report_if_slow<T>(
         &self,
@@ -197,18 +197,23 @@
         waiting: impl std::future::Future<Output = T>,
     ) -> T {
         tokio::pin!(waiting);
-        let silence = self.request.route.objective;
-        let silence = silence.mul_f64(slow_attempt::SILENCE_SHARE);
-        if let Ok(done) = tokio::time::timeout(silence, &mut waiting).await {
+        let objective = self.request.route.objective;
+        let overdue_after = objective.mul_f64(slow_attempt::SILENCE_SHARE);
+        if let Ok(done) = tokio::time::timeout(overdue_after, &mut waiting).await {
+            return done;
+        }
+        slot.record_overdue();
+        let rest = objective.saturating_sub(overdue_after);
+        if let Ok(done) = tokio::time::timeout(rest, &mut waiting).await {
             return done;
         }
         log::info!(
             "event=endpoint_suspected request={} endpoint={} silent_ms={}",
             self.request.terms.id.as_deref().unwrap_or("-"),
             slot.endpoint.id,
-            silence.as_millis()
+            objective.as_millis()
         );
-        slot.record_failed(false);
+        slot.record_slow(false);
         waiting.await
     }
 
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -96,6 +96,17 @@
         self.report(peers::EndpointObservation::Overdue(observer));
     }
 
+    /// Records that a response or an event is so late that it counts as a failure, and
+    /// reports it to the owner. The request waits on.
+    ///
+    /// `is_silent` says that events stopped.
+    pub fn record_slow(&self, is_silent: bool) {
+        self.is_served.set(false);
+        self.is_doubted.set(true);
+        let report = endpoint_reports::report(&self.context, is_silent);
+        self.report(peers::EndpointObservation::Slow(report));
+    }
+
     /// Records that the endpoint responded that the request failed.
     pub fn record_fault(&self) {
         self.is_served.set(false);
@@ -330,6 +341,7 @@
     context: &rc::Rc<context::ProcessContext>,
     request: &SlotParams<'_>,
     denials: &[(SlotReply, &ids::InstanceId)],
+    use_of_suspects: endpoint_doubt::SuspectUse,
 ) -> Option<HeldSlot> {
     let has_excluded = request.single_attempt && {
         let loads = context.loads.borrow();
@@ -342,8 +354,6 @@
         SlotReply::Excluded | SlotReply::Full(_) => has_excluded,
         _ => false,
     };
-    let replies: Vec<_> = denials.iter().map(|(reply, _)| *reply).collect();
-    let use_of_suspects = use_after_denials(&replies);
     let withheld = denials.iter().filter(|(reply, _)| is_withheld(reply));
     for (_, owner) in withheld.take(MAX_SUSPECT_OWNERS) {
         let slot = online_slot_request(context, request, use_of_suspects);
@@ -384,10 +394,17 @@
         let slot = match replies.contains(&SlotReply::Silent) {
             // The silent owner may have trusted endpoints, which are chosen without it.
             true => None,
-            false => request_suspect_slot(context, request, &denials).await,
+            false => {
+                let use_of_suspects = use_after_denials(&replies);
+                request_suspect_slot(context, request, &denials, use_of_suspects).await
+            }
         };
         return slot.map_or(OwnerReply::None(SlotReply::Silent), OwnerReply::Slot);
     }
+    let slow = endpoint_doubt::SuspectUse::Slow;
+    if let Some(slot) = request_suspect_slot(context, request, &denials, slow).await {
+        return OwnerReply::Slot(slot);
+    }
     let with_queue = denials.iter().filter_map(|(reply, owner)| match reply {
         SlotReply::Full(free_queue_slots) | SlotReply::OnlySuspect(Some(free_queue_slots))
             if *free_queue_slots > 0 =>
@@ -399,13 +416,14 @@
     if let Some((_, owner)) = with_queue.max() {
         let queued = peers::OnlineSlotRequest {
             may_queue: true,
-            ..online_slot_request(context, request, first_use(request))
+            ..online_slot_request(context, request, endpoint_doubt::SuspectUse::Slow)
         };
         if let OwnerReply::Slot(slot) = send_request(context, owner, queued).await {
             return OwnerReply::Slot(slot);
         }
     }
-    if let Some(slot) = request_suspect_slot(context, request, &denials).await {
+    let use_of_suspects = use_after_denials(&replies);
+    if let Some(slot) = request_suspect_slot(context, request, &denials, use_of_suspects).await {
         return OwnerReply::Slot(slot);
     }
     log::info!(
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -209,7 +209,7 @@
             // The pooled connection may be dead, and others to the same address with it.
             self.context.pool.close_idle(slot.endpoint.address);
         }
-        slot.record_failed(awaited == Awaited::NextEvent);
+        slot.record_slow(awaited == Awaited::NextEvent);
     }
 
     /// Sends the request to the next endpoint; returns the attempt unless it failed at once.
--- a/tests/endpoint_doubt.rs
+++ b/tests/endpoint_doubt.rs
@@ -7,7 +7,7 @@
 
 use jayhollow::{
     clock,
-    decisions::endpoint_doubt::{self, SuspectUse},
+    decisions::endpoint_doubt::{self, FailureEvidence, SuspectUse},
     ids,
     serving::{
         directory, peers, permits, selection,
@@ -16,6 +16,9 @@
 };
 use rand::{rngs::StdRng, seq::SliceRandom as _, Rng as _, SeedableRng as _};
 
+/// A failure that lost its request.
+const BROKEN: FailureEvidence = FailureEvidence::Broken;
+
 fn id(name: &str) -> ids::EndpointId {
     name.parse().expect("a name")
 }
@@ -126,15 +129,18 @@
             false => SlotReply::Full(0),
         });
     }
-    let last_request = peers::OnlineSlotRequest {
-        use_of_suspects: slots::use_after_denials(&replies),
-        ..request.clone()
-    };
-    order.iter().zip(replies).find_map(|(owner, reply)| {
-        let is_withheld = matches!(reply, SlotReply::OnlySuspect(_));
-        let table = is_withheld.then(|| &mut owners[*owner])?;
-        let slot = table.acquire(&last_request, &none, now)?;
-        Some((*owner, slot.endpoint))
+    let uses = [SuspectUse::Slow, slots::use_after_denials(&replies)];
+    uses.into_iter().find_map(|use_of_suspects| {
+        let request = peers::OnlineSlotRequest {
+            use_of_suspects,
+            ..request.clone()
+        };
+        order.iter().zip(&replies).find_map(|(owner, reply)| {
+            let is_withheld = matches!(reply, SlotReply::OnlySuspect(_));
+            let table = is_withheld.then(|| &mut owners[*owner])?;
+            let slot = table.acquire(&request, &none, now)?;
+            Some((*owner, slot.endpoint))
+        })
     })
 }
 
@@ -154,6 +160,10 @@
         table.set_owned(&endpoints);
         owners.push(table);
     }
+    let evidence = match fault {
+        FaultKind::Resets => BROKEN,
+        FaultKind::GoesDark => FailureEvidence::Silent,
+    };
     let mut messages = collections::BTreeMap::<u64, Vec<(usize, OwnerMessage)>>::new();
     let mut result = LoadResult::default();
     let mut number = 0;
@@ -163,7 +173,7 @@
             let table = &mut owners[owner];
             match message {
                 OwnerMessage::Failed(endpoint) => {
-                    table.record_failure(&endpoint, now);
+                    table.record_failure(&endpoint, evidence, now);
                 }
                 OwnerMessage::Served(endpoint, number) => {
                     table.release_served(number, now);
@@ -273,9 +283,9 @@
 #[test]
 fn an_endpoint_without_news_is_trusted_again_after_the_longest_request() {
     let mut doubts = endpoint_doubt::DoubtTable::default();
-    assert!(doubts.record_failure(&id("a"), at_ms(0)));
+    assert!(doubts.record_failure(&id("a"), BROKEN, at_ms(0)));
     assert!(
-        !doubts.record_failure(&id("a"), at_ms(1000)),
+        !doubts.record_failure(&id("a"), BROKEN, at_ms(1000)),
         "it was suspect"
     );
     let admits = |doubts: &endpoint_doubt::DoubtTable, ms| {
@@ -284,7 +294,10 @@
     assert!(!admits(&doubts, 5999));
     assert!(admits(&doubts, 6000));
     assert_eq!(doubts.take_expired(at_ms(6000)), [id("a")]);
-    assert!(doubts.record_failure(&id("a"), at_ms(7000)), "it is new");
+    assert!(
+        doubts.record_failure(&id("a"), BROKEN, at_ms(7000)),
+        "it is new"
+    );
 }
 
 #[test]
@@ -292,7 +305,7 @@
     let mut table = permits::PermitTable::default();
     table.set_owned(&[entry("a", None)]);
     let none = collections::HashSet::new();
-    assert!(table.record_failure(&id("a"), at_ms(0)));
+    assert!(table.record_failure(&id("a"), BROKEN, at_ms(0)));
     let asks = |table: &mut permits::PermitTable, number, single_attempt, ms| {
         let request = slot_request(number, single_attempt);
         let slot = table.acquire(&request, &none, at_ms(ms));
@@ -321,8 +334,8 @@
     let mut table = permits::PermitTable::default();
     table.set_owned(&[entry("a", None), entry("b", None)]);
     let none = collections::HashSet::new();
-    table.record_failure(&id("a"), at_ms(0));
-    table.record_failure(&id("b"), at_ms(0));
+    table.record_failure(&id("a"), BROKEN, at_ms(0));
+    table.record_failure(&id("b"), BROKEN, at_ms(0));
     assert_eq!(table.free_slots(at_ms(1))[0].1, 0, "others rank behind it");
     assert!(table
         .acquire(&slot_request(1, true), &none, at_ms(1))
@@ -347,12 +360,12 @@
 fn a_restarted_endpoint_is_suspect_until_its_first_sign_of_life() {
     let mut table = permits::PermitTable::default();
     table.set_owned(&[entry("a", Some(1))]);
-    table.record_failure(&id("a"), at_ms(0));
+    table.record_failure(&id("a"), BROKEN, at_ms(0));
     assert!(table.update_owned(&id("a"), Some(&entry("a", Some(2)))));
     assert!(table.is_suspect(&id("a"), at_ms(100)));
     table.record_life(&id("a"), at_ms(200));
     assert!(!table.is_suspect(&id("a"), at_ms(200)));
-    table.record_failure(&id("a"), at_ms(300));
+    table.record_failure(&id("a"), BROKEN, at_ms(300));
     assert!(!table.update_owned(&id("b"), None));
     table.update_owned(&id("a"), None);
     assert!(!table.is_suspect(&id("a"), at_ms(300)), "it is not owned");
@@ -383,3 +396,38 @@
     // It is the whole service: the cause is elsewhere.
     assert!(table.ejected(&loads, |_| 4, at_ms(2)).is_empty());
 }
+
+/// Guards against a surge that leaves slots unused: responses are late then, and endpoints
+/// that are only slow were refused to all requests.
+#[test]
+fn a_slow_endpoint_is_used_before_a_request_is_refused() {
+    let mut table = permits::PermitTable::default();
+    table.set_owned(&[entry("a", None)]);
+    let none = collections::HashSet::new();
+    let mut number = 0;
+    let mut is_granted = |table: &mut permits::PermitTable, use_of_suspects| {
+        number += 1;
+        let request = peers::OnlineSlotRequest {
+            use_of_suspects,
+            ..slot_request(number, true)
+        };
+        table.acquire(&request, &none, at_ms(1)).is_some()
+    };
+    table.record_failure(&id("a"), FailureEvidence::Silent, at_ms(0));
+    assert_eq!(table.free_slots(at_ms(1))[0].1, 8, "its slots are offered");
+    assert!(!is_granted(&mut table, SuspectUse::Avoid));
+    for _ in 0..4 {
+        assert!(is_granted(&mut table, SuspectUse::Slow));
+    }
+    table.record_failure(&id("a"), BROKEN, at_ms(1));
+    assert!(
+        !is_granted(&mut table, SuspectUse::Slow),
+        "it lost a request"
+    );
+    table.record_life(&id("a"), at_ms(1));
+    table.record_failure(&id("a"), FailureEvidence::Silent, at_ms(1));
+    assert!(
+        is_granted(&mut table, SuspectUse::Slow),
+        "it gave a sign of life"
+    );
+}
