fix(serving): spread the returns of refused callers over 0.8 s again

Cause: a refused caller returned at the end of its expected wait plus a random part of the time per token. Other gateways book returns for the same tokens and do not know of each other's, so at 71 gateways with few callers each the returns would come sooner than the tokens.

Change: the earliest place of each return is delayed by a random part of 0.8 s, as before the return schedule; the places of one gateway stay one token time apart.

--- a/src/decisions/rate_limits/token_queue.rs
+++ b/src/decisions/rate_limits/token_queue.rs
@@ -12,6 +12,8 @@
 pub const MAX_WAITING: usize = 1024;
 /// Maximum number of bookings for the returns of one workspace's callers.
 const MAX_BOOKINGS: num::NonZeroUsize = num::NonZeroUsize::new(256).expect("it is not zero");
+/// Range of the random delay that is added to the returns of refused callers.
+const RETURN_SPREAD: time::Duration = time::Duration::from_millis(800);
 /// Time constant of the average of the tokens that a gateway is granted.
 const PACE_WINDOW: time::Duration = time::Duration::from_secs(2);
 /// Maximum time between two responses of quota servers that counts as time under the limit.
@@ -229,8 +231,8 @@
     /// Books the return of a refused caller, and returns the delay until then. `earliest` is
     /// the time after which its turn would have come, and `phase` a random number in [0, 1).
     ///
-    /// The first return is delayed by a random part of the spacing: other gateways book
-    /// returns for the same tokens.
+    /// A random part of [`RETURN_SPREAD`] is added, as other gateways book returns for the
+    /// same tokens and do not know of each other's bookings.
     pub fn book_return(
         &mut self,
         workspace: &ids::WorkspaceId,
@@ -241,10 +243,7 @@
     ) -> time::Duration {
         let spacing = self.spacing(workspace, limit);
         let returns = &mut self.queue(workspace, now).returns;
-        let earliest = match returns.is_empty() {
-            true => earliest + spacing.mul_f64(phase),
-            false => earliest,
-        };
+        let earliest = earliest + RETURN_SPREAD.mul_f64(phase);
         returns.book(request, now, earliest, spacing)
     }
 
