--- a/tests/limit_model.rs
+++ b/tests/limit_model.rs
@@ -350,7 +350,7 @@
         .map(|g| (fresh_gateway(seed + g, at(0)), rng.random_range(450..550)))
         .collect();
     let workspace = "w".parse().expect("the identifier is valid");
-    let mut admitted = vec![0.0; 16];
+    let mut admitted = [0.0; 16];
     for ms in 0..admitted.len() as u64 * 250 {
         for (gateway, knows_at) in &mut gateways {
             match ms {
