feat(decisions): schedule the returns of refused callers

Cause: a refused caller is told to retry after a random or fixed time, so callers return together and are refused again, and nothing records who was told to return when.

Change: ReturnSchedule books each refused caller the next free place at a given spacing and tells whether a request returns at its booked time. It is bounded in number and age and does no I/O.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -27,6 +27,7 @@
 pub mod rate_limits;
 pub mod relay;
 pub mod retry;
+pub mod return_schedule;
 pub mod routing;
 pub mod step_model;
 pub mod workspace_limit;
