feat(decisions): wait queue by priority, workspace and deadline

Requests that wait for a slot are served in FIFO order within an endpoint: priorities are parsed and not used, and one busy workspace delays all others.

WaitQueue orders the waiting requests of one service: priority with one grant in ten for lower ones, the workspace that holds fewer slots, start tags, the earliest deadline; callers that return at their scheduled time have a credit of two held slots. Entries whose expected turn is too late are refused when they arrive or are overtaken. A grant or release costs the logarithm of the length.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -30,4 +30,5 @@
 pub mod return_schedule;
 pub mod routing;
 pub mod step_model;
+pub mod wait_queue;
 pub mod workspace_limit;
