feat(serving): wait for a slot at the owner and book the return of refused callers

A request that found all slots taken went to the queue of one endpoint and stayed there even if another endpoint had a free slot; a refused caller was told the objective of its route as retry time and was often refused again.

Where the desired state has workspaces, the gateway asks one owner, by the digest of the request, with a ticket. The owner answers when a slot is granted or the request is refused; a released slot goes to the first waiting request before batch work. A refusal books a return time, which the 503 names. Entries end when the caller leaves, the owner stops or loses the endpoints, or the wait is over. If the owner does not respond, the queue of an endpoint is used as before. Requests and responses for slots have new fields.

With real processes (platform/tests/slot_queue.rs): order by priority, callers that leave, an owner that is killed or stopped while requests wait.

--- a/src/decisions/queue_limit.rs
+++ b/src/decisions/queue_limit.rs
@@ -36,6 +36,12 @@
         self.mean_s = Some(mean + (hold - mean) * HOLD_WEIGHT);
     }
 
+    /// Returns the mean time for which a slot is held; `None` before the first run.
+    pub fn mean(&self) -> Option<time::Duration> {
+        let mean = self.mean_s.filter(|mean| *mean > 0.0)?;
+        Some(time::Duration::from_secs_f64(mean))
+    }
+
     /// Returns how many requests may wait at an endpoint with `slots` slots, each for up to
     /// `max_wait`.
     pub fn max_waiting(&self, slots: u32, max_wait: time::Duration) -> u32 {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -74,6 +74,10 @@
     pub rejected: prometheus::IntCounterVec,
     /// Deposits to the token pools of this process, by outcome.
     pub limit_deposits: prometheus::IntCounterVec,
+    /// Requests for a place in the wait queues of owned endpoints, by outcome.
+    pub slot_queue: prometheus::IntCounterVec,
+    /// Requests in the wait queues.
+    pub slot_queue_length: prometheus::IntGauge,
     /// Held slots at owned endpoints, by class.
     pub held_slots: prometheus::IntGaugeVec,
 }
@@ -214,6 +218,17 @@
             ),
             bundle_generation: gauge(r, "jayhollow_bundle_generation", "Bundle in use"),
             state_version: gauge(r, "jayhollow_state_version", "Desired state in force"),
+            slot_queue: counters(
+                r,
+                "jayhollow_slot_queue_total",
+                "Requests in the wait queues of owned endpoints, by outcome",
+                "outcome",
+            ),
+            slot_queue_length: gauge(
+                r,
+                "jayhollow_slot_queue_length",
+                "Requests in the wait queues of owned endpoints",
+            ),
             held_slots: gauges(
                 r,
                 "jayhollow_held_places",
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -5,8 +5,10 @@
 
 use futures::future::{self, FutureExt as _};
 
-use super::{attempt, connection, crash_watch, relay, search_backoff, slots, slow_attempt, wire};
-use crate::{clock, ids, outcome};
+use super::{
+    attempt, connection, crash_watch, peers, relay, search_backoff, slots, slow_attempt, wire,
+};
+use crate::{clock, ids, outcome, protection};
 
 /// Number of consecutive attempts that did not run after which a request that has never
 /// run is refused, and one that has run backs off before it searches on.
@@ -175,10 +177,12 @@
         let no_service = || relay::FinalError::Failed("the route has no service".into());
         let service = service.ok_or_else(no_service)?;
         let tried = &self.log.tried;
+        let ticket = self.queue_ticket();
         let request = slots::SlotParams {
             service: &service,
             tried,
             objective: self.request.route.objective,
+            ticket: ticket.as_ref(),
         };
         // A request that has run may exceed the capacity at which new ones are refused.
         Ok(match self.log.ran > 0 {
@@ -187,6 +191,25 @@
         })
     }
 
+    /// Returns the ticket for the wait queue of an owner, if the desired state has workspaces
+    /// that compete for slots.
+    pub(super) fn queue_ticket(&self) -> Option<peers::QueueTicket> {
+        let table = self.context.fleet.table();
+        let workspaces = table.workspaces();
+        if !workspaces.is_required() || protection::is_disabled("slot_line") {
+            return None;
+        }
+        let workspace = self.request.workspace.clone();
+        let spec = workspace.as_ref().and_then(|id| workspaces.get(id));
+        let priority = spec.and_then(|spec| spec.priority);
+        Some(peers::QueueTicket {
+            digest: self.request.forwarded.digest,
+            workspace,
+            priority: priority.unwrap_or(self.request.route.priority),
+            deadline: self.time_left(),
+        })
+    }
+
     /// Returns whether a request that has run may still be attempted somewhere.
     fn may_search(&self) -> bool {
         let directory = self.context.fleet.directory.borrow();
@@ -202,10 +225,13 @@
         if self.log.ran > 0 {
             return relay::FinalError::Failed(format!("an attempt failed, then: {reason}"));
         }
-        relay::FinalError::NotRun(
-            self.request.route.objective.mul_f64(RETRY_AFTER_SHARE),
-            reason.to_string(),
-        )
+        let delay = match reason {
+            slots::SlotUnavailable::Booked(delay) => delay,
+            slots::SlotUnavailable::Full | slots::SlotUnavailable::NoEndpoint => {
+                self.request.route.objective.mul_f64(RETRY_AFTER_SHARE)
+            }
+        };
+        relay::FinalError::NotRun(delay, reason.to_string())
     }
 
     /// Prepares an attempt on a slot; it is sent when it is first polled.
--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -7,7 +7,7 @@
 use super::{
     checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_checkpoints,
     job_table, members, peer_links, peers, permits, progress_transfer, selection, single_flight,
-    state_transfer, wire,
+    slot_queue, state_transfer, wire,
     workspaces::{limit_messages, limiter},
 };
 use crate::{
@@ -102,6 +102,8 @@
     pub links: peer_links::PeerLinks,
     /// Slots of owned endpoints.
     pub permits: cell::RefCell<permits::PermitTable>,
+    /// Requests that wait for slots of owned endpoints.
+    pub(super) slot_queues: cell::RefCell<slot_queue::SlotQueues>,
     /// Jobs that are run or read here.
     pub jobs: job_table::JobTable,
     /// Progress of jobs that other processes run.
@@ -214,6 +216,7 @@
             members: cell::RefCell::default(),
             links: peer_links::PeerLinks::default(),
             permits: cell::RefCell::default(),
+            slot_queues: cell::RefCell::default(),
             jobs: job_table::JobTable::default(),
             checkpoints: progress.board,
             progress_queue: progress_transfer::ProgressQueue::default(),
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -31,6 +31,10 @@
                 let gauge = metrics.held_slots.with_label_values(&[class]);
                 gauge.set(held.into());
             }
+            let waiting = context.slot_queues.borrow().len();
+            metrics
+                .slot_queue_length
+                .set(waiting.try_into().unwrap_or(i64::MAX));
             let unreadable = context.fleet.unreadable();
             metrics
                 .unreadable_objects
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -6,7 +6,7 @@
 
 use super::{
     context, crash_guard, crash_trials, fleet_sync, job_calls, job_checkpoints, job_records,
-    job_runner, job_supervisor, limit_links, peers, slots,
+    job_runner, job_supervisor, limit_links, peers, slot_queue, slots,
 };
 use crate::{decisions::admission, ids, store};
 
@@ -21,7 +21,7 @@
 }
 
 /// Sends a response to a caller that may have disconnected.
-fn reply<T>(sender: tokio::sync::oneshot::Sender<T>, value: T) {
+pub(super) fn reply<T>(sender: tokio::sync::oneshot::Sender<T>, value: T) {
     if sender.send(value).is_err() {
         log::debug!("event=peer_left_before_answer");
     }
@@ -41,6 +41,9 @@
             members.record_contact(&request.holder, now);
             drop(members);
             let is_owner = context.owners().iter().any(|o| o.id == *context.id());
+            if is_owner && slot_queue::may_wait(&request) {
+                return slot_queue::serve_call(context, request, sender);
+            }
             if is_owner {
                 return reply(sender, grant(context, &request));
             }
@@ -179,21 +182,47 @@
     slots.collect()
 }
 
-/// Grants a slot at an owned endpoint, preempting batch streams if necessary.
-pub fn grant(
-    context: &rc::Rc<context::ProcessContext>,
+/// Acquires a slot at an owned endpoint, preempting batch streams if necessary.
+pub(super) fn acquire(
+    context: &context::ProcessContext,
     request: &peers::OnlineSlotRequest,
-) -> peers::OnlineSlotResponse {
+) -> Option<ids::EndpointId> {
     let now = context.clock.now();
     let mut permits = context.permits.borrow_mut();
     let ejected = permits.ejected(&context.loads.borrow(), now);
     let granted = permits.acquire(request, &ejected, now);
+    drop(permits);
+    let slot = granted?;
+    for stream in &slot.preempted {
+        preempt(context, &slot.endpoint, *stream);
+    }
+    Some(slot.endpoint)
+}
+
+/// Grants a slot at an owned endpoint, preempting batch streams if necessary.
+pub fn grant(
+    context: &context::ProcessContext,
+    request: &peers::OnlineSlotRequest,
+) -> peers::OnlineSlotResponse {
+    let now = context.clock.now();
+    let endpoint = acquire(context, request);
+    let permits = context.permits.borrow();
     let owns = permits.owns(&request.service);
     let excludes_all = permits.are_all_excluded(request);
     let free_slots = permits.free_online_slots(&request.service, now);
-    let free_queue_slots = permits.free_queue_slots(&request.service, request.wait, now);
-    let denial = granted.is_none().then(|| permits.denial(request, now));
+    let free_queue_slots = match &request.ticket {
+        None => permits.free_queue_slots(&request.service, request.wait, now),
+        Some(ticket) => {
+            let capacity = permits.queue_capacity(&request.service);
+            let queues = context.slot_queues.borrow();
+            queues.free_places(request, ticket, capacity)
+        }
+    };
+    let denial = endpoint.is_none().then(|| permits.denial(request, now));
     drop(permits);
+    if endpoint.is_some() {
+        context.slot_queues.borrow_mut().record_grant(request);
+    }
     if let Some(denial) = denial {
         log::info!(
             "event=place_denied service={} asker={} may_queue={} {denial}",
@@ -202,18 +231,13 @@
             request.may_queue,
         );
     }
-    let endpoint = granted.map(|slot| {
-        for stream in &slot.preempted {
-            preempt(context, &slot.endpoint, *stream);
-        }
-        slot.endpoint
-    });
     peers::OnlineSlotResponse {
         endpoint,
         owns,
         excludes_all,
         free_slots,
         free_queue_slots,
+        retry_after: None,
     }
 }
 
@@ -237,9 +261,12 @@
     }
 }
 
-/// Releases a slot, which batch work may then use. A release of a relayed permit is
-/// forwarded to the owner.
+/// Releases a slot, which the first request in the wait queue gets, and without one batch
+/// work. A release of a relayed permit is forwarded to the owner.
 pub fn release(context: &context::ProcessContext, ended: peers::SlotRelease) {
+    if slot_queue::withdraw(context, ended.number) {
+        return;
+    }
     let mut permits = context.permits.borrow_mut();
     let released = match ended.is_served {
         true => permits.release_served(ended.number, context.clock.now()),
@@ -251,6 +278,7 @@
             context.loads.borrow_mut().record_served(&endpoint);
             context.fleet.record_verified(&endpoint);
         }
+        slot_queue::record_release(context, &endpoint, ended.number);
         context.jobs.work.notify_one();
         return;
     }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -102,6 +102,22 @@
     pub may_queue: bool,
     /// How long the request may wait in a queue and still be on time.
     pub wait: time::Duration,
+    /// Ticket for the wait queue of the owner. Without one the request waits, if at all, in
+    /// the queue of an endpoint.
+    pub ticket: Option<QueueTicket>,
+}
+
+/// Place of a request in the order of a wait queue.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct QueueTicket {
+    /// Digest of the request, by which a retry is recognized.
+    pub digest: ids::RequestDigest,
+    /// Workspace that it is served for, if it has one.
+    pub workspace: Option<ids::WorkspaceId>,
+    /// Priority of the workspace or, without one, of the route; 0 is the highest.
+    pub priority: u32,
+    /// Remaining time of its caller.
+    pub deadline: time::Duration,
 }
 
 /// Response of an owner to a slot request.
@@ -117,9 +133,12 @@
     /// Free online slots of the owner after this response.
     #[serde(rename = "room")]
     pub free_slots: u32,
-    /// Free queue slots of its endpoints after this response.
+    /// Free queue slots of its endpoints after this response, or for a request with a ticket
+    /// those of the wait queue of the service.
     #[serde(rename = "queue_room")]
     pub free_queue_slots: u32,
+    /// Time after which the caller is expected to retry, if one was booked for it.
+    pub retry_after: Option<time::Duration>,
 }
 
 /// Release of the slot of a permit.
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -6,7 +6,7 @@
 use super::{directory, peers, selection};
 use crate::{
     clock,
-    decisions::{admission, cold_start, endpoint_backoff, queue_limit},
+    decisions::{admission, cold_start, endpoint_backoff, queue_limit, wait_queue},
     ids,
 };
 
@@ -549,6 +549,31 @@
         free_slots.sum()
     }
 
+    /// Returns the capacity of a service for which requests wait in a wait queue.
+    pub fn queue_capacity(&self, service: &ids::ServiceName) -> wait_queue::QueueCapacity {
+        let of_service = self.owned().filter(|entry| entry.service == *service);
+        let slots = of_service.map(|entry| entry.slots).sum::<u32>();
+        let hold_time = self.hold_times.get(service).copied().unwrap_or_default();
+        let spacing = hold_time.mean().filter(|_| slots > 0);
+        wait_queue::QueueCapacity {
+            spacing: spacing.map(|mean| mean / slots),
+            slots,
+            // The expected turn bounds the queue further; each entry has its own wait.
+            limit: hold_time.max_waiting(slots, time::Duration::MAX) as usize,
+        }
+    }
+
+    /// Returns whether a permit is held.
+    pub fn holds(&self, number: admission::PermitNumber) -> bool {
+        self.holders.contains_key(&number)
+    }
+
+    /// Returns the service of an owned endpoint.
+    pub fn service_of(&self, endpoint: &ids::EndpointId) -> Option<&ids::ServiceName> {
+        let owned = self.ledgers.get(endpoint)?;
+        Some(&owned.entry.service)
+    }
+
     /// Returns the owned endpoints of a service that may grant slots.
     fn of_service<'a>(
         &'a self,
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -5,7 +5,7 @@
 
 use rand::seq::IndexedRandom as _;
 
-use super::{context, directory, endpoint_reports, peer_calls, peers, pending_permit};
+use super::{context, directory, endpoint_reports, peer_calls, peers, pending_permit, slot_queue};
 use crate::{
     clock,
     decisions::{admission, owner_order, ownership},
@@ -111,12 +111,17 @@
     /// All endpoints are at their limits.
     #[error("all endpoints of the service are full")]
     Full,
+    /// All endpoints are at their limits; a caller that retries after this time is expected.
+    #[error("all endpoints of the service are full, a retry is expected in {} ms", .0.as_millis())]
+    Booked(time::Duration),
 }
 
 /// The reply of one owner.
 enum OwnerReply {
     Slot(HeldSlot),
     None(SlotReply),
+    /// All slots are in use; a retry is expected after this time.
+    Booked(time::Duration),
 }
 
 /// The reply of an owner that granted no slot.
@@ -148,6 +153,8 @@
     pub tried: &'a [ids::EndpointId],
     /// Latency objective for the first event.
     pub objective: time::Duration,
+    /// Ticket for the wait queue of an owner, if the deployment uses them.
+    pub ticket: Option<&'a peers::QueueTicket>,
 }
 
 /// Acquires a slot for a new request.
@@ -164,6 +171,7 @@
     match query_owners(context, request).await {
         OwnerReply::Slot(slot) => Ok(slot),
         OwnerReply::None(SlotReply::Full(_)) => Err(SlotUnavailable::Full),
+        OwnerReply::Booked(delay) => Err(SlotUnavailable::Booked(delay)),
         OwnerReply::None(_) => choose_locally(context, request.service, request.tried),
     }
 }
@@ -183,6 +191,7 @@
         match send_request(context, owner, slot).await {
             OwnerReply::Slot(slot) => return Ok(slot),
             OwnerReply::None(reply) => replies.push((reply, owner)),
+            OwnerReply::Booked(_) => replies.push((SlotReply::Full(0), owner)),
         }
     }
     Err(replies)
@@ -197,7 +206,9 @@
     request: &SlotParams<'_>,
 ) -> Result<HeldSlot, SlotUnavailable> {
     match acquire(context, request).await {
-        Err(SlotUnavailable::Full) => choose_locally(context, request.service, request.tried),
+        Err(SlotUnavailable::Full | SlotUnavailable::Booked(_)) => {
+            choose_locally(context, request.service, request.tried)
+        }
         slot => slot,
     }
 }
@@ -217,6 +228,18 @@
     if !all_full(&replies) {
         return OwnerReply::None(SlotReply::Silent);
     }
+    let started_at = clock::BootInstant::now();
+    if let Some(ticket) = request.ticket {
+        let reply = wait_at_owner(context, request, ticket, &denials, &owners).await;
+        match reply {
+            Some(OwnerReply::Slot(slot)) => return OwnerReply::Slot(slot),
+            Some(reply @ (OwnerReply::Booked(_) | OwnerReply::None(SlotReply::Full(_)))) => {
+                log_no_place(service, &replies, &owners);
+                return reply;
+            }
+            Some(OwnerReply::None(_)) | None => {}
+        }
+    }
     let with_queue = denials.iter().filter_map(|(reply, owner)| match reply {
         SlotReply::Full(free_queue_slots) if *free_queue_slots > 0 => {
             Some((free_queue_slots, owner))
@@ -224,20 +247,75 @@
         _ => None,
     });
     if let Some((_, owner)) = with_queue.max() {
+        let queued = online_slot_request(context, request);
         let queued = peers::OnlineSlotRequest {
             may_queue: true,
-            ..online_slot_request(context, request)
+            wait: queued.wait.saturating_sub(started_at.elapsed()),
+            ticket: None,
+            ..queued
         };
         if let OwnerReply::Slot(slot) = send_request(context, owner, queued).await {
             return OwnerReply::Slot(slot);
         }
     }
+    log_no_place(service, &replies, &owners);
+    OwnerReply::None(SlotReply::Full(0))
+}
+
+fn log_no_place(service: &ids::ServiceName, replies: &[SlotReply], owners: &[ids::InstanceId]) {
     log::info!(
         "event=no_place service={service} owners_asked={} owners={}",
         replies.len(),
         owners.len()
     );
-    OwnerReply::None(SlotReply::Full(0))
+}
+
+/// Requests a slot in the wait queue of one owner; `None` if there is no owner to wait at.
+///
+/// The owner follows from the digest, so that a retry reaches the one that booked its time.
+/// One that has no room is asked only if no other has any: it books a time for the retry.
+async fn wait_at_owner(
+    context: &rc::Rc<context::ProcessContext>,
+    request: &SlotParams<'_>,
+    ticket: &peers::QueueTicket,
+    denials: &[(SlotReply, &ids::InstanceId)],
+    owners: &[ids::InstanceId],
+) -> Option<OwnerReply> {
+    let reply_of = |owner: &ids::InstanceId| {
+        let denial = denials.iter().find(|(_, denied)| *denied == owner);
+        denial.map(|(reply, _)| *reply)
+    };
+    let digest = ticket.digest.to_string();
+    let candidates = owners.iter().filter_map(|owner| {
+        let has_room = match reply_of(owner) {
+            None => true,
+            Some(SlotReply::Full(free_queue_slots)) => free_queue_slots > 0,
+            Some(_) => return None,
+        };
+        Some((has_room, ownership::weight(owner.as_str(), &digest), owner))
+    });
+    let (_, _, owner) = candidates.max()?;
+    let waiting = peers::OnlineSlotRequest {
+        may_queue: true,
+        ..online_slot_request(context, request)
+    };
+    let started_at = clock::BootInstant::now();
+    let wait_ms = waiting.wait.as_millis();
+    let number = waiting.number;
+    let reply = send_request(context, owner, waiting).await;
+    let outcome = match &reply {
+        OwnerReply::Slot(_) => "granted",
+        OwnerReply::Booked(_) => "booked",
+        OwnerReply::None(SlotReply::Full(_)) => "full",
+        OwnerReply::None(SlotReply::NotOwner) => "not_owner",
+        OwnerReply::None(SlotReply::Excluded) => "excluded",
+        OwnerReply::None(SlotReply::Silent) => "silent",
+    };
+    log::info!(
+        "event=slot_waited number={number:016x} digest={digest} owner={owner} outcome={outcome} wait_ms={wait_ms} waited_ms={}",
+        started_at.elapsed().as_millis()
+    );
+    Some(reply)
 }
 
 /// Chooses an endpoint by this process's own counts, without a permit.
@@ -363,6 +441,7 @@
         tried: excluded,
         may_queue: false,
         wait: first.unwrap_or_default().max_wait(request.objective),
+        ticket: request.ticket.cloned(),
     }
 }
 
@@ -378,6 +457,8 @@
     let relay = relays.get(rand::random_range(0..relays.len().max(1)))?;
     let request = peers::OnlineSlotRequest {
         may_queue,
+        // The relay waits only briefly for an owner.
+        ticket: None,
         ..online_slot_request(context, request)
     };
     let permit = HeldPermit::Peer(relay.address, request.number);
@@ -441,17 +522,22 @@
     let number = request.number;
     let service = &request.service.clone();
     let (response, permit) = if owner == context.id() {
-        (
-            peer_calls::grant(context, &request),
-            HeldPermit::Here(number),
-        )
+        let response = match slot_queue::may_wait(&request) {
+            true => slot_queue::grant_or_wait(context, &request).await,
+            false => peer_calls::grant(context, &request),
+        };
+        (response, HeldPermit::Here(number))
     } else {
         let Some(address) = context.members.borrow().address_of(owner) else {
             return OwnerReply::None(SlotReply::Silent);
         };
         let permit = HeldPermit::Peer(address, number);
         let pending = pending_permit::PendingPermit::new(context, address, number);
-        match context.links.acquire(address, request, OWNER_TIMEOUT).await {
+        let timeout = match slot_queue::may_wait(&request) {
+            true => request.wait + OWNER_TIMEOUT,
+            false => OWNER_TIMEOUT,
+        };
+        match context.links.acquire(address, request, timeout).await {
             Ok(response) => {
                 pending.settle();
                 (response, permit)
@@ -481,6 +567,9 @@
     }
     if response.endpoint.is_none() {
         count_permit(context, "full");
+        if let Some(delay) = response.retry_after {
+            return OwnerReply::Booked(delay);
+        }
         return OwnerReply::None(SlotReply::Full(response.free_queue_slots));
     }
     match accept_response(context, owner, response, permit) {
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -320,11 +320,13 @@
         }
         let context = rc::Rc::clone(&relay.context);
         let objective = relay.request.route.objective;
+        let ticket = relay.queue_ticket();
         let acquiring = actix_rt::spawn(async move {
             let request = slots::SlotParams {
                 service: &service,
                 tried: &tried,
                 objective,
+                ticket: ticket.as_ref(),
             };
             match may_queue {
                 true => slots::acquire_or_choose_locally(&context, &request).await,
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -58,6 +58,7 @@
         tried: Vec::new(),
         may_queue: false,
         wait: time::Duration::ZERO,
+        ticket: None,
     }
 }
 
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -30,6 +30,8 @@
 rate_limit       workspaces         a_limit_holds_over_all_gateways_together
 evacuation       evacuations        an_evacuated_domain_gets_nothing_until_the_order_is_withdrawn
 cold_limit       evacuations        a_cold_engine_gets_no_more_than_its_rate
+slot_line        slot_queue         a_free_slot_goes_to_the_highest_priority
+return_order     wait_queue         a_hot_workspace_does_not_take_the_slots_of_the_others
 item_attempts    system_faults      items_that_fail_are_given_up_after_the_allowed_attempts
 '
 unnoticed=0
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -43,6 +43,7 @@
         tried: Vec::new(),
         may_queue: false,
         wait: time::Duration::ZERO,
+        ticket: None,
     }
 }
 
