refactor(serving): grant slots outside the circle of imports

With the wait queue 32 modules of src/serving imported each other, and tests/imports.rs failed (at most 11 are allowed). The calls that grant and release slots are now in slot_grants.rs, which does not import peer_calls; the queues are in slot_queue.rs, which does not import the context. The message ProgressPart is in peers.rs like the other messages, so that peers no longer imports the transfer of progress. No change of behavior.

tests/imports.rs passes.

--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -8,7 +8,7 @@
 
 use std::{cell, collections, rc, time};
 
-use super::{context, job_table, open_job, progress_transfer, wire};
+use super::{context, job_table, open_job, peers, progress_transfer, wire};
 use crate::{clock, decisions::ownership, ids};
 
 /// Interval between checkpoints, which bounds the work lost with an owner.
@@ -342,7 +342,7 @@
 /// Complete progress is applied at once if this process runs the job.
 pub(super) fn receive_part(
     context: &rc::Rc<context::ProcessContext>,
-    part: progress_transfer::ProgressPart,
+    part: peers::ProgressPart,
 ) -> bool {
     use progress_transfer::PartOutcome as O;
 
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -65,6 +65,7 @@
 pub mod search_backoff;
 pub mod selection;
 pub mod single_flight;
+mod slot_grants;
 pub mod slot_queue;
 pub mod slots;
 pub mod slow_attempt;
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -4,7 +4,7 @@
 
 use super::{
     context, crash_guard, crash_trials, directory, fleet_model, job_checkpoints, limit_links,
-    loop_delay, members, slot_queue,
+    loop_delay, members, slot_grants,
 };
 use crate::{
     clock,
@@ -71,7 +71,7 @@
         forget_ended_runs(&context);
         context.permits.borrow_mut().reopen(context.clock.now());
         refresh_owners(&context);
-        slot_queue::refresh(&context);
+        slot_grants::refresh(&context);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             let now = context.clock.now();
             context.pool.sweep();
@@ -81,7 +81,7 @@
             limit_links::forget_idle(&context);
             context.members.borrow_mut().expire_beats(now);
             release_ended(&context);
-            slot_queue::forget_ended(&context);
+            slot_grants::forget_ended(&context);
             let directory = context.fleet.directory.borrow();
             let listed = |id: &ids::EndpointId| directory.usable(id).is_some();
             context.loads.borrow_mut().retain(listed);
@@ -230,7 +230,7 @@
     let released = context.permits.borrow_mut().release_ended(has_ended);
     if released > 0 {
         log::info!("event=places_released count={released} why=\"the holders ended\"");
-        slot_queue::refresh(context);
+        slot_grants::refresh(context);
         context.jobs.work.notify_one();
     }
 }
@@ -308,6 +308,6 @@
     for endpoint in &dropped {
         context.jobs.preempt_owned(endpoint);
     }
-    slot_queue::refresh(context);
+    slot_grants::refresh(context);
     context.jobs.work.notify_one();
 }
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -6,9 +6,9 @@
 
 use super::{
     context, crash_guard, crash_trials, fleet_sync, job_calls, job_checkpoints, job_records,
-    job_runner, job_supervisor, limit_links, peers, slot_queue, slots,
+    job_runner, job_supervisor, limit_links, peers, slot_grants, slots,
 };
-use crate::{decisions::admission, ids, store};
+use crate::store;
 
 /// Handles the calls of peers.
 pub(super) async fn serve_peers(
@@ -21,7 +21,7 @@
 }
 
 /// Sends a response to a caller that may have disconnected.
-pub(super) fn reply<T>(sender: tokio::sync::oneshot::Sender<T>, value: T) {
+fn reply<T>(sender: tokio::sync::oneshot::Sender<T>, value: T) {
     if sender.send(value).is_err() {
         log::debug!("event=peer_left_before_answer");
     }
@@ -41,11 +41,11 @@
             members.record_contact(&request.holder, now);
             drop(members);
             let is_owner = context.owners().iter().any(|o| o.id == *context.id());
-            if is_owner && slot_queue::may_wait(&request) {
-                return slot_queue::serve_call(context, request, sender);
+            if is_owner && slot_grants::may_wait(&request) {
+                return wait_for_slot(context, request, sender);
             }
             if is_owner {
-                return reply(sender, grant(context, &request));
+                return reply(sender, slot_grants::grant(context, &request));
             }
             let context = context.clone();
             actix_rt::spawn(async move {
@@ -54,7 +54,7 @@
                 }
             });
         }
-        C::Release(ended) => release(context, ended),
+        C::Release(ended) => slot_grants::release(context, ended),
         C::Report(report) => apply_report(context, &report),
         C::CrashUpdate(message) => {
             crash_guard::apply_update(context, message);
@@ -154,6 +154,24 @@
     }
 }
 
+/// Serves the call of a peer whose request may wait; stops when the peer no longer waits.
+fn wait_for_slot(
+    context: &rc::Rc<context::ProcessContext>,
+    request: peers::OnlineSlotRequest,
+    mut sender: tokio::sync::oneshot::Sender<peers::OnlineSlotResponse>,
+) {
+    let context = context.clone();
+    actix_rt::spawn(async move {
+        let response = tokio::select! {
+            response = slot_grants::grant_or_wait(&context, &request) => Some(response),
+            () = sender.closed() => None,
+        };
+        if let Some(response) = response {
+            reply(sender, response);
+        }
+    });
+}
+
 /// Converts the result of a write to the store for a peer.
 fn write_outcome(written: &store::StoreResult<()>) -> peers::WriteOutcome {
     match written {
@@ -182,112 +200,6 @@
     slots.collect()
 }
 
-/// Acquires a slot at an owned endpoint, preempting batch streams if necessary.
-pub(super) fn acquire(
-    context: &context::ProcessContext,
-    request: &peers::OnlineSlotRequest,
-) -> Option<ids::EndpointId> {
-    let now = context.clock.now();
-    let mut permits = context.permits.borrow_mut();
-    let ejected = permits.ejected(&context.loads.borrow(), now);
-    let granted = permits.acquire(request, &ejected, now);
-    drop(permits);
-    let slot = granted?;
-    for stream in &slot.preempted {
-        preempt(context, &slot.endpoint, *stream);
-    }
-    Some(slot.endpoint)
-}
-
-/// Grants a slot at an owned endpoint, preempting batch streams if necessary.
-pub fn grant(
-    context: &context::ProcessContext,
-    request: &peers::OnlineSlotRequest,
-) -> peers::OnlineSlotResponse {
-    let now = context.clock.now();
-    let endpoint = acquire(context, request);
-    let permits = context.permits.borrow();
-    let owns = permits.owns(&request.service);
-    let excludes_all = permits.are_all_excluded(request);
-    let free_slots = permits.free_online_slots(&request.service, now);
-    let free_queue_slots = match &request.ticket {
-        None => permits.free_queue_slots(&request.service, request.wait, now),
-        Some(ticket) => {
-            let capacity = permits.queue_capacity(&request.service);
-            let queues = context.slot_queues.borrow();
-            queues.free_places(request, ticket, capacity)
-        }
-    };
-    let denial = endpoint.is_none().then(|| permits.denial(request, now));
-    drop(permits);
-    if endpoint.is_some() {
-        context.slot_queues.borrow_mut().record_grant(request);
-    }
-    if let Some(denial) = denial {
-        log::info!(
-            "event=place_denied service={} asker={} may_queue={} {denial}",
-            request.service,
-            request.holder,
-            request.may_queue,
-        );
-    }
-    peers::OnlineSlotResponse {
-        endpoint,
-        owns,
-        excludes_all,
-        free_slots,
-        free_queue_slots,
-        retry_after: None,
-    }
-}
-
-/// Preempts a batch stream that runs here or at the borrower of the slot.
-fn preempt(
-    context: &context::ProcessContext,
-    endpoint: &ids::EndpointId,
-    number: admission::StreamNumber,
-) {
-    context.metrics.preempted.inc();
-    let borrower = context.permits.borrow_mut().borrower(endpoint, number);
-    let Some(borrower) = borrower else {
-        context.jobs.preempt(endpoint, number);
-        return;
-    };
-    let address = context.members.borrow().address_of(&borrower);
-    if let Some(address) = address {
-        let endpoint = endpoint.clone();
-        let slot = peers::BorrowedSlot { endpoint, number };
-        context.links.preempt(address, slot);
-    }
-}
-
-/// Releases a slot, which the first request in the wait queue gets, and without one batch
-/// work. A release of a relayed permit is forwarded to the owner.
-pub fn release(context: &context::ProcessContext, ended: peers::SlotRelease) {
-    if slot_queue::withdraw(context, ended.number) {
-        return;
-    }
-    let mut permits = context.permits.borrow_mut();
-    let released = match ended.is_served {
-        true => permits.release_served(ended.number, context.clock.now()),
-        false => permits.release(ended.number),
-    };
-    drop(permits);
-    if let Some(endpoint) = released {
-        if ended.is_served {
-            context.loads.borrow_mut().record_served(&endpoint);
-            context.fleet.record_verified(&endpoint);
-        }
-        slot_queue::record_release(context, &endpoint, ended.number);
-        context.jobs.work.notify_one();
-        return;
-    }
-    let relayed = context.relayed_slots.borrow_mut().pop(&ended.number);
-    if let Some(owner) = relayed {
-        context.links.release(owner, ended);
-    }
-}
-
 /// Applies an observation that the holder of a slot reported.
 pub fn apply_report(context: &context::ProcessContext, report: &peers::EndpointReport) {
     let peers::EndpointReport {
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -9,9 +9,10 @@
     directory, job_records, members,
     peers::{
         BatchSlotRequest, BorrowedSlot, EndpointReport, HeartbeatMessage, OnlineSlotRequest,
-        OnlineSlotResponse, PeerServiceClient, ResultRequest, SlotRelease, WriteOutcome,
+        OnlineSlotResponse, PeerServiceClient, ProgressPart, ResultRequest, SlotRelease,
+        WriteOutcome,
     },
-    permits, progress_transfer, state_snapshot, wire,
+    permits, state_snapshot, wire,
     workspaces::limit_messages,
 };
 use crate::{clock, decisions::crash_ledger, ids};
@@ -358,7 +359,7 @@
     pub async fn keep_progress(
         &self,
         peer: net::SocketAddr,
-        part: progress_transfer::ProgressPart,
+        part: ProgressPart,
         timeout: time::Duration,
     ) -> Result<bool, PeerError> {
         call_peer!(self, peer, timeout, keep_progress(part))
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -11,9 +11,10 @@
     peer_links::{frames, RECONNECT_DELAY},
     peers::{
         BatchSlotRequest, BorrowedSlot, EndpointReport, HeartbeatMessage, OnlineSlotRequest,
-        OnlineSlotResponse, PeerCall, PeerService, ResultRequest, SlotRelease, WriteOutcome,
+        OnlineSlotResponse, PeerCall, PeerService, ProgressPart, ResultRequest, SlotRelease,
+        WriteOutcome,
     },
-    progress_transfer, state_snapshot, wire,
+    state_snapshot, wire,
     workspaces::limit_messages,
 };
 use crate::{decisions::crash_ledger, ids};
@@ -118,11 +119,7 @@
             .await
     }
 
-    async fn keep_progress(
-        self,
-        _: tarpc::context::Context,
-        part: progress_transfer::ProgressPart,
-    ) -> Option<bool> {
+    async fn keep_progress(self, _: tarpc::context::Context, part: ProgressPart) -> Option<bool> {
         self.send_request(|reply| PeerCall::KeepProgress(part, reply))
             .await
     }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -7,8 +7,8 @@
 use tokio::sync::oneshot;
 
 use super::{
-    directory, evacuations, job_records, members, progress_transfer, route_table, state_snapshot,
-    wire, workspaces::limit_messages,
+    directory, evacuations, job_records, members, route_table, state_snapshot, wire,
+    workspaces::limit_messages,
 };
 use crate::{
     decisions::{admission, crash_ledger, health, liveness},
@@ -195,6 +195,21 @@
     pub number: admission::StreamNumber,
 }
 
+/// Part of the encoded progress of a job.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ProgressPart {
+    /// Identifier of the job.
+    pub job: ids::JobId,
+    /// Random identifier that distinguishes the transfers of a job.
+    pub transfer: u64,
+    /// Number of bytes before this part.
+    pub offset: usize,
+    /// Total number of bytes in all parts.
+    pub total: usize,
+    /// Bytes of this part.
+    pub bytes: Vec<u8>,
+}
+
 /// Outcome of a write to the store by a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum WriteOutcome {
@@ -248,7 +263,7 @@
     async fn find_job(job: ids::JobId) -> Option<bool>;
     /// Sends a part of the progress of a job; returns whether it continues the previous
     /// parts.
-    async fn keep_progress(part: progress_transfer::ProgressPart) -> Option<bool>;
+    async fn keep_progress(part: ProgressPart) -> Option<bool>;
     /// Reads committed results.
     async fn read_results(request: ResultRequest) -> Option<wire::ResultPage>;
     /// Notifies the peer that a job was ended.
@@ -309,7 +324,7 @@
     /// See [`PeerService::find_job`].
     FindJob(ids::JobId, oneshot::Sender<bool>),
     /// See [`PeerService::keep_progress`].
-    KeepProgress(progress_transfer::ProgressPart, oneshot::Sender<bool>),
+    KeepProgress(ProgressPart, oneshot::Sender<bool>),
     /// See [`PeerService::read_results`].
     ReadResults(ResultRequest, oneshot::Sender<wire::ResultPage>),
     /// See [`PeerService::end_job`].
--- a/src/serving/progress_transfer.rs
+++ b/src/serving/progress_transfer.rs
@@ -6,7 +6,7 @@
 
 use std::{cell, collections, net, rc, time};
 
-use super::{context, job_checkpoints, open_job, peer_links, state_snapshot};
+use super::{context, job_checkpoints, open_job, peer_links, peers, state_snapshot};
 use crate::{clock, ids};
 
 /// Maximum wait for the response to a part. 8 KB take 2 ms on a link of 30 Mbit/s and
@@ -33,30 +33,17 @@
 /// after which the sender abandons the transfer.
 const INCOMING_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// Part of the encoded progress of a job.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct ProgressPart {
-    /// Identifier of the job.
-    pub job: ids::JobId,
-    /// Random identifier that distinguishes the transfers of a job.
-    pub transfer: u64,
-    /// Number of bytes before this part.
-    pub offset: usize,
-    /// Total number of bytes in all parts.
-    pub total: usize,
-    /// Bytes of this part.
-    pub bytes: Vec<u8>,
-}
-
 /// Splits the encoded progress of a job into parts, in order.
 ///
 /// # Errors
 /// Returns an error if the progress cannot be encoded.
-pub fn split(progress: &job_checkpoints::JobCheckpoint) -> Result<Vec<ProgressPart>, String> {
+pub fn split(
+    progress: &job_checkpoints::JobCheckpoint,
+) -> Result<Vec<peers::ProgressPart>, String> {
     let encoded = postcard::to_stdvec(progress).map_err(|e| e.to_string())?;
     let transfer = rand::random();
     let chunks = encoded.chunks(state_snapshot::PART_BYTES).enumerate();
-    let parts = chunks.map(|(number, bytes)| ProgressPart {
+    let parts = chunks.map(|(number, bytes)| peers::ProgressPart {
         job: progress.job.clone(),
         transfer,
         offset: number * state_snapshot::PART_BYTES,
@@ -95,7 +82,7 @@
 
 impl ProgressInbox {
     /// Receives a part; a repeated part is accepted again.
-    pub fn receive(&mut self, part: ProgressPart) -> PartOutcome {
+    pub fn receive(&mut self, part: peers::ProgressPart) -> PartOutcome {
         self.trim();
         if part.total > MAX_TRANSFER_BYTES {
             return PartOutcome::Unfit;
@@ -201,7 +188,7 @@
 async fn send_part(
     links: &peer_links::PeerLinks,
     peer: net::SocketAddr,
-    part: &ProgressPart,
+    part: &peers::ProgressPart,
 ) -> Result<bool, peer_links::PeerError> {
     let mut attempts = 1;
     loop {
--- a/src/serving/slot_queue.rs
+++ b/src/serving/slot_queue.rs
@@ -3,13 +3,13 @@
 //!
 //! Used for requests with a ticket, which gateways attach if the desired state has
 //! workspaces. The order is decided by [`wait_queue`], the return times by
-//! [`return_schedule`].
+//! [`return_schedule`]; [`super::slot_grants`] gives the slots to the requests.
 
-use std::{collections, num, rc, time};
+use std::{collections, num, time};
 
 use tokio::sync::oneshot;
 
-use super::{context, peer_calls, peers};
+use super::peers;
 use crate::{
     clock,
     decisions::{admission, return_schedule, wait_queue},
@@ -40,7 +40,8 @@
 }
 
 impl WaitRefusal {
-    fn label(self) -> &'static str {
+    /// Returns the label of its metric series.
+    pub fn label(self) -> &'static str {
         match self {
             Self::Refused(wait_queue::QueueRefusal::TooLate) => "too_late",
             Self::Refused(wait_queue::QueueRefusal::Full) => "full",
@@ -61,11 +62,15 @@
 
 /// A waiting request and the channel for its outcome.
 #[derive(Debug)]
-struct WaitingRequest {
-    request: peers::OnlineSlotRequest,
-    ticket: peers::QueueTicket,
-    since: clock::MonotonicTime,
-    outcome: oneshot::Sender<WaitOutcome>,
+pub(super) struct WaitingRequest {
+    /// The request.
+    pub(super) request: peers::OnlineSlotRequest,
+    /// Ticket of the request.
+    pub(super) ticket: peers::QueueTicket,
+    /// When it was added.
+    pub(super) since: clock::MonotonicTime,
+    /// Channel for its outcome.
+    pub(super) outcome: oneshot::Sender<WaitOutcome>,
 }
 
 /// Wait queue and return times of one service.
@@ -121,7 +126,7 @@
 }
 
 /// A request that was removed from its queue, and the outcome to send.
-type EndedWait = (WaitingRequest, WaitOutcome);
+pub(super) type EndedWait = (WaitingRequest, WaitOutcome);
 
 /// Wait queues of all services.
 ///
@@ -259,7 +264,7 @@
     }
 
     /// Removes a request that no longer waits.
-    fn remove(&mut self, number: admission::PermitNumber) -> Option<WaitingRequest> {
+    pub(super) fn remove(&mut self, number: admission::PermitNumber) -> Option<WaitingRequest> {
         let waiting = self.waiting.remove(&number)?;
         if let Some(queue) = self.services.get_mut(&waiting.request.service) {
             queue.line.remove(number);
@@ -282,7 +287,7 @@
     }
 
     /// Removes all requests for a service.
-    fn refuse_all(&mut self, service: &ids::ServiceName) -> Vec<EndedWait> {
+    pub(super) fn refuse_all(&mut self, service: &ids::ServiceName) -> Vec<EndedWait> {
         let of_service = self.waiting.iter();
         let of_service = of_service.filter(|(_, waiting)| waiting.request.service == *service);
         let numbers: Vec<_> = of_service.map(|(number, _)| *number).collect();
@@ -291,8 +296,20 @@
         removed.map(|waiting| (waiting, outcome.clone())).collect()
     }
 
+    /// Returns a waiting request.
+    pub(super) fn get(&self, number: admission::PermitNumber) -> Option<&WaitingRequest> {
+        self.waiting.get(&number)
+    }
+
+    /// Discards the counted slots that are no longer held.
+    pub(super) fn retain_held(&mut self, is_held: impl Fn(admission::PermitNumber) -> bool) {
+        for queue in self.services.values_mut() {
+            queue.line.retain_held(&is_held);
+        }
+    }
+
     /// Returns the services for which requests wait.
-    fn waiting_services(&self) -> Vec<ids::ServiceName> {
+    pub(super) fn waiting_services(&self) -> Vec<ids::ServiceName> {
         let services = self.services.iter();
         let services = services.filter(|(_, queue)| !queue.line.is_empty());
         services.map(|(service, _)| service.clone()).collect()
@@ -331,316 +348,3 @@
         ended.collect()
     }
 }
-
-/// Returns whether a request may wait in a wait queue.
-pub(super) fn may_wait(request: &peers::OnlineSlotRequest) -> bool {
-    request.may_queue && request.ticket.is_some()
-}
-
-/// Serves the call of a peer whose request may wait; stops when the peer no longer waits.
-pub(super) fn serve_call(
-    context: &rc::Rc<context::ProcessContext>,
-    request: peers::OnlineSlotRequest,
-    mut sender: oneshot::Sender<peers::OnlineSlotResponse>,
-) {
-    let context = context.clone();
-    actix_rt::spawn(async move {
-        let response = tokio::select! {
-            response = grant_or_wait(&context, &request) => Some(response),
-            () = sender.closed() => None,
-        };
-        if let Some(response) = response {
-            peer_calls::reply(sender, response);
-        }
-    });
-}
-
-/// Grants a slot, or waits until one is free, the wait is over or the request is refused.
-///
-/// If this future is dropped, the request stops waiting and holds no slot.
-pub(super) async fn grant_or_wait(
-    context: &rc::Rc<context::ProcessContext>,
-    request: &peers::OnlineSlotRequest,
-) -> peers::OnlineSlotResponse {
-    let was_released = context
-        .permits
-        .borrow_mut()
-        .take_early_release(request.number);
-    let free_slot = peers::OnlineSlotRequest {
-        may_queue: false,
-        ..request.clone()
-    };
-    let mut response = match was_released {
-        // The release came before the request, whose sender no longer waits.
-        true => full_response(context, request),
-        false => peer_calls::grant(context, &free_slot),
-    };
-    let is_full = response.endpoint.is_none() && response.owns && !response.excludes_all;
-    let Some(ticket) = request.ticket.as_ref().filter(|_| is_full && !was_released) else {
-        return response;
-    };
-    match wait_in_line(context, request, ticket).await {
-        WaitOutcome::Granted(endpoint) => response.endpoint = Some(endpoint),
-        WaitOutcome::Refused(reason, delay) => {
-            response.owns = reason != WaitRefusal::OwnerLost;
-            response.retry_after = delay;
-        }
-    }
-    let now = context.clock.now();
-    let permits = context.permits.borrow();
-    response.free_slots = permits.free_online_slots(&request.service, now);
-    response
-}
-
-/// Returns a response without a slot.
-fn full_response(
-    context: &context::ProcessContext,
-    request: &peers::OnlineSlotRequest,
-) -> peers::OnlineSlotResponse {
-    peers::OnlineSlotResponse {
-        endpoint: None,
-        owns: context.permits.borrow().owns(&request.service),
-        excludes_all: false,
-        free_slots: 0,
-        free_queue_slots: 0,
-        retry_after: None,
-    }
-}
-
-/// Waits in the queue of the service.
-async fn wait_in_line(
-    context: &rc::Rc<context::ProcessContext>,
-    request: &peers::OnlineSlotRequest,
-    ticket: &peers::QueueTicket,
-) -> WaitOutcome {
-    let now = context.clock.now();
-    let capacity = context.permits.borrow().queue_capacity(&request.service);
-    let (mut enqueued, waiting) = {
-        let mut queues = context.slot_queues.borrow_mut();
-        let enqueued = queues.enqueue(request, ticket, capacity, now);
-        (enqueued, queues.len())
-    };
-    let refused = enqueued.send_refusals();
-    for (number, outcome) in &refused {
-        record_outcome(context, *number, outcome, time::Duration::ZERO);
-    }
-    let mut waiting_slot = WaitingSlot {
-        context: context.clone(),
-        number: request.number,
-        receiver: Some(enqueued.receiver),
-    };
-    if enqueued.is_return {
-        count(context, "returned");
-    }
-    if refused.iter().all(|(number, _)| *number != request.number) {
-        count(context, "queued");
-        log::info!(
-            "event=slot_wait number={:016x} digest={} service={} asker={} workspace={} priority={} returns={} wait_ms={} spacing_us={} waiting={waiting}",
-            request.number,
-            ticket.digest,
-            request.service,
-            request.holder,
-            ticket.workspace.as_ref().map_or("-", |id| id.as_str()),
-            ticket.priority,
-            enqueued.is_return,
-            request.wait.as_millis(),
-            capacity.spacing.unwrap_or_default().as_micros(),
-        );
-    }
-    let wait = request.wait.min(ticket.deadline);
-    waiting_slot.outcome(wait, capacity).await
-}
-
-/// A request in a wait queue; stops waiting on drop.
-///
-/// A slot that was granted but not taken over is released on drop.
-struct WaitingSlot {
-    context: rc::Rc<context::ProcessContext>,
-    number: admission::PermitNumber,
-    /// Receiver of the outcome; `None` once the outcome was taken over.
-    receiver: Option<oneshot::Receiver<WaitOutcome>>,
-}
-
-impl WaitingSlot {
-    /// Waits for the outcome, for as long as the request may wait.
-    async fn outcome(
-        &mut self,
-        wait: time::Duration,
-        capacity: wait_queue::QueueCapacity,
-    ) -> WaitOutcome {
-        let lost = WaitOutcome::Refused(WaitRefusal::OwnerLost, None);
-        let Some(receiver) = &mut self.receiver else {
-            return lost;
-        };
-        let received = tokio::time::timeout(wait, &mut *receiver).await;
-        let outcome = match received {
-            Ok(outcome) => outcome.unwrap_or(lost),
-            Err(_) => match receiver.try_recv() {
-                Ok(outcome) => outcome,
-                Err(_) => {
-                    let now = self.context.clock.now();
-                    let mut queues = self.context.slot_queues.borrow_mut();
-                    let ended = queues.expire(self.number, capacity, now);
-                    drop(queues);
-                    ended.map_or(lost, |(outcome, waited)| {
-                        record_outcome(&self.context, self.number, &outcome, waited);
-                        outcome
-                    })
-                }
-            },
-        };
-        self.receiver = None;
-        outcome
-    }
-}
-
-impl Drop for WaitingSlot {
-    fn drop(&mut self) {
-        let Some(mut receiver) = self.receiver.take() else {
-            return;
-        };
-        if withdraw(&self.context, self.number) {
-            return;
-        }
-        if let Ok(WaitOutcome::Granted(_)) = receiver.try_recv() {
-            let release = peers::SlotRelease {
-                number: self.number,
-                is_served: false,
-            };
-            peer_calls::release(&self.context, release);
-        }
-    }
-}
-
-/// Removes a request whose caller has left; returns whether it was waiting.
-pub(super) fn withdraw(context: &context::ProcessContext, number: admission::PermitNumber) -> bool {
-    let Some(waiting) = context.slot_queues.borrow_mut().remove(number) else {
-        return false;
-    };
-    count(context, "left");
-    log::info!(
-        "event=slot_wait_left number={number:016x} digest={} waited_ms={}",
-        waiting.ticket.digest,
-        context.clock.now().since(waiting.since).as_millis()
-    );
-    true
-}
-
-/// Records the release of a slot, which the first waiting request gets.
-pub(super) fn record_release(
-    context: &context::ProcessContext,
-    endpoint: &ids::EndpointId,
-    number: admission::PermitNumber,
-) {
-    let service = context.permits.borrow().service_of(endpoint).cloned();
-    let Some(service) = service else {
-        return;
-    };
-    let mut queues = context.slot_queues.borrow_mut();
-    let is_awaited = queues.record_release(&service, number);
-    drop(queues);
-    if is_awaited {
-        serve_waiting(context, &service);
-    }
-}
-
-/// Gives the free slots of a service to the waiting requests.
-fn serve_waiting(context: &context::ProcessContext, service: &ids::ServiceName) {
-    loop {
-        let now = context.clock.now();
-        if context.permits.borrow().free_online_slots(service, now) == 0 {
-            return;
-        }
-        let candidates = context.slot_queues.borrow().candidates(service);
-        let granted = candidates.into_iter().find_map(|number| {
-            let queues = context.slot_queues.borrow();
-            let waiting = queues.waiting.get(&number)?;
-            let request = peers::OnlineSlotRequest {
-                may_queue: false,
-                ..waiting.request.clone()
-            };
-            drop(queues);
-            Some((number, peer_calls::acquire(context, &request)?))
-        });
-        let Some((number, endpoint)) = granted else {
-            return;
-        };
-        let granted =
-            context
-                .slot_queues
-                .borrow_mut()
-                .grant(service, number, endpoint.clone(), now);
-        match granted {
-            Some(waited) => {
-                record_outcome(context, number, &WaitOutcome::Granted(endpoint), waited);
-            }
-            None => {
-                // Its caller has left.
-                context.permits.borrow_mut().release(number);
-                let mut queues = context.slot_queues.borrow_mut();
-                queues.record_release(service, number);
-            }
-        }
-    }
-}
-
-/// Refuses the requests for services that this process can no longer serve, and gives slots
-/// that became free without a release to the others.
-pub(super) fn refresh(context: &context::ProcessContext) {
-    let services = context.slot_queues.borrow().waiting_services();
-    for service in services {
-        let is_served = !context.is_leaving() && context.permits.borrow().owns(&service);
-        if is_served {
-            serve_waiting(context, &service);
-            continue;
-        }
-        let ended = context.slot_queues.borrow_mut().refuse_all(&service);
-        let now = context.clock.now();
-        for (waiting, outcome) in ended {
-            let waited = now.since(waiting.since);
-            record_outcome(context, waiting.request.number, &outcome, waited);
-            // A requester that has left needs no outcome.
-            drop(waiting.outcome.send(outcome));
-        }
-    }
-}
-
-/// Discards the counted slots that ended without a release, such as those of lost holders.
-pub(super) fn forget_ended(context: &context::ProcessContext) {
-    let permits = context.permits.borrow();
-    let mut queues = context.slot_queues.borrow_mut();
-    for queue in queues.services.values_mut() {
-        queue.line.retain_held(|number| permits.holds(number));
-    }
-}
-
-/// Logs and counts the outcome of a wait.
-fn record_outcome(
-    context: &context::ProcessContext,
-    number: admission::PermitNumber,
-    outcome: &WaitOutcome,
-    waited: time::Duration,
-) {
-    let waited_ms = waited.as_millis();
-    match outcome {
-        WaitOutcome::Granted(endpoint) => {
-            count(context, "granted");
-            log::info!(
-                "event=slot_wait_granted number={number:016x} endpoint={endpoint} waited_ms={waited_ms}"
-            );
-        }
-        WaitOutcome::Refused(reason, delay) => {
-            let label = reason.label();
-            count(context, label);
-            log::info!(
-                "event=slot_wait_refused number={number:016x} reason={label} waited_ms={waited_ms} retry_after_ms={}",
-                delay.map_or(-1, |delay| delay.as_millis() as i64)
-            );
-        }
-    }
-}
-
-fn count(context: &context::ProcessContext, outcome: &str) {
-    let counters = &context.metrics.slot_queue;
-    counters.with_label_values(&[outcome]).inc();
-}
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -5,7 +5,7 @@
 
 use rand::seq::IndexedRandom as _;
 
-use super::{context, directory, endpoint_reports, peer_calls, peers, pending_permit, slot_queue};
+use super::{context, directory, endpoint_reports, peers, pending_permit, slot_grants};
 use crate::{
     clock,
     decisions::{admission, owner_order, ownership},
@@ -522,9 +522,9 @@
     let number = request.number;
     let service = &request.service.clone();
     let (response, permit) = if owner == context.id() {
-        let response = match slot_queue::may_wait(&request) {
-            true => slot_queue::grant_or_wait(context, &request).await,
-            false => peer_calls::grant(context, &request),
+        let response = match slot_grants::may_wait(&request) {
+            true => slot_grants::grant_or_wait(context, &request).await,
+            false => slot_grants::grant(context, &request),
         };
         (response, HeldPermit::Here(number))
     } else {
@@ -533,7 +533,7 @@
         };
         let permit = HeldPermit::Peer(address, number);
         let pending = pending_permit::PendingPermit::new(context, address, number);
-        let timeout = match slot_queue::may_wait(&request) {
+        let timeout = match slot_grants::may_wait(&request) {
             true => request.wait + OWNER_TIMEOUT,
             false => OWNER_TIMEOUT,
         };
@@ -631,7 +631,7 @@
 fn release_permit(context: &context::ProcessContext, permit: HeldPermit, is_served: bool) {
     let release = |number| peers::SlotRelease { number, is_served };
     match permit {
-        HeldPermit::Here(number) => peer_calls::release(context, release(number)),
+        HeldPermit::Here(number) => slot_grants::release(context, release(number)),
         HeldPermit::Peer(peer, number) => context.links.release(peer, release(number)),
     }
 }
