--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -34,4 +34,5 @@
 pub mod routing;
 pub mod start_hold;
 pub mod step_model;
+pub mod wait_queue;
 pub mod workspace_limit;
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -5,8 +5,8 @@
 use futures::future;
 
 use super::{
-    attempt, connection, context, crash_guard, crash_watch, directory, endpoint_reports,
-    event_split, job_table, open_job, peer_calls, peers, wire,
+    attempt, connection, context, crash_guard, crash_watch, directory, endpoint_records,
+    endpoint_reports, event_split, job_table, open_job, peers, wire,
 };
 use crate::{
     clock,
@@ -296,7 +296,7 @@
                     .doubts
                     .record_life(&self.endpoint.id, context.clock.now());
                 drop(loads);
-                peer_calls::record_life(context, &self.endpoint.id, "served");
+                endpoint_records::record_life(context, &self.endpoint.id, "served");
                 let mut permits = context.permits.borrow_mut();
                 return permits.record_served(&self.endpoint.id);
             }
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -47,6 +47,10 @@
                     metrics.endpoint_speed.with_label_values(&labels).set(speed);
                 }
             }
+            let queued = context.slot_queues.borrow().len();
+            metrics
+                .slot_queue_length
+                .set(queued.try_into().unwrap_or(i64::MAX));
             let unreadable = context.fleet.unreadable();
             metrics
                 .unreadable_objects
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -5,13 +5,11 @@
 use tokio::sync::mpsc;
 
 use super::{
-    context, crash_guard, crash_trials, endpoint_reports, fleet_sync, job_calls, job_checkpoints,
-    job_records, job_runner, job_supervisor, limit_links, peers, slots,
-};
-use crate::{
-    decisions::{admission, endpoint_speed},
-    ids, store,
+    context, crash_guard, crash_trials, endpoint_records, endpoint_reports, fleet_sync, job_calls,
+    job_checkpoints, job_records, job_runner, job_supervisor, limit_links, peers, slot_grants,
+    slots,
 };
+use crate::{decisions::endpoint_speed, ids, store};
 
 /// Handles the calls of peers.
 pub(super) async fn serve_peers(
@@ -44,8 +42,11 @@
             members.record_contact(&request.holder, now);
             drop(members);
             let is_owner = context.owners().iter().any(|o| o.id == *context.id());
+            if is_owner && slot_grants::may_wait(&request) {
+                return wait_for_slot(context, request, sender);
+            }
             if is_owner {
-                return reply(sender, grant(context, &request));
+                return reply(sender, slot_grants::grant(context, &request));
             }
             let context = context.clone();
             actix_rt::spawn(async move {
@@ -54,7 +55,7 @@
                 }
             });
         }
-        C::Release(ended) => release(context, ended),
+        C::Release(ended) => slot_grants::release(context, ended),
         C::Report(report) => apply_report(context, &report),
         C::CrashUpdate(message) => {
             crash_guard::apply_update(context, message);
@@ -154,6 +155,24 @@
     }
 }
 
+/// Serves the call of a peer whose request may wait; stops when the peer no longer waits.
+fn wait_for_slot(
+    context: &rc::Rc<context::ProcessContext>,
+    request: peers::OnlineSlotRequest,
+    mut sender: tokio::sync::oneshot::Sender<peers::OnlineSlotResponse>,
+) {
+    let context = context.clone();
+    actix_rt::spawn(async move {
+        let response = tokio::select! {
+            response = slot_grants::grant_or_wait(&context, &request) => Some(response),
+            () = sender.closed() => None,
+        };
+        if let Some(response) = response {
+            reply(sender, response);
+        }
+    });
+}
+
 /// Converts the result of a write to the store for a peer.
 fn write_outcome(written: &store::StoreResult<()>) -> peers::WriteOutcome {
     match written {
@@ -182,128 +201,6 @@
     slots.collect()
 }
 
-/// Grants a slot at an owned endpoint, preempting batch streams if necessary.
-pub fn grant(
-    context: &rc::Rc<context::ProcessContext>,
-    request: &peers::OnlineSlotRequest,
-) -> peers::OnlineSlotResponse {
-    let now = context.clock.now();
-    let mut permits = context.permits.borrow_mut();
-    let ejected = context.ejected_endpoints(&permits, now);
-    let granted = permits.acquire(request, &ejected, now);
-    let owns = permits.owns(&request.service);
-    let excludes_all = permits.are_all_excluded(request);
-    let all_suspect = permits.are_all_suspect(request, &ejected, now);
-    let only_suspect = granted.is_none() && permits.has_only_suspect(request, &ejected, now);
-    let is_probe = granted
-        .as_ref()
-        .is_some_and(|slot| permits.is_suspect(&slot.endpoint, now));
-    let free_slots = permits.free_online_slots(&request.service, now);
-    let free_queue_slots = permits.free_queue_slots(&request.service, request.wait, now);
-    let denial = granted.is_none().then(|| permits.denial(request, now));
-    drop(permits);
-    if let Some(denial) = denial {
-        log::info!(
-            "event=place_denied service={} asker={} may_queue={} only_suspect={only_suspect} {denial}",
-            request.service,
-            request.holder,
-            request.may_queue,
-        );
-    }
-    if let Some(slot) = granted.as_ref().filter(|_| is_probe) {
-        let kind = match request.single_attempt {
-            true => "single_attempt",
-            false => "repeatable",
-        };
-        context.metrics.probes.with_label_values(&[kind]).inc();
-        log::info!(
-            "event=endpoint_probed endpoint={} asker={} kind={kind} use={:?}",
-            slot.endpoint,
-            request.holder,
-            request.use_of_suspects,
-        );
-    }
-    let endpoint = granted.map(|slot| {
-        for stream in &slot.preempted {
-            preempt(context, &slot.endpoint, *stream);
-        }
-        slot.endpoint
-    });
-    peers::OnlineSlotResponse {
-        endpoint,
-        owns,
-        excludes_all,
-        free_slots,
-        free_queue_slots,
-        only_suspect,
-        all_suspect,
-        is_probe,
-    }
-}
-
-/// Preempts a batch stream that runs here or at the borrower of the slot.
-fn preempt(
-    context: &context::ProcessContext,
-    endpoint: &ids::EndpointId,
-    number: admission::StreamNumber,
-) {
-    context.metrics.preempted.inc();
-    let borrower = context.permits.borrow_mut().borrower(endpoint, number);
-    let Some(borrower) = borrower else {
-        context.jobs.preempt(endpoint, number);
-        return;
-    };
-    let address = context.members.borrow().address_of(&borrower);
-    if let Some(address) = address {
-        let endpoint = endpoint.clone();
-        let slot = peers::BorrowedSlot { endpoint, number };
-        context.links.preempt(address, slot);
-    }
-}
-
-/// Releases a slot, which batch work may then use. A release of a relayed permit is
-/// forwarded to the owner.
-pub fn release(context: &context::ProcessContext, ended: peers::SlotRelease) {
-    let mut permits = context.permits.borrow_mut();
-    let released = match ended.is_served {
-        true => permits.release_served(ended.number, context.clock.now()),
-        false => permits.release(ended.number),
-    };
-    drop(permits);
-    if let Some(endpoint) = released {
-        if ended.is_served {
-            context.loads.borrow_mut().record_served(&endpoint);
-            context.fleet.record_verified(&endpoint);
-            record_life(context, &endpoint, "served");
-        }
-        if let Some(observation) = &ended.observation {
-            record_run(context, &endpoint, observation);
-        }
-        context.jobs.work.notify_one();
-        return;
-    }
-    let relayed = context.relayed_slots.borrow_mut().pop(&ended.number);
-    if let Some(owner) = relayed {
-        context.links.release(owner, ended);
-    }
-}
-
-/// Records a sign of life of an owned endpoint, which ends the doubt about it.
-pub(super) fn record_life(
-    context: &context::ProcessContext,
-    endpoint: &ids::EndpointId,
-    sign: &str,
-) {
-    let now = context.clock.now();
-    let doubted = context.permits.borrow_mut().record_life(endpoint, now);
-    if let Some(duration) = doubted {
-        log::info!(
-            "event=endpoint_trusted endpoint={endpoint} sign={sign} suspect_ms={}",
-            duration.as_millis()
-        );
-    }
-}
-
 /// Records what an observation says about whether an owned endpoint is alive.
 fn record_life_evidence(
     context: &context::ProcessContext,
@@ -312,7 +209,9 @@
 ) {
     let evidence = match endpoint_reports::life_evidence(observation) {
         endpoint_reports::LifeEvidence::Failed(evidence) => evidence,
-        endpoint_reports::LifeEvidence::Alive => return record_life(context, endpoint, "reported"),
+        endpoint_reports::LifeEvidence::Alive => {
+            return endpoint_records::record_life(context, endpoint, "reported")
+        }
         endpoint_reports::LifeEvidence::None => return,
     };
     let reporter = match observation {
@@ -336,26 +235,6 @@
     }
 }
 
-/// Records what was observed of a run at an owned endpoint.
-fn record_run(
-    context: &context::ProcessContext,
-    endpoint: &ids::EndpointId,
-    observation: &endpoint_speed::RunObservation,
-) {
-    let now = context.clock.now();
-    let mut permits = context.permits.borrow_mut();
-    let change = permits.record_run(endpoint, observation, now);
-    drop(permits);
-    if let Some(change) = change {
-        log::info!(
-            "event=endpoint_speed endpoint={endpoint} service={} time_ratio={:.2} before={:.2} run=\"{observation:?}\"",
-            change.service,
-            change.now,
-            change.before,
-        );
-    }
-}
-
 /// Applies an observation that the holder of a slot reported.
 pub fn apply_report(context: &context::ProcessContext, report: &peers::EndpointReport) {
     let peers::EndpointReport {
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -7,8 +7,8 @@
 use tokio::sync::oneshot;
 
 use super::{
-    directory, evacuations, job_records, members, progress_transfer, route_table, state_snapshot,
-    wire, workspaces::limit_messages,
+    directory, evacuations, job_records, members, route_table, state_snapshot, wire,
+    workspaces::limit_messages,
 };
 use crate::{
     decisions::{admission, crash_ledger, endpoint_doubt, endpoint_speed, health, liveness},
@@ -106,6 +106,22 @@
     pub single_attempt: bool,
     /// Which endpoints with failures the request accepts.
     pub use_of_suspects: endpoint_doubt::SuspectUse,
+    /// Ticket for the wait queue of the owner. Without one the request waits, if at all, in
+    /// the queue of an endpoint.
+    pub ticket: Option<QueueTicket>,
+}
+
+/// Place of a request in the order of a wait queue.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct QueueTicket {
+    /// Digest of the request, by which a retry is recognized.
+    pub digest: ids::RequestDigest,
+    /// Workspace that it is served for, if it has one.
+    pub workspace: Option<ids::WorkspaceId>,
+    /// Priority of the workspace or, without one, of the route; 0 is the highest.
+    pub priority: u32,
+    /// Remaining time of its caller.
+    pub deadline: time::Duration,
 }
 
 /// Response of an owner to a slot request.
@@ -121,7 +137,8 @@
     /// Free online slots of the owner after this response.
     #[serde(rename = "room")]
     pub free_slots: u32,
-    /// Free queue slots of its endpoints after this response.
+    /// Free queue slots of its endpoints after this response, or for a request with a ticket
+    /// those of the wait queue of the service.
     #[serde(rename = "queue_room")]
     pub free_queue_slots: u32,
     /// Whether only endpoints with failures, which the request does not accept, have a free
@@ -133,6 +150,8 @@
     /// Whether the endpoint of the slot is suspect, so that the requester must report its
     /// first sign of life at once.
     pub is_probe: bool,
+    /// Time after which the caller is expected to retry, if one was booked for it.
+    pub retry_after: Option<time::Duration>,
 }
 
 /// Release of the slot of a permit.
@@ -201,6 +220,21 @@
     pub number: admission::StreamNumber,
 }
 
+/// Part of the encoded progress of a job.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ProgressPart {
+    /// Identifier of the job.
+    pub job: ids::JobId,
+    /// Random identifier that distinguishes the transfers of a job.
+    pub transfer: u64,
+    /// Number of bytes before this part.
+    pub offset: usize,
+    /// Total number of bytes in all parts.
+    pub total: usize,
+    /// Bytes of this part.
+    pub bytes: Vec<u8>,
+}
+
 /// Outcome of a write to the store by a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum WriteOutcome {
@@ -254,7 +288,7 @@
     async fn find_job(job: ids::JobId) -> Option<bool>;
     /// Sends a part of the progress of a job; returns whether it continues the previous
     /// parts.
-    async fn keep_progress(part: progress_transfer::ProgressPart) -> Option<bool>;
+    async fn keep_progress(part: ProgressPart) -> Option<bool>;
     /// Reads committed results.
     async fn read_results(request: ResultRequest) -> Option<wire::ResultPage>;
     /// Notifies the peer that a job was ended.
@@ -315,7 +349,7 @@
     /// See [`PeerService::find_job`].
     FindJob(ids::JobId, oneshot::Sender<bool>),
     /// See [`PeerService::keep_progress`].
-    KeepProgress(progress_transfer::ProgressPart, oneshot::Sender<bool>),
+    KeepProgress(ProgressPart, oneshot::Sender<bool>),
     /// See [`PeerService::read_results`].
     ReadResults(ResultRequest, oneshot::Sender<wire::ResultPage>),
     /// See [`PeerService::end_job`].
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -344,6 +344,7 @@
         }
         let context = rc::Rc::clone(&relay.context);
         let objective = relay.request.route.objective;
+        let ticket = relay.queue_ticket();
         let acquiring = actix_rt::spawn(async move {
             let request = slots::SlotParams {
                 service: &service,
@@ -351,6 +352,7 @@
                 objective,
                 // The request moves for good, and a suspect endpoint is no better.
                 single_attempt: true,
+                ticket: ticket.as_ref(),
             };
             match may_queue {
                 true => slots::acquire_or_choose_locally(&context, &request).await,
--- a/tests/endpoint_choice.rs
+++ b/tests/endpoint_choice.rs
@@ -49,6 +49,7 @@
         wait: time::Duration::ZERO,
         single_attempt: false,
         use_of_suspects: endpoint_doubt::SuspectUse::Probe,
+        ticket: None,
     }
 }
 
--- a/tests/endpoint_doubt.rs
+++ b/tests/endpoint_doubt.rs
@@ -57,6 +57,7 @@
             true => SuspectUse::Avoid,
             false => SuspectUse::Probe,
         },
+        ticket: None,
     }
 }
 
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -209,6 +209,7 @@
         wait: time::Duration::ZERO,
         single_attempt: false,
         use_of_suspects: endpoint_doubt::SuspectUse::Probe,
+        ticket: None,
     }
 }
 
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -47,6 +47,7 @@
         wait: time::Duration::ZERO,
         single_attempt: false,
         use_of_suspects: endpoint_doubt::SuspectUse::Probe,
+        ticket: None,
     }
 }
 
