fix(serving): faults at the seams of the merged parts, found in review

A review by somebody who wrote none of the parts found, by reading: - A request was denied although batch work would give a slot up: the choice compared expected completion times before it looked for a free slot (tests/endpoint_choice.rs fails without this change). - A return time that the wait queue had booked was lost if the owner had a free suspect endpoint, and callers with workspaces were refused without the last round that others have. - An endpoint that restarted while a request probed it got no probe for 5 s (tests/endpoint_doubt.rs). - Single-attempt requests could go to an endpoint at which their own gateway had lost a request, after an owner had changed. - The wait queue counted the slots of endpoints that grant none. - Owners were asked up to nine times for one refused request while any endpoint of any service was suspect; a relayed request took its ticket to owners that have 40 ms for it. - A request waited for a token beyond its caller's time, and for half of its objective while no quota server responded; the reason named the denial before the last one. - Retry-After was rounded to 10 ms, so that punctual callers were too early. - The first read of the members of a fleet that starts for the first time may be partial and decided its size; it is repeated once then.

--- a/src/decisions/endpoint_doubt.rs
+++ b/src/decisions/endpoint_doubt.rs
@@ -188,6 +188,14 @@
         }
     }
 
+    /// Allows the next probe of an endpoint that has restarted: the request that probed the
+    /// earlier run ends without a word about this one.
+    pub fn clear_probe(&mut self, id: &ids::EndpointId) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.probe = None;
+        }
+    }
+
     /// Returns the endpoints that are suspect.
     pub fn suspects(&self, now: clock::MonotonicTime) -> impl Iterator<Item = &ids::EndpointId> {
         let entries = self.entries.iter();
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -146,7 +146,9 @@
     }
     let (method, uri) = (request.method(), request.uri());
     let digest = ids::RequestDigest::of(method.as_str(), &host, &uri.to_string(), &body);
-    let admitted = request_admission::admit(&context, &workspace, &terms, &route, digest).await;
+    let patience = request_admission::CallerPatience { arrived, timeout };
+    let admitted =
+        request_admission::admit(&context, &workspace, &terms, &route, digest, patience).await;
     let token = match admitted {
         Ok(token) => token,
         Err(response) => return response,
--- a/src/serving/member_sync.rs
+++ b/src/serving/member_sync.rs
@@ -43,6 +43,8 @@
     // Whether the store responds is learned from the list of endpoints, which is read after
     // the members: the first read must not wait for it.
     let mut was_read = false;
+    let own_key = format!("{prefix}{}", context.id());
+    let mut may_be_partial = true;
     while !context.is_stopping() {
         let learns_from_peers = since.0 > 0 && !context.fleet.follows_store();
         let is_unreachable = was_read && !context.fleet.is_reachable();
@@ -58,6 +60,18 @@
         };
         match response {
             Ok(response) => {
+                // Without its own record this process is new, and others may start with it
+                // whose records are not written yet. The size of the fleet decides where it
+                // gets the list of endpoints, so the members are read once more.
+                let is_own_listed = response.changes.iter().any(|c| c.key == own_key);
+                if since.0 == 0 && !is_own_listed && may_be_partial {
+                    may_be_partial = false;
+                    context.members_known.set(true);
+                    apply_member_changes(&context, &prefix, response.changes);
+                    context.members_updated.notify_one();
+                    actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
+                    continue;
+                }
                 let is_first = since.0 == 0;
                 since = store::ObjectRevision(response.revision);
                 context.members_known.set(true);
--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -259,6 +259,7 @@
         let dropped: Vec<_> = dropped.map(|(id, _)| id.clone()).collect();
         for id in &dropped {
             self.ledgers.remove(id);
+            self.doubts.clear_probe(id);
         }
         let ledgers = &self.ledgers;
         self.holders
@@ -294,6 +295,7 @@
             self.holders.retain(|_, holder| holder.endpoint != *id);
             self.borrowed.retain(|(endpoint, _), _| endpoint != id);
             self.refusals.forget(id);
+            self.doubts.clear_probe(id);
         }
         if let Some(entry) = owned {
             let ledger = self.ledgers.entry(id.clone());
@@ -349,6 +351,8 @@
                 false => owned.ledger.online() + owned.ledger.batch(),
             };
             (
+                // An endpoint without a slot cannot be chosen for its speed or health.
+                owned.free_online_slots() == 0,
                 ejected.contains(&owned.entry.id),
                 is_full,
                 owned.cold_gate.is_cold(now),
@@ -800,10 +804,16 @@
         free_slots.sum()
     }
 
-    /// Returns the capacity of a service for which requests wait in a wait queue.
-    pub fn queue_capacity(&self, service: &ids::ServiceName) -> wait_queue::QueueCapacity {
-        let of_service = self.owned().filter(|entry| entry.service == *service);
-        let slots = of_service.map(|entry| entry.slots).sum::<u32>();
+    /// Returns the capacity of a service for which requests wait in a wait queue, without
+    /// endpoints that may grant no slots or lost a request.
+    pub fn queue_capacity(
+        &self,
+        service: &ids::ServiceName,
+        now: clock::MonotonicTime,
+    ) -> wait_queue::QueueCapacity {
+        let owned = self.of_service(service, now);
+        let usable = owned.filter(|owned| !self.doubts.is_broken(&owned.entry.id, now));
+        let slots = usable.map(|owned| owned.entry.slots).sum::<u32>();
         let hold_time = self.hold_times.get(service).copied().unwrap_or_default();
         let spacing = hold_time.mean().filter(|_| slots > 0);
         wait_queue::QueueCapacity {
--- a/src/serving/refusals.rs
+++ b/src/serving/refusals.rs
@@ -35,7 +35,7 @@
     retry_after: time::Duration,
     body: &'static str,
 ) -> http_server::HttpResponse {
-    let seconds = format!("{:.2}", retry_after.as_secs_f64());
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
     let response = actix_http::Response::build(StatusCode::SERVICE_UNAVAILABLE)
         .insert_header((header::RETRY_AFTER, seconds))
         .body(body)
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -359,7 +359,7 @@
         let mut response = actix_http::Response::build(status);
         self.close_if_stopping(&mut response);
         if let Some(delay) = retry_after {
-            response.insert_header((header::RETRY_AFTER, format!("{:.2}", delay.as_secs_f64())));
+            response.insert_header((header::RETRY_AFTER, format!("{:.3}", delay.as_secs_f64())));
         }
         let body = match error {
             FinalError::Held(_) => QUARANTINED_BODY,
--- a/src/serving/request_admission.rs
+++ b/src/serving/request_admission.rs
@@ -10,6 +10,7 @@
     workspaces::{api_key, limiter, workspace_table},
 };
 use crate::{
+    clock,
     decisions::{
         authentication::{self, KeyFreshness, KeyMatch, KeyVerdict},
         queue_limit,
@@ -146,17 +147,29 @@
     body: impl Into<String>,
 ) -> http_server::HttpResponse {
     actix_http::Response::build(status)
-        .insert_header((header::RETRY_AFTER, format!("{:.2}", delay.as_secs_f64())))
+        .insert_header((header::RETRY_AFTER, format!("{:.3}", delay.as_secs_f64())))
         .body(body.into())
         .map_into_boxed_body()
 }
 
-/// Returns the maximum time for which a request of a route may wait for a token.
-fn max_token_wait(route: &route_table::Route) -> time::Duration {
-    match protection::is_disabled("token_wait") {
-        true => time::Duration::ZERO,
-        false => queue_limit::planned_wait(route.objective),
+/// When a request arrived, and for how long its caller waits from then on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CallerPatience {
+    /// When the request arrived.
+    pub(super) arrived: clock::BootInstant,
+    /// Time for which the caller waits.
+    pub(super) timeout: time::Duration,
+}
+
+/// Returns the maximum time for which a request may wait for a token: what the objective of
+/// its route leaves, and no more than half of its caller's time.
+fn max_token_wait(route: &route_table::Route, patience: CallerPatience) -> time::Duration {
+    if protection::is_disabled("token_wait") {
+        return time::Duration::ZERO;
     }
+    let age = patience.arrived.elapsed();
+    let planned = queue_limit::planned_wait(route.objective).saturating_sub(age);
+    planned.min(patience.timeout.saturating_sub(age) / 2)
 }
 
 /// Spends a token of the rate limit of a request's workspace, if it has one. Waits for one
@@ -170,6 +183,7 @@
     terms: &wire::CallerTerms,
     route: &route_table::Route,
     digest: ids::RequestDigest,
+    patience: CallerPatience,
 ) -> Result<Option<SpentToken>, http_server::HttpResponse> {
     let Some(spec) = workspace else {
         return Ok(None);
@@ -187,7 +201,7 @@
         limit,
         digest,
         priority: spec.priority.unwrap_or(route.priority),
-        max_wait: max_token_wait(route),
+        max_wait: max_token_wait(route, patience),
     };
     let verdict = context.limiter.admit(&request, &source, clock).await;
     let token = || SpentToken {
--- a/src/serving/slot_grants.rs
+++ b/src/serving/slot_grants.rs
@@ -49,7 +49,7 @@
     let free_queue_slots = match &request.ticket {
         None => permits.free_queue_slots(&request.service, request.wait, now),
         Some(ticket) => {
-            let capacity = permits.queue_capacity(&request.service);
+            let capacity = permits.queue_capacity(&request.service, now);
             let queues = context.slot_queues.borrow();
             queues.free_places(request, ticket, capacity)
         }
@@ -190,6 +190,8 @@
         }
         WaitOutcome::Refused(reason, delay) => {
             response.owns = reason != WaitRefusal::OwnerLost;
+            // The requester must learn of the booked time first.
+            response.only_suspect = false;
             response.retry_after = delay;
         }
     }
@@ -224,7 +226,10 @@
     ticket: &peers::QueueTicket,
 ) -> WaitOutcome {
     let now = context.clock.now();
-    let capacity = context.permits.borrow().queue_capacity(&request.service);
+    let capacity = {
+        let permits = context.permits.borrow();
+        permits.queue_capacity(&request.service, now)
+    };
     let (mut enqueued, waiting) = {
         let mut queues = context.slot_queues.borrow_mut();
         let enqueued = queues.enqueue(request, ticket, capacity, now);
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -319,7 +319,7 @@
     let mut suspect_owners = 0;
     for owner in owners {
         let answered = replies.len() - suspect_owners;
-        if answered >= MAX_QUERIED_OWNERS || suspect_owners > MAX_SUSPECT_OWNERS {
+        if answered >= MAX_QUERIED_OWNERS || suspect_owners >= MAX_SUSPECT_OWNERS {
             break;
         }
         let slot = online_slot_request(context, request, first_use(request));
@@ -345,6 +345,18 @@
     }
 }
 
+/// Returns whether this process suspects endpoints of a service.
+fn excludes_suspects(context: &context::ProcessContext, service: &ids::ServiceName) -> bool {
+    let directory = context.fleet.directory.borrow();
+    let loads = context.loads.borrow();
+    let mut suspects = loads.doubts.suspects(context.clock.now());
+    let is_listed = |id: &ids::EndpointId| {
+        let entry = directory.usable(id);
+        entry.is_some_and(|e| e.service == *service)
+    };
+    suspects.any(is_listed)
+}
+
 /// Requests a slot at a suspect endpoint from the owners that have no other free slot.
 async fn request_suspect_slot(
     context: &rc::Rc<context::ProcessContext>,
@@ -352,15 +364,14 @@
     denials: &[(SlotReply, &ids::InstanceId)],
     use_of_suspects: endpoint_doubt::SuspectUse,
 ) -> Option<HeldSlot> {
-    let has_excluded = request.single_attempt && {
-        let loads = context.loads.borrow();
-        let mut suspects = loads.doubts.suspects(context.clock.now());
-        suspects.next().is_some()
-    };
+    let has_excluded = request.single_attempt && excludes_suspects(context, request.service);
+    // In the second round, only owners that withheld a slot can have one.
+    let is_first_round = use_of_suspects == endpoint_doubt::SuspectUse::Slow;
     let is_withheld = |reply: &SlotReply| match reply {
         SlotReply::OnlySuspect(_) => true,
         // The free endpoints may be suspect by the observations of this process only.
-        SlotReply::Excluded | SlotReply::Full(_) => has_excluded,
+        SlotReply::Excluded => has_excluded,
+        SlotReply::Full(_) => has_excluded && is_first_round,
         _ => false,
     };
     let withheld = denials.iter().filter(|(reply, _)| is_withheld(reply));
@@ -422,8 +433,12 @@
         match reply {
             Some(OwnerReply::Slot(slot)) => return OwnerReply::Slot(slot),
             Some(reply @ (OwnerReply::Booked(_) | OwnerReply::None(SlotReply::Full(_)))) => {
-                log_no_place(service, &replies, &owners);
-                return reply;
+                let use_of_suspects = use_after_denials(&replies);
+                let slot = request_suspect_slot(context, request, &denials, use_of_suspects).await;
+                if slot.is_none() {
+                    log_no_place(service, &replies, &owners);
+                }
+                return slot.map_or(reply, OwnerReply::Slot);
             }
             Some(OwnerReply::None(_)) | None => {}
         }
@@ -642,8 +657,13 @@
     let now = context.clock.now();
     let mut avoided = loads.ejected(count, is_listed, now);
     // Repeatable requests probe suspect endpoints, which their owner permits.
-    if use_of_suspects == endpoint_doubt::SuspectUse::Avoid {
-        avoided.extend(loads.suspects(count, is_listed, now));
+    let suspects = || loads.suspects(count, is_listed, now).into_iter();
+    match use_of_suspects {
+        endpoint_doubt::SuspectUse::Avoid => avoided.extend(suspects()),
+        endpoint_doubt::SuspectUse::Slow if request.single_attempt => {
+            avoided.extend(suspects().filter(|id| loads.doubts.is_broken(id, now)));
+        }
+        _ => {}
     }
     let mut excluded = tried.to_vec();
     excluded.extend(avoided.into_iter().filter(|id| !tried.contains(id)));
@@ -702,6 +722,8 @@
 ) -> Option<peers::OnlineSlotResponse> {
     // The owners receive no heartbeats from the peer, and would release its slots.
     request.holder = context.run.clone();
+    // An owner is given too little time here for its wait queue.
+    request.ticket = None;
     let number = request.number;
     let owners = owner_order(context, &request.service);
     let owners = &owners[..owners.len().min(MAX_QUERIED_OWNERS)];
--- a/src/serving/workspaces/limiter.rs
+++ b/src/serving/workspaces/limiter.rs
@@ -23,6 +23,9 @@
 /// Time for which a quota server that did not respond within [`HEDGE_DELAY`] is asked after
 /// the others. It covers the time until its heartbeats count as missing.
 const SLOW_DURATION: time::Duration = time::Duration::from_secs(1);
+/// Maximum time for which a request waits while no quota server responds. A round trip takes
+/// a few milliseconds, so this gateway is then cut off from all of them.
+const MAX_SILENT_WAIT: time::Duration = time::Duration::from_millis(200);
 /// Retry delay for a caller whose limit could not be checked, and the range of the random
 /// delay that is added to it.
 const UNCHECKED_RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
@@ -273,12 +276,18 @@
             };
             state.ahead = self.queues.borrow().ahead_of(workspace, &queued.ticket);
             state.expected = self.expected_wait(request, state.ahead, &recent);
-            let left = request.max_wait.saturating_sub(state.waited);
+            let max_wait = match recent.denial {
+                token_cache::Denial::Silent => request.max_wait.min(MAX_SILENT_WAIT),
+                token_cache::Denial::Exceeded(_) => request.max_wait,
+            };
+            let left = max_wait.saturating_sub(state.waited);
             if state.expected >= left {
-                let reason = match state.denial.is_some() {
-                    true => state.expiry_reason(),
-                    false if recent.denial == token_cache::Denial::Silent => TokenRefusal::Silent,
-                    false => TokenRefusal::TooLong,
+                let reason = match recent.denial {
+                    token_cache::Denial::Silent => TokenRefusal::Silent,
+                    token_cache::Denial::Exceeded(_) if state.denial.is_some() => {
+                        TokenRefusal::Expired
+                    }
+                    token_cache::Denial::Exceeded(_) => TokenRefusal::TooLong,
                 };
                 return self.refuse(request, reason, &state, clock);
             }
--- a/tests/endpoint_choice.rs
+++ b/tests/endpoint_choice.rs
@@ -351,6 +351,29 @@
     assert_eq!(acquire(&mut table, 90), "e0", "it is as good as any");
 }
 
+/// Guards against a refusal for a fast endpoint without a slot while batch work at a slow one
+/// would give way.
+#[test]
+fn a_slot_of_batch_work_comes_before_a_fast_endpoint_without_one() {
+    let entries: Vec<_> = (0..3).map(|n| entry(format!("e{n}"))).collect();
+    let mut table = learned_table([200, 25, 25], &entries);
+    let none = collections::HashSet::new();
+    let service = "s".parse().expect("a name");
+    let acquire = |table: &mut permits::PermitTable, number| {
+        let slot = table.acquire(&slot_request(number), &none, at_ms(60));
+        slot.map(|slot| slot.endpoint.to_string())
+    };
+    while table
+        .begin_batch(&service, &collections::HashSet::new(), at_ms(60))
+        .is_some()
+    {}
+    let chosen: Vec<_> = (0..3 * u64::from(SLOTS))
+        .map(|number| acquire(&mut table, number))
+        .collect();
+    assert!(chosen.iter().all(Option::is_some), "{chosen:?}");
+    assert_eq!(acquire(&mut table, 90), None, "all slots are in use");
+}
+
 /// Guards against batch streams that slow down the endpoints that serve online requests best,
 /// and against an order that holds against any number of free slots.
 #[test]
--- a/tests/endpoint_doubt.rs
+++ b/tests/endpoint_doubt.rs
@@ -432,3 +432,21 @@
         "it gave a sign of life"
     );
 }
+
+/// Guards against an endpoint that gets no probe for 5 s: it restarted while a request probed
+/// its earlier run.
+#[test]
+fn a_restarted_endpoint_is_probed_though_its_last_probe_was_lost() {
+    let mut table = permits::PermitTable::default();
+    table.set_owned(&[entry("a", Some(1))]);
+    let none = collections::HashSet::new();
+    table.record_failure(&id("a"), BROKEN, at_ms(0));
+    let probe = |table: &mut permits::PermitTable, number, ms| {
+        let slot = table.acquire(&slot_request(number, false), &none, at_ms(ms));
+        slot.is_some()
+    };
+    assert!(probe(&mut table, 1, 200));
+    assert!(!probe(&mut table, 2, 300), "one at a time");
+    assert!(table.update_owned(&id("a"), Some(&entry("a", Some(2)))));
+    assert!(probe(&mut table, 3, 400));
+}
