--- a/src/decisions/endpoint_doubt.rs
+++ b/src/decisions/endpoint_doubt.rs
@@ -203,8 +203,8 @@
         suspects.map(|(id, _)| id)
     }
 
-    /// Removes and returns the endpoints of which nothing was heard for `MAX_DOUBT` since
-    /// their last failure.
+    /// Removes and returns the endpoints without a further failure or sign of life within
+    /// `MAX_DOUBT` of their last failure.
     pub fn take_expired(&mut self, now: clock::MonotonicTime) -> Vec<ids::EndpointId> {
         let mut expired = Vec::new();
         self.entries.retain(|id, entry| {
--- a/src/decisions/return_schedule.rs
+++ b/src/decisions/return_schedule.rs
@@ -6,14 +6,14 @@
 
 /// Maximum age of a booking. Callers hardly ever have more time left than this.
 const MAX_BOOKING_AGE: time::Duration = time::Duration::from_secs(10);
-/// Time after the booked place within which a return counts as on time. It covers the way
-/// of the refusal, a new connection and the way of the next attempt.
+/// Time after the booked place within which a return counts as on time. It covers the
+/// refusal's way to the caller, a new connection and the request's way back.
 const RETURN_GRACE: time::Duration = time::Duration::from_millis(500);
 /// Time before the booked place at which a return counts as on time. Retry times are sent
 /// with a resolution of milliseconds.
 const ROUNDING: time::Duration = time::Duration::from_millis(2);
 
-/// Place in the expected capacity that a refused caller was told to return at.
+/// Place in the expected capacity that a refused caller was given.
 #[derive(Debug, Clone, Copy)]
 struct ReturnBooking {
     request: ids::RequestDigest,
--- a/src/decisions/start_hold.rs
+++ b/src/decisions/start_hold.rs
@@ -4,8 +4,8 @@
 
 /// Time from the start of a process to its readiness beside a store that responds.
 const START_TIME: time::Duration = time::Duration::from_millis(300);
-/// Longest expected time to readiness. Callers cap a retry at a third of the 5 s that most
-/// of them have left, so a longer one would not change what they do.
+/// Longest expected time to readiness. Callers cap a retry at a third of the time that they
+/// have left, which is seconds, so a longer one would not change what they do.
 const MAX_EXPECTED: time::Duration = time::Duration::from_secs(2);
 /// Share of the caller's remaining time for which a request may be held. The rest leaves
 /// time for the response, or for a retry elsewhere that waits a third of it.
--- a/src/serving/limit_links.rs
+++ b/src/serving/limit_links.rs
@@ -84,7 +84,7 @@
             response
                 .inspect_err(|e| {
                     // A process that has just started lists all dispatchers, also those that
-                    // no longer run. Nothing was expected of one that was never heard.
+                    // no longer run; a process without any heartbeat so far is not worth a line.
                     let level = match context.members.borrow().was_heard(&quota_server) {
                         true => log::Level::Info,
                         false => log::Level::Debug,
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// Ends the doubt about endpoints of which nothing was heard for long.
+/// Ends the doubt about endpoints without a further failure or sign of life for long.
 fn expire_doubts(context: &context::ProcessContext) {
     let now = context.clock.now();
     context.loads.borrow_mut().doubts.take_expired(now);
--- a/src/serving/readiness_gate.rs
+++ b/src/serving/readiness_gate.rs
@@ -135,7 +135,7 @@
     if !context.fleet.is_known() {
         return Some(MissingState::Fleet);
     }
-    // One that is listed but not heard yet has no link, and would be asked in vain.
+    // A listed one without a heartbeat has no link yet, and requests to it would fail.
     let is_heard = |id: &ids::InstanceId| id == context.id() || context.receives_from(id);
     if context.shares.borrow().quota_servers().iter().any(is_heard) {
         return None;
