fix(serving): an unusable slot at a suspect endpoint does not end in a refusal

A caller got 503 "full" while an endpoint was free: both endpoints of two owners had cut a request, the owner that was asked granted the one that the gateway already knew to be leaving (place_refused, "not listed here"), and the search counted as full. Before suspect endpoints were told apart, such a reply let the gateway go ahead on its own counts; it does again.

--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -358,12 +358,16 @@
 }
 
 /// Requests a slot at a suspect endpoint from the owners that have no other free slot.
+///
+/// # Errors
+/// None granted a usable one: [`SlotReply::Silent`] if one gave no usable response, which may
+/// name an endpoint that is no longer listed here, and [`SlotReply::Full`] otherwise.
 async fn request_suspect_slot(
     context: &rc::Rc<context::ProcessContext>,
     request: &SlotParams<'_>,
     denials: &[(SlotReply, &ids::InstanceId)],
     use_of_suspects: endpoint_doubt::SuspectUse,
-) -> Option<HeldSlot> {
+) -> Result<HeldSlot, SlotReply> {
     let has_excluded = request.single_attempt && excludes_suspects(context, request.service);
     // In the second round, only owners that withheld a slot can have one.
     let is_first_round = use_of_suspects == endpoint_doubt::SuspectUse::Slow;
@@ -375,13 +379,16 @@
         _ => false,
     };
     let withheld = denials.iter().filter(|(reply, _)| is_withheld(reply));
+    let mut denial = SlotReply::Full(0);
     for (_, owner) in withheld.take(MAX_SUSPECT_OWNERS) {
         let slot = online_slot_request(context, request, use_of_suspects);
-        if let OwnerReply::Slot(slot) = send_request(context, owner, slot).await {
-            return Some(slot);
+        match send_request(context, owner, slot).await {
+            OwnerReply::Slot(slot) => return Ok(slot),
+            OwnerReply::None(SlotReply::Silent) => denial = SlotReply::Silent,
+            OwnerReply::None(_) | OwnerReply::Booked(_) => {}
         }
     }
-    None
+    Err(denial)
 }
 
 /// Acquires a slot for a request that has run, even if a new request would be refused.
@@ -418,13 +425,14 @@
             true => None,
             false => {
                 let use_of_suspects = use_after_denials(&replies);
-                request_suspect_slot(context, request, &denials, use_of_suspects).await
+                let slot = request_suspect_slot(context, request, &denials, use_of_suspects);
+                slot.await.ok()
             }
         };
         return slot.map_or(OwnerReply::None(SlotReply::Silent), OwnerReply::Slot);
     }
     let slow = endpoint_doubt::SuspectUse::Slow;
-    if let Some(slot) = request_suspect_slot(context, request, &denials, slow).await {
+    if let Ok(slot) = request_suspect_slot(context, request, &denials, slow).await {
         return OwnerReply::Slot(slot);
     }
     let started_at = clock::BootInstant::now();
@@ -435,7 +443,7 @@
             Some(reply @ (OwnerReply::Booked(_) | OwnerReply::None(SlotReply::Full(_)))) => {
                 let use_of_suspects = use_after_denials(&replies);
                 let slot = request_suspect_slot(context, request, &denials, use_of_suspects).await;
-                if slot.is_none() {
+                if slot.is_err() {
                     log_no_place(service, &replies, &owners);
                 }
                 return slot.map_or(reply, OwnerReply::Slot);
@@ -464,11 +472,12 @@
         }
     }
     let use_of_suspects = use_after_denials(&replies);
-    if let Some(slot) = request_suspect_slot(context, request, &denials, use_of_suspects).await {
-        return OwnerReply::Slot(slot);
-    }
+    let denial = match request_suspect_slot(context, request, &denials, use_of_suspects).await {
+        Ok(slot) => return OwnerReply::Slot(slot),
+        Err(denial) => denial,
+    };
     log_no_place(service, &replies, &owners);
-    OwnerReply::None(SlotReply::Full(0))
+    OwnerReply::None(denial)
 }
 
 fn log_no_place(service: &ids::ServiceName, replies: &[SlotReply], owners: &[ids::InstanceId]) {
