fix(serving): the second read of the members does not wait for the store

A process whose record was not in the store, as at a first start or after a planned stop, knew its endpoints 2.5 s after its start instead of 0.5 s.

--- a/src/serving/member_sync.rs
+++ b/src/serving/member_sync.rs
@@ -66,6 +66,9 @@
                 let is_own_listed = response.changes.iter().any(|c| c.key == own_key);
                 if since.0 == 0 && !is_own_listed && may_be_partial {
                     may_be_partial = false;
+                    // The list of endpoints is read after the members, so the store does not
+                    // count as reachable before the second read either.
+                    was_read = false;
                     context.members_known.set(true);
                     apply_member_changes(&context, &prefix, response.changes);
                     context.members_updated.notify_one();
