--- a/src/serving/readiness_gate.rs
+++ b/src/serving/readiness_gate.rs
@@ -9,8 +9,8 @@
 ///
 /// It is short, as the next try goes to another process.
 const STOP_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
-/// Interval at which held requests check whether a quota server was heard; nothing notifies
-/// of it.
+/// Interval at which held requests check for a heartbeat of a quota server, which notifies
+/// nobody.
 const QUOTA_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
 /// Requests held until the process can serve.
