feat(limits): credit token pools once after a restart of all processes

A gateway marks its first deposit with each quota server as its start credit. A quota server accepts one whole start credit, in the first window of its run, under its first complete list of quota servers, and only if a record on its disk shows that no run accepted others in the last three windows. The pools are shallower by the start credit in return, so that the bound of a window stays as it was. Processes without a disk or without a tolerance keep their depth and accept nothing.

--- a/src/bench/limit_fleet/pooled.rs
+++ b/src/bench/limit_fleet/pooled.rs
@@ -131,6 +131,7 @@
                 time: ShareTime::of(due.time, self.gateways.len()),
                 view: due.view,
                 stamp: now,
+                start_credit: None,
             };
             self.boards[number].deposit(&deposit, now);
         }
--- a/src/decisions/rate_limits/rate_limit.rs
+++ b/src/decisions/rate_limits/rate_limit.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt, num, str, time};
 
+use super::token_pools;
+
 /// Requests per second; positive and finite.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
 pub struct RequestRate(f64);
@@ -61,11 +63,34 @@
         })
     }
 
-    /// Returns the maximum number of tokens in all pools of the workspace together.
+    /// Returns the maximum number of tokens in all pools of the workspace together, where no
+    /// quota server accepts start credits.
     pub fn depth(&self, tolerance: &LimitTolerance) -> f64 {
+        self.raw_depth(tolerance).max(MIN_DEPTH)
+    }
+
+    /// Returns the maximum number of tokens in all pools of the workspace together, where the
+    /// quota servers may accept a start credit.
+    pub fn depth_beside_start_credit(&self, tolerance: &LimitTolerance) -> f64 {
+        let depth = self.raw_depth(tolerance) - self.start_credit(tolerance);
+        depth.max(MIN_DEPTH)
+    }
+
+    /// Returns the number of tokens that are credited once after a restart of all processes, to
+    /// all pools of the workspace together.
+    ///
+    /// They take up half of the margin of the pools at most, and leave the depth for the burst
+    /// and for the largest credit at once.
+    pub fn start_credit(&self, tolerance: &LimitTolerance) -> f64 {
+        let largest_credit = self.rate.0 * token_pools::CREDIT_BURST.as_secs_f64();
+        let least_depth = self.burst.max(largest_credit).max(MIN_DEPTH);
+        let spare = (self.raw_depth(tolerance) - least_depth).max(0.0);
+        spare.min(tolerance.margin(self) * START_CREDIT_MARGIN)
+    }
+
+    fn raw_depth(&self, tolerance: &LimitTolerance) -> f64 {
         let in_transit = self.rate.0 * IN_TRANSIT.as_secs_f64();
-        let margin = tolerance.margin(self) * POOL_MARGIN;
-        (self.burst + margin - in_transit).max(MIN_DEPTH)
+        self.burst + tolerance.margin(self) * POOL_MARGIN - in_transit
     }
 }
 
@@ -103,15 +128,24 @@
         allowed + self.margin(limit)
     }
 
+    /// Returns whether a window may hold more requests than the limit says.
+    pub fn has_margin(&self) -> bool {
+        self.overage > 0.0 || self.slack > 0.0
+    }
+
     fn margin(&self, limit: &RateLimit) -> f64 {
         let allowed = limit.rate.0 * self.window.as_secs_f64() + limit.burst;
         allowed * self.overage + self.slack
     }
 }
 
-/// Fraction of the tolerance by which pools are deeper than the burst. The rest covers
-/// gateways that disagree on the number of gateways.
+/// Fraction of the tolerance that pools and start credits use on top of the burst. The rest
+/// covers gateways that disagree on the number of gateways.
 const POOL_MARGIN: f64 = 0.9;
+/// Fraction of the tolerance that start credits use at most. With an overage of 0.1 and a slack
+/// of 20, it covers the 0.4 s of flow that are missing in the first two seconds after a restart
+/// of all processes, for rates up to 69/s and a burst of one second.
+const START_CREDIT_MARGIN: f64 = 0.45;
 /// Longest flow of tokens that is neither in a pool nor spent, but in deposits
 /// ([`super::token_pools::CREDIT_BURST`]) or in grants ([`super::token_cache::GRANT_TTL`]).
 const IN_TRANSIT: time::Duration = time::Duration::from_millis(400);
--- a/src/decisions/rate_limits/share_clock.rs
+++ b/src/decisions/rate_limits/share_clock.rs
@@ -95,6 +95,9 @@
     pub view: QuotaServerView,
     /// Time since the last deposit with this quota server.
     pub time: time::Duration,
+    /// Whether it is the first one of this run with this quota server, so that the start credit
+    /// goes with it. All first ones are made under one list of quota servers.
+    pub is_first: bool,
 }
 
 /// Times at which a gateway's share was last deposited, by quota server.
@@ -176,6 +179,7 @@
             number: self.number,
             view,
             time: passed.min(MAX_DEPOSIT),
+            is_first,
         })
     }
 
--- a/src/decisions/rate_limits/token_pools.rs
+++ b/src/decisions/rate_limits/token_pools.rs
@@ -5,6 +5,7 @@
 use super::{
     rate_limit::{LimitTolerance, RateLimit},
     share_clock::{self, DepositNumber, QuotaServerView, ShareTime},
+    start_credit::{GatewayFraction, StartCreditDenial, StartCreditGate},
 };
 use crate::{clock, decisions::call_budget, ids};
 
@@ -15,7 +16,8 @@
 /// A deposit with an older stamp was delayed on its way.
 const MAX_STAMP_AGE: time::Duration = time::Duration::from_millis(1500);
 
-/// Window in which deposits show what fraction of the gateways they come from.
+/// Window in which deposits show what fraction of the gateways they come from, and time for
+/// which a start credit deepens the pools.
 const COVERAGE_WINDOW: time::Duration = time::Duration::from_millis(1500);
 
 /// Outcome of a deposit.
@@ -44,6 +46,36 @@
     pub view: QuotaServerView,
     /// Latest stamp of this process that the gateway has read.
     pub stamp: clock::MonotonicTime,
+    /// Start credit of the gateway, in the first deposit of its run.
+    pub start_credit: Option<GatewayFraction>,
+}
+
+/// What became of a deposit and of the start credit in it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DepositReceipt {
+    /// Outcome of the deposit.
+    pub outcome: DepositOutcome,
+    /// Accepted start credit, or the reason for which it was denied; `None` if there was none,
+    /// or the deposit was not credited.
+    pub start_credit: Option<Result<f64, StartCreditDenial>>,
+}
+
+/// Sum of what a quota server has credited.
+#[derive(Debug, Clone, Copy, Default)]
+struct CreditSum {
+    /// Time, in seconds of the full rate.
+    time: f64,
+    /// Start credit, as a fraction of the whole one.
+    start: f64,
+}
+
+/// Limit of a workspace with what follows from it for its pools.
+struct PoolLimit {
+    rate: f64,
+    /// Start credit for all pools of the workspace together.
+    start_credit: f64,
+    /// Depth of all pools of the workspace together.
+    depth: f64,
 }
 
 /// Response to a request for tokens.
@@ -63,17 +95,19 @@
 #[derive(Debug, Clone, Copy)]
 struct TokenPool {
     tokens: f64,
-    /// Credit up to which `tokens` is computed, in seconds of the full rate.
-    accrued_to: f64,
+    /// Credits up to which `tokens` is computed.
+    accrued_to: CreditSum,
     /// Fraction of the limit that is deposited here.
     fraction: f64,
 }
 
 impl TokenPool {
     /// Adds the tokens accrued up to `credited`.
-    fn accrue(&mut self, credited: f64, limit: &RateLimit, depth: f64) {
-        let gained = (credited - self.accrued_to).max(0.0) * limit.rate.per_second();
-        let depth = (depth * self.fraction).max(1.0);
+    fn accrue(&mut self, credited: CreditSum, limit: &PoolLimit) {
+        let time = (credited.time - self.accrued_to.time).max(0.0);
+        let start = (credited.start - self.accrued_to.start).max(0.0);
+        let gained = time * limit.rate + start * limit.start_credit;
+        let depth = (limit.depth * self.fraction).max(1.0);
         self.tokens = (self.tokens + gained * self.fraction).min(depth);
         self.accrued_to = credited;
     }
@@ -89,12 +123,17 @@
     tolerance: LimitTolerance,
     view: Option<QuotaServerView>,
     quota_servers: Vec<ids::InstanceId>,
-    /// Sum of all credits so far, in seconds of the full rate.
-    credited: f64,
+    /// Sum of all credits so far.
+    credited: CreditSum,
     /// Value of `credited` when the list of quota servers last changed.
-    credited_at_view: f64,
+    credited_at_view: CreditSum,
     /// Latest credits with the times at which they were received.
-    recent_credits: collections::VecDeque<(clock::MonotonicTime, f64)>,
+    recent_credits: collections::VecDeque<(clock::MonotonicTime, CreditSum)>,
+    /// Whether runs of this quota server may accept start credits.
+    has_start_credits: bool,
+    start_credits: StartCreditGate,
+    /// Whether the list of quota servers has been complete.
+    had_whole_list: bool,
     /// Limits credits to the time that has passed.
     allowance: call_budget::TokenBucket,
     pools: collections::BTreeMap<ids::WorkspaceId, TokenPool>,
@@ -103,22 +142,49 @@
 }
 
 impl PoolTable {
-    /// Creates a table without pools, for a process that starts.
+    /// Creates a table without pools, for a process that starts. It accepts no start credits.
     pub fn new(own: ids::InstanceId, tolerance: LimitTolerance, now: clock::MonotonicTime) -> Self {
         Self {
             own,
             tolerance,
             view: None,
             quota_servers: Vec::new(),
-            credited: 0.0,
-            credited_at_view: 0.0,
+            credited: CreditSum::default(),
+            credited_at_view: CreditSum::default(),
             recent_credits: collections::VecDeque::new(),
+            has_start_credits: false,
+            start_credits: StartCreditGate::closed(),
+            had_whole_list: false,
             allowance: call_budget::TokenBucket::empty(1.0, CREDIT_BURST.as_secs_f64(), now),
             pools: collections::BTreeMap::new(),
             last_deposits: collections::HashMap::new(),
         }
     }
 
+    /// Keeps room for start credits, also for those of later runs. This run accepts them as soon
+    /// as [`Self::permit_start_credits`] says so and the list of quota servers is complete.
+    pub fn reserve_start_credits(&mut self, started_at: clock::MonotonicTime) {
+        self.has_start_credits = true;
+        self.start_credits = StartCreditGate::starting_at(started_at, self.tolerance.window);
+    }
+
+    /// Records what the start record says.
+    pub fn permit_start_credits(&mut self, permission: Result<(), StartCreditDenial>) {
+        self.start_credits.set_permission(permission);
+    }
+
+    /// Accepts no further start credits in this run.
+    pub fn close_start_credits(&mut self, reason: StartCreditDenial) {
+        self.start_credits.close(reason);
+    }
+
+    /// Records that the list of quota servers is complete. Start credits are accepted under this
+    /// one only: under another one a workspace may have other quota servers, which may accept
+    /// the start credits of restarted gateways on top.
+    pub fn complete_list(&mut self) {
+        self.had_whole_list = true;
+    }
+
     /// Replaces the list of quota servers; `limit_of` returns the active limit of a workspace.
     pub fn set_quota_servers(
         &mut self,
@@ -132,17 +198,20 @@
         }
         self.quota_servers = quota_servers.to_vec();
         self.credited_at_view = self.credited;
-        let coverage = self.coverage(now);
+        if self.had_whole_list {
+            self.start_credits.close(StartCreditDenial::ListChanged);
+        }
+        let recent = self.recent_credits(now);
         let mut pools = std::mem::take(&mut self.pools);
         pools.retain(|workspace, pool| {
             let (Some(limit), Some(fraction)) = (limit_of(workspace), self.fraction_of(workspace))
             else {
                 return false;
             };
-            let depth = limit.depth(&self.tolerance) * coverage;
-            pool.accrue(self.credited, &limit, depth);
+            let limit = self.pool_limit(&limit, recent);
+            pool.accrue(self.credited, &limit);
             pool.fraction = fraction;
-            pool.accrue(self.credited, &limit, depth);
+            pool.accrue(self.credited, &limit);
             true
         });
         self.pools = pools;
@@ -160,7 +229,34 @@
         is_quota_server.then(|| 1.0 / order.len() as f64)
     }
 
-    /// Credits a deposit.
+    /// Credits a deposit and the start credit in it.
+    pub fn receive(&mut self, deposit: &PoolDeposit, now: clock::MonotonicTime) -> DepositReceipt {
+        let outcome = self.deposit(deposit, now);
+        let fraction = deposit.start_credit;
+        let fraction = fraction.filter(|_| outcome == DepositOutcome::Credited);
+        let start_credit = fraction.map(|fraction| self.accept_start_credit(fraction, now));
+        DepositReceipt {
+            outcome,
+            start_credit,
+        }
+    }
+
+    fn accept_start_credit(
+        &mut self,
+        fraction: GatewayFraction,
+        now: clock::MonotonicTime,
+    ) -> Result<f64, StartCreditDenial> {
+        if !self.had_whole_list {
+            return Err(StartCreditDenial::ListUnknown);
+        }
+        let start = self.start_credits.accept(fraction, now)?;
+        self.credited.start += start;
+        let credit = CreditSum { time: 0.0, start };
+        self.recent_credits.push_back((now, credit));
+        Ok(start)
+    }
+
+    /// Credits a deposit without the start credit in it.
     pub fn deposit(&mut self, deposit: &PoolDeposit, now: clock::MonotonicTime) -> DepositOutcome {
         let stamp = deposit.stamp;
         if stamp > now || now.since(stamp) > MAX_STAMP_AGE {
@@ -176,17 +272,15 @@
             return DepositOutcome::OtherView;
         }
         let time = deposit.time.seconds().max(0.0);
-        let credit = self.allowance.take_up_to(time, now);
-        self.credited += credit;
+        let time = self.allowance.take_up_to(time, now);
+        self.credited.time += time;
+        let credit = CreditSum { time, start: 0.0 };
         self.recent_credits.push_back((now, credit));
         DepositOutcome::Credited
     }
 
-    /// Returns the fraction of all gateways that deposited within [`COVERAGE_WINDOW`].
-    ///
-    /// The depth of the pools is scaled by it, so that in a partitioned fleet no part accumulates
-    /// the tokens of both.
-    fn coverage(&mut self, now: clock::MonotonicTime) -> f64 {
+    /// Returns the sum of the credits received within [`COVERAGE_WINDOW`].
+    fn recent_credits(&mut self, now: clock::MonotonicTime) -> CreditSum {
         let is_old = |at: clock::MonotonicTime| now.since(at) > COVERAGE_WINDOW;
         while self
             .recent_credits
@@ -195,8 +289,31 @@
         {
             self.recent_credits.pop_front();
         }
-        let credits: f64 = self.recent_credits.iter().map(|(_, credit)| credit).sum();
-        (credits / COVERAGE_WINDOW.as_secs_f64()).min(1.0)
+        let sum = |total: CreditSum, (_, credit): &(_, CreditSum)| CreditSum {
+            time: total.time + credit.time,
+            start: total.start + credit.start,
+        };
+        self.recent_credits.iter().fold(CreditSum::default(), sum)
+    }
+
+    /// Returns what follows from a limit for its pools.
+    ///
+    /// The depth is scaled by the fraction of all gateways that deposited within
+    /// [`COVERAGE_WINDOW`], so that in a partitioned fleet no part accumulates the tokens of
+    /// both. Start credits come on top of it: right after a start that fraction is near zero, and
+    /// they would not fit into the pools.
+    fn pool_limit(&self, limit: &RateLimit, recent: CreditSum) -> PoolLimit {
+        let coverage = (recent.time / COVERAGE_WINDOW.as_secs_f64()).min(1.0);
+        let depth = match self.has_start_credits {
+            true => limit.depth_beside_start_credit(&self.tolerance),
+            false => limit.depth(&self.tolerance),
+        };
+        let start_credit = limit.start_credit(&self.tolerance);
+        PoolLimit {
+            rate: limit.rate.per_second(),
+            start_credit,
+            depth: depth * coverage + start_credit * recent.start,
+        }
     }
 
     /// Takes up to `wanted` tokens of a workspace.
@@ -210,21 +327,22 @@
         let Some(fraction) = self.fraction_of(workspace) else {
             return TokenGrant::NotQuotaServer;
         };
-        let depth = limit.depth(&self.tolerance) * self.coverage(now);
+        let recent = self.recent_credits(now);
+        let limit = self.pool_limit(limit, recent);
         let new_pool = TokenPool {
             tokens: 0.0,
             accrued_to: self.credited_at_view,
             fraction,
         };
         let pool = self.pools.entry(workspace.clone()).or_insert(new_pool);
-        pool.accrue(self.credited, limit, depth);
+        pool.accrue(self.credited, &limit);
         let granted = pool.tokens.floor().clamp(0.0, f64::from(wanted));
         if granted >= 1.0 {
             pool.tokens -= granted;
             return TokenGrant::Tokens(granted as u32);
         }
         let missing = (1.0 - pool.tokens).max(0.0);
-        let rate = limit.rate.per_second() * fraction;
+        let rate = limit.rate * fraction;
         TokenGrant::Empty(time::Duration::from_secs_f64(
             (missing / rate).min(MAX_WAIT_S),
         ))
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -82,6 +82,8 @@
     pub token_waiting: prometheus::IntGauge,
     /// Deposits to the token pools of this process, by outcome.
     pub limit_deposits: prometheus::IntCounterVec,
+    /// Start credits of gateways received by this process: accepted, or the reason for denial.
+    pub start_credits: prometheus::IntCounterVec,
     /// Requests for a place in the wait queues of owned endpoints, by outcome.
     pub slot_queue: prometheus::IntCounterVec,
     /// Requests in the wait queues.
@@ -255,6 +257,12 @@
                 "Deposits with the pools of this process, by outcome",
                 "outcome",
             ),
+            start_credits: counters(
+                r,
+                "jayhollow_start_credits_total",
+                "Start credits of gateways received by this process, by outcome",
+                "outcome",
+            ),
             view_reads: counters(
                 r,
                 "jayhollow_view_reads_total",
--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -7,7 +7,7 @@
 use super::{
     checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_checkpoints,
     job_table, members, peer_links, peers, permits, progress_transfer, selection, single_flight,
-    slot_queue, state_transfer, wire,
+    slot_queue, start_record, state_transfer, wire,
     workspaces::{limit_messages, limiter},
 };
 use crate::{
@@ -150,6 +150,10 @@
     pub(super) stop_started_at: cell::Cell<Option<clock::BootInstant>>,
     /// Start time of the process.
     pub(super) started_at: clock::MonotonicTime,
+    /// Start time of the process by the clock that includes suspensions.
+    pub(super) booted_at: clock::BootInstant,
+    /// Outcomes of start credits that were logged in this run.
+    pub(super) logged_start_credits: cell::RefCell<collections::HashSet<&'static str>>,
     /// Time of day at the start, in milliseconds since the epoch.
     started_ms: u64,
     /// Time since which a peer has had a newer endpoint list, and the own change number then.
@@ -206,8 +210,11 @@
         progress: RestoredProgress,
     ) -> Self {
         let started_at = adapters.clock.now();
-        let pools =
+        let mut pools =
             token_pools::PoolTable::new(options.member.id.clone(), options.tolerance, started_at);
+        if start_record::is_kept(&options) {
+            pools.reserve_start_credits(started_at);
+        }
         let run = ids::InstanceRun {
             instance: options.member.id.clone(),
             run: ids::RunNumber::random(),
@@ -253,6 +260,8 @@
             retiring: cell::Cell::new(false),
             stop_started_at: cell::Cell::new(None),
             started_at,
+            booted_at: clock::BootInstant::now(),
+            logged_start_credits: cell::RefCell::default(),
             started_ms: clock::epoch_ms(),
             differing_since: cell::Cell::new(None),
             suspensions: watch::Sender::new(0),
--- a/src/serving/limit_links.rs
+++ b/src/serving/limit_links.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     clock,
-    decisions::rate_limits::{rate_limit, share_clock, token_pools},
+    decisions::rate_limits::{rate_limit, share_clock, start_credit, token_pools},
     ids,
 };
 
@@ -185,6 +185,9 @@
         |workspace| active_limit(context, workspace),
         now,
     );
+    if context.members_known.get() {
+        pools.complete_list();
+    }
     // A gateway does not probe itself, so its deposit to itself goes with no heartbeat.
     if quota_servers.contains(context.id()) {
         deposit_locally(context, &mut pools, now);
@@ -206,8 +209,10 @@
         time: share_clock::ShareTime::of(due.time, gateway_count(context)),
         view: due.view,
         stamp: now,
+        start_credit: start_credit_of(context, &due),
     };
-    pools.deposit(&deposit, now);
+    let receipt = receive_deposit(context, pools, &deposit, now);
+    record_start_credit(context, context.id(), &receipt);
 }
 
 /// Returns the number of gateways that share the limits.
@@ -219,6 +224,59 @@
     members.records().filter(|r| is_gateway(r.role)).count() + own
 }
 
+/// Returns the start credit that goes with a deposit.
+fn start_credit_of(
+    context: &context::ProcessContext,
+    due: &share_clock::DueDeposit,
+) -> Option<start_credit::GatewayFraction> {
+    due.is_first
+        .then(|| start_credit::GatewayFraction::of(gateway_count(context)))
+}
+
+/// Receives a deposit in the pools of this process.
+fn receive_deposit(
+    context: &context::ProcessContext,
+    pools: &mut token_pools::PoolTable,
+    deposit: &token_pools::PoolDeposit,
+    now: clock::MonotonicTime,
+) -> token_pools::DepositReceipt {
+    // The monotonic clock stands still while the machine is suspended, the one of the start
+    // record does not.
+    if context.booted_at.elapsed() > context.options.tolerance.window {
+        pools.close_start_credits(start_credit::StartCreditDenial::RunTooOld);
+    }
+    pools.receive(deposit, now)
+}
+
+/// Counts a start credit; logs the first one of each outcome in this run.
+fn record_start_credit(
+    context: &context::ProcessContext,
+    gateway: &ids::InstanceId,
+    receipt: &token_pools::DepositReceipt,
+) {
+    let Some(start_credit) = receipt.start_credit else {
+        return;
+    };
+    let label = match start_credit {
+        Ok(_) => "accepted",
+        Err(reason) => reason.name(),
+    };
+    let counter = &context.metrics.start_credits;
+    counter.with_label_values(&[label]).inc();
+    if !context.logged_start_credits.borrow_mut().insert(label) {
+        return;
+    }
+    let age_ms = context.age().as_millis();
+    match start_credit {
+        Ok(fraction) => log::info!(
+            "event=start_credit_accepted from={gateway} fraction={fraction:.4} age_ms={age_ms}"
+        ),
+        Err(reason) => {
+            log::info!("event=start_credit_denied from={gateway} why={reason} age_ms={age_ms}");
+        }
+    }
+}
+
 /// Takes the deposit that is due at a quota server. Only a gateway that knows the other
 /// members makes deposits.
 fn take_due_deposit(
@@ -260,6 +318,7 @@
         view: due.view,
         run: known.run,
         stamp: known.stamp,
+        start_credit: start_credit_of(context, &due),
     });
     Some(SentDeposit {
         quota_server: peer.clone(),
@@ -345,9 +404,13 @@
                 time: deposit.time,
                 view: deposit.view,
                 stamp: deposit.stamp.time(),
+                start_credit: deposit.start_credit,
             };
             let now = context.clock.now();
-            context.pools.borrow_mut().deposit(&deposit, now)
+            let mut pools = context.pools.borrow_mut();
+            let receipt = receive_deposit(context, &mut pools, &deposit, now);
+            record_start_credit(context, &heartbeat.id, &receipt);
+            receipt.outcome
         }
         false => token_pools::DepositOutcome::Late,
     };
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -72,6 +72,7 @@
 pub mod slot_queue;
 pub mod slots;
 pub mod slow_attempt;
+pub mod start_record;
 pub mod state_snapshot;
 pub mod state_transfer;
 mod suspension;
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -6,7 +6,8 @@
 
 use super::{
     checkpoint_file, context, crash_guard, fleet_sync, job_checkpoints, job_runner, listener,
-    member_sync, members, metrics_page, owners, peer_calls, peer_server, probes, suspension,
+    member_sync, members, metrics_page, owners, peer_calls, peer_server, probes, start_record,
+    suspension,
 };
 use crate::{clock, decisions::call_budget::CallClass, protection, store};
 
@@ -47,6 +48,7 @@
     actix_rt::spawn(owners::tick(context.clone()));
     actix_rt::spawn(owners::follow_orders(context.clone()));
     actix_rt::spawn(suspension::watch(context.clone()));
+    start_record::start(&context);
     job_runner::start(&context);
     actix_rt::spawn(job_checkpoints::send_progress(context.clone()));
     if stop.recv().await.is_none() {
--- a/src/serving/workspaces/limit_messages.rs
+++ b/src/serving/workspaces/limit_messages.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock,
-    decisions::rate_limits::{share_clock, token_pools},
+    decisions::rate_limits::{share_clock, start_credit, token_pools},
     ids,
 };
 
@@ -35,6 +35,8 @@
     pub run: ids::RunNumber,
     /// Latest stamp of the quota server that the gateway has received.
     pub stamp: ClockStamp,
+    /// Start credit of the gateway, in the first deposit of its run with the quota server.
+    pub start_credit: Option<start_credit::GatewayFraction>,
 }
 
 /// A request for tokens of a workspace.
--- a/tests/limit_model.rs
+++ b/tests/limit_model.rs
@@ -1,8 +1,9 @@
 //! Exhaustive exploration of a small fleet up to a number of steps: three gateways and two
 //! quota servers of one limit, running the decision code of the product.
 //!
-//! Each step lasts a second and combines one of four partitions, one of seven events, and
-//! callers that take either all available tokens or none. Nothing is left to chance.
+//! Each step lasts a second and combines one of four partitions, one of nine events, and
+//! callers that take either all available tokens or none. Nothing is left to chance. The start
+//! records of the quota servers are durable: they outlive restarts.
 
 use std::{cell, time};
 
@@ -11,6 +12,7 @@
     decisions::rate_limits::{
         rate_limit::{LimitTolerance, RateLimit},
         share_clock::{QuotaServerView, ShareClock, ShareTime},
+        start_credit::{decide_on_record, EpochMs, GatewayFraction, StartRecord},
         token_pools::{PoolDeposit, PoolTable, TokenGrant},
     },
     ids,
@@ -25,6 +27,10 @@
 const WARM_UP_MS: u64 = 4_000;
 const STEP_MS: u64 = 1_000;
 const TICK_MS: u64 = 250;
+/// Time after a start for which all listed quota servers count, as in the product.
+const LISTED_MS: u64 = 1_500;
+/// Wall-clock time at the start of the model.
+const EPOCH_MS: u64 = 1_700_000_000_000;
 
 /// Side of each partition that a process is on: gateways first, then quota servers.
 const PARTITIONS: [[bool; GATEWAYS + QUOTA_SERVERS]; 4] = [
@@ -47,9 +53,13 @@
     DepositsAreRepeated,
     /// All processes restart; the gateways learn of the quota servers one after the other.
     AllRestart,
+    /// All processes restart, and know all quota servers of the member records at first.
+    AllRestartListed,
+    /// All gateways restart.
+    AllGatewaysRestart,
 }
 
-const EVENTS: [StepEvent; 7] = [
+const EVENTS: [StepEvent; 9] = [
     StepEvent::Nothing,
     StepEvent::QuotaServerRestarts,
     StepEvent::GatewayRestarts,
@@ -57,14 +67,44 @@
     StepEvent::DepositsAreLate,
     StepEvent::DepositsAreRepeated,
     StepEvent::AllRestart,
+    StepEvent::AllRestartListed,
+    StepEvent::AllGatewaysRestart,
 ];
 
+/// What a step may combine.
+struct StepChoices {
+    partitions: &'static [[bool; GATEWAYS + QUOTA_SERVERS]],
+    events: &'static [StepEvent],
+    /// Whether callers take all available tokens.
+    demands: &'static [bool],
+}
+
+const ALL_CHOICES: StepChoices = StepChoices {
+    partitions: &PARTITIONS,
+    events: &EVENTS,
+    demands: &[true, false],
+};
+
+/// Choices that bring most start credits, for runs of more steps.
+const RESTARTS: StepChoices = StepChoices {
+    partitions: &[PARTITIONS[0]],
+    events: &[
+        StepEvent::Nothing,
+        StepEvent::QuotaServerRestarts,
+        StepEvent::AllRestartListed,
+        StepEvent::AllGatewaysRestart,
+    ],
+    demands: &[true],
+};
+
 /// Defect injected into the model, to show that the exploration detects it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum InjectedDefect {
     None,
     /// A gateway repeats a deposit that may have arrived.
     RepeatedDeposits,
+    /// A quota server accepts start credits whatever its start record says.
+    StartCreditsWithoutRecord,
 }
 
 #[derive(Clone)]
@@ -81,6 +121,10 @@
     tables: Vec<PoolTable>,
     /// Deposits in flight, each with the quota server that it goes to.
     in_flight: Vec<(usize, PoolDeposit)>,
+    /// Start record on the disk of each quota server.
+    records: [StartRecord; QUOTA_SERVERS],
+    /// Time until which all listed quota servers count.
+    listed_until_ms: u64,
     spent: u32,
 }
 
@@ -88,6 +132,7 @@
     limit: RateLimit,
     tolerance: LimitTolerance,
     defect: InjectedDefect,
+    step_ms: u64,
     runs: cell::Cell<u64>,
     most_spent: cell::Cell<u32>,
 }
@@ -110,18 +155,27 @@
     fn now(&self) -> MonotonicTime {
         MonotonicTime((1_000_000 + self.now_ms) * 1000)
     }
+
+    fn epoch(&self) -> EpochMs {
+        EpochMs(EPOCH_MS + self.now_ms)
+    }
 }
 
 impl FleetModel {
     fn new(steps: usize, defect: InjectedDefect) -> Self {
+        Self::with_step(steps, STEP_MS, defect)
+    }
+
+    fn with_step(steps: usize, step_ms: u64, defect: InjectedDefect) -> Self {
         Self {
             limit: RateLimit::new(40.0, 40.0).expect("the rate is positive"),
             tolerance: LimitTolerance {
-                window: time::Duration::from_secs(steps as u64),
+                window: time::Duration::from_millis(steps as u64 * step_ms),
                 overage: 0.1,
                 slack: 20.0,
             },
             defect,
+            step_ms,
             runs: cell::Cell::new(0),
             most_spent: cell::Cell::new(0),
         }
@@ -131,18 +185,41 @@
         PoolTable::new(quota_server_id(quota_server), self.tolerance, now)
     }
 
+    /// Starts a quota server, which reads and replaces its start record.
+    fn start_quota_server(&self, state: &mut FleetState, quota_server: usize) {
+        let mut table = self.new_table(quota_server, state.now());
+        table.reserve_start_credits(state.now());
+        let epoch = state.epoch();
+        let record = &mut state.records[quota_server];
+        let decision = decide_on_record(*record, epoch, self.tolerance.window);
+        if decision.writes {
+            *record = StartRecord::StartedAt(epoch);
+        }
+        table.permit_start_credits(match self.defect {
+            InjectedDefect::StartCreditsWithoutRecord => Ok(()),
+            _ => decision.permission,
+        });
+        state.tables[quota_server] = table;
+    }
+
     fn begin(&self) -> FleetState {
         let mut state = FleetState {
             now_ms: 0,
             gateways: Vec::new(),
-            tables: Vec::new(),
+            tables: (0..QUOTA_SERVERS)
+                .map(|k| self.new_table(k, MonotonicTime::default()))
+                .collect(),
             in_flight: Vec::new(),
+            records: [StartRecord::Missing; QUOTA_SERVERS],
+            listed_until_ms: 0,
             spent: 0,
         };
         self.restart_all(&mut state);
         while state.now_ms < WARM_UP_MS {
             self.tick(&mut state, &PARTITIONS[0], StepEvent::Nothing, false);
         }
+        // The warm-up stands for a long time without a start.
+        state.records = [StartRecord::StartedAt(EpochMs(0)); QUOTA_SERVERS];
         state
     }
 
@@ -151,19 +228,25 @@
         let now = state.now();
         let gateways = 0..GATEWAYS;
         state.gateways = gateways.map(|g| fresh_gateway(g as u64, now)).collect();
-        let quota_servers = 0..QUOTA_SERVERS;
-        state.tables = quota_servers.map(|k| self.new_table(k, now)).collect();
+        for quota_server in 0..QUOTA_SERVERS {
+            self.start_quota_server(state, quota_server);
+        }
         state.in_flight.clear();
     }
 
-    /// Returns the quota servers on the same side of the partition as a process.
-    fn reachable_quota_servers(
+    /// Returns the quota servers that a process counts: those on its side of the partition, and
+    /// soon after a restart of all processes those of the member records.
+    fn known_quota_servers(
+        state: &FleetState,
         partition: &[bool; GATEWAYS + QUOTA_SERVERS],
         process: usize,
     ) -> Vec<ids::InstanceId> {
-        let reachable =
-            (0..QUOTA_SERVERS).filter(|k| partition[GATEWAYS + k] == partition[process]);
-        reachable.map(quota_server_id).collect()
+        let is_known = |k: &usize| {
+            let is_reachable = partition[GATEWAYS + k] == partition[process];
+            is_reachable || state.now_ms < state.listed_until_ms
+        };
+        let known = (0..QUOTA_SERVERS).filter(is_known);
+        known.map(quota_server_id).collect()
     }
 
     fn tick(
@@ -176,11 +259,14 @@
         state.now_ms += TICK_MS;
         let now = state.now();
         for quota_server in 0..QUOTA_SERVERS {
-            let quota_servers = Self::reachable_quota_servers(partition, GATEWAYS + quota_server);
-            state.tables[quota_server].set_quota_servers(&quota_servers, |_| Some(self.limit), now);
+            let quota_servers =
+                Self::known_quota_servers(state, partition, GATEWAYS + quota_server);
+            let table = &mut state.tables[quota_server];
+            table.set_quota_servers(&quota_servers, |_| Some(self.limit), now);
+            table.complete_list();
         }
         for gateway in 0..GATEWAYS {
-            let quota_servers = Self::reachable_quota_servers(partition, gateway);
+            let quota_servers = Self::known_quota_servers(state, partition, gateway);
             state.gateways[gateway]
                 .shares
                 .set_quota_servers(&quota_servers, now);
@@ -223,6 +309,7 @@
             time: ShareTime::of(due.time, GATEWAYS),
             view,
             stamp: now,
+            start_credit: due.is_first.then(|| GatewayFraction::of(GATEWAYS)),
         };
         if self.defect == InjectedDefect::RepeatedDeposits {
             sender.shares.put_back(&quota_server_id(quota_server), &due);
@@ -232,9 +319,9 @@
             state.in_flight.push((quota_server, deposit));
             return;
         }
-        state.tables[quota_server].deposit(&deposit, now);
+        state.tables[quota_server].receive(&deposit, now);
         if event == StepEvent::DepositsAreRepeated {
-            state.tables[quota_server].deposit(&deposit, now);
+            state.tables[quota_server].receive(&deposit, now);
             state.in_flight.push((quota_server, deposit));
         }
     }
@@ -257,11 +344,20 @@
     ) {
         let now = state.now();
         for (quota_server, deposit) in std::mem::take(&mut state.in_flight) {
-            state.tables[quota_server].deposit(&deposit, now);
+            state.tables[quota_server].receive(&deposit, now);
         }
         match event {
-            StepEvent::QuotaServerRestarts => state.tables[0] = self.new_table(0, now),
+            StepEvent::QuotaServerRestarts => self.start_quota_server(state, 0),
             StepEvent::GatewayRestarts => state.gateways[0] = fresh_gateway(7, now),
+            StepEvent::AllGatewaysRestart => {
+                for (number, gateway) in state.gateways.iter_mut().enumerate() {
+                    *gateway = fresh_gateway(7 + number as u64, now);
+                }
+            }
+            StepEvent::AllRestartListed => {
+                self.restart_all(state);
+                state.listed_until_ms = state.now_ms + LISTED_MS;
+            }
             StepEvent::AllRestart => {
                 self.restart_all(state);
                 // The gateways first know one quota server only.
@@ -272,30 +368,34 @@
             }
             _ => {}
         }
-        for _ in 0..STEP_MS / TICK_MS {
+        for _ in 0..self.step_ms / TICK_MS {
             self.tick(state, partition, event, is_saturated);
         }
     }
 
     /// Explores all runs from a state.
-    fn explore(&self, state: &FleetState, steps: usize) {
+    fn explore(&self, state: &FleetState, steps: usize, choices: &StepChoices) {
         self.most_spent.set(self.most_spent.get().max(state.spent));
         if steps == 0 {
             return self.runs.set(self.runs.get() + 1);
         }
-        for partition in &PARTITIONS {
-            for event in EVENTS {
-                for is_saturated in [true, false] {
+        for partition in choices.partitions {
+            for event in choices.events {
+                for is_saturated in choices.demands {
                     let mut next = state.clone();
-                    self.step(&mut next, partition, event, is_saturated);
-                    self.explore(&next, steps - 1);
+                    self.step(&mut next, partition, *event, *is_saturated);
+                    self.explore(&next, steps - 1, choices);
                 }
             }
         }
     }
 
     fn explore_all(&self, steps: usize) {
-        self.explore(&self.begin(), steps);
+        self.explore_choices(steps, &ALL_CHOICES);
+    }
+
+    fn explore_choices(&self, steps: usize, choices: &StepChoices) {
+        self.explore(&self.begin(), steps, choices);
         println!(
             "steps={steps} runs={} most_spent={} bound={:.0}",
             self.runs.get(),
@@ -331,6 +431,33 @@
     assert!(model.most_spent.get() > without_defect.most_spent.get());
 }
 
+/// Number of steps for restarts in a row, and their length: as many as it takes for start
+/// credits that are accepted each time to exceed the bound.
+const RESTART_STEPS: usize = 8;
+const RESTART_STEP_MS: u64 = 500;
+
+/// Returns the most that is spent in any run of restarts in a row, and the bound.
+fn most_spent_over_restarts(defect: InjectedDefect) -> (f64, f64) {
+    let model = FleetModel::with_step(RESTART_STEPS, RESTART_STEP_MS, defect);
+    model.explore_choices(RESTART_STEPS, &RESTARTS);
+    let bound = model.tolerance.bound(&model.limit);
+    (f64::from(model.most_spent.get()), bound)
+}
+
+/// Guards against start credits that exceed the bound when processes restart repeatedly.
+#[test]
+fn spent_tokens_stay_within_the_bound_over_restarts_in_a_row() {
+    let (most_spent, bound) = most_spent_over_restarts(InjectedDefect::None);
+    assert!(most_spent <= bound);
+}
+
+#[test]
+fn start_credits_without_a_record_are_detected() {
+    let defect = InjectedDefect::StartCreditsWithoutRecord;
+    let (most_spent, bound) = most_spent_over_restarts(defect);
+    assert!(most_spent > bound);
+}
+
 /// Admitted requests per second of the rate, in each quarter of a second after a restart of
 /// all processes. A gateway probes at its own pace, first knows a part of the quota servers,
 /// and knows all of them half a second after its start.
@@ -371,6 +498,7 @@
                     time: ShareTime::of(due.time, PROCESSES as usize),
                     view: due.view,
                     stamp: at(ms),
+                    start_credit: None,
                 };
                 table.deposit(&deposit, at(ms));
             }
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -31,6 +31,7 @@
 evacuation       evacuations        an_evacuated_domain_gets_nothing_until_the_order_is_withdrawn
 start_hold       cold_restart       requests_before_readiness_are_held_until_it
 cold_limit       evacuations        a_cold_engine_gets_no_more_than_its_rate
+start_credit     start_credit       the_record_permits_one_start_in_three_windows
 token_wait       workspaces         a_request_beyond_the_rate_waits_for_a_token
 slot_line        slot_queue         a_free_slot_goes_to_the_highest_priority
 return_order     wait_queue         a_hot_workspace_does_not_take_the_slots_of_the_others
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -121,6 +121,7 @@
             time: ShareTime::of(due.time, 1),
             view: self.view,
             stamp: now,
+            start_credit: None,
         })
     }
 
