fix(jobs): read committed results before a restarted owner runs items

An owner skipped reading the results of a job that was submitted less than 300 ms before. A restarted owner lists jobs within 30 ms, so it began an item whose result its earlier run had committed. A job that is submitted again has a new submission time and was taken for a new one as well.

A job now counts as new only if the process that created its record, in its first attempt, hands it off for the first time (JobOrigin, and the peer call take_new_job, which is appended to the interface so that the other calls keep their numbers). The age limit stays, and the owner must have started before the submission.

--- a/src/serving/job_acceptance.rs
+++ b/src/serving/job_acceptance.rs
@@ -3,7 +3,7 @@
 
 use std::{net, rc, time};
 
-use super::{context, job_records, peer_links, peers};
+use super::{context, job_records, job_runner::JobOrigin, peer_links, peers};
 use crate::{clock, ids, store};
 
 /// Maximum time to accept a job; the caller's remaining time may be shorter.
@@ -16,14 +16,25 @@
 /// Outcome of a submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Acceptance {
-    /// The job is in the store.
-    Accepted,
+    /// The job is in the store; `New` if this process created it.
+    Accepted(JobOrigin),
     /// Nothing was written.
     Refused,
     /// The write may still take effect.
     Unknown,
 }
 
+impl Acceptance {
+    /// Returns the name of the outcome in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted(_) => "Accepted",
+            Self::Refused => "Refused",
+            Self::Unknown => "Unknown",
+        }
+    }
+}
+
 /// Writes a job, and retries until the outcome is certain or the deadline has passed.
 pub async fn accept(
     context: &rc::Rc<context::ProcessContext>,
@@ -35,7 +46,9 @@
         let remaining = deadline.duration_since(clock::BootInstant::now());
         let writing = job_records::accept(context.store.as_ref(), record);
         match tokio::time::timeout(remaining, writing).await {
-            Ok(Ok(())) => return Acceptance::Accepted,
+            // After an unclear attempt, an owner may have found the job already.
+            Ok(Ok(true)) if !may_be_written => return Acceptance::Accepted(JobOrigin::New),
+            Ok(Ok(_)) => return Acceptance::Accepted(JobOrigin::Stored),
             Ok(Err(store::StoreError::Unavailable(reason))) if !may_be_written => {
                 log::info!(
                     "event=acceptance_refused job={} why=\"{reason}\"",
@@ -88,7 +101,7 @@
             record.id
         );
         match outcome {
-            Ok(peers::WriteOutcome::Written) => return Acceptance::Accepted,
+            Ok(peers::WriteOutcome::Written) => return Acceptance::Accepted(JobOrigin::Stored),
             Ok(peers::WriteOutcome::Refused) | Err(peer_links::PeerError::NotSent) => {}
             Ok(peers::WriteOutcome::Unknown) | Err(_) => return Acceptance::Unknown,
         }
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -5,8 +5,8 @@
 use actix_http::{header, StatusCode};
 
 use super::{
-    context, item_run, job_acceptance, job_records, job_supervisor, job_table, peers, refusals,
-    request_admission, route_table, wire,
+    context, item_run, job_acceptance, job_records, job_runner, job_supervisor, job_table, peers,
+    refusals, request_admission, route_table, wire,
 };
 use crate::{clock, http_server, ids, store};
 
@@ -71,15 +71,16 @@
     let accepted = job_acceptance::accept(context, &record, arrived + timeout).await;
     let duration = arrived.elapsed();
     log::info!(
-        "event=job_submitted job={id} items={} outcome={accepted:?} ms={}",
+        "event=job_submitted job={id} items={} outcome={} ms={}",
         record.items.len(),
+        accepted.name(),
         duration.as_millis()
     );
     let metrics = &context.metrics;
     metrics.observe(&metrics.full_response, &route.name, "batch", duration);
     match accepted {
-        job_acceptance::Acceptance::Accepted => {
-            job_supervisor::supervise(context, rc::Rc::new(record));
+        job_acceptance::Acceptance::Accepted(origin) => {
+            job_supervisor::supervise(context, rc::Rc::new(record), origin);
             http_server::plain(StatusCode::ACCEPTED, "")
         }
         job_acceptance::Acceptance::Refused => {
@@ -258,7 +259,7 @@
 /// fleet, and the first few for this job in a large one.
 pub fn notify_end(context: &rc::Rc<context::ProcessContext>, job: &ids::JobId) {
     job_supervisor::forget(job);
-    super::job_runner::end_job(context, job);
+    job_runner::end_job(context, job);
     for owner in context.job_candidates(job) {
         let address = context.members.borrow().address_of(&owner);
         if let Some(address) = address {
--- a/src/serving/job_records.rs
+++ b/src/serving/job_records.rs
@@ -63,15 +63,18 @@
     format!("{PART_KIND}/{id}.{number:05}")
 }
 
-/// Creates the record of a job; an existing job with the same identifier counts as
-/// accepted.
+/// Creates the record of a job and returns whether this call created it; an existing job
+/// with the same identifier counts as accepted.
 ///
 /// # Errors
 /// See [`store::StoreError`]; after `Unknown` the job may have been accepted.
-pub async fn accept(store: &dyn store::ObjectStore, record: &JobRecord) -> store::StoreResult<()> {
+pub async fn accept(
+    store: &dyn store::ObjectStore,
+    record: &JobRecord,
+) -> store::StoreResult<bool> {
     let value = store::encode(record);
     let key = job_key(&record.id);
-    create(store, CallClass::Claim, &key, value).await.map(drop)
+    create(store, CallClass::Claim, &key, value).await
 }
 
 /// Creates an object and returns whether this call created it.
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -23,10 +23,22 @@
     actix_rt::spawn(job_upkeep::remove_old_jobs(context.clone()));
 }
 
+/// Where a job comes from that a process adopts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobOrigin {
+    /// From the process that has just created its record, which sends it to an owner for
+    /// the first time.
+    New,
+    /// From the store, or from a process that may have sent it to another owner or to an
+    /// earlier run of this one. It may have results.
+    Stored,
+}
+
 /// Adopts a job and returns whether it is already finished.
 pub fn adopt_job(
     context: &rc::Rc<context::ProcessContext>,
     record: job_records::JobRecord,
+    origin: JobOrigin,
 ) -> bool {
     if let Some(job) = context.jobs.get(&record.id) {
         return job.borrow().is_finished();
@@ -38,10 +50,13 @@
         record.items.len(),
         due_ms.map_or("-".to_owned(), |ms| ms.to_string())
     );
-    let age = clock::epoch_ms().saturating_sub(record.submitted_ms);
+    let age_ms = clock::epoch_ms().saturating_sub(record.submitted_ms);
+    // An earlier run of this process, or another owner, may have found the job in the store.
+    let max_age_ms = NEW_JOB_MAX_AGE.min(context.age()).as_millis() as u64;
+    let is_new = origin == JobOrigin::New && age_ms < max_age_ms;
     let job = context.jobs.get_or_insert(record, due_ms);
-    // An older job may have been ended, or may have results from an earlier owner.
-    if age <= NEW_JOB_MAX_AGE_MS && context.jobs.is_ended(&id) == Some(false) {
+    // Without the end marks, the job may have been ended in the meantime.
+    if is_new && context.jobs.is_ended(&id) == Some(false) {
         let mut job = job.borrow_mut();
         job.is_loaded = true;
         job.knowledge = open_job::OwnerKnowledge::Current;
@@ -59,7 +74,7 @@
     let context = context.clone();
     actix_rt::spawn(async move {
         match job_records::read_job(context.store.as_ref(), &id).await {
-            Ok(Some(record)) => drop(adopt_job(&context, record)),
+            Ok(Some(record)) => drop(adopt_job(&context, record, JobOrigin::Stored)),
             Ok(None) => log::warn!("event=job_unfound job={id} why=\"not in the store\""),
             // The requester sends the request again.
             Err(e) => log::info!("event=job_unfound job={id} why=\"{e}\""),
@@ -68,9 +83,10 @@
     false
 }
 
-/// Maximum age at which a job is assumed to have no results, as no item completes that
-/// soon, in milliseconds.
-const NEW_JOB_MAX_AGE_MS: u64 = 300;
+/// Maximum age at which a job that arrives as new is assumed to have no results: a hand-off
+/// takes a few milliseconds, and an owner that finds the job in the store has to list it
+/// and to run an item first.
+const NEW_JOB_MAX_AGE: time::Duration = time::Duration::from_millis(300);
 
 /// Loads what earlier owners have committed, and retries until the store responds; no
 /// item runs before.
--- a/src/serving/job_supervisor.rs
+++ b/src/serving/job_supervisor.rs
@@ -24,6 +24,8 @@
 /// Job that was accepted here and is not known to be finished.
 struct SupervisedJob {
     record: rc::Rc<job_records::JobRecord>,
+    /// `Stored` once the job has been sent to an owner.
+    origin: job_runner::JobOrigin,
     owner: Option<ids::InstanceId>,
     confirmed_at: clock::BootInstant,
     /// Number of consecutive hand-off attempts without a response.
@@ -42,6 +44,7 @@
 pub fn supervise(
     context: &rc::Rc<context::ProcessContext>,
     record: rc::Rc<job_records::JobRecord>,
+    origin: job_runner::JobOrigin,
 ) {
     let id = record.id.clone();
     let first = SUPERVISED.with_borrow_mut(|jobs| {
@@ -49,6 +52,7 @@
         if jobs.len() < MAX_SUPERVISED {
             let supervised = SupervisedJob {
                 record,
+                origin,
                 owner: None,
                 confirmed_at: clock::BootInstant::now(),
                 retries: 0,
@@ -87,10 +91,14 @@
         let same = job.owner.as_ref() == Some(&owner);
         let is_due = !job.is_in_flight && (!same || job.confirmed_at.elapsed() > STATUS_INTERVAL);
         job.is_in_flight |= is_due;
-        is_due.then(|| (job.record.clone(), job.retries))
+        is_due.then(|| JobHandoff {
+            record: job.record.clone(),
+            origin: std::mem::replace(&mut job.origin, job_runner::JobOrigin::Stored),
+            retries: job.retries,
+        })
     });
-    let Some((record, retries)) = due else { return };
-    let finished = send_to_owner(&context, &owner, &record, retries).await;
+    let Some(handoff) = due else { return };
+    let finished = send_to_owner(&context, &owner, &handoff).await;
     SUPERVISED.with_borrow_mut(|jobs| {
         let Some(job) = jobs.get_mut(&id) else { return };
         job.is_in_flight = false;
@@ -106,26 +114,43 @@
     });
 }
 
+/// One attempt to hand off a job.
+struct JobHandoff {
+    record: rc::Rc<job_records::JobRecord>,
+    origin: job_runner::JobOrigin,
+    /// Number of attempts without a response before this one.
+    retries: u32,
+}
+
 /// Sends a job to its owner and returns whether the job is already finished, or `None`
 /// without a response.
 async fn send_to_owner(
     context: &rc::Rc<context::ProcessContext>,
     owner: &ids::InstanceId,
-    record: &rc::Rc<job_records::JobRecord>,
-    retries: u32,
+    handoff: &JobHandoff,
 ) -> Option<bool> {
+    let JobHandoff {
+        record,
+        origin,
+        retries,
+    } = handoff;
     if owner == context.id() {
-        return Some(job_runner::adopt_job(context, (**record).clone()));
+        return Some(job_runner::adopt_job(context, (**record).clone(), *origin));
     }
     let address = context.members.borrow().address_of(owner)?;
     let id = &record.id;
     let links = &context.links;
-    let sent = match retries < MAX_RECORD_ATTEMPTS {
-        true => {
-            let record = (**record).clone();
+    let record = (**record).clone();
+    let sent = match (origin, *retries < MAX_RECORD_ATTEMPTS) {
+        (job_runner::JobOrigin::New, _) => {
+            links.take_new_job(address, record, HANDOFF_TIMEOUT).await
+        }
+        (job_runner::JobOrigin::Stored, true) => {
             links.take_job(address, record, HANDOFF_TIMEOUT).await
         }
-        false => links.find_job(address, id.clone(), HANDOFF_TIMEOUT).await,
+        (job_runner::JobOrigin::Stored, false) => {
+            links.find_job(address, id.clone(), HANDOFF_TIMEOUT).await
+        }
     };
     sent.inspect_err(|e| {
         log::info!("event=job_untaken job={id} owner={owner} tries={retries} why=\"{e}\"");
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -84,7 +84,9 @@
             drop(members);
             reply(sender, records);
         }
-        C::TakeJob(record, sender) => reply(sender, job_runner::adopt_job(context, record)),
+        C::TakeJob(record, origin, sender) => {
+            reply(sender, job_runner::adopt_job(context, record, origin));
+        }
         C::FindJob(job, sender) => {
             reply(sender, job_runner::adopt_stored_job(context, job));
         }
@@ -126,7 +128,9 @@
                 let written = job_records::accept(context.store.as_ref(), &record).await;
                 reply(sender, write_outcome(&written));
                 if written.is_ok() {
-                    job_supervisor::supervise(&context, rc::Rc::new(record));
+                    // The gateway that accepted the job sends it to an owner too.
+                    let origin = job_runner::JobOrigin::Stored;
+                    job_supervisor::supervise(&context, rc::Rc::new(record), origin);
                 }
             });
         }
@@ -174,9 +178,9 @@
 }
 
 /// Converts the result of a write to the store for a peer.
-fn write_outcome(written: &store::StoreResult<()>) -> peers::WriteOutcome {
+fn write_outcome<T>(written: &store::StoreResult<T>) -> peers::WriteOutcome {
     match written {
-        Ok(()) => peers::WriteOutcome::Written,
+        Ok(_) => peers::WriteOutcome::Written,
         Err(store::StoreError::Unavailable(_) | store::StoreError::TooLarge) => {
             peers::WriteOutcome::Refused
         }
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -337,6 +337,20 @@
         connect_and_call!(self, peer, timeout, take_job(record))
     }
 
+    /// Hands off a job that this process has just created and sent to no other owner;
+    /// returns whether it has already completed.
+    ///
+    /// # Errors
+    /// The peer does not respond.
+    pub async fn take_new_job(
+        &self,
+        peer: net::SocketAddr,
+        record: job_records::JobRecord,
+        timeout: time::Duration,
+    ) -> Result<bool, PeerError> {
+        connect_and_call!(self, peer, timeout, take_new_job(record))
+    }
+
     /// Requests that an owner reads a job from the store and takes it over; returns
     /// whether it has already completed.
     ///
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -7,7 +7,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    directory, job_records, members,
+    directory, job_records,
+    job_runner::JobOrigin,
+    members,
     peer_links::{frames, RECONNECT_DELAY},
     peers::{
         BatchSlotRequest, BorrowedSlot, EndpointReport, HeartbeatMessage, OnlineSlotRequest,
@@ -110,7 +112,16 @@
         _: tarpc::context::Context,
         record: job_records::JobRecord,
     ) -> Option<bool> {
-        self.send_request(|reply| PeerCall::TakeJob(record, reply))
+        self.send_request(|reply| PeerCall::TakeJob(record, JobOrigin::Stored, reply))
+            .await
+    }
+
+    async fn take_new_job(
+        self,
+        _: tarpc::context::Context,
+        record: job_records::JobRecord,
+    ) -> Option<bool> {
+        self.send_request(|reply| PeerCall::TakeJob(record, JobOrigin::New, reply))
             .await
     }
 
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    directory, evacuations, job_records, members, route_table, state_snapshot, wire,
+    directory, evacuations, job_records, job_runner, members, route_table, state_snapshot, wire,
     workspaces::limit_messages,
 };
 use crate::{
@@ -315,6 +315,9 @@
     async fn claim_trial(message: crash_ledger::CrashMessage) -> Option<bool>;
     /// Returns a trial that did not run.
     async fn return_trial(digest: ids::RequestDigest);
+    /// Hands off a job that the sender has just created and sent to no other owner; returns
+    /// whether it has already completed.
+    async fn take_new_job(record: job_records::JobRecord) -> Option<bool>;
 }
 
 /// Incoming call of a peer and the channel for its response.
@@ -344,8 +347,12 @@
     Endpoints(u64, oneshot::Sender<directory::DirectoryUpdate>),
     /// See [`PeerService::members`].
     Members(oneshot::Sender<Vec<members::MemberRecord>>),
-    /// See [`PeerService::take_job`].
-    TakeJob(job_records::JobRecord, oneshot::Sender<bool>),
+    /// See [`PeerService::take_job`] and [`PeerService::take_new_job`].
+    TakeJob(
+        job_records::JobRecord,
+        job_runner::JobOrigin,
+        oneshot::Sender<bool>,
+    ),
     /// See [`PeerService::find_job`].
     FindJob(ids::JobId, oneshot::Sender<bool>),
     /// See [`PeerService::keep_progress`].
