fix(state): a new follower reads the state before it refuses unknown keys

A gateway that lost its source of the desired state began to follow the store itself and took the response to its own first read, however old, for a sign that the store responds. It answered 401 for a key that may have been added since, and told its peers that it follows the store, until its first call failed.

A process that begins to follow the store after relying on peers now counts as a follower only after it has read the desired state, which it does at once and without waiting. The first read of a process that has just started counts as before, so a start makes no more calls.

--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -84,6 +84,14 @@
     /// When the source recovered from its last long outage, if there was one.
     recovered_at: cell::Cell<Option<clock::MonotonicTime>>,
     follows_store: cell::Cell<bool>,
+    /// Number of times that this process has begun to follow the source after relying on
+    /// peers.
+    follow_number: cell::Cell<u64>,
+    /// The follow number for which the desired state has been read.
+    read_follow_number: cell::Cell<u64>,
+    follow_begun: Notify,
+    /// Whether this process has relied on peers since it last followed the source.
+    relied_on_peers: cell::Cell<bool>,
     retiring: cell::RefCell<collections::BTreeSet<ids::InstanceId>>,
     /// Evacuated failure domains, the same as in `directory`; the revision never decreases.
     evacuations: cell::RefCell<evacuations::EvacuationSet>,
@@ -112,6 +120,10 @@
             last_response_at: cell::Cell::new(None),
             recovered_at: cell::Cell::new(None),
             follows_store: cell::Cell::new(true),
+            follow_number: cell::Cell::new(0),
+            read_follow_number: cell::Cell::new(0),
+            follow_begun: Notify::new(),
+            relied_on_peers: cell::Cell::new(false),
             retiring: cell::RefCell::default(),
             evacuations: cell::RefCell::default(),
             expects_evacuations: cell::Cell::new(false),
@@ -188,9 +200,28 @@
         !self.follows_store.get() || self.is_source_responding.get()
     }
 
-    /// Returns whether this process watches the source itself and the source responds.
+    /// Returns whether this process watches the source itself, the source responds, and the
+    /// desired state has been read since this process last relied on peers.
     pub fn is_following(&self) -> bool {
-        self.follows_store.get() && self.is_source_responding.get()
+        self.follows_store.get() && self.is_source_responding.get() && self.is_state_read()
+    }
+
+    /// Returns whether the desired state has been read from the source since this process
+    /// last relied on peers. Until then it may be outdated: this process follows the source
+    /// because the peers have lost it.
+    pub fn is_state_read(&self) -> bool {
+        self.read_follow_number.get() == self.follow_number.get()
+    }
+
+    /// Returns how many times this process has begun to follow the source after relying on
+    /// peers.
+    pub fn follow_number(&self) -> u64 {
+        self.follow_number.get()
+    }
+
+    /// Resolves when this process begins to follow the source after relying on peers.
+    pub async fn follow_begun(&self) {
+        self.follow_begun.notified().await;
     }
 
     /// Returns whether this process is configured to watch the source itself instead of
@@ -201,11 +232,23 @@
 
     /// Sets whether this process watches the source itself.
     pub fn set_follows_store(&self, follows: bool) {
-        if self.follows_store.replace(follows) != follows {
-            log::info!("event=follows_store now={follows}");
+        if self.follows_store.replace(follows) == follows {
+            return;
+        }
+        log::info!("event=follows_store now={follows}");
+        if follows && self.relied_on_peers.replace(false) {
+            self.follow_number.set(self.follow_number.get() + 1);
+            self.follow_begun.notify_waiters();
         }
     }
 
+    /// Records that this process knows the members and relies on peers that follow the
+    /// source. A process that has just started neither follows the source nor relies on
+    /// peers until it knows the members.
+    pub fn record_reliance(&self) {
+        self.relied_on_peers.set(true);
+    }
+
     /// Resolves when the source responds again after a failure. A watch that was open
     /// during the outage may be dead without a reset and has to be reopened.
     pub async fn source_recovered(&self) {
@@ -334,6 +377,7 @@
             U::Evacuations(set) => self.apply_evacuations(set),
             U::Reachable(reachable) => self.record_reachable(reachable),
             U::Responded => self.last_response_at.set(Some(self.clock.now())),
+            U::StateRead(follow_number) => self.read_follow_number.set(follow_number),
             U::Recovered => self.source_recovery.notify_waiters(),
             U::Unreadable => self.unreadable.set(self.unreadable.get() + 1),
             U::Retire(id) => {
--- a/src/serving/fleet_source.rs
+++ b/src/serving/fleet_source.rs
@@ -27,6 +27,9 @@
     Reachable(bool),
     /// The source responded to a read other than a watch.
     Responded,
+    /// All changes of the desired state in the source were applied; contains
+    /// [`fleet_model::FleetModel::follow_number`] as of the start of the read.
+    StateRead(u64),
     /// The source responds again after a failed call.
     Recovered,
     /// An object of the store could not be read and is ignored.
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -264,7 +264,11 @@
         *context.owners.borrow_mut() = rc::Rc::new(owners);
     }
     limit_links::update_quota_servers(context);
-    context.fleet.set_follows_store(is_follower(context, now));
+    let follows_store = is_follower(context, now);
+    if !follows_store && context.members_known.get() {
+        context.fleet.record_reliance();
+    }
+    context.fleet.set_follows_store(follows_store);
     let change_number = Some(context.fleet.change_number());
     if context.owned_change_number.replace(change_number) != change_number || changed {
         refresh_owned(context, changed);
