fix(crashes): a start after a known crash is no evidence against a trial

A trial that ran at an endpoint which was back, but still listed with its earlier start, was abandoned when the new start was listed, and that start counted as a crash during the trial. The request was quarantined for ten minutes although it crashes nothing.

A new start is no evidence against a run if a crash of the earlier start was known, here or from a peer, before the run began. A trial without an outcome is returned at once, so that the next one need not wait ten seconds. A refused connection counts as before.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -133,6 +133,17 @@
         ended_at.is_some_and(|at| !is_new && run.sent_at > at)
     }
 
+    /// Returns whether the endpoint of a run is known to have crashed before the request was
+    /// sent to it under its start.
+    ///
+    /// If so, a new start that is listed during the run follows from that crash: it does not
+    /// show that the endpoint crashed during the run.
+    pub fn has_ended_before(&self, run: &CrashedRun) -> bool {
+        let ended_at = self.last_ends.peek(&run.endpoint);
+        let is_seen = ended_at.is_some_and(|at| run.sent_at > *at);
+        is_seen || self.records.values().any(|r| r.has_crash_before(run))
+    }
+
     /// Returns whether a request was served so recently that a crash is not attributed to it.
     ///
     /// A frequent request runs on most of the endpoints that crash together, for example when
--- a/src/decisions/crash_record.rs
+++ b/src/decisions/crash_record.rs
@@ -333,6 +333,13 @@
         hasher.digest()
     }
 
+    /// Returns whether a crash of the endpoint of `run` became known before the request was
+    /// sent.
+    pub fn has_crash_before(&self, run: &CrashedRun) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|(id, learned)| id.run == run.endpoint && run.sent_at > *learned)
+    }
+
     /// Returns the identifier of the crash during `run`, or `None` if that crash is recorded
     /// already.
     ///
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -372,6 +372,7 @@
             endpoint: slot.endpoint.clone(),
             begun: slot.acquired_at(),
             has_head,
+            is_trial: self.trial.is_some(),
         };
         crash_watch::start(&self.context, run);
     }
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -138,6 +138,12 @@
         self.ledger.borrow().is_on_trial(digest, now)
     }
 
+    /// Returns whether the endpoint of a run is known to have crashed before the request was
+    /// sent to it under its start.
+    pub(super) fn has_ended_before(&self, run: &crash_ledger::CrashedRun) -> bool {
+        self.ledger.borrow().has_ended_before(run)
+    }
+
     /// Grants the trial of a request if it is due.
     pub(super) fn grant_trial(
         &self,
--- a/src/serving/crash_trials.rs
+++ b/src/serving/crash_trials.rs
@@ -241,8 +241,8 @@
     is_granted
 }
 
-/// Returns a trial that did not run, so that another process may claim it.
-fn return_trial(context: &context::ProcessContext, digest: ids::RequestDigest) {
+/// Returns a trial that did not run or has no outcome, so that another process may claim it.
+pub(super) fn return_trial(context: &context::ProcessContext, digest: ids::RequestDigest) {
     log::info!("event=trial_returned digest={digest}");
     cancel(context, digest);
     let Some(arbiter) = arbiter_of(context, digest) else {
--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -6,7 +6,7 @@
 
 use std::{io, rc, time};
 
-use super::{connection, context, crash_guard, directory, endpoint_reports};
+use super::{connection, context, crash_guard, crash_trials, directory, endpoint_reports};
 use crate::{clock, decisions::crash_ledger, ids};
 
 /// Timeout of a probe connection. A refusal arrives within a round trip, 1 to 4 ms. A lost
@@ -34,6 +34,8 @@
     pub(super) begun: clock::MonotonicTime,
     /// Whether the head of a response had arrived.
     pub(super) has_head: bool,
+    /// Whether the run was the trial of a caller's request.
+    pub(super) is_trial: bool,
 }
 
 /// Evidence that an endpoint ended.
@@ -110,7 +112,18 @@
         endpoint: endpoint.clone(),
         sent_at: run.begun,
     };
-    let outcome = crash_guard::record_crash(context, &crash);
+    let outcome = match evidence {
+        EndEvidence::StartedAgain if context.crashes.has_ended_before(&crash) => {
+            crash_ledger::CrashOutcome::Gone
+        }
+        EndEvidence::StartedAgain | EndEvidence::Refused => {
+            crash_guard::record_crash(context, &crash)
+        }
+    };
+    if run.is_trial && outcome == crash_ledger::CrashOutcome::Gone {
+        // The trial proves nothing, and nobody else reports its outcome.
+        crash_trials::return_trial(context, run.digest);
+    }
     let label = evidence.label();
     context.metrics.ended_runs.with_label_values(&[label]).inc();
     log::info!(
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -123,6 +123,7 @@
             endpoint: self.endpoint.clone(),
             begun,
             has_head: self.has_head.get(),
+            is_trial: false,
         };
         crash_watch::start(&self.context, run);
     }
--- a/tests/crash_ledger.rs
+++ b/tests/crash_ledger.rs
@@ -133,6 +133,29 @@
     assert_eq!(outcome, CrashOutcome::Counted(1));
 }
 
+/// A request that reached an endpoint after its crash, but under the earlier start, was blamed
+/// when the next start was listed.
+#[test]
+fn start_after_a_known_crash_is_no_crash_of_a_later_run() {
+    let ledger = crashed("x", 1);
+    let sent = |name: &str, number: u64, second: u64| CrashedRun {
+        digest: digest(name),
+        endpoint: endpoint(number),
+        sent_at: at(second),
+    };
+    for name in ["x", "y"] {
+        assert!(ledger.has_ended_before(&sent(name, 1, 4)));
+        assert!(!ledger.has_ended_before(&sent(name, 1, 0)), "it ran there");
+        assert!(!ledger.has_ended_before(&sent(name, 2, 4)));
+    }
+    // Another process observed the crash.
+    let mut peer = CrashLedger::default();
+    for update in ledger.snapshot(at(2)) {
+        peer.merge(update, at(2));
+    }
+    assert!(peer.has_ended_before(&sent("y", 1, 4)));
+}
+
 #[test]
 fn served_request_is_cleared_at_all_processes() {
     let mut ledger = crashed("x", 3);
