feat(jobs): share batch slots among workspaces

Items started by deadline only, so that a workspace that submitted many items at once delayed the items of all others by the time that its own took.

Where the waiting items of an owner belong to several workspaces, items that can wait take turns by the running streams of their workspaces. Items that would be late one duration after their turn by deadline go first, by deadline. With one workspace, or none, the order is unchanged.

--- a/src/decisions/item_order.rs
+++ b/src/decisions/item_order.rs
@@ -3,6 +3,13 @@
 //! Earliest deadline first is optimal while all items can be on time. Under overload it makes
 //! nearly all of them slightly late, as items that can no longer meet their deadline take the
 //! slots of those that can. Such items therefore go last.
+//!
+//! Where jobs belong to several workspaces, items that can wait take turns by workspace, so
+//! that a workspace that submits many items at once does not delay those of the others.
+
+use std::{cmp, collections};
+
+use crate::protection;
 
 /// Deadline and remaining work of an item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,6 +52,169 @@
     }
 }
 
+/// Waiting item as [`start_order`] sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitingItem {
+    /// Deadline and remaining work.
+    pub timing: ItemTiming,
+    /// Mean time for which an item of the service holds slots, in milliseconds; 0 if unknown.
+    pub duration_ms: u64,
+    /// Whose item it is, and where it runs.
+    pub share: Share,
+}
+
+/// The items of one workspace for one service, by numbers that the caller assigns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Share {
+    /// Number of the service.
+    pub service: usize,
+    /// Number of the workspace; all jobs without one count as one workspace.
+    pub workspace: usize,
+}
+
+/// Number of running streams of each share at this owner.
+pub type RunningStreams = collections::HashMap<Share, usize>;
+
+/// Why an item has its place in the start order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// There is a single workspace: the order of the policy.
+    Policy,
+    /// Would be late if others went first: goes by deadline, before all others.
+    Urgent,
+    /// Goes when its workspace has fewer streams than others.
+    Shared,
+    /// Cannot be on time.
+    Infeasible,
+}
+
+impl Turn {
+    /// Returns the name in metrics and log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Policy => "policy",
+            Self::Urgent => "urgent",
+            Self::Shared => "shared",
+            Self::Infeasible => "infeasible",
+        }
+    }
+}
+
+/// Place in the start order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placed {
+    /// Position of the item among those given.
+    pub index: usize,
+    /// Why it has this place.
+    pub turn: Turn,
+}
+
+/// Returns the items in the order in which they start.
+///
+/// With a single workspace this is the order of the policy. Otherwise, items that would be
+/// late if they started one duration after their turn by deadline go first, by deadline. The
+/// other feasible items follow: at each place the first item of the workspace that has the
+/// fewest streams, counting those that run and those placed before. Items that cannot be on
+/// time go last.
+pub fn start_order(
+    policy: OrderPolicy,
+    items: &[WaitingItem],
+    running: &RunningStreams,
+    now_ms: u64,
+) -> Vec<Placed> {
+    let mut order: Vec<usize> = (0..items.len()).collect();
+    order.sort_by_key(|i| policy.start_key(&items[*i].timing, now_ms));
+    let mut workspaces = items.iter().map(|item| item.share.workspace);
+    let first = workspaces.next();
+    if workspaces.all(|w| Some(w) == first) || protection::is_disabled("workspace_turns") {
+        let turn = Turn::Policy;
+        let placed = order.into_iter().map(|index| Placed { index, turn });
+        return placed.collect();
+    }
+    let turns = turns(items, &order, running, now_ms);
+    let of_turn = |turn| {
+        let pairs = order.iter().zip(&turns).filter(move |(_, t)| **t == turn);
+        pairs.map(|(index, _)| *index)
+    };
+    let mut streams = running.clone();
+    for index in of_turn(Turn::Urgent) {
+        *streams.entry(items[index].share).or_default() += 1;
+    }
+    let shared: Vec<usize> = of_turn(Turn::Shared).collect();
+    let shared = take_turns(items, &shared, streams);
+    let placed = |turn| move |index| Placed { index, turn };
+    let urgent = of_turn(Turn::Urgent).map(placed(Turn::Urgent));
+    let shared = shared.into_iter().map(placed(Turn::Shared));
+    let infeasible = of_turn(Turn::Infeasible).map(placed(Turn::Infeasible));
+    urgent.chain(shared).chain(infeasible).collect()
+}
+
+/// Returns the kind of turn of each item, in the given order.
+///
+/// Slots are counted as the running streams of the service. While this is accurate, the
+/// items that are protected stay on time in deadline order at each moment, so that turns
+/// make none of them late.
+fn turns(
+    items: &[WaitingItem],
+    order: &[usize],
+    running: &RunningStreams,
+    now_ms: u64,
+) -> Vec<Turn> {
+    let mut slots = collections::HashMap::<usize, u64>::new();
+    for (share, count) in running {
+        *slots.entry(share.service).or_default() += *count as u64;
+    }
+    let mut ahead_ms = collections::HashMap::<usize, u64>::new();
+    let turn_of = |index: &usize| {
+        let item = &items[*index];
+        if item.timing.is_infeasible(now_ms) {
+            return Turn::Infeasible;
+        }
+        let service = item.share.service;
+        let slots = slots.get(&service).copied().unwrap_or(0).max(1);
+        let ahead_ms = ahead_ms.entry(service).or_default();
+        let end_ms = now_ms + *ahead_ms / slots + item.duration_ms;
+        *ahead_ms += item.duration_ms;
+        let due_ms = item.timing.due_ms;
+        // An item that is late even in deadline order is not late because of the turns.
+        match end_ms <= due_ms && end_ms + item.duration_ms > due_ms {
+            true => Turn::Urgent,
+            false => Turn::Shared,
+        }
+    };
+    order.iter().map(turn_of).collect()
+}
+
+/// Returns the items, sorted by the policy, in the order of turns by workspace.
+fn take_turns(items: &[WaitingItem], sorted: &[usize], mut streams: RunningStreams) -> Vec<usize> {
+    let mut queues = collections::BTreeMap::<Share, collections::VecDeque<usize>>::new();
+    for (rank, index) in sorted.iter().enumerate() {
+        queues
+            .entry(items[*index].share)
+            .or_default()
+            .push_back(rank);
+    }
+    let count = |streams: &RunningStreams, share| streams.get(share).copied().unwrap_or(0);
+    // Among workspaces with equally many streams, the item that the policy prefers goes first.
+    let mut heads: collections::BinaryHeap<_> = queues
+        .iter()
+        .map(|(share, queue)| cmp::Reverse((count(&streams, share), queue[0], *share)))
+        .collect();
+    let mut placed = Vec::with_capacity(sorted.len());
+    while let Some(cmp::Reverse((held, rank, share))) = heads.pop() {
+        placed.push(sorted[rank]);
+        streams.insert(share, held + 1);
+        let Some(queue) = queues.get_mut(&share) else {
+            continue;
+        };
+        queue.pop_front();
+        if let Some(next) = queue.front() {
+            heads.push(cmp::Reverse((held + 1, *next, share)));
+        }
+    }
+    placed
+}
+
 /// Estimate of the time that streams of one kind need a slot, from which the remaining time
 /// of an item is derived.
 #[derive(Debug, Clone, Copy, Default)]
@@ -74,6 +244,11 @@
         }
     }
 
+    /// Returns the mean duration in milliseconds; 0 while no duration is recorded.
+    pub fn mean_ms(&self) -> u64 {
+        self.mean_ms as u64
+    }
+
     /// Returns a lower estimate of the time that an item still needs after it has held slots for
     /// `spent_ms`; 0 while no duration is recorded.
     pub fn remaining_ms(&self, spent_ms: u64) -> u64 {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -86,6 +86,8 @@
     pub slot_queue: prometheus::IntCounterVec,
     /// Requests in the wait queues.
     pub slot_queue_length: prometheus::IntGauge,
+    /// Starts of batch items, by the reason of their place in the start order.
+    pub item_starts: prometheus::IntCounterVec,
     /// Held slots at owned endpoints, by class.
     pub held_slots: prometheus::IntGaugeVec,
     /// Owned endpoints that are suspect after a failure.
@@ -279,6 +281,12 @@
                 "jayhollow_slot_queue_length",
                 "Requests in the wait queues of owned endpoints",
             ),
+            item_starts: counters(
+                r,
+                "jayhollow_item_starts_total",
+                "Starts of batch items, by the reason of their place in the start order",
+                "turn",
+            ),
             held_slots: gauges(
                 r,
                 "jayhollow_held_places",
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     clock,
-    decisions::{admission, retry},
+    decisions::{admission, item_order, retry},
     ids, outcome, protection,
 };
 
@@ -48,6 +48,8 @@
     /// Chain of runs that this run extends; the run stops if the item starts a new
     /// chain.
     pub(super) chain: u64,
+    /// Why the item started when it did.
+    pub(super) turn: item_order::Turn,
     /// Whether the response head has been received.
     pub(super) has_head: cell::Cell<bool>,
 }
@@ -333,9 +335,11 @@
         self.report_endpoint(&end);
         let mut job = self.job.borrow_mut();
         log::info!(
-            "event=item_run job={} item={} endpoint={} end=\"{end:?}\" last_event={:?}",
+            "event=item_run job={} item={} workspace={} turn={} endpoint={} end=\"{end:?}\" last_event={:?}",
             job.record.id,
             job.record.items[self.index].id,
+            job.record.workspace.as_ref().map_or("-", |id| id.as_str()),
+            self.turn.label(),
             self.endpoint.id,
             job.items[self.index].last_event,
         );
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -198,7 +198,10 @@
         lender: slot.lender,
         max_attempts: item.route.max_attempts,
         chain,
+        turn: item.turn,
         has_head: std::cell::Cell::new(false),
     };
+    let starts = &context.metrics.item_starts;
+    starts.with_label_values(&[item.turn.label()]).inc();
     actix_rt::spawn(run.run());
 }
--- a/src/serving/job_table.rs
+++ b/src/serving/job_table.rs
@@ -116,6 +116,13 @@
         estimate.map_or(0, |e| e.remaining_ms(spent.as_millis() as u64))
     }
 
+    /// Returns the mean time for which an item of a service holds slots, in milliseconds;
+    /// 0 if there is no estimate.
+    pub fn mean_duration_ms(&self, service: &ids::ServiceName) -> u64 {
+        let hold_times = self.hold_times.borrow();
+        hold_times.get(service).map_or(0, |e| e.mean_ms())
+    }
+
     /// Registers a stream and returns the receiver that signals its cancellation.
     pub fn begin_stream(&self, key: StreamKey, is_borrowed: bool) -> oneshot::Receiver<()> {
         let (cancel, cancelled) = oneshot::channel();
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -1,11 +1,12 @@
 //! Selects the items of owned jobs that may start now, in start order.
 
-use std::{rc, time};
+use std::{collections, hash, rc, time};
 
 use super::{context, crash_trials, item_run, job_runner, job_table, open_job, route_table, wire};
 use crate::{
     clock,
     decisions::{crash_ledger::CrashVerdict, item_order},
+    ids,
 };
 
 /// Item that may start now.
@@ -13,7 +14,9 @@
     pub(super) job: open_job::SharedJob,
     pub(super) index: usize,
     pub(super) route: std::sync::Arc<route_table::Route>,
-    key: item_order::StartKey,
+    /// Why the item has its place in the start order.
+    pub(super) turn: item_order::Turn,
+    waiting: item_order::WaitingItem,
 }
 
 /// Order of waiting items. Above capacity, 0.73 of the items finished in time with this
@@ -28,16 +31,89 @@
 /// longer be completed.
 pub(super) fn ready_items(context: &rc::Rc<context::ProcessContext>) -> Vec<ReadyItem> {
     let mut ready = Vec::new();
+    let mut numbers = ShareNumbers::default();
     for job in open_jobs(context) {
-        add_ready_items(context, &job, &mut ready);
+        add_ready_items(context, &job, &mut numbers, &mut ready);
     }
     // Checked once for all items: quarantine is rare, and a check visits every known
     // crash.
     if context.crashes.has_held() {
         ready.retain(|item| !is_quarantined(context, &item.job, item.index));
     }
-    ready.sort_by_key(|item| item.key);
-    ready
+    in_start_order(context, ready, &mut numbers)
+}
+
+/// Numbers of the services and workspaces of one pass over the waiting items.
+#[derive(Default)]
+struct ShareNumbers {
+    services: collections::HashMap<ids::ServiceName, usize>,
+    workspaces: collections::HashMap<Option<ids::WorkspaceId>, usize>,
+}
+
+impl ShareNumbers {
+    fn share(
+        &mut self,
+        service: &ids::ServiceName,
+        workspace: &Option<ids::WorkspaceId>,
+    ) -> item_order::Share {
+        item_order::Share {
+            service: number_of(&mut self.services, service),
+            workspace: number_of(&mut self.workspaces, workspace),
+        }
+    }
+}
+
+/// Returns the number of a name, which is the next free one if it has none yet.
+fn number_of<T: Clone + Eq + hash::Hash>(
+    numbers: &mut collections::HashMap<T, usize>,
+    name: &T,
+) -> usize {
+    if let Some(number) = numbers.get(name) {
+        return *number;
+    }
+    numbers.insert(name.clone(), numbers.len());
+    numbers.len() - 1
+}
+
+/// Sorts the items by the order in which they start.
+fn in_start_order(
+    context: &context::ProcessContext,
+    ready: Vec<ReadyItem>,
+    numbers: &mut ShareNumbers,
+) -> Vec<ReadyItem> {
+    let waiting: Vec<_> = ready.iter().map(|item| item.waiting).collect();
+    // Only the turns of several workspaces depend on what runs.
+    let running = match numbers.workspaces.len() > 1 {
+        true => running_streams(context, numbers),
+        false => item_order::RunningStreams::default(),
+    };
+    let order = item_order::start_order(ORDER_POLICY, &waiting, &running, clock::epoch_ms());
+    let mut ready: Vec<_> = ready.into_iter().map(Some).collect();
+    let in_order = order.into_iter().filter_map(|placed| {
+        let turn = placed.turn;
+        let item = ready[placed.index].take()?;
+        Some(ReadyItem { turn, ..item })
+    });
+    in_order.collect()
+}
+
+/// Counts the running streams of the jobs of this process, those in borrowed slots included.
+fn running_streams(
+    context: &context::ProcessContext,
+    numbers: &mut ShareNumbers,
+) -> item_order::RunningStreams {
+    let directory = context.fleet.directory.borrow();
+    let mut running = item_order::RunningStreams::new();
+    for job in context.jobs.all() {
+        let job = job.borrow();
+        for (endpoint, _) in &job.streams {
+            if let Some(endpoint) = directory.entry(endpoint) {
+                let share = numbers.share(&endpoint.service, &job.record.workspace);
+                *running.entry(share).or_default() += 1;
+            }
+        }
+    }
+    running
 }
 
 /// Returns the unfinished jobs that this process runs, earliest due time first.
@@ -82,6 +158,7 @@
 fn add_ready_items(
     context: &rc::Rc<context::ProcessContext>,
     job: &open_job::SharedJob,
+    numbers: &mut ShareNumbers,
     ready: &mut Vec<ReadyItem>,
 ) {
     let now = clock::BootInstant::now();
@@ -100,13 +177,14 @@
                     give_up(context, job, index, "retention expired");
                     continue;
                 }
-                let key = start_key(context, &job.borrow(), index, &route, now_ms);
+                let waiting = waiting_item(context, &job.borrow(), index, &route, numbers);
                 let job = job.clone();
                 ready.push(ReadyItem {
                     job,
                     index,
                     route,
-                    key,
+                    turn: item_order::Turn::Policy,
+                    waiting,
                 });
             }
         }
@@ -132,21 +210,30 @@
     true
 }
 
-fn start_key(
+fn waiting_item(
     context: &context::ProcessContext,
     job: &open_job::OpenJob,
     index: usize,
     route: &route_table::Route,
-    now_ms: u64,
-) -> item_order::StartKey {
+    numbers: &mut ShareNumbers,
+) -> item_order::WaitingItem {
     let spent = job.items[index].spent;
     let service = route.targets.first().map(|t| &t.service);
-    let remaining_ms = service.map_or(0, |s| context.jobs.remaining_ms(s, spent));
-    let timing = item_order::ItemTiming {
-        due_ms: job.due(),
-        remaining_ms,
-    };
-    ORDER_POLICY.start_key(&timing, now_ms)
+    let workspace = &job.record.workspace;
+    item_order::WaitingItem {
+        timing: item_order::ItemTiming {
+            due_ms: job.due(),
+            remaining_ms: service.map_or(0, |s| context.jobs.remaining_ms(s, spent)),
+        },
+        duration_ms: service.map_or(0, |s| context.jobs.mean_duration_ms(s)),
+        share: match service {
+            Some(service) => numbers.share(service, workspace),
+            None => item_order::Share {
+                service: usize::MAX,
+                workspace: number_of(&mut numbers.workspaces, workspace),
+            },
+        },
+    }
 }
 
 /// Route of an item in the desired state.
