feat(serving): send one waiting request ahead to each full endpoint

From the end of a run until the next request arrives, a slot is idle for four messages: end of the response, release, grant and request. In a surge this loses some percent of the capacity.

The owner now grants the first request of a wait queue a place in the queue of an endpoint whose slots are all held by online requests, one at each endpoint. decisions::staging decides by held slots, the staged request, the learned hold time and the wait of the request; suspect, ejected, cold, unverified and backed off endpoints take none. A staged request counts as a held slot of its workspace, and its run neither for the hold time nor for the time to the first event. One that is refused as full has not run and asks again; the owner pauses staging there, not the slots.

Not run on a whole fleet.

--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -76,13 +76,18 @@
     /// Returns the expected completion time of a request at an endpoint that has `load`
     /// requests.
     pub fn finish_cost(&self, speed: &endpoint_speed::SpeedEstimate, load: u32) -> FinishCost {
+        cost(load, self.time_ratio(speed))
+    }
+
+    /// Returns how long a request is expected to take at an endpoint, relative to the mean;
+    /// 1 if the endpoint is like the others.
+    pub fn time_ratio(&self, speed: &endpoint_speed::SpeedEstimate) -> f64 {
         let base = self.base(speed).0;
         let current = speed.current.0;
-        let ratio = match is_alike((base + current).exp()) {
+        match is_alike((base + current).exp()) {
             true => 1.0,
             false => (base * self.weight + current).exp(),
-        };
-        cost(load, ratio)
+        }
     }
 
     /// Returns the preference of a batch stream for an endpoint with free slots: a slow one
--- a/src/decisions/endpoint_speed.rs
+++ b/src/decisions/endpoint_speed.rs
@@ -125,6 +125,12 @@
 }
 
 impl RunTiming {
+    /// Returns whether the time in a queue of the endpoint would count as time of the run.
+    pub fn includes_queue(&self) -> bool {
+        let sample = self.sample();
+        sample.is_none_or(|(kind, _)| kind != DurationKind::EventGap)
+    }
+
     /// Returns the duration that tells most about the speed, with its kind.
     ///
     /// The time to the first event includes a queue and the prompt, so it is used only for a
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -32,6 +32,7 @@
 pub mod retry;
 pub mod return_schedule;
 pub mod routing;
+pub mod staging;
 pub mod start_hold;
 pub mod step_model;
 pub mod wait_queue;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -84,6 +84,8 @@
     pub limit_deposits: prometheus::IntCounterVec,
     /// Requests for a place in the wait queues of owned endpoints, by outcome.
     pub slot_queue: prometheus::IntCounterVec,
+    /// Requests staged at owned endpoints, by outcome.
+    pub staged_requests: prometheus::IntCounterVec,
     /// Requests in the wait queues.
     pub slot_queue_length: prometheus::IntGauge,
     /// Held slots at owned endpoints, by class.
@@ -274,6 +276,12 @@
                 "Requests in the wait queues of owned endpoints, by outcome",
                 "outcome",
             ),
+            staged_requests: counters(
+                r,
+                "jayhollow_staged_requests_total",
+                "Requests staged at owned endpoints, by outcome",
+                "outcome",
+            ),
             slot_queue_length: gauge(
                 r,
                 "jayhollow_slot_queue_length",
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -321,6 +321,10 @@
                 self.log.recent_not_run += 1;
                 self.set_trial_run(self.log.ran > 0);
                 let reason = proof.reason();
+                if slot.is_refused_staging(reason) {
+                    // The endpoint qualifies once it has a free slot.
+                    self.log.tried.retain(|id| *id != endpoint.id);
+                }
                 self.record_attempt(&endpoint.id, "not_run", &reason.to_string());
                 slot.record_refused(reason);
                 if self.log.recent_not_run >= MAX_NOT_RUN && !self.may_search() {
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -62,7 +62,7 @@
         O::Failed(failure) if failure.is_silent => LifeEvidence::Failed(E::Unreachable),
         O::Failed(_) => LifeEvidence::Failed(E::Broken),
         O::Overdue(_) | O::Slow(_) => LifeEvidence::Failed(E::Silent),
-        O::Full | O::Faulty(_) | O::Alive => LifeEvidence::Alive,
+        O::Full | O::QueueFull | O::Faulty(_) | O::Alive => LifeEvidence::Alive,
         O::Misnamed | O::Slowdown(_) => LifeEvidence::None,
     }
 }
@@ -139,6 +139,8 @@
         }
         peers::EndpointObservation::Overdue(_) | peers::EndpointObservation::Alive => {}
         peers::EndpointObservation::Full => loads.record_full(endpoint, now),
+        // Says nothing about slots: all were known to be held.
+        peers::EndpointObservation::QueueFull => {}
         peers::EndpointObservation::Misnamed => {
             context
                 .fleet
--- a/src/serving/held_slot.rs
+++ b/src/serving/held_slot.rs
@@ -19,10 +19,22 @@
     /// Whether the owner holds the endpoint suspect, so that a sign of life is reported
     /// before the release.
     is_doubted: cell::Cell<bool>,
+    /// Whether all slots of the endpoint were held when it was granted, so that the run
+    /// waits in the queue of the endpoint first.
+    is_staged: bool,
     acquired_at: clock::MonotonicTime,
     progress: cell::Cell<RunProgress>,
 }
 
+/// State of an endpoint when a slot there was granted.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct GrantState {
+    /// Whether its owner holds it suspect.
+    pub(super) is_doubted: bool,
+    /// Whether all its slots were held.
+    pub(super) is_staged: bool,
+}
+
 /// Progress of the run in a slot.
 #[derive(Debug, Clone, Copy, Default)]
 struct RunProgress {
@@ -39,19 +51,19 @@
 impl HeldSlot {
     /// Holds a slot at an endpoint, by a permit if its owner granted it.
     ///
-    /// `is_doubted` says that the owner holds the endpoint suspect.
     pub(super) fn new(
         context: &rc::Rc<context::ProcessContext>,
         endpoint: rc::Rc<directory::EndpointEntry>,
         permit: Option<HeldPermit>,
-        is_doubted: bool,
+        state: GrantState,
     ) -> Self {
         Self {
             context: context.clone(),
             endpoint,
             permit,
             is_served: cell::Cell::new(false),
-            is_doubted: cell::Cell::new(is_doubted),
+            is_doubted: cell::Cell::new(state.is_doubted),
+            is_staged: state.is_staged,
             acquired_at: context.clock.now(),
             progress: cell::Cell::default(),
         }
@@ -62,6 +74,12 @@
         self.acquired_at
     }
 
+    /// Returns whether the endpoint refused a staged request as full, which says nothing
+    /// about the slots that become free there.
+    pub fn is_refused_staging(&self, reason: outcome::NotRunReason) -> bool {
+        self.is_staged && reason == outcome::NotRunReason::RefusedByEndpoint
+    }
+
     /// Records that the endpoint served the request, or has begun its response.
     pub fn record_served(&self) {
         let mut loads = self.context.loads.borrow_mut();
@@ -70,6 +88,10 @@
         self.record_life();
         if !self.is_served.replace(true) {
             self.context.fleet.record_verified(&self.endpoint.id);
+            if self.is_staged {
+                // The time in the queue of the endpoint is no part of the time to an event.
+                return;
+            }
             let mut firsts = self.context.first_estimates.borrow_mut();
             let first = firsts.entry(self.endpoint.service.clone()).or_default();
             first.record(self.context.clock.now().since(self.acquired_at));
@@ -166,6 +188,9 @@
                 endpoint_speed::RunTiming::Complete(completed_at?.since(self.acquired_at))
             }
         };
+        if self.is_staged && timing.includes_queue() {
+            return None;
+        }
         let now = self.context.clock.now();
         let slowdown = progress.slowdown;
         let slowdown = slowdown.map(|(percent, at)| endpoint_speed::SlowdownReport {
@@ -188,6 +213,9 @@
     pub fn record_refused(&self, reason: outcome::NotRunReason) {
         self.is_served.set(false);
         endpoint_reports::count_refusal(&self.context, reason);
+        if self.is_refused_staging(reason) {
+            return self.report(peers::EndpointObservation::QueueFull);
+        }
         if let Some(observation) = endpoint_reports::from_refusal(&self.context, reason) {
             self.report(observation);
         }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -81,5 +81,6 @@
 pub mod state_transfer;
 mod suspension;
 mod trial_state;
+pub mod waiting_grants;
 pub mod wire;
 pub mod workspaces;
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -267,6 +267,9 @@
         peers::EndpointObservation::Full => {
             context.permits.borrow_mut().record_refused(endpoint, now)
         }
+        peers::EndpointObservation::QueueFull => {
+            slot_grants::record_staging_refused(context, endpoint)
+        }
         peers::EndpointObservation::Misnamed => {
             context.fleet.record_misidentified(endpoint, *started)
         }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -150,6 +150,8 @@
     /// Whether the endpoint of the slot is suspect, so that the requester must report its
     /// first sign of life at once.
     pub is_probe: bool,
+    /// Whether the slot is a place in the queue of the endpoint, whose slots are all held.
+    pub is_staged: bool,
     /// Time after which the caller is expected to retry, if one was booked for it.
     pub retry_after: Option<time::Duration>,
 }
@@ -172,6 +174,8 @@
     Failed(health::FailureReport),
     /// The endpoint refused the request because it is full.
     Full,
+    /// The endpoint refused a staged request because it is full.
+    QueueFull,
     /// Another endpoint is at the address and refused the request.
     Misnamed,
     /// The endpoint responded that the request failed.
--- a/src/serving/permits/failures.rs
+++ b/src/serving/permits/failures.rs
@@ -138,6 +138,7 @@
 
     /// Ends the backoffs that have expired; returns whether there were any.
     pub fn reopen(&mut self, now: clock::MonotonicTime) -> bool {
-        self.refusals.expire(now)
+        let has_reopened = self.refusals.expire(now);
+        self.staging_refusals.expire(now) || has_reopened
     }
 }
--- a/src/serving/permits/grants.rs
+++ b/src/serving/permits/grants.rs
@@ -95,7 +95,7 @@
             return None;
         };
         if let Some(owned) = self.ledgers.get_mut(&holder.endpoint) {
-            owned.ledger.release_permit(number);
+            owned.release(number);
         }
         self.doubts.end(&holder.endpoint, number);
         Some(holder.endpoint)
--- a/src/serving/permits/ledger.rs
+++ b/src/serving/permits/ledger.rs
@@ -29,6 +29,8 @@
     pub(super) ledger: admission::EndpointLedger,
     /// Whether its identity is not confirmed; it gets one request at a time until then.
     pub(super) is_unverified: bool,
+    /// Staged request, which waits in the queue of the endpoint.
+    pub(super) staged: Option<admission::PermitNumber>,
     pub(super) cold_gate: cold_start::ColdGate,
     pub(super) speed: endpoint_speed::EndpointSpeed,
     pub(super) logged_speed: LoggedSpeed,
@@ -42,6 +44,7 @@
             entry: entry.clone(),
             ledger,
             is_unverified: false,
+            staged: None,
             cold_gate: cold_start::ColdGate::default(),
             speed: endpoint_speed::EndpointSpeed::default(),
             logged_speed: LoggedSpeed::default(),
@@ -59,6 +62,14 @@
         limit.saturating_sub(self.ledger.online().max(self.entry.slots))
     }
 
+    /// Releases a permit; the staged request has a slot once no more are held than exist.
+    pub(super) fn release(&mut self, number: admission::PermitNumber) {
+        self.ledger.release_permit(number);
+        if self.staged == Some(number) || self.ledger.online() <= self.entry.slots {
+            self.staged = None;
+        }
+    }
+
     /// Returns the endpoint as a candidate for a choice.
     pub(super) fn candidate(
         &self,
--- a/src/serving/permits/mod.rs
+++ b/src/serving/permits/mod.rs
@@ -7,6 +7,7 @@
 mod grants;
 mod ledger;
 mod speeds;
+mod staging;
 
 use std::{collections, fmt, num, rc, time};
 
@@ -121,6 +122,8 @@
     early_releases: lru::LruCache<admission::PermitNumber, ()>,
     /// Endpoints that are backed off after a refusal.
     refusals: endpoint_backoff::EndpointBackoff,
+    /// Endpoints at which no request is staged after one was refused.
+    staging_refusals: endpoint_backoff::EndpointBackoff,
     /// Owned endpoints that are suspect after a failure.
     ///
     /// Invariant: each of them is in `ledgers`.
@@ -148,6 +151,7 @@
             references: collections::HashMap::new(),
             early_releases: lru::LruCache::new(MAX_EARLY_RELEASES),
             refusals: endpoint_backoff::EndpointBackoff::new(REFUSAL_BACKOFF),
+            staging_refusals: endpoint_backoff::EndpointBackoff::new(staging::STAGING_BACKOFF),
             doubts: endpoint_doubt::DoubtTable::default(),
         }
     }
@@ -178,6 +182,7 @@
         self.borrowed
             .retain(|(endpoint, _), _| ledgers.contains_key(endpoint));
         self.refusals.retain(|id| ledgers.contains_key(id));
+        self.staging_refusals.retain(|id| ledgers.contains_key(id));
         for entry in owned {
             let ledger = self.ledgers.entry(entry.id.clone());
             let ledger = ledger.or_insert_with(|| ledger::OwnedLedger::new(entry));
@@ -206,6 +211,7 @@
             self.holders.retain(|_, holder| holder.endpoint != *id);
             self.borrowed.retain(|(endpoint, _), _| endpoint != id);
             self.refusals.forget(id);
+            self.staging_refusals.forget(id);
             self.doubts.clear_probe(id);
         }
         if let Some(entry) = owned {
--- a/src/serving/slot_grants.rs
+++ b/src/serving/slot_grants.rs
@@ -1,18 +1,29 @@
 //! Grants slots of owned endpoints, at once or to requests that wait for them.
 
-use std::{rc, time};
+use std::{collections, rc, time};
 
 use tokio::sync::oneshot;
 
 use super::{
-    context, endpoint_records, peers,
-    slot_queue::{WaitOutcome, WaitRefusal},
+    context, endpoint_records, peers, permits,
+    slot_queue::{self, WaitOutcome, WaitRefusal},
+    waiting_grants::{self, WaitGrant},
 };
 use crate::{
+    clock,
     decisions::{admission, wait_queue},
     ids,
 };
 
+/// A kind of grant to a waiting request.
+type GrantFunction = fn(
+    &mut permits::PermitTable,
+    &mut slot_queue::SlotQueues,
+    &ids::ServiceName,
+    &collections::HashSet<ids::EndpointId>,
+    clock::MonotonicTime,
+) -> Option<WaitGrant>;
+
 /// Acquires a slot at an owned endpoint, preempting batch streams if necessary.
 fn acquire(
     context: &context::ProcessContext,
@@ -79,6 +90,7 @@
         only_suspect,
         all_suspect,
         is_probe,
+        is_staged: false,
         retry_after: None,
     }
 }
@@ -184,7 +196,10 @@
     match wait_in_line(context, request, ticket).await {
         WaitOutcome::Granted(endpoint) => {
             let now = context.clock.now();
-            response.is_probe = context.permits.borrow().is_suspect(&endpoint, now);
+            let permits = context.permits.borrow();
+            response.is_probe = permits.is_suspect(&endpoint, now);
+            response.is_staged = permits.is_staged(request.number);
+            drop(permits);
             response.only_suspect = false;
             response.endpoint = Some(endpoint);
         }
@@ -215,6 +230,7 @@
         only_suspect: false,
         all_suspect: false,
         is_probe: false,
+        is_staged: false,
         retry_after: None,
     }
 }
@@ -262,6 +278,7 @@
             capacity.spacing.unwrap_or_default().as_micros(),
         );
     }
+    serve_waiting(context, &request.service);
     let wait = request.wait.min(ticket.deadline);
     waiting_slot.outcome(wait, capacity).await
 }
@@ -360,44 +377,81 @@
     }
 }
 
-/// Gives the free slots of a service to the waiting requests.
+/// Gives the free slots of a service to the waiting requests, and stages one request at each
+/// endpoint that has none.
 fn serve_waiting(context: &context::ProcessContext, service: &ids::ServiceName) {
-    loop {
-        let now = context.clock.now();
-        if context.permits.borrow().free_online_slots(service, now) == 0 {
-            return;
-        }
-        let candidates = context.slot_queues.borrow().candidates(service);
-        let granted = candidates.into_iter().find_map(|number| {
-            let queues = context.slot_queues.borrow();
-            let waiting = queues.get(number)?;
-            let request = peers::OnlineSlotRequest {
-                may_queue: false,
-                ..waiting.request.clone()
-            };
-            drop(queues);
-            Some((number, acquire(context, &request)?))
-        });
-        let Some((number, endpoint)) = granted else {
-            return;
-        };
-        let granted =
-            context
-                .slot_queues
-                .borrow_mut()
-                .grant(service, number, endpoint.clone(), now);
-        match granted {
-            Some(waited) => {
-                record_outcome(context, number, &WaitOutcome::Granted(endpoint), waited);
-            }
-            None => {
-                // Its caller has left.
-                context.permits.borrow_mut().release(number);
-                let mut queues = context.slot_queues.borrow_mut();
-                queues.record_release(service, number);
-            }
-        }
+    while grant_next(context, service, waiting_grants::grant_free_slot).is_some() {}
+    while let Some(staged) = grant_next(context, service, waiting_grants::stage_request) {
+        record_staged(context, service, &staged);
+    }
+}
+
+/// Serves the next waiting request by a kind of grant.
+fn grant_next(
+    context: &context::ProcessContext,
+    service: &ids::ServiceName,
+    grant: GrantFunction,
+) -> Option<WaitGrant> {
+    let now = context.clock.now();
+    let mut permits = context.permits.borrow_mut();
+    let mut queues = context.slot_queues.borrow_mut();
+    if !queues.is_awaited(service) {
+        return None;
+    }
+    let ejected = context.ejected_endpoints(&permits, now);
+    let granted = grant(&mut permits, &mut queues, service, &ejected, now)?;
+    drop((permits, queues));
+    for stream in &granted.slot.preempted {
+        preempt(context, &granted.slot.endpoint, *stream);
     }
+    if let Some(waited) = granted.waited {
+        let outcome = WaitOutcome::Granted(granted.slot.endpoint.clone());
+        record_outcome(context, granted.number, &outcome, waited);
+    }
+    Some(granted)
+}
+
+/// Logs and counts a staged request.
+fn record_staged(
+    context: &context::ProcessContext,
+    service: &ids::ServiceName,
+    staged: &WaitGrant,
+) {
+    let Some(waited) = staged.waited else {
+        return;
+    };
+    count_staged(context, "staged");
+    let permits = context.permits.borrow();
+    let capacity = permits.queue_capacity(service, context.clock.now());
+    let staged_count = permits.staged_count(service);
+    drop(permits);
+    log::info!(
+        "event=request_staged number={:016x} service={service} endpoint={} spacing_us={} slots={} staged={} waited_ms={}",
+        staged.number,
+        staged.slot.endpoint,
+        capacity.spacing.unwrap_or_default().as_micros(),
+        capacity.slots,
+        staged_count,
+        waited.as_millis(),
+    );
+}
+
+/// Records that an endpoint refused a staged request as full.
+pub(super) fn record_staging_refused(
+    context: &context::ProcessContext,
+    endpoint: &ids::EndpointId,
+) {
+    let now = context.clock.now();
+    let mut permits = context.permits.borrow_mut();
+    permits.record_staging_refused(endpoint, now);
+    drop(permits);
+    count_staged(context, "refused");
+    log::info!("event=staged_request_refused endpoint={endpoint}");
+}
+
+fn count_staged(context: &context::ProcessContext, outcome: &str) {
+    let counters = &context.metrics.staged_requests;
+    counters.with_label_values(&[outcome]).inc();
 }
 
 /// Refuses the requests for services that this process can no longer serve, and gives slots
--- a/src/serving/slot_queue.rs
+++ b/src/serving/slot_queue.rs
@@ -308,6 +308,12 @@
         }
     }
 
+    /// Returns whether requests wait for a service.
+    pub(super) fn is_awaited(&self, service: &ids::ServiceName) -> bool {
+        let queue = self.services.get(service);
+        queue.is_some_and(|queue| !queue.line.is_empty())
+    }
+
     /// Returns the services for which requests wait.
     pub(super) fn waiting_services(&self) -> Vec<ids::ServiceName> {
         let services = self.services.iter();
--- a/src/serving/slot_requests.rs
+++ b/src/serving/slot_requests.rs
@@ -5,7 +5,7 @@
 use super::{
     context,
     held_permit::{self, HeldPermit},
-    held_slot::HeldSlot,
+    held_slot::{GrantState, HeldSlot},
     peers, pending_permit, queried_owners, slot_grants,
 };
 use crate::{decisions::endpoint_doubt, ids};
@@ -235,6 +235,10 @@
         context.granted_at.borrow_mut().insert(from.clone(), now);
     }
     context.loads.borrow_mut().begin(&endpoint.id);
-    let slot = HeldSlot::new(context, endpoint, Some(permit), response.is_probe);
+    let state = GrantState {
+        is_doubted: response.is_probe,
+        is_staged: response.is_staged,
+    };
+    let slot = HeldSlot::new(context, endpoint, Some(permit), state);
     Some(slot)
 }
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -5,7 +5,7 @@
 
 use super::{
     context, directory,
-    held_slot::HeldSlot,
+    held_slot::{GrantState, HeldSlot},
     peers, queried_owners,
     slot_requests::{self, OwnerReply, SlotParams, SlotReply},
 };
@@ -321,5 +321,10 @@
     drop(loads);
     let endpoint = chosen.ok_or(SlotUnavailable::NoEndpoint)?;
     context.loads.borrow_mut().begin(&endpoint.id);
-    Ok(HeldSlot::new(context, endpoint, None, false))
+    Ok(HeldSlot::new(
+        context,
+        endpoint,
+        None,
+        GrantState::default(),
+    ))
 }
--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -33,6 +33,7 @@
 cold_limit       evacuations        a_cold_engine_gets_no_more_than_its_rate
 token_wait       workspaces         a_request_beyond_the_rate_waits_for_a_token
 slot_line        slot_queue         a_free_slot_goes_to_the_highest_priority
+staged_request   staged_requests    fewer_callers_are_late_or_refused::case_1_surges_above_capacity
 return_order     wait_queue         a_hot_workspace_does_not_take_the_slots_of_the_others
 item_attempts    system_faults      items_that_fail_are_given_up_after_the_allowed_attempts
 endpoint_doubt   single_attempts    engines_that_close_connections_cost_one_request_each
