fix(slots): grant a permit number only once

Cause: an owner that received a request for a slot twice under the same number granted a slot at each of two endpoints and remembered only the second holder. The release freed that slot; the first one counted as held until its permit expired after 15 s (`online=3 holders=0`).

Change: a request whose number already holds a slot gets the same slot again, and the ledger counts it once.

Test: tests/slots.rs, a_number_that_arrives_twice_holds_one_slot.

--- a/src/serving/permits.rs
+++ b/src/serving/permits.rs
@@ -330,6 +330,8 @@
     /// to complete the request first and among equals one in the domain of the requester. If
     /// none is free, the first of the endpoints in this order gives up a batch stream or queues
     /// the request. Among alike endpoints, the number of requests decides.
+    ///
+    /// A request whose number already holds a slot gets the same slot again.
     pub fn acquire(
         &mut self,
         request: &peers::OnlineSlotRequest,
@@ -339,6 +341,14 @@
         if self.take_early_release(request.number) {
             return None;
         }
+        // A second grant would replace the holder of the first, whose slot then stays taken
+        // until it expires.
+        if let Some(held) = self.holders.get(&request.number) {
+            return Some(GrantedSlot {
+                endpoint: held.endpoint.clone(),
+                preempted: Vec::new(),
+            });
+        }
         let scale = self.speed_scale(&request.service, now);
         let usable = self
             .of_service(&request.service, now)
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -76,6 +76,25 @@
     assert!(table.release(8).is_some());
 }
 
+/// Guards against slots that are held for the TTL of 15 s for nobody.
+///
+/// After a restart of all processes, the same number reached an owner through two relays. It
+/// was granted a slot at each of two endpoints, of which the release freed only the second.
+#[test]
+fn a_number_that_arrives_twice_holds_one_slot() {
+    let mut table = table(&[entry("a", "z"), entry("b", "z")]);
+    let now = clock::MonotonicTime(1);
+    let none = Default::default();
+    let first = table.acquire(&slot_request(run("g"), 7), &none, now);
+    let second = table.acquire(&slot_request(run("h"), 7), &none, now);
+    assert!(first.is_some());
+    assert_eq!(second, first);
+    assert_eq!(table.totals(), (1, 0));
+    assert!(table.release(7).is_some());
+    assert_eq!(table.totals(), (0, 0), "nothing is held");
+    assert!(table.is_empty());
+}
+
 #[test]
 fn online_requests_preempt_batch_streams_and_are_refused_beyond_the_limit() {
     let mut table = table(&[entry("a", "z"), entry("b", "z")]);
