fix(slots): do not relay a relayed slot request again

Cause: gateways that start before any dispatcher consider each other the owners but own nothing for 3 s. A process that is not an owner relayed each request to its owners, so that gateways passed requests back and forth, with a branch after each timeout of 40 ms. Once a dispatcher was reachable, all copies of a number reached it through one or several gateways.

Change: relays use a call of its own, `acquire_relayed`, which is answered by an owner with a grant and by any other process with "owns no endpoints". A number thus reaches an owner at most once. Old processes do not know the call; it is sent only on behalf of processes that are cut off from the owners.

--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -55,6 +55,15 @@
                 }
             });
         }
+        C::AcquireRelayed(request, sender) => {
+            let now = context.clock.now();
+            let mut members = context.members.borrow_mut();
+            members.record_contact(&request.holder, now);
+            drop(members);
+            // Not relayed further: processes that have just started may each consider others
+            // the owners, and a number that is passed on by several of them is granted twice.
+            reply(sender, slot_grants::grant(context, &request));
+        }
         C::Release(ended) => slot_grants::release(context, ended),
         C::Report(report) => apply_report(context, &report),
         C::CrashUpdate(message) => {
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -228,6 +228,19 @@
         connect_and_call!(self, peer, timeout, acquire(request))
     }
 
+    /// Requests a slot from an owner on behalf of a peer that is cut off from it.
+    ///
+    /// # Errors
+    /// The peer does not respond.
+    pub async fn acquire_relayed(
+        &self,
+        peer: net::SocketAddr,
+        request: OnlineSlotRequest,
+        timeout: time::Duration,
+    ) -> Result<OnlineSlotResponse, PeerError> {
+        connect_and_call!(self, peer, timeout, acquire_relayed(request))
+    }
+
     /// Releases a slot, retrying while its owner is unreachable: the owner holds the slot
     /// until the release arrives or the permit expires.
     pub fn release(&self, peer: net::SocketAddr, release: SlotRelease) {
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -67,6 +67,15 @@
             .await
     }
 
+    async fn acquire_relayed(
+        self,
+        _: tarpc::context::Context,
+        request: OnlineSlotRequest,
+    ) -> Option<OnlineSlotResponse> {
+        self.send_request(|reply| PeerCall::AcquireRelayed(request, reply))
+            .await
+    }
+
     async fn release(self, _: tarpc::context::Context, release: SlotRelease) {
         self.notify(PeerCall::Release(release)).await;
     }
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -315,6 +315,9 @@
     async fn claim_trial(message: crash_ledger::CrashMessage) -> Option<bool>;
     /// Returns a trial that did not run.
     async fn return_trial(digest: ids::RequestDigest);
+    /// Requests a slot on behalf of a peer that is cut off from the owners. A process that
+    /// owns no endpoints responds so, and does not relay the request again.
+    async fn acquire_relayed(request: OnlineSlotRequest) -> Option<OnlineSlotResponse>;
 }
 
 /// Incoming call of a peer and the channel for its response.
@@ -323,6 +326,8 @@
     Probe(HeartbeatMessage, oneshot::Sender<HeartbeatMessage>),
     /// See [`PeerService::acquire`].
     Acquire(OnlineSlotRequest, oneshot::Sender<OnlineSlotResponse>),
+    /// See [`PeerService::acquire_relayed`].
+    AcquireRelayed(OnlineSlotRequest, oneshot::Sender<OnlineSlotResponse>),
     /// See [`PeerService::release`].
     Release(SlotRelease),
     /// See [`PeerService::report`].
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -755,7 +755,7 @@
         let Some(address) = address else { continue };
         let response = context
             .links
-            .acquire(address, request.clone(), OWNER_TIMEOUT)
+            .acquire_relayed(address, request.clone(), OWNER_TIMEOUT)
             .await;
         match response {
             Ok(response) if response.endpoint.is_some() => {
