fix(slots): ask owners whose first report is awaited

Cause: an owner that had sent a heartbeat but not yet reported free slots was considered only if all others were full.

Change: an owner with which the gateway exchanges heartbeats and that has reported nothing counts with its assumed free slots. If it responds that it owns no endpoints, it counts as full until its next heartbeat. Owners outside the subset of the gateway are considered as before. The rule is in decisions::owner_order::with_unreported.

--- a/src/decisions/owner_order.rs
+++ b/src/decisions/owner_order.rs
@@ -26,6 +26,48 @@
     pub is_same_domain: bool,
 }
 
+/// Number of free slots assumed of an owner that has not reported any.
+const ASSUMED_FREE_SLOTS: u32 = 8;
+
+/// Owner of listed endpoints of a service that has not reported free slots of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnreportedOwner {
+    /// Instance of the owner.
+    pub id: ids::InstanceId,
+    /// Whether the owner is in the gateway's failure domain.
+    pub is_same_domain: bool,
+    /// Whether the gateway exchanges heartbeats with the owner, of which none contained a
+    /// report yet: one of the next will.
+    pub awaits_report: bool,
+}
+
+/// Returns the owners to choose from: those that have reported, and with assumed free slots
+/// those that have not.
+///
+/// An owner whose first report is awaited has just started. Without it, all gateways send
+/// all requests to the owners that reported first. Owners with which the gateway exchanges
+/// no heartbeats are considered only if the known ones are full: requests are to stay
+/// within the subset of owners that the gateway is linked to.
+pub fn with_unreported(
+    mut reported: Vec<OwnerCapacity>,
+    unreported: Vec<UnreportedOwner>,
+) -> Vec<OwnerCapacity> {
+    let are_full = reported.iter().all(|owner| owner.free_slots == 0);
+    let usable = unreported
+        .into_iter()
+        .filter(|owner| owner.awaits_report || are_full);
+    let usable: Vec<_> = usable
+        .map(|owner| OwnerCapacity {
+            id: owner.id,
+            free_slots: ASSUMED_FREE_SLOTS,
+            is_same_domain: owner.is_same_domain,
+        })
+        .collect();
+    reported.retain(|known| usable.iter().all(|owner| owner.id != known.id));
+    reported.extend(usable);
+    reported
+}
+
 /// Returns the owners in the order in which they are to be tried; those without free slots go
 /// last.
 pub fn random_order(owners: Vec<OwnerCapacity>, rng: &mut impl Rng) -> Vec<ids::InstanceId> {
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -1,7 +1,7 @@
 //! Slots for online requests: requested from an owner, or chosen by this process's own
 //! counts.
 
-use std::{cell, net, rc, time};
+use std::{cell, collections, net, rc, time};
 
 use rand::seq::IndexedRandom as _;
 
@@ -23,8 +23,6 @@
 /// Each costs a round trip of 1 to 4 ms, and a request that is sent to a dead endpoint may
 /// be lost.
 const MAX_SUSPECT_OWNERS: usize = 3;
-/// Number of free slots assumed of an owner that has not reported any.
-const ASSUMED_FREE_SLOTS: u32 = 8;
 /// Number of endpoints whose owners are queried if no known owner has a free slot.
 const SAMPLED_ENDPOINTS: usize = 16;
 
@@ -575,9 +573,9 @@
     })
 }
 
-/// Returns the owners in the order in which they are queried: those that have reported
-/// free slots of the service, then owners of some of its endpoints that have not reported
-/// any, then the full ones.
+/// Returns the owners in the order in which they are queried: those that have reported free
+/// slots of the service or whose first report is awaited, then other owners of some of its
+/// endpoints that have not reported any, then the full ones.
 pub(super) fn owner_order(
     context: &context::ProcessContext,
     service: &ids::ServiceName,
@@ -602,21 +600,27 @@
             is_same_domain: is_same_domain(&owner.domain),
         })
     });
-    let mut capacities: Vec<_> = known.collect();
-    if capacities.iter().all(|owner| owner.free_slots == 0) {
-        let sampled = sampled_owners(context, service, &owners);
-        let unknown = sampled
-            .into_iter()
-            .filter(|owner| is_reachable(&owner.id) && reported(&owner.id).is_none())
-            .map(|owner| owner_order::OwnerCapacity {
-                id: owner.id.clone(),
-                free_slots: ASSUMED_FREE_SLOTS,
-                is_same_domain: is_same_domain(&owner.domain),
-            });
-        let unknown: Vec<_> = unknown.collect();
-        capacities.retain(|known| unknown.iter().all(|owner| owner.id != known.id));
-        capacities.extend(unknown);
-    }
+    let known: Vec<_> = known.collect();
+    let subset = context.subset();
+    // A report names all services of which its sender owns endpoints.
+    let awaits_report = |id: &ids::InstanceId| {
+        id != context.id() && !free_slots.contains_key(id) && subset.contains(id)
+    };
+    let are_full = known.iter().all(|owner| owner.free_slots == 0);
+    let mut reachable = owners.iter().filter(|owner| is_reachable(&owner.id));
+    let unreported = match are_full || reachable.any(|owner| awaits_report(&owner.id)) {
+        true => sampled_owners(context, service, &owners),
+        false => Vec::new(),
+    };
+    let unreported = unreported
+        .into_iter()
+        .filter(|owner| is_reachable(&owner.id) && reported(&owner.id).is_none())
+        .map(|owner| owner_order::UnreportedOwner {
+            id: owner.id.clone(),
+            is_same_domain: is_same_domain(&owner.domain),
+            awaits_report: awaits_report(&owner.id),
+        });
+    let capacities = owner_order::with_unreported(known, unreported.collect());
     owner_order::random_order(capacities, &mut rand::rng())
 }
 
@@ -821,9 +825,19 @@
     };
     if !response.owns {
         count_permit(context, "not_owner");
+        let is_probed = context.subset().contains(owner);
         let mut free_slots = context.free_slots.borrow_mut();
-        if let Some(of_owner) = free_slots.get_mut(owner) {
-            of_owner.remove(service);
+        match free_slots.get_mut(owner) {
+            Some(of_owner) => {
+                of_owner.remove(service);
+            }
+            // An owner that has just started may not have read the list of endpoints: it
+            // counts as full until its next heartbeat.
+            None if is_probed => {
+                let none = collections::HashMap::from([(service.clone(), 0)]);
+                free_slots.insert(owner.clone(), none);
+            }
+            None => {}
         }
         return OwnerReply::None(SlotReply::NotOwner);
     }
