--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -322,6 +322,9 @@
     /// Hands off a job that the sender has just created and sent to no other owner; returns
     /// whether it has already completed.
     async fn take_new_job(record: job_records::JobRecord) -> Option<bool>;
+    /// Requests a slot on behalf of a peer that is cut off from the owners. A process that
+    /// owns no endpoints responds so, and does not relay the request again.
+    async fn acquire_relayed(request: OnlineSlotRequest) -> Option<OnlineSlotResponse>;
 }
 
 /// Incoming call of a peer and the channel for its response.
@@ -330,6 +333,8 @@
     Probe(HeartbeatMessage, oneshot::Sender<HeartbeatMessage>),
     /// See [`PeerService::acquire`].
     Acquire(OnlineSlotRequest, oneshot::Sender<OnlineSlotResponse>),
+    /// See [`PeerService::acquire_relayed`].
+    AcquireRelayed(OnlineSlotRequest, oneshot::Sender<OnlineSlotResponse>),
     /// See [`PeerService::release`].
     Release(SlotRelease),
     /// See [`PeerService::report`].
