fix(limits): hold start credits until the start record is on the disk

With real processes the first deposits arrive 15 to 50 ms after a start.

They are now held, count towards the one whole start credit, and are accepted or denied with the record: under the same list of quota servers and in the first window only.

--- a/src/bench/limit_fleet/pooled.rs
+++ b/src/bench/limit_fleet/pooled.rs
@@ -93,7 +93,7 @@
             *record = StartRecord::StartedAt(epoch);
         }
         table.reserve_start_credits(now);
-        table.permit_start_credits(decision.permission);
+        table.permit_start_credits(decision.permission, now);
         table
     }
 
--- a/src/decisions/rate_limits/start_credit.rs
+++ b/src/decisions/rate_limits/start_credit.rs
@@ -48,7 +48,7 @@
 pub enum StartCreditDenial {
     /// The process has no disk, or the settings hold no tolerance.
     NoDisk,
-    /// The record has not been read and written yet.
+    /// The record has not been read and written yet; start credits are held.
     RecordPending,
     /// There is no record of an earlier run.
     NoRecord,
@@ -95,6 +95,28 @@
     }
 }
 
+/// What became of the start credit of a gateway.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StartCreditOutcome {
+    /// This fraction of the whole start credit is accepted.
+    Accepted(f64),
+    /// It waits for the start record to be read and written.
+    Held,
+    /// It is denied.
+    Denied(StartCreditDenial),
+}
+
+impl StartCreditOutcome {
+    /// Returns the name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted(_) => "accepted",
+            Self::Held => "held",
+            Self::Denied(reason) => reason.name(),
+        }
+    }
+}
+
 /// What a starting quota server does with its start record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RecordDecision {
@@ -154,6 +176,9 @@
     permission: Result<(), StartCreditDenial>,
     closes_at: clock::MonotonicTime,
     accepted: f64,
+    /// Fraction that waits for the start record: the first deposits arrive within milliseconds,
+    /// and the write of a record takes some.
+    held: f64,
 }
 
 impl StartCreditGate {
@@ -163,6 +188,7 @@
             permission: Err(StartCreditDenial::NoDisk),
             closes_at: clock::MonotonicTime::default(),
             accepted: 0.0,
+            held: 0.0,
         }
     }
 
@@ -172,15 +198,23 @@
             permission: Err(StartCreditDenial::RecordPending),
             closes_at: started_at + window,
             accepted: 0.0,
+            held: 0.0,
         }
     }
 
-    /// Records the permission that follows from the start record. Later ones, and those after
-    /// the gate was closed, are ignored.
-    pub fn set_permission(&mut self, permission: Result<(), StartCreditDenial>) {
+    /// Records the permission that follows from the start record, and returns what became of
+    /// the start credits that waited for it. Later permissions, and those after the gate was
+    /// closed, are ignored.
+    pub fn set_permission(
+        &mut self,
+        permission: Result<(), StartCreditDenial>,
+        now: clock::MonotonicTime,
+    ) -> Option<StartCreditOutcome> {
         if self.permission == Err(StartCreditDenial::RecordPending) {
             self.permission = permission;
         }
+        let held = std::mem::take(&mut self.held);
+        (held > 0.0).then(|| self.accept_fraction(held, now))
     }
 
     /// Accepts no further start credits in this run.
@@ -193,24 +227,34 @@
         }
     }
 
-    /// Accepts the start credit of one gateway; returns the accepted fraction.
-    ///
-    /// # Errors
-    /// Returns the reason if it is denied.
+    /// Accepts, holds or denies the start credit of one gateway.
     pub fn accept(
         &mut self,
         fraction: GatewayFraction,
         now: clock::MonotonicTime,
-    ) -> Result<f64, StartCreditDenial> {
+    ) -> StartCreditOutcome {
+        self.accept_fraction(fraction.value(), now)
+    }
+
+    fn accept_fraction(&mut self, fraction: f64, now: clock::MonotonicTime) -> StartCreditOutcome {
         if now > self.closes_at {
             self.close(StartCreditDenial::RunTooOld);
         }
-        self.permission?;
-        let accepted = fraction.value().min(1.0 - self.accepted);
-        if accepted <= 0.0 {
-            return Err(StartCreditDenial::UsedUp);
+        let room = 1.0 - self.accepted - self.held;
+        let fraction = fraction.min(room);
+        match self.permission {
+            Ok(()) | Err(StartCreditDenial::RecordPending) if fraction <= 0.0 => {
+                StartCreditOutcome::Denied(StartCreditDenial::UsedUp)
+            }
+            Err(StartCreditDenial::RecordPending) => {
+                self.held += fraction;
+                StartCreditOutcome::Held
+            }
+            Err(reason) => StartCreditOutcome::Denied(reason),
+            Ok(()) => {
+                self.accepted += fraction;
+                StartCreditOutcome::Accepted(fraction)
+            }
         }
-        self.accepted += accepted;
-        Ok(accepted)
     }
 }
--- a/src/decisions/rate_limits/token_pools.rs
+++ b/src/decisions/rate_limits/token_pools.rs
@@ -5,7 +5,7 @@
 use super::{
     rate_limit::{LimitTolerance, RateLimit},
     share_clock::{self, DepositNumber, QuotaServerView, ShareTime},
-    start_credit::{GatewayFraction, StartCreditDenial, StartCreditGate},
+    start_credit::{GatewayFraction, StartCreditDenial, StartCreditGate, StartCreditOutcome},
 };
 use crate::{clock, decisions::call_budget, ids};
 
@@ -62,9 +62,9 @@
 pub struct DepositReceipt {
     /// Outcome of the deposit.
     pub outcome: DepositOutcome,
-    /// Accepted start credit, or the reason for which it was denied; `None` if there was none,
-    /// or the deposit was not credited.
-    pub start_credit: Option<Result<f64, StartCreditDenial>>,
+    /// What became of the start credit; `None` if there was none, or the deposit was not
+    /// credited.
+    pub start_credit: Option<StartCreditOutcome>,
 }
 
 /// Sum of what a quota server has credited.
@@ -185,9 +185,16 @@
         self.start_credits = StartCreditGate::starting_at(started_at, self.tolerance.window);
     }
 
-    /// Records what the start record says.
-    pub fn permit_start_credits(&mut self, permission: Result<(), StartCreditDenial>) {
-        self.start_credits.set_permission(permission);
+    /// Records what the start record says. Returns what became of the start credits that waited
+    /// for it, if any did.
+    pub fn permit_start_credits(
+        &mut self,
+        permission: Result<(), StartCreditDenial>,
+        now: clock::MonotonicTime,
+    ) -> Option<StartCreditOutcome> {
+        let outcome = self.start_credits.set_permission(permission, now)?;
+        self.credit_start(outcome, now);
+        Some(outcome)
     }
 
     /// Accepts no further start credits in this run.
@@ -262,18 +269,24 @@
         &mut self,
         fraction: GatewayFraction,
         now: clock::MonotonicTime,
-    ) -> Result<f64, StartCreditDenial> {
+    ) -> StartCreditOutcome {
         if !self.had_whole_list {
-            return Err(StartCreditDenial::ListUnknown);
+            return StartCreditOutcome::Denied(StartCreditDenial::ListUnknown);
+        }
+        let outcome = self.start_credits.accept(fraction, now);
+        self.credit_start(outcome, now);
+        outcome
+    }
+
+    fn credit_start(&mut self, outcome: StartCreditOutcome, now: clock::MonotonicTime) {
+        if let StartCreditOutcome::Accepted(start) = outcome {
+            self.credited.start += start;
+            let credit = CreditSum {
+                start,
+                ..CreditSum::default()
+            };
+            self.recent_credits.push_back((now, credit));
         }
-        let start = self.start_credits.accept(fraction, now)?;
-        self.credited.start += start;
-        let credit = CreditSum {
-            start,
-            ..CreditSum::default()
-        };
-        self.recent_credits.push_back((now, credit));
-        Ok(start)
     }
 
     /// Credits a deposit without the start credit in it.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -82,7 +82,7 @@
     pub token_waiting: prometheus::IntGauge,
     /// Deposits to the token pools of this process, by outcome.
     pub limit_deposits: prometheus::IntCounterVec,
-    /// Start credits of gateways received by this process: accepted, or the reason for denial.
+    /// Start credits of gateways received by this process: accepted, held, or the reason for denial.
     pub start_credits: prometheus::IntCounterVec,
     /// Requests for a place in the wait queues of owned endpoints, by outcome.
     pub slot_queue: prometheus::IntCounterVec,
--- a/src/serving/limit_links.rs
+++ b/src/serving/limit_links.rs
@@ -212,7 +212,7 @@
         start_credit: start_credit_of(context, &due),
     };
     let receipt = receive_deposit(context, pools, &deposit, now);
-    record_start_credit(context, context.id(), &receipt);
+    record_start_credit(context, context.id(), receipt.start_credit);
 }
 
 /// Returns the number of gateways that share the limits.
@@ -240,39 +240,57 @@
     deposit: &token_pools::PoolDeposit,
     now: clock::MonotonicTime,
 ) -> token_pools::DepositReceipt {
-    // The monotonic clock stands still while the machine is suspended, the one of the start
-    // record does not.
+    close_old_start_credits(context, pools);
+    pools.receive(deposit, now)
+}
+
+/// Ends the acceptance of start credits after the first window of this run.
+///
+/// The monotonic clock stands still while the machine is suspended, the wall clock of the start
+/// record does not.
+fn close_old_start_credits(context: &context::ProcessContext, pools: &mut token_pools::PoolTable) {
     if context.booted_at.elapsed() > context.options.tolerance.window {
         pools.close_start_credits(start_credit::StartCreditDenial::RunTooOld);
     }
-    pools.receive(deposit, now)
+}
+
+/// Applies what the start record says to the token pools of this process.
+pub(super) fn permit_start_credits(
+    context: &context::ProcessContext,
+    permission: Result<(), start_credit::StartCreditDenial>,
+) {
+    let now = context.clock.now();
+    let mut pools = context.pools.borrow_mut();
+    close_old_start_credits(context, &mut pools);
+    let held = pools.permit_start_credits(permission, now);
+    record_start_credit(context, context.id(), held);
 }
 
 /// Counts a start credit; logs the first one of each outcome in this run.
 fn record_start_credit(
     context: &context::ProcessContext,
-    gateway: &ids::InstanceId,
-    receipt: &token_pools::DepositReceipt,
+    from: &ids::InstanceId,
+    start_credit: Option<start_credit::StartCreditOutcome>,
 ) {
-    let Some(start_credit) = receipt.start_credit else {
+    let Some(outcome) = start_credit else {
         return;
     };
-    let label = match start_credit {
-        Ok(_) => "accepted",
-        Err(reason) => reason.name(),
-    };
     let counter = &context.metrics.start_credits;
-    counter.with_label_values(&[label]).inc();
-    if !context.logged_start_credits.borrow_mut().insert(label) {
+    counter.with_label_values(&[outcome.name()]).inc();
+    let mut logged = context.logged_start_credits.borrow_mut();
+    if !logged.insert(outcome.name()) {
         return;
     }
     let age_ms = context.age().as_millis();
-    match start_credit {
-        Ok(fraction) => log::info!(
-            "event=start_credit_accepted from={gateway} fraction={fraction:.4} age_ms={age_ms}"
+    match outcome {
+        start_credit::StartCreditOutcome::Accepted(fraction) => log::info!(
+            "event=start_credit_accepted from={from} fraction={fraction:.4} age_ms={age_ms}"
         ),
-        Err(reason) => {
-            log::info!("event=start_credit_denied from={gateway} why={reason} age_ms={age_ms}");
+        start_credit::StartCreditOutcome::Held => {
+            log::info!("event=start_credit_held from={from} age_ms={age_ms}");
+        }
+        start_credit::StartCreditOutcome::Denied(reason) => {
+            log::info!("event=start_credit_denied from={from} why={reason} age_ms={age_ms}");
         }
     }
 }
@@ -409,7 +427,7 @@
             let now = context.clock.now();
             let mut pools = context.pools.borrow_mut();
             let receipt = receive_deposit(context, &mut pools, &deposit, now);
-            record_start_credit(context, &heartbeat.id, &receipt);
+            record_start_credit(context, &heartbeat.id, receipt.start_credit);
             receipt.outcome
         }
         false => token_pools::DepositOutcome::Late,
--- a/src/serving/start_record.rs
+++ b/src/serving/start_record.rs
@@ -2,8 +2,8 @@
 //!
 //! It names the latest start of a run that may have accepted start credits, see
 //! [`crate::decisions::rate_limits::start_credit`]. A dedicated thread reads and replaces it at
-//! startup, so that a slow or hung disk delays nothing; until it is done, no start credit is
-//! accepted.
+//! startup, so that a slow or hung disk delays nothing; until it is done, start credits are
+//! held.
 
 use std::{
     fs,
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3;
 
-use super::context;
+use super::{context, limit_links};
 use crate::{
     clock,
     decisions::rate_limits::start_credit::{self, EpochMs, StartCreditDenial, StartRecord},
@@ -132,6 +132,6 @@
     actix_rt::spawn(async move {
         let permission = receiver.await;
         let permission = permission.unwrap_or(Err(StartCreditDenial::RecordUnwritten));
-        context.pools.borrow_mut().permit_start_credits(permission);
+        limit_links::permit_start_credits(&context, permission);
     });
 }
