--- a/src/serving/slot_requests.rs
+++ b/src/serving/slot_requests.rs
@@ -144,10 +144,7 @@
     };
     if !response.owns {
         count_permit(context, "not_owner");
-        let mut free_slots = context.free_slots.borrow_mut();
-        if let Some(of_owner) = free_slots.get_mut(owner) {
-            of_owner.remove(service);
-        }
+        queried_owners::record_not_owner(context, owner, service);
         return OwnerReply::None(SlotReply::NotOwner);
     }
     queried_owners::set_free_slots(context, owner, service, response.free_slots);
