fix(limits): empty token pools that received no deposits for 1.5 s

The depth of a pool follows the fraction of gateways that deposit, so that no two sides of a partition stock the depth twice. A pool was cut to its depth only when tokens were requested. After 5 s without deposits and requests, four deposits brought back the tokens of the time before: 85 granted where 18 are due (rate 10, burst 100).

The first deposit after 1.5 s without any now empties all pools.

--- a/src/decisions/rate_limits/token_pools.rs
+++ b/src/decisions/rate_limits/token_pools.rs
@@ -78,6 +78,12 @@
     start: f64,
 }
 
+impl CreditSum {
+    fn is_empty(&self) -> bool {
+        self.time + self.early + self.start <= 0.0
+    }
+}
+
 /// Limit of a workspace with what follows from it for its pools.
 struct PoolLimit {
     rate: f64,
@@ -304,6 +310,9 @@
         if self.view != Some(deposit.view) {
             return DepositOutcome::OtherView;
         }
+        if self.recent_credits(now).is_empty() {
+            self.empty_pools();
+        }
         let time = deposit.time.seconds().max(0.0);
         let credited = self.allowance.take_up_to(time, now);
         let credit = CreditSum {
@@ -317,6 +326,18 @@
         DepositOutcome::Credited
     }
 
+    /// Empties all pools, also those that no request has used yet.
+    ///
+    /// Without deposits their depth is zero, but a pool without requests is not brought up to
+    /// date meanwhile, and would have its tokens again with the next deposits.
+    fn empty_pools(&mut self) {
+        self.credited_at_view = self.credited;
+        for pool in self.pools.values_mut() {
+            pool.tokens = 0.0;
+            pool.accrued_to = self.credited;
+        }
+    }
+
     /// Returns the part of a time beyond [`CREDIT_BURST`] that has passed since the start of
     /// this run and is not credited yet, while the run is young.
     fn early_time(&self, time: f64, now: clock::MonotonicTime) -> f64 {
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -187,6 +187,30 @@
     assert!(quota_server.request_tokens(&limit, 1000, at_ms(3000)) <= 25);
 }
 
+/// Guards against pools that keep their tokens while no gateway deposits: the gateways may have
+/// deposited elsewhere meanwhile, and the tokens of both places would be spent in one window.
+#[rstest]
+#[case::pool_in_use(true)]
+#[case::pool_without_requests(false)]
+fn pools_are_empty_after_a_time_without_deposits(#[case] is_in_use: bool) {
+    let mut quota_server = SingleQuotaServer::new();
+    let limit = limit(10.0, 100.0);
+    for n in 1..40 {
+        let deposit = quota_server.due(at_ms(n * 500)).expect("a deposit is due");
+        quota_server.table.deposit(&deposit, at_ms(n * 500));
+    }
+    if is_in_use {
+        assert_eq!(quota_server.request_tokens(&limit, 1, at_ms(19_500)), 1);
+    }
+    for ms in [25_000, 25_500, 26_000, 26_500] {
+        let deposit = quota_server.due(at_ms(ms)).expect("a deposit is due");
+        quota_server.table.deposit(&deposit, at_ms(ms));
+    }
+    let granted = quota_server.request_tokens(&limit, 1000, at_ms(26_500));
+    // The time since the first deposit, and the largest credit at once.
+    assert!((10..=18).contains(&granted), "{granted}");
+}
+
 #[test]
 fn changed_limit_applies_at_once() {
     let mut quota_server = SingleQuotaServer::new();
