refactor(serving): keep the origin of jobs and the start record out of the circle of imports

The origin of a job is declared beside its record, and whether a process keeps a start record is asked of its options. tests/imports.rs failed before and passes.

--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -7,7 +7,7 @@
 use super::{
     caller_memory, checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source,
     job_checkpoints, job_table, members, peer_links, peers, permits, progress_transfer, selection,
-    single_flight, slot_queue, start_record, state_transfer, wire,
+    single_flight, slot_queue, state_transfer, wire,
     workspaces::{limit_messages, limiter},
 };
 use crate::{
@@ -58,6 +58,14 @@
     pub max_descriptors: Option<u64>,
 }
 
+impl ProcessOptions {
+    /// Returns whether the process keeps a start record: without a tolerance there is nothing
+    /// to credit.
+    pub(super) fn keeps_start_record(&self) -> bool {
+        self.data_folder.is_some() && self.tolerance.has_margin()
+    }
+}
+
 /// Implementations of the interfaces between a process and its platform.
 pub struct ProcessAdapters {
     /// Wire format.
@@ -242,7 +250,7 @@
         let started_at = adapters.clock.now();
         let mut pools =
             token_pools::PoolTable::new(options.member.id.clone(), options.tolerance, started_at);
-        if start_record::is_kept(&options) {
+        if options.keeps_start_record() {
             pools.reserve_start_credits(started_at);
         }
         let run = ids::InstanceRun {
--- a/src/serving/job_acceptance.rs
+++ b/src/serving/job_acceptance.rs
@@ -3,7 +3,11 @@
 
 use std::{net, rc, time};
 
-use super::{context, job_records, job_runner::JobOrigin, peer_links, peers};
+use super::{
+    context,
+    job_records::{self, JobOrigin},
+    peer_links, peers,
+};
 use crate::{clock, ids, store};
 
 /// Maximum time to accept a job; the caller's remaining time may be shorter.
--- a/src/serving/job_records.rs
+++ b/src/serving/job_records.rs
@@ -16,6 +16,17 @@
 /// Kind of the end marks of jobs that their callers ended.
 pub const END_KIND: &str = "batch-ends";
 
+/// Where a job comes from that a process adopts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobOrigin {
+    /// From the process that has just created its record, which sends it to an owner for
+    /// the first time.
+    New,
+    /// From the store, or from a process that may have sent it to another owner or to an
+    /// earlier run of this one. It may have results.
+    Stored,
+}
+
 /// Accepted job.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct JobRecord {
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -23,22 +23,11 @@
     actix_rt::spawn(job_upkeep::remove_old_jobs(context.clone()));
 }
 
-/// Where a job comes from that a process adopts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum JobOrigin {
-    /// From the process that has just created its record, which sends it to an owner for
-    /// the first time.
-    New,
-    /// From the store, or from a process that may have sent it to another owner or to an
-    /// earlier run of this one. It may have results.
-    Stored,
-}
-
 /// Adopts a job and returns whether it is already finished.
 pub fn adopt_job(
     context: &rc::Rc<context::ProcessContext>,
     record: job_records::JobRecord,
-    origin: JobOrigin,
+    origin: job_records::JobOrigin,
 ) -> bool {
     if let Some(job) = context.jobs.get(&record.id) {
         return job.borrow().is_finished();
@@ -53,7 +42,7 @@
     let age_ms = clock::epoch_ms().saturating_sub(record.submitted_ms);
     // An earlier run of this process, or another owner, may have found the job in the store.
     let max_age_ms = NEW_JOB_MAX_AGE.min(context.age()).as_millis() as u64;
-    let is_new = origin == JobOrigin::New && age_ms < max_age_ms;
+    let is_new = origin == job_records::JobOrigin::New && age_ms < max_age_ms;
     let job = context.jobs.get_or_insert(record, due_ms);
     // Without the end marks, the job may have been ended in the meantime.
     if is_new && context.jobs.is_ended(&id) == Some(false) {
@@ -74,7 +63,7 @@
     let context = context.clone();
     actix_rt::spawn(async move {
         match job_records::read_job(context.store.as_ref(), &id).await {
-            Ok(Some(record)) => drop(adopt_job(&context, record, JobOrigin::Stored)),
+            Ok(Some(record)) => drop(adopt_job(&context, record, job_records::JobOrigin::Stored)),
             Ok(None) => log::warn!("event=job_unfound job={id} why=\"not in the store\""),
             // The requester sends the request again.
             Err(e) => log::info!("event=job_unfound job={id} why=\"{e}\""),
--- a/src/serving/job_supervisor.rs
+++ b/src/serving/job_supervisor.rs
@@ -25,7 +25,7 @@
 struct SupervisedJob {
     record: rc::Rc<job_records::JobRecord>,
     /// `Stored` once the job has been sent to an owner.
-    origin: job_runner::JobOrigin,
+    origin: job_records::JobOrigin,
     owner: Option<ids::InstanceId>,
     confirmed_at: clock::BootInstant,
     /// Number of consecutive hand-off attempts without a response.
@@ -44,7 +44,7 @@
 pub fn supervise(
     context: &rc::Rc<context::ProcessContext>,
     record: rc::Rc<job_records::JobRecord>,
-    origin: job_runner::JobOrigin,
+    origin: job_records::JobOrigin,
 ) {
     let id = record.id.clone();
     let first = SUPERVISED.with_borrow_mut(|jobs| {
@@ -93,7 +93,7 @@
         job.is_in_flight |= is_due;
         is_due.then(|| JobHandoff {
             record: job.record.clone(),
-            origin: std::mem::replace(&mut job.origin, job_runner::JobOrigin::Stored),
+            origin: std::mem::replace(&mut job.origin, job_records::JobOrigin::Stored),
             retries: job.retries,
         })
     });
@@ -117,7 +117,7 @@
 /// One attempt to hand off a job.
 struct JobHandoff {
     record: rc::Rc<job_records::JobRecord>,
-    origin: job_runner::JobOrigin,
+    origin: job_records::JobOrigin,
     /// Number of attempts without a response before this one.
     retries: u32,
 }
@@ -142,13 +142,13 @@
     let links = &context.links;
     let record = (**record).clone();
     let sent = match (origin, *retries < MAX_RECORD_ATTEMPTS) {
-        (job_runner::JobOrigin::New, _) => {
+        (job_records::JobOrigin::New, _) => {
             links.take_new_job(address, record, HANDOFF_TIMEOUT).await
         }
-        (job_runner::JobOrigin::Stored, true) => {
+        (job_records::JobOrigin::Stored, true) => {
             links.take_job(address, record, HANDOFF_TIMEOUT).await
         }
-        (job_runner::JobOrigin::Stored, false) => {
+        (job_records::JobOrigin::Stored, false) => {
             links.find_job(address, id.clone(), HANDOFF_TIMEOUT).await
         }
     };
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -121,7 +121,7 @@
         match job_records::decode_job(name, value.as_bytes()) {
             Ok(record) => match context.job_owner(&record.id) {
                 Some(owner) if owner == *context.id() => {
-                    job_runner::adopt_job(context, record, job_runner::JobOrigin::Stored);
+                    job_runner::adopt_job(context, record, job_records::JobOrigin::Stored);
                 }
                 Some(owner) if is_large => {
                     let previous = offered.insert(record.id.clone(), owner.clone());
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -138,7 +138,7 @@
                 reply(sender, write_outcome(&written));
                 if written.is_ok() {
                     // The gateway that accepted the job sends it to an owner too.
-                    let origin = job_runner::JobOrigin::Stored;
+                    let origin = job_records::JobOrigin::Stored;
                     job_supervisor::supervise(&context, rc::Rc::new(record), origin);
                 }
             });
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -8,7 +8,7 @@
 
 use super::{
     directory, job_records,
-    job_runner::JobOrigin,
+    job_records::JobOrigin,
     members,
     peer_links::{frames, RECONNECT_DELAY},
     peers::{
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    directory, evacuations, job_records, job_runner, members, route_table, state_snapshot, wire,
+    directory, evacuations, job_records, members, route_table, state_snapshot, wire,
     workspaces::limit_messages,
 };
 use crate::{
@@ -373,7 +373,7 @@
     /// See [`PeerService::take_job`] and [`PeerService::take_new_job`].
     TakeJob(
         job_records::JobRecord,
-        job_runner::JobOrigin,
+        job_records::JobOrigin,
         oneshot::Sender<bool>,
     ),
     /// See [`PeerService::find_job`].
--- a/src/serving/start_record.rs
+++ b/src/serving/start_record.rs
@@ -103,17 +103,15 @@
     }
 }
 
-/// Returns whether a process keeps a start record: without a tolerance there is nothing to
-/// credit.
-pub(super) fn is_kept(options: &context::ProcessOptions) -> bool {
-    options.data_folder.is_some() && options.tolerance.has_margin()
-}
-
 /// Replaces the record of a starting process in the background, and lets the token pools accept
 /// start credits if it permits that.
 pub(super) fn start(context: &rc::Rc<context::ProcessContext>) {
     let options = &context.options;
-    let Some(folder) = options.data_folder.clone().filter(|_| is_kept(options)) else {
+    let Some(folder) = options
+        .data_folder
+        .clone()
+        .filter(|_| options.keeps_start_record())
+    else {
         return;
     };
     let (instance, window) = (context.id().clone(), options.tolerance.window);
