--- a/src/decisions/caller_budget.rs
+++ b/src/decisions/caller_budget.rs
@@ -31,8 +31,8 @@
     memory_bytes / MEMORY_DIVISOR
 }
 
-/// Holder in the sense of the budget: a workspace, or all requests without one.
-pub type Holder = Option<ids::WorkspaceId>;
+/// Who holds bytes in the budget: a workspace, or all requests without one.
+pub type BudgetHolder = Option<ids::WorkspaceId>;
 
 /// Bytes held for callers, by workspace.
 ///
@@ -42,7 +42,7 @@
     /// Maximum number of held bytes for which requests are admitted, if there is one.
     limit: Option<usize>,
     total: usize,
-    held: collections::HashMap<Holder, usize>,
+    held: collections::HashMap<BudgetHolder, usize>,
 }
 
 /// Why bytes are not admitted, with the inputs of the decision.
@@ -85,7 +85,7 @@
     ///
     /// # Errors
     /// The budget is exhausted, or nearly so and the workspace holds more than its share.
-    pub fn admit(&self, holder: &Holder, bytes: usize) -> Result<(), BudgetDenial> {
+    pub fn admit(&self, holder: &BudgetHolder, bytes: usize) -> Result<(), BudgetDenial> {
         let Some(limit) = self.limit else {
             return Ok(());
         };
@@ -108,7 +108,7 @@
     }
 
     /// Counts bytes as held, whether or not the limit allows them.
-    pub fn hold(&mut self, holder: &Holder, bytes: usize) {
+    pub fn hold(&mut self, holder: &BudgetHolder, bytes: usize) {
         if bytes == 0 {
             return;
         }
@@ -120,7 +120,7 @@
     }
 
     /// Releases held bytes.
-    pub fn release(&mut self, holder: &Holder, bytes: usize) {
+    pub fn release(&mut self, holder: &BudgetHolder, bytes: usize) {
         let Some(held) = self.held.get_mut(holder) else {
             return;
         };
--- a/src/decisions/item_order.rs
+++ b/src/decisions/item_order.rs
@@ -60,12 +60,12 @@
     /// Mean time for which an item of the service holds slots, in milliseconds; 0 if unknown.
     pub duration_ms: u64,
     /// Whose item it is, and where it runs.
-    pub share: Share,
+    pub share: WorkspaceShare,
 }
 
 /// The items of one workspace for one service, by numbers that the caller assigns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Share {
+pub struct WorkspaceShare {
     /// Number of the service.
     pub service: usize,
     /// Number of the workspace; all jobs without one count as one workspace.
@@ -73,11 +73,11 @@
 }
 
 /// Number of running streams of each share at this owner.
-pub type RunningStreams = collections::HashMap<Share, usize>;
+pub type RunningStreams = collections::HashMap<WorkspaceShare, usize>;
 
 /// Why an item has its place in the start order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Turn {
+pub enum StartTurn {
     /// There is a single workspace: the order of the policy.
     Policy,
     /// Would be late if others went first: goes by deadline, before all others.
@@ -88,7 +88,7 @@
     Infeasible,
 }
 
-impl Turn {
+impl StartTurn {
     /// Returns the name in metrics and log lines.
     pub fn label(self) -> &'static str {
         match self {
@@ -102,11 +102,11 @@
 
 /// Place in the start order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Placed {
+pub struct PlacedItem {
     /// Position of the item among those given.
     pub index: usize,
     /// Why it has this place.
-    pub turn: Turn,
+    pub turn: StartTurn,
 }
 
 /// Returns the items in the order in which they start.
@@ -121,14 +121,14 @@
     items: &[WaitingItem],
     running: &RunningStreams,
     now_ms: u64,
-) -> Vec<Placed> {
+) -> Vec<PlacedItem> {
     let mut order: Vec<usize> = (0..items.len()).collect();
     order.sort_by_key(|i| policy.start_key(&items[*i].timing, now_ms));
     let mut workspaces = items.iter().map(|item| item.share.workspace);
     let first = workspaces.next();
     if workspaces.all(|w| Some(w) == first) || protection::is_disabled("workspace_turns") {
-        let turn = Turn::Policy;
-        let placed = order.into_iter().map(|index| Placed { index, turn });
+        let turn = StartTurn::Policy;
+        let placed = order.into_iter().map(|index| PlacedItem { index, turn });
         return placed.collect();
     }
     let turns = turns(items, &order, running, now_ms);
@@ -137,15 +137,15 @@
         pairs.map(|(index, _)| *index)
     };
     let mut streams = running.clone();
-    for index in of_turn(Turn::Urgent) {
+    for index in of_turn(StartTurn::Urgent) {
         *streams.entry(items[index].share).or_default() += 1;
     }
-    let shared: Vec<usize> = of_turn(Turn::Shared).collect();
+    let shared: Vec<usize> = of_turn(StartTurn::Shared).collect();
     let shared = take_turns(items, &shared, streams);
-    let placed = |turn| move |index| Placed { index, turn };
-    let urgent = of_turn(Turn::Urgent).map(placed(Turn::Urgent));
-    let shared = shared.into_iter().map(placed(Turn::Shared));
-    let infeasible = of_turn(Turn::Infeasible).map(placed(Turn::Infeasible));
+    let placed = |turn| move |index| PlacedItem { index, turn };
+    let urgent = of_turn(StartTurn::Urgent).map(placed(StartTurn::Urgent));
+    let shared = shared.into_iter().map(placed(StartTurn::Shared));
+    let infeasible = of_turn(StartTurn::Infeasible).map(placed(StartTurn::Infeasible));
     urgent.chain(shared).chain(infeasible).collect()
 }
 
@@ -159,7 +159,7 @@
     order: &[usize],
     running: &RunningStreams,
     now_ms: u64,
-) -> Vec<Turn> {
+) -> Vec<StartTurn> {
     let mut slots = collections::HashMap::<usize, u64>::new();
     for (share, count) in running {
         *slots.entry(share.service).or_default() += *count as u64;
@@ -168,7 +168,7 @@
     let turn_of = |index: &usize| {
         let item = &items[*index];
         if item.timing.is_infeasible(now_ms) {
-            return Turn::Infeasible;
+            return StartTurn::Infeasible;
         }
         let service = item.share.service;
         let slots = slots.get(&service).copied().unwrap_or(0).max(1);
@@ -178,8 +178,8 @@
         let due_ms = item.timing.due_ms;
         // An item that is late even in deadline order is not late because of the turns.
         match end_ms <= due_ms && end_ms + item.duration_ms > due_ms {
-            true => Turn::Urgent,
-            false => Turn::Shared,
+            true => StartTurn::Urgent,
+            false => StartTurn::Shared,
         }
     };
     order.iter().map(turn_of).collect()
@@ -187,7 +187,7 @@
 
 /// Returns the items, sorted by the policy, in the order of turns by workspace.
 fn take_turns(items: &[WaitingItem], sorted: &[usize], mut streams: RunningStreams) -> Vec<usize> {
-    let mut queues = collections::BTreeMap::<Share, collections::VecDeque<usize>>::new();
+    let mut queues = collections::BTreeMap::<WorkspaceShare, collections::VecDeque<usize>>::new();
     for (rank, index) in sorted.iter().enumerate() {
         queues
             .entry(items[*index].share)
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -196,7 +196,7 @@
 fn held_for(
     context: &context::ProcessContext,
     request: &actix_http::Request,
-    holder: &caller_budget::Holder,
+    holder: &caller_budget::BudgetHolder,
 ) -> caller_memory::HeldBytes {
     if let Some(account) = request.conn_data::<caller_memory::ConnectionAccount>() {
         account.borrow_mut().set_holder(holder.clone());
--- a/src/serving/caller_memory.rs
+++ b/src/serving/caller_memory.rs
@@ -4,7 +4,7 @@
 
 use super::refusals;
 use crate::{
-    decisions::caller_budget::{self, Holder},
+    decisions::caller_budget::{self, BudgetHolder},
     http_server, metrics, protection,
 };
 
@@ -38,13 +38,13 @@
 /// Bytes held for one holder; they are released when this is dropped.
 pub struct HeldBytes {
     memory: rc::Rc<CallerMemory>,
-    holder: Holder,
+    holder: BudgetHolder,
     bytes: usize,
 }
 
 impl HeldBytes {
     /// Creates an account of no bytes.
-    pub fn none(memory: &rc::Rc<CallerMemory>, holder: Holder) -> Self {
+    pub fn none(memory: &rc::Rc<CallerMemory>, holder: BudgetHolder) -> Self {
         Self {
             memory: memory.clone(),
             holder,
@@ -83,7 +83,7 @@
     }
 
     /// Attributes the bytes to another holder.
-    pub fn set_holder(&mut self, holder: Holder) {
+    pub fn set_holder(&mut self, holder: BudgetHolder) {
         if self.holder == holder {
             return;
         }
@@ -107,7 +107,7 @@
 /// Builds the refusal of a request that does not fit into the budget.
 pub(super) fn refuse(
     denial: &caller_budget::BudgetDenial,
-    workspace: &Holder,
+    workspace: &BudgetHolder,
     retry_after: std::time::Duration,
 ) -> http_server::HttpResponse {
     let inputs = format!(
--- a/src/serving/connection.rs
+++ b/src/serving/connection.rs
@@ -123,7 +123,8 @@
         })
     }
 
-    /// Writes the head and the body, without a copy of the body; stops early if a response arrives before it is sent in full.
+    /// Writes the head and the body, without a copy of the body; stops early if a response
+    /// arrives before it is sent in full.
     ///
     /// # Errors
     /// The connection broke; the error says whether any byte was written before.
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -49,7 +49,7 @@
     /// chain.
     pub(super) chain: u64,
     /// Why the item started when it did.
-    pub(super) turn: item_order::Turn,
+    pub(super) turn: item_order::StartTurn,
     /// Whether the response head has been received.
     pub(super) has_head: cell::Cell<bool>,
 }
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -15,7 +15,7 @@
     pub(super) index: usize,
     pub(super) route: std::sync::Arc<route_table::Route>,
     /// Why the item has its place in the start order.
-    pub(super) turn: item_order::Turn,
+    pub(super) turn: item_order::StartTurn,
     waiting: item_order::WaitingItem,
 }
 
@@ -55,8 +55,8 @@
         &mut self,
         service: &ids::ServiceName,
         workspace: &Option<ids::WorkspaceId>,
-    ) -> item_order::Share {
-        item_order::Share {
+    ) -> item_order::WorkspaceShare {
+        item_order::WorkspaceShare {
             service: number_of(&mut self.services, service),
             workspace: number_of(&mut self.workspaces, workspace),
         }
@@ -183,7 +183,7 @@
                     job,
                     index,
                     route,
-                    turn: item_order::Turn::Policy,
+                    turn: item_order::StartTurn::Policy,
                     waiting,
                 });
             }
@@ -228,7 +228,7 @@
         duration_ms: service.map_or(0, |s| context.jobs.mean_duration_ms(s)),
         share: match service {
             Some(service) => numbers.share(service, workspace),
-            None => item_order::Share {
+            None => item_order::WorkspaceShare {
                 service: usize::MAX,
                 workspace: number_of(&mut numbers.workspaces, workspace),
             },
--- a/tests/caller_budget.rs
+++ b/tests/caller_budget.rs
@@ -3,13 +3,13 @@
 use std::collections;
 
 use jayhollow::{
-    decisions::caller_budget::{self, BudgetDenial, CallerBudget, Holder},
+    decisions::caller_budget::{self, BudgetDenial, BudgetHolder, CallerBudget},
     ids,
 };
 use rand::{rngs, Rng as _, SeedableRng as _};
 use rstest::rstest;
 
-fn workspace(name: &str) -> Holder {
+fn workspace(name: &str) -> BudgetHolder {
     Some(name.parse::<ids::WorkspaceId>().expect("the name is valid"))
 }
 
--- a/tests/item_order.rs
+++ b/tests/item_order.rs
@@ -5,7 +5,8 @@
 use jayhollow::{
     bench::placement,
     decisions::item_order::{
-        self, DurationEstimate, ItemTiming, OrderPolicy, RunningStreams, Share, WaitingItem,
+        self, DurationEstimate, ItemTiming, OrderPolicy, RunningStreams, WaitingItem,
+        WorkspaceShare,
     },
 };
 use rand::{rngs, Rng as _, SeedableRng as _};
@@ -209,7 +210,7 @@
         PlayedOrder::ByDeadline => 0,
         PlayedOrder::Turns => items[i].workspace,
     };
-    let share = |i: usize| Share {
+    let share = |i: usize| WorkspaceShare {
         service: 0,
         workspace: workspace(i),
     };
@@ -331,7 +332,7 @@
                 remaining_ms: n * 31 % 1_500,
             },
             duration_ms: 2_000,
-            share: Share {
+            share: WorkspaceShare {
                 service: (n % 2) as usize,
                 workspace: 0,
             },
