fix(serving): stage only the first waiting request

Cause: if the first request of a wait queue may not be staged, as its wait is short for the next release, another one was staged in its place, and took the next slot as well. Found in review.

Change: only the first one is staged; otherwise the next released slot stays free for it. tests/staged_requests.rs (20) and wait_queue.rs pass; two waits of different length are not played.

--- a/src/serving/waiting_grants.rs
+++ b/src/serving/waiting_grants.rs
@@ -40,7 +40,10 @@
     Some(settle(permits, queues, service, (number, slot), now))
 }
 
-/// Stages the first waiting request for which an endpoint may take one.
+/// Stages the first waiting request, if an endpoint may take it.
+///
+/// No other request is staged instead: while the first one may not be staged, the next slot
+/// that is released must stay free for it.
 pub fn stage_request(
     permits: &mut permits::PermitTable,
     queues: &mut slot_queue::SlotQueues,
@@ -48,12 +51,9 @@
     ejected: &collections::HashSet<ids::EndpointId>,
     now: clock::MonotonicTime,
 ) -> Option<WaitGrant> {
-    let candidates = queues.candidates(service);
-    let (number, slot) = candidates.into_iter().find_map(|number| {
-        let waiting = queues.get(number)?;
-        let slot = permits.stage(&waiting.request, ejected, now)?;
-        Some((number, slot))
-    })?;
+    let number = *queues.candidates(service).first()?;
+    let waiting = queues.get(number)?;
+    let slot = permits.stage(&waiting.request, ejected, now)?;
     Some(settle(permits, queues, service, (number, slot), now))
 }
 
