fix(serving): a staged request reports no silence before its first event

Cause: the timer for the first event includes the queue of the endpoint, so that a staged request made a healthy endpoint suspect. Found in review.

Change: nothing is reported to the owner until an event arrived; the request still moves. slot_queue passes (6 of 6); the frequency was not measured.

--- a/src/serving/held_slot.rs
+++ b/src/serving/held_slot.rs
@@ -109,11 +109,20 @@
         }
     }
 
+    /// Returns whether the request may still wait in the queue of the endpoint, so that a
+    /// missing response says nothing about the endpoint.
+    fn may_await_slot(&self) -> bool {
+        self.is_staged && self.progress.get().events_at.is_none()
+    }
+
     /// Records that a response or an event is overdue, and reports it to the owner.
     ///
     /// The endpoint counts as served only if it goes on.
     pub fn record_overdue(&self) {
         self.is_served.set(false);
+        if self.may_await_slot() {
+            return;
+        }
         self.is_doubted.set(true);
         let observer = self.context.id().clone();
         self.report(peers::EndpointObservation::Overdue(observer));
@@ -125,6 +134,9 @@
     /// `is_silent` says that events stopped.
     pub fn record_slow(&self, is_silent: bool) {
         self.is_served.set(false);
+        if self.may_await_slot() {
+            return;
+        }
         self.is_doubted.set(true);
         let report = endpoint_reports::report(&self.context, is_silent);
         self.report(peers::EndpointObservation::Slow(report));
