fix(limits): early time does not exceed the age of the run

Cause: a deposit could credit up to 0.25 s beyond the age of a quota server, and a first deposit that was not sent lost its mark. Found in review.

--- a/src/decisions/rate_limits/share_clock.rs
+++ b/src/decisions/rate_limits/share_clock.rs
@@ -189,7 +189,10 @@
             return;
         }
         if let Some(last) = self.deposited_at.get_mut(quota_server) {
-            *last = last.before(deposit.time);
+            *last = match deposit.is_first {
+                true => self.started_at,
+                false => last.before(deposit.time),
+            };
         }
     }
 }
--- a/src/decisions/rate_limits/token_pools.rs
+++ b/src/decisions/rate_limits/token_pools.rs
@@ -317,7 +317,7 @@
         let credited = self.allowance.take_up_to(time, now);
         let credit = CreditSum {
             time: credited,
-            early: self.early_time(time - credited, now),
+            early: self.early_time(time - credited, credited, now),
             start: 0.0,
         };
         self.credited.time += credit.time;
@@ -340,12 +340,14 @@
 
     /// Returns the part of a time beyond [`CREDIT_BURST`] that has passed since the start of
     /// this run and is not credited yet, while the run is young.
-    fn early_time(&self, time: f64, now: clock::MonotonicTime) -> f64 {
+    ///
+    /// `taken` is what the deposit has been credited already.
+    fn early_time(&self, time: f64, taken: f64, now: clock::MonotonicTime) -> f64 {
         let age = now.since(self.started_at);
         if age > EARLY_AGE {
             return 0.0;
         }
-        let credited = self.credited.time + self.credited.early;
+        let credited = self.credited.time + self.credited.early + taken;
         time.min(age.as_secs_f64() - credited).max(0.0)
     }
 
