fix(serving): an empty report still counts as none

An owner that has just started sends an empty report before it has read the list of endpoints; kept, it ended the time in which the owner is asked with assumed free slots, which is the fault that fixes.

--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -111,10 +111,11 @@
     let reported: context::OwnerSlots = reports
         .map(|report| (report.service.clone(), report.into()))
         .collect();
-    // An empty report is kept too: an owner without an entry counts as one that has not
-    // reported yet, and is asked.
     let mut free_slots = context.free_slots.borrow_mut();
-    free_slots.insert(heartbeat.id.clone(), reported);
+    match reported.is_empty() {
+        true => free_slots.remove(&heartbeat.id),
+        false => free_slots.insert(heartbeat.id.clone(), reported),
+    };
     change
 }
 
