--- a/src/bench/limit_fleet/pooled.rs
+++ b/src/bench/limit_fleet/pooled.rs
@@ -37,7 +37,7 @@
     names: Vec<ids::InstanceId>,
     gateways: Vec<GatewayState>,
     boards: Vec<PoolTable>,
-    /// Start records on the disks of the keepers.
+    /// Start records on the disks of the quota servers.
     records: Vec<StartRecord>,
     messages: usize,
     bytes: usize,
@@ -58,7 +58,7 @@
     pub fn new(plan: &LimitPlan, tolerance: &LimitTolerance) -> Self {
         let names: Vec<ids::InstanceId> = (0..plan.dispatchers).map(|n| name("d", n)).collect();
         let begun = clock::MonotonicTime(0);
-        // The keepers have started before, long ago.
+        // The quota servers have started before, long ago.
         let mut records = vec![StartRecord::StartedAt(EpochMs(0)); plan.dispatchers];
         let boards = names.iter().zip(&mut records).map(|(id, record)| {
             let table = PoolTable::new(id.clone(), *tolerance, begun);
@@ -80,7 +80,7 @@
         }
     }
 
-    /// A keeper that starts, and reads and replaces its record.
+    /// Starts a quota server, which reads and replaces its record.
     fn start_keeper(
         mut table: PoolTable,
         record: &mut StartRecord,
