--- a/src/decisions/endpoint_speed.rs
+++ b/src/decisions/endpoint_speed.rs
@@ -22,7 +22,7 @@
 /// Number of assumed runs at the mean speed; few real ones then count little.
 const ASSUMED_RUNS: f64 = 4.0;
 /// Least weight of a run in the reference of its service. It covers about 50 runs, so that
-/// a change that concerns all endpoints is not taken for one of single endpoints.
+/// a change that concerns all endpoints is not attributed to single endpoints.
 const REFERENCE_WEIGHT: f64 = 0.02;
 /// Weight of a report in the mean of an endpoint's reports, which discounts a constant one.
 const USUAL_WEIGHT: f64 = 0.02;
--- a/src/decisions/return_schedule.rs
+++ b/src/decisions/return_schedule.rs
@@ -62,7 +62,7 @@
     ) -> time::Duration {
         self.forget_old(now);
         let mut place = now + earliest;
-        // Places before now are free again: who has not returned by then is not expected.
+        // Places before now are free again: a caller that did not return on time is not expected.
         let first = place.before(spacing).max(now);
         for &(taken, _) in self.bookings.range((first, 0)..).map(|(key, _)| key) {
             if taken >= place + spacing {
