fix(serving,platform): a process that knows no members reads nothing for a whole fleet

Cause: without members for 2 s a process followed the store, after 2.5 s it read all endpoints and after 5 s a dispatcher all jobs, as the only one of its fleet.

Evidence: in the logs of 33 processes all four that logged members_unknown read the list from the store, none of the 29 others did. Their small reads succeeded at 34.0 s (hypothesis excluded: turned away until 40 s). A stand-in that refuses only the members shows it with one gateway and one dispatcher.

Change: nothing that grows with the fleet is read until the members are known; their reads show whether the store responds. Without them for good, processes act one after another, one each 20 ms, by a place of their own. It works as the members are a twelfth of the list, and with them the list comes from peers.

Not played on the fleet in this commit.

--- a/src/decisions/peer_subset.rs
+++ b/src/decisions/peer_subset.rs
@@ -72,6 +72,16 @@
 /// How long peers have to send the list of endpoints to a process that starts.
 const PEER_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
+/// Number of processes among which a process that does not know its fleet finds its place.
+const MAX_FLEET: usize = 2_000;
+
+/// Returns how long a starting process waits for the members before it acts without them, by
+/// its place in a fleet of unknown size. All at once would take themselves for alone, and
+/// read all endpoints and jobs.
+pub fn member_timeout(own: &ids::InstanceId) -> time::Duration {
+    list_timeout(own, MAX_FLEET)
+}
+
 /// Returns how long a starting process waits for the list of a peer before it reads the
 /// store, by its place among `members` processes. All at once would take the store so long
 /// that none of them got the whole list.
--- a/src/serving/fleet_model.rs
+++ b/src/serving/fleet_model.rs
@@ -161,16 +161,23 @@
         self.start_source.send_replace(Some(source));
     }
 
-    /// Returns where this process gets its first list of endpoints from; from the store if
-    /// the members are not known within the timeout.
-    pub async fn start_source(&self, timeout: time::Duration) -> StartSource {
+    /// Returns whether it is decided where this process gets its first list of endpoints
+    /// from.
+    pub fn has_start_source(&self) -> bool {
+        self.start_source.borrow().is_some()
+    }
+
+    /// Waits until it is decided where this process gets its first list of endpoints from.
+    pub async fn start_source(&self) -> StartSource {
         let mut source = self.start_source.subscribe();
-        let known = source.wait_for(Option::is_some);
-        if tokio::time::timeout(timeout, known).await.is_err() {
-            log::info!("event=members_unknown why=\"the store did not send them in time\"");
+        loop {
+            if let Some(source) = *source.borrow_and_update() {
+                return source;
+            }
+            if source.changed().await.is_err() {
+                return future::pending().await;
+            }
         }
-        let source = *self.start_source.borrow();
-        source.unwrap_or(StartSource::Store)
     }
 
     /// Waits until a list of endpoints is known, at most for the timeout. Returns whether it
--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -222,6 +222,12 @@
             members.advance_revision(heartbeat.members_revision);
             drop(members);
             context.members_known.set(true);
+            // The list of a peer that has just started may be partial, so that a small one
+            // decides nothing.
+            if context.members.borrow().is_large() && !context.fleet.has_start_source() {
+                let source = owners::start_source(context);
+                context.fleet.set_start_source(source);
+            }
             context.members_updated.notify_one();
         }
         Err(e) => log::info!(
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -15,9 +15,6 @@
 /// unless they are lost.
 const STARTUP_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
-/// Process age from which the store is searched even if the members are not known.
-const MEMBER_TIMEOUT: time::Duration = time::Duration::from_secs(5);
-
 /// Interval at which a new process checks whether all dispatchers have responded.
 const STARTUP_POLL_INTERVAL: time::Duration = time::Duration::from_millis(25);
 
@@ -81,7 +78,7 @@
 /// start, without them after 0.1 s.
 async fn wait_for_owners(context: &rc::Rc<context::ProcessContext>) {
     // Without the members, this process would take itself for the owner of all jobs.
-    while !context.members_known.get() && context.age() < MEMBER_TIMEOUT {
+    while !owners::may_act(context) {
         actix_rt::time::sleep(STARTUP_POLL_INTERVAL).await;
     }
     if context.age() >= STARTUP_TIMEOUT {
@@ -160,7 +157,8 @@
             context.jobs.forget_ended();
             since = store::ObjectRevision(0);
         }
-        if !is_owner || !context.fleet.is_reachable() {
+        let may_read = owners::may_act(&context) && context.fleet.is_reachable();
+        if !is_owner || !may_read {
             actix_rt::time::sleep(STORE_RETRY_DELAY).await;
             continue;
         }
--- a/src/serving/member_sync.rs
+++ b/src/serving/member_sync.rs
@@ -2,12 +2,20 @@
 
 use std::{rc, time};
 
-use super::{context, members, owners};
+use super::{context, fleet_source, members, owners};
 use crate::{decisions::call_budget::CallClass, store};
 
 /// Delay before a failed access to the member records is retried.
 const MEMBER_RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
+/// Longest delay after failed reads: refused calls count against the call budget, and the
+/// return of the store must be noticed within about a second.
+const MAX_RETRY_DELAY: time::Duration = time::Duration::from_millis(1000);
+
+/// Process age from which the store counts as unreachable if it has not sent the members: the
+/// list of endpoints, whose reads show whether it responds, is read after them.
+const UNREACHABLE_AGE: time::Duration = time::Duration::from_secs(2);
+
 /// Delay between the first read of the members and the first watch. By then, peers that
 /// watch the store report changes.
 const FIRST_WATCH_DELAY: time::Duration = time::Duration::from_millis(700);
@@ -40,19 +48,17 @@
 pub(super) async fn watch_members(context: rc::Rc<context::ProcessContext>) {
     let prefix = format!("{}/", context::MEMBER_KIND);
     let mut since = store::ObjectRevision(0);
-    // Whether the store responds is learned from the list of endpoints, which is read after
-    // the members: the first read must not wait for it.
-    let mut was_read = false;
     let own_key = format!("{prefix}{}", context.id());
     let mut may_be_partial = true;
+    let mut retry_delay = MEMBER_RETRY_DELAY;
     while !context.is_stopping() {
-        let learns_from_peers = since.0 > 0 && !context.fleet.follows_store();
-        let is_unreachable = was_read && !context.fleet.is_reachable();
-        if learns_from_peers || is_unreachable {
+        // Whether the store responds is learned from the list of endpoints, which is read
+        // after the members: their first read must not wait for it.
+        let fleet = &context.fleet;
+        if since.0 > 0 && (!fleet.follows_store() || !fleet.is_reachable()) {
             actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
             continue;
         }
-        was_read = true;
         let response = context.store.watch(&[&prefix], since, MEMBER_WATCH_TIMEOUT);
         let response = tokio::select! {
             response = response => response,
@@ -60,15 +66,13 @@
         };
         match response {
             Ok(response) => {
+                retry_delay = MEMBER_RETRY_DELAY;
                 // Without its own record this process is new, and others may start with it
                 // whose records are not written yet. The size of the fleet decides where it
                 // gets the list of endpoints, so the members are read once more.
                 let is_own_listed = response.changes.iter().any(|c| c.key == own_key);
                 if since.0 == 0 && !is_own_listed && may_be_partial {
                     may_be_partial = false;
-                    // The list of endpoints is read after the members, so the store does not
-                    // count as reachable before the second read either.
-                    was_read = false;
                     context.members_known.set(true);
                     apply_member_changes(&context, &prefix, response.changes);
                     context.members_updated.notify_one();
@@ -96,8 +100,17 @@
                 actix_rt::time::sleep(delay).await;
             }
             Err(e) => {
-                log::info!("event=members_unread why=\"{e}\"");
-                actix_rt::time::sleep(MEMBER_RETRY_DELAY).await;
+                log::info!(
+                    "event=members_unread age_ms={} why=\"{e}\"",
+                    context.age().as_millis()
+                );
+                if !context.members_known.get() && context.age() >= UNREACHABLE_AGE {
+                    context
+                        .fleet
+                        .apply(fleet_source::FleetUpdate::Reachable(false));
+                }
+                actix_rt::time::sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
         }
     }
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -125,10 +125,6 @@
 /// process follows the store because nobody else does.
 const FOLLOW_DELAY_STEP: time::Duration = time::Duration::from_millis(20);
 
-/// How long a starting process waits for the list of members before it follows the store
-/// although it may be one of many.
-const MEMBER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
-
 /// Number of owners, and of all processes in a small fleet, that follow the store at once if
 /// nobody else does.
 const PROMPT_FOLLOWERS: usize = 16;
@@ -138,7 +134,7 @@
 /// The first few owners do. Others do if no live peer does: in a large fleet after a delay
 /// by their place, as the store could not serve all of them at once.
 fn is_follower(context: &context::ProcessContext, now: clock::MonotonicTime) -> bool {
-    if !context.members_known.get() && context.age() < MEMBER_TIMEOUT {
+    if !may_act(context) {
         return false;
     }
     let members = context.members.borrow();
@@ -167,6 +163,30 @@
     now.since(since) >= delay
 }
 
+/// Returns whether this process may act on the members that it knows: it has received them,
+/// or has waited for so long that it acts without them.
+///
+/// One that knows no members yet may be one of a thousand that have started together.
+pub(super) fn may_act(context: &context::ProcessContext) -> bool {
+    context.members_known.get() || context.age() >= peer_subset::member_timeout(context.id())
+}
+
+/// Decides where this process gets its first list of endpoints from if the store has not
+/// sent the whole list of members in time.
+fn expire_member_wait(context: &context::ProcessContext) {
+    let timeout = peer_subset::member_timeout(context.id());
+    if context.fleet.has_start_source() || context.age() < timeout {
+        return;
+    }
+    let source = start_source(context);
+    log::warn!(
+        "event=members_unknown listed={} age_ms={} outcome={source:?}",
+        context.members.borrow().len(),
+        context.age().as_millis()
+    );
+    context.fleet.set_start_source(source);
+}
+
 /// Returns whether this is one of the few dispatchers that read the store for all others of a
 /// large fleet.
 pub(super) fn is_first_listed(context: &context::ProcessContext) -> bool {
@@ -264,6 +284,7 @@
         *context.owners.borrow_mut() = rc::Rc::new(owners);
     }
     limit_links::update_quota_servers(context);
+    expire_member_wait(context);
     let follows_store = is_follower(context, now);
     if !follows_store && context.members_known.get() {
         context.fleet.record_reliance();
--- a/tests/peer_subset.rs
+++ b/tests/peer_subset.rs
@@ -238,3 +238,18 @@
     let busiest = starts.values().max().copied().unwrap_or_default();
     assert!(busiest <= 80, "{busiest} of {count} in one second");
 }
+
+/// All processes of a fleet that the store sent no members for two seconds read the list of
+/// endpoints from it at the same moment.
+#[rstest]
+#[case(985)]
+#[case(2_000)]
+fn processes_that_get_no_members_act_one_after_another(#[case] count: usize) {
+    let mut starts = collections::BTreeMap::<u64, usize>::new();
+    for process in fleet("p", count) {
+        let timeout = peer_subset::member_timeout(&process.id);
+        *starts.entry(timeout.as_secs()).or_default() += 1;
+    }
+    let busiest = starts.values().max().copied().unwrap_or_default();
+    assert!(busiest <= 80, "{busiest} of {count} in one second");
+}
