fix(serving): an owner reads the marks of ended jobs right after its start again

Cause: let the watch of the marks wait for the members. Its first try was then 0.7 s late, and without the marks each new job looks for its own.

Change: the watch does not wait for the members.

--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -157,8 +157,7 @@
             context.jobs.forget_ended();
             since = store::ObjectRevision(0);
         }
-        let may_read = owners::may_act(&context) && context.fleet.is_reachable();
-        if !is_owner || !may_read {
+        if !is_owner || !context.fleet.is_reachable() {
             actix_rt::time::sleep(STORE_RETRY_DELAY).await;
             continue;
         }
