feat(serving): log software versions of endpoints and which stream a caller resumes

The list of endpoints was decoded without the version of their software, and the header with which a caller names the stream it resumes was not read, so that no log line told whether a stream went on at another version (docs/incidents/streams-at-two-software-versions.md).

The entry of an endpoint carries its version, from the store and between processes; it is part of the digest of the list. A version that is no word of up to 128 visible characters is logged and left out. The lines endpoint_changed, attempt and item_run name the version, stream_resumed is new. No decision uses either yet. Processes of earlier builds cannot read the entries of this one, nor this one theirs.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -10,24 +10,45 @@
 /// Pattern for identifiers in JSON schemas.
 const ID_PATTERN: &str = "^[A-Za-z0-9._-]{1,128}$";
 
+/// Pattern for words in JSON schemas.
+const WORD_PATTERN: &str = "^[!-~]{1,128}$";
+
 /// Error for text that is not a valid identifier.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("{kind} '{text}' is not valid: 1 to {MAX_ID_BYTES} of letters, digits, '.', '_', '-' are allowed")]
+#[error("{kind} '{text}' is not valid: 1 to {MAX_ID_BYTES} of {allowed} are allowed")]
 pub struct IdError {
     kind: &'static str,
     text: String,
+    allowed: &'static str,
 }
 
 fn check(kind: &'static str, text: &str) -> Result<(), IdError> {
+    let is_plain = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
+    check_bytes(kind, text, "letters, digits, '.', '_', '-'", is_plain)
+}
+
+/// Checks a word that others chose, which is kept as it is.
+fn check_word(kind: &'static str, text: &str) -> Result<(), IdError> {
+    let is_visible = |b: u8| b.is_ascii_graphic();
+    check_bytes(kind, text, "visible ASCII characters", is_visible)
+}
+
+fn check_bytes(
+    kind: &'static str,
+    text: &str,
+    allowed: &'static str,
+    is_allowed: impl Fn(u8) -> bool,
+) -> Result<(), IdError> {
     let fits = !text.is_empty() && text.len() <= MAX_ID_BYTES;
-    let plain = text
-        .bytes()
-        .all(|b| b.is_ascii_alphanumeric() || b"._-".contains(&b));
-    if fits && plain {
+    if fits && text.bytes().all(is_allowed) {
         return Ok(());
     }
     let text = text.chars().take(MAX_ID_BYTES).collect();
-    Err(IdError { kind, text })
+    Err(IdError {
+        kind,
+        text,
+        allowed,
+    })
 }
 
 /// Reads an identifier without a copy of its text in between.
@@ -47,6 +68,9 @@
 
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
+        text_id!($(#[$doc])* $name, check, ID_PATTERN);
+    };
+    ($(#[$doc:meta])* $name:ident, $check:path, $pattern:expr) => {
         $(#[$doc])*
         ///
         /// Copies share their text.
@@ -70,7 +94,7 @@
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                check(stringify!($name), text)?;
+                $check(stringify!($name), text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -101,7 +125,7 @@
             }
 
             fn json_schema(_: &mut schemars::SchemaGenerator) -> schemars::Schema {
-                schemars::json_schema!({"type": "string", "pattern": ID_PATTERN})
+                schemars::json_schema!({"type": "string", "pattern": $pattern})
             }
         }
 
@@ -146,6 +170,19 @@
     AttemptId
 );
 
+text_id!(
+    /// Version of the software that an endpoint runs. Versions have no order.
+    SoftwareVersion,
+    check_word,
+    WORD_PATTERN
+);
+text_id!(
+    /// Name of a caller's request, unique to each of its tries.
+    RequestName,
+    check_word,
+    WORD_PATTERN
+);
+
 /// Zero-based index of a chunk in its file.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -390,14 +390,23 @@
             .with_label_values(&[outcome])
             .inc();
         log::info!(
-            "event=attempt request={} digest={} route={} endpoint={id} outcome={outcome} why=\"{reason}\" ran={} left_ms={}",
+            "event=attempt request={} digest={} route={} endpoint={id} outcome={outcome} why=\"{reason}\" ran={} left_ms={} software={} last_event={}",
             self.request.terms.id.as_deref().unwrap_or("-"),
             self.request.forwarded.digest,
             self.request.route.name,
             self.log.ran,
             self.time_left().as_millis(),
+            self.software_label(id),
+            relay::event_label(self.last_event),
         );
     }
+
+    /// Returns the listed software version of an endpoint for a log line.
+    fn software_label(&self, id: &ids::EndpointId) -> String {
+        let directory = self.context.fleet.directory.borrow();
+        let entry = directory.entry(id);
+        entry.map_or("-", |entry| entry.software_label()).to_owned()
+    }
 }
 
 fn no_response(waited: time::Duration) -> String {
--- a/src/serving/endpoint_entry.rs
+++ b/src/serving/endpoint_entry.rs
@@ -24,9 +24,16 @@
     /// How long the endpoint stays cold, in milliseconds from the time of the entry. A cold
     /// endpoint accepts only a limited rate of requests.
     pub cold_ms: u32,
+    /// Version of the software that the endpoint runs, if its entry has a valid one.
+    pub software: Option<ids::SoftwareVersion>,
 }
 
 impl EndpointEntry {
+    /// Returns the version of its software for a log line.
+    pub fn software_label(&self) -> &str {
+        software_label(self.software.as_ref())
+    }
+
     /// Returns whether this entry is of an earlier start than another; false if either
     /// start time is unknown.
     pub(super) fn started_before(&self, other: &Self) -> bool {
@@ -37,6 +44,11 @@
     }
 }
 
+/// Returns a software version for a log line.
+pub fn software_label(version: Option<&ids::SoftwareVersion>) -> &str {
+    version.map_or("-", ids::SoftwareVersion::as_str)
+}
+
 /// Change of one endpoint in the list.
 #[derive(Debug, Clone)]
 pub enum EndpointChange {
@@ -61,7 +73,7 @@
         match self {
             Self::Listed(entry) => write!(
                 f,
-                "change=listed endpoint={} service={} address={} domain={} slots={} leaving={} started={} cold_ms={}",
+                "change=listed endpoint={} service={} address={} domain={} slots={} leaving={} started={} cold_ms={} software={}",
                 entry.id,
                 entry.service,
                 entry.address,
@@ -69,7 +81,8 @@
                 entry.slots,
                 entry.leaving,
                 entry.started.map_or("-".to_owned(), |at| at.to_string()),
-                entry.cold_ms
+                entry.cold_ms,
+                entry.software_label()
             ),
             Self::Removed(id) => write!(f, "change=removed endpoint={id}"),
         }
--- a/src/serving/endpoint_index.rs
+++ b/src/serving/endpoint_index.rs
@@ -20,9 +20,11 @@
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
     addresses: collections::HashMap<net::SocketAddr, Vec<rc::Rc<EndpointEntry>>>,
     services: collections::HashMap<ids::ServiceName, Vec<rc::Rc<EndpointEntry>>>,
-    /// Names of services and domains, of which all entries share the text.
+    /// Names of services and domains, and software versions, of which all entries share the
+    /// text.
     service_names: collections::HashSet<ids::ServiceName>,
     domain_names: collections::HashSet<ids::DomainName>,
+    software_versions: collections::HashSet<ids::SoftwareVersion>,
     digest: u64,
     /// Number of entries that changes have examined so far.
     examined: cell::Cell<u64>,
@@ -34,6 +36,8 @@
         let previous = self.remove(&entry.id);
         entry.service = share(&mut self.service_names, entry.service);
         entry.domain = share(&mut self.domain_names, entry.domain);
+        let software = entry.software.take();
+        entry.software = software.map(|version| share(&mut self.software_versions, version));
         let entry = rc::Rc::new(entry);
         self.digest = self.digest.wrapping_add(hash_of(&entry));
         let holders = self.addresses.entry(entry.address);
@@ -152,9 +156,11 @@
         leaving,
         started,
         cold_ms,
+        software,
     } = entry;
     let mut hasher = xxh3::Xxh3::new();
-    for text in [id.as_str(), service.as_str(), domain.as_str()] {
+    let software = software.as_ref().map_or("", ids::SoftwareVersion::as_str);
+    for text in [id.as_str(), service.as_str(), domain.as_str(), software] {
         // The length keeps different splits of the same bytes apart.
         hasher.update(&(text.len() as u64).to_le_bytes());
         hasher.update(text.as_bytes());
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -336,12 +336,13 @@
         self.report_endpoint(&end);
         let mut job = self.job.borrow_mut();
         log::info!(
-            "event=item_run job={} item={} workspace={} turn={} endpoint={} end=\"{end:?}\" last_event={:?}",
+            "event=item_run job={} item={} workspace={} turn={} endpoint={} software={} end=\"{end:?}\" last_event={:?}",
             job.record.id,
             job.record.items[self.index].id,
             job.record.workspace.as_ref().map_or("-", |id| id.as_str()),
             self.turn.label(),
             self.endpoint.id,
+            self.endpoint.software_label(),
             job.items[self.index].last_event,
         );
         if !job.items[self.index].is_run_by(self.chain) {
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -132,7 +132,17 @@
         trial: None,
         _active: active,
     };
-    let id = relay.request.terms.id.as_deref().unwrap_or("-");
+    let terms = &relay.request.terms;
+    let id = terms.id.as_deref().unwrap_or("-");
+    if last_event.is_some() || terms.resumes != wire::ResumedStream::Unnamed {
+        log::info!(
+            "event=stream_resumed request={id} resumes={} route={} after={} left_ms={}",
+            terms.resumes,
+            relay.request.route.name,
+            event_label(last_event),
+            relay.time_left().as_millis(),
+        );
+    }
     let digest = relay.request.forwarded.digest;
     // A quarantined request must not wait for a slot.
     let time_left = relay.time_left();
@@ -156,6 +166,11 @@
     }
 }
 
+/// Returns the index of an event for a log line; -1 for none.
+pub(super) fn event_label(event: Option<u64>) -> i64 {
+    event.map_or(-1, |index| index as i64)
+}
+
 /// The response of a request.
 pub(super) enum ServedResponse {
     Full(http_server::HttpResponse),
@@ -343,7 +358,7 @@
             self.log.ran,
             self.log.not_run,
             self.log.last.as_ref().map_or("-", |id| id.as_str()),
-            self.last_event.map_or(-1, |id| id as i64),
+            event_label(self.last_event),
         );
     }
 
--- a/src/serving/wire.rs
+++ b/src/serving/wire.rs
@@ -1,6 +1,6 @@
 //! The interface to a wire format: how requests, attempts and jobs are encoded.
 
-use std::time;
+use std::{fmt, time};
 
 use actix_http::header;
 
@@ -16,10 +16,34 @@
     pub timeout: Option<time::Duration>,
     /// Index of the event after which the caller resumes a stream.
     pub resume_after: Option<u64>,
+    /// Stream that the caller resumes.
+    pub resumes: ResumedStream,
     /// API key that the caller presents.
     pub key: api_key::PresentedKey,
 }
 
+/// How a caller names the stream that it resumes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum ResumedStream {
+    /// It names none.
+    #[default]
+    Unnamed,
+    /// By the try that brought the first event of the stream.
+    Named(ids::RequestName),
+    /// By something that is no name of a try.
+    Malformed,
+}
+
+impl fmt::Display for ResumedStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unnamed => f.write_str("-"),
+            Self::Named(name) => name.fmt(f),
+            Self::Malformed => f.write_str("malformed"),
+        }
+    }
+}
+
 /// Terms of an attempt that are sent to the endpoint in addition to the caller's request.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptTerms<'a> {
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -23,6 +23,7 @@
         leaving: false,
         started: None,
         cold_ms: 3000,
+        software: None,
     }
 }
 
--- a/tests/directory_cost.rs
+++ b/tests/directory_cost.rs
@@ -60,6 +60,7 @@
         leaving: false,
         started: Some(ids::StartTime(1)),
         cold_ms: 0,
+        software: None,
     }
 }
 
--- a/tests/endpoint_choice.rs
+++ b/tests/endpoint_choice.rs
@@ -32,6 +32,7 @@
         leaving: false,
         started: None,
         cold_ms: 0,
+        software: None,
     })
 }
 
--- a/tests/endpoint_doubt.rs
+++ b/tests/endpoint_doubt.rs
@@ -34,6 +34,7 @@
         leaving: false,
         started: started.map(ids::StartTime),
         cold_ms: 0,
+        software: None,
     })
 }
 
--- a/tests/endpoint_runs.rs
+++ b/tests/endpoint_runs.rs
@@ -23,6 +23,7 @@
         leaving: false,
         started: started.map(ids::StartTime),
         cold_ms: 0,
+        software: None,
     }
 }
 
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -39,6 +39,7 @@
         leaving: false,
         started: None,
         cold_ms: 0,
+        software: None,
     }
 }
 
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -19,6 +19,7 @@
         leaving: false,
         started: None,
         cold_ms: 0,
+        software: None,
     }
 }
 
--- a/tests/staged_requests.rs
+++ b/tests/staged_requests.rs
@@ -52,6 +52,7 @@
         leaving: false,
         started: None,
         cold_ms: 0,
+        software: None,
     })
 }
 
