--- a/src/ids.rs
+++ b/src/ids.rs
@@ -303,6 +303,38 @@
     }
 }
 
+/// Implements the conversions of a digest to and from its hexadecimal text.
+macro_rules! hex_digest {
+    ($name:ident) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                u128::from_str_radix(text, 16).map(Self)
+            }
+        }
+
+        impl serde::Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> serde::Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    };
+}
+
 /// Digest of the content of a request.
 ///
 /// All attempts of a request have the same digest, regardless of the sender and of the
@@ -326,29 +358,29 @@
     }
 }
 
-impl fmt::Display for RequestDigest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
-    }
-}
+hex_digest!(RequestDigest);
 
-impl str::FromStr for RequestDigest {
-    type Err = num::ParseIntError;
+/// Digest of the name under which a stream began and of the workspace that it is served for.
+///
+/// A collision has the same probability as that of two [`RequestDigest`]s.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamKey(u128);
 
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        u128::from_str_radix(text, 16).map(Self)
+impl StreamKey {
+    /// Returns the key of no stream.
+    pub fn random() -> Self {
+        Self(rand::random())
     }
-}
 
-impl serde::Serialize for RequestDigest {
-    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.collect_str(self)
+    /// Computes the key of the stream whose first event was sent to the request `name`.
+    pub fn of(workspace: Option<&WorkspaceId>, name: &RequestName) -> Self {
+        let mut hasher = xxh3::Xxh3::new();
+        for part in [workspace.map_or("", WorkspaceId::as_str), name.as_str()] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        Self(hasher.digest128())
     }
 }
 
-impl<'de> serde::Deserialize<'de> for RequestDigest {
-    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        text.parse().map_err(serde::de::Error::custom)
-    }
-}
+hex_digest!(StreamKey);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,11 @@
     pub strangers: prometheus::IntCounter,
     /// Connections that ended without a complete request head.
     pub unserved: prometheus::IntCounter,
+    /// Resumes of streams by callers, by the source of the software version or the reason of
+    /// the refusal.
+    pub stream_resumes: prometheus::IntCounterVec,
+    /// Origins of streams sent to their holders, by outcome.
+    pub stream_origins: prometheus::IntCounterVec,
     /// Responses discarded because they belonged to another attempt.
     pub crossed: prometheus::IntCounter,
     /// Invariant violations, by name.
@@ -219,6 +224,18 @@
                 "jayhollow_unserved_connections_total",
                 "Connections that ended without a request",
             ),
+            stream_resumes: counters(
+                r,
+                "jayhollow_stream_resumes_total",
+                "Resumes of streams by callers, by source of the software version or reason of the refusal",
+                "outcome",
+            ),
+            stream_origins: counters(
+                r,
+                "jayhollow_stream_origins_total",
+                "Origins of streams sent to their holders, by outcome",
+                "outcome",
+            ),
             crossed: counter(
                 r,
                 "jayhollow_crossed_answers_total",
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -6,8 +6,8 @@
 use futures::future::{self, FutureExt as _};
 
 use super::{
-    attempt, connection, crash_watch, held_slot, peers, relay, search_backoff, slot_requests,
-    slots, slow_attempt, wire,
+    attempt, connection, continuations, crash_watch, held_slot, peers, relay, search_backoff,
+    slot_requests, slots, slow_attempt, stream_resumption, wire,
 };
 use crate::{clock, ids, outcome, protection};
 
@@ -77,20 +77,44 @@
 }
 
 impl relay::RequestRelay {
-    /// Chooses the service of the next attempt at random by the weights of the route.
-    pub(super) fn choose_service(&self) -> Option<ids::ServiceName> {
-        let targets = &self.request.route.targets;
-        let total: u32 = targets.iter().map(|t| t.weight).sum();
-        if total == 0 {
-            return targets.first().map(|t| t.service.clone());
+    /// Returns the service of the next attempt, and the software version at which a begun
+    /// stream goes on.
+    ///
+    /// # Errors
+    /// The stream can go on nowhere.
+    pub(super) fn slot_target(
+        &self,
+    ) -> Result<(ids::ServiceName, Option<ids::SoftwareVersion>), relay::FinalError> {
+        let Some(origin) = &self.origin else {
+            let service = self.request.route.draw_service();
+            let no_service = || relay::FinalError::Failed("the route has no service".into());
+            return Ok((service.ok_or_else(no_service)?, None));
+        };
+        let directory = self.context.fleet.directory.borrow();
+        let software = &origin.software;
+        let listed = directory.of_version(&software.service, Some(&software.version));
+        let denial = match origin.is_certain(&directory) {
+            false => stream_resumption::ResumeDenial::Unknown,
+            true if listed
+                .iter()
+                .all(|entry| continuations::is_excluded(&self.context, entry)) =>
+            {
+                stream_resumption::ResumeDenial::VersionGone
+            }
+            true => return Ok((software.service.clone(), Some(software.version.clone()))),
+        };
+        Err(self.not_resumable(denial))
+    }
+
+    /// Returns the final error of a stream that can go on nowhere.
+    pub(super) fn not_resumable(
+        &self,
+        denial: stream_resumption::ResumeDenial,
+    ) -> relay::FinalError {
+        match self.log.ran > 0 {
+            true => relay::FinalError::Failed(denial.to_string()),
+            false => relay::FinalError::NotResumed(denial, denial.retry_after(&self.request.route)),
         }
-        let mut point = rand::random_range(0..total);
-        let chosen = targets.iter().find(|t| {
-            let is_inside = point < t.weight;
-            point = point.saturating_sub(t.weight);
-            is_inside
-        });
-        chosen.map(|t| t.service.clone())
     }
 
     /// Returns the next response, over as many attempts as are allowed.
@@ -129,7 +153,7 @@
     /// # Errors
     /// There is no slot, the deadline has passed, or the request is quarantined.
     async fn find_slot(&mut self) -> Result<held_slot::HeldSlot, relay::FinalError> {
-        if self.log.ran > 0 && self.log.recent_not_run >= MAX_NOT_RUN {
+        if self.log.recent_not_run >= MAX_NOT_RUN {
             self.back_off().await;
         }
         loop {
@@ -174,20 +198,19 @@
     async fn request_slot(
         &self,
     ) -> Result<Result<held_slot::HeldSlot, slots::SlotUnavailable>, relay::FinalError> {
-        let service = self.choose_service();
-        let no_service = || relay::FinalError::Failed("the route has no service".into());
-        let service = service.ok_or_else(no_service)?;
+        let (service, software) = self.slot_target()?;
         let tried = &self.log.tried;
         let ticket = self.queue_ticket();
         let request = slot_requests::SlotParams {
             service: &service,
             tried,
+            software: software.as_ref(),
             objective: self.request.route.objective,
             single_attempt: self.attempts_left() <= 1,
             ticket: ticket.as_ref(),
         };
-        // A request that has run may exceed the capacity at which new ones are refused.
-        Ok(match self.log.ran > 0 {
+        // A stream that goes on may exceed the capacity at which new requests are refused.
+        Ok(match self.log.ran > 0 || self.origin.is_some() {
             true => slots::acquire_or_choose_locally(&self.context, &request).await,
             false => slots::acquire(&self.context, &request).await,
         })
@@ -212,14 +235,25 @@
         })
     }
 
-    /// Returns whether a request that has run may still be attempted somewhere.
+    /// Returns whether the search for an endpoint goes on although none has a slot: for a
+    /// request that has run, and for the resume of a stream within its objective.
     fn may_search(&self) -> bool {
+        let objective = self.request.route.objective;
+        let is_resume = self.origin.is_some() && self.request.arrived.elapsed() < objective;
+        let may_go_on = (self.log.ran > 0 || is_resume) && self.attempts_left() > 0;
         let directory = self.context.fleet.directory.borrow();
         let targets = &self.request.route.targets;
-        let is_listed = targets
-            .iter()
-            .any(|t| !directory.of_service(&t.service).is_empty());
-        is_listed && self.log.ran > 0 && self.attempts_left() > 0
+        let is_listed = || match &self.origin {
+            Some(origin) => {
+                let software = &origin.software;
+                let listed = directory.of_version(&software.service, Some(&software.version));
+                !listed.is_empty()
+            }
+            None => targets
+                .iter()
+                .any(|t| !directory.of_service(&t.service).is_empty()),
+        };
+        may_go_on && is_listed()
     }
 
     /// Returns the final error if no slot is left; it states whether an attempt has run.
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -132,6 +132,11 @@
         Ok(workspace) => workspace,
         Err(response) => return response,
     };
+    if route.kind.is_stream() && terms.resumes == wire::ResumedStream::Malformed {
+        let body = "the name of the resumed stream is not the name of a request\n";
+        let inputs = format!("route={}", route.name);
+        return refusals::refuse(StatusCode::BAD_REQUEST, "resume_malformed", inputs, body);
+    }
     let timeout = terms.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let body_timeout = timeout.min(time::Duration::from_secs(10));
     let holder = workspace.as_ref().map(|spec| spec.id.clone());
--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -6,8 +6,9 @@
 
 use super::{
     caller_memory, checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source,
-    job_checkpoints, job_table, members, peer_links, peers, permits, progress_transfer, selection,
-    single_flight, slot_queue, state_transfer, wire,
+    job_checkpoints, job_table, members, origin_file, peer_links, peers, permits,
+    progress_transfer, selection, single_flight, slot_queue, state_transfer, stream_origins,
+    unlisted_starts, wire,
     workspaces::{limit_messages, limiter},
 };
 use crate::{
@@ -48,6 +49,8 @@
     pub metrics: Option<net::SocketAddr>,
     /// Grace period: the longest time from the stop signal to the end of the process.
     pub grace: time::Duration,
+    /// Whether the system starts for the first time, so that no request was served before.
+    pub is_first_start: bool,
     /// Directory on the instance's disk, if it has one.
     pub data_folder: Option<path::PathBuf>,
     /// Tolerance by which request counts may exceed the limits of workspaces.
@@ -78,6 +81,16 @@
     pub clock: sync::Arc<dyn clock::MonotonicClock>,
 }
 
+/// What is restored from the disk of the previous process.
+pub(super) struct RestoredState {
+    /// Job progress.
+    pub(super) progress: RestoredProgress,
+    /// Origins of streams.
+    pub(super) origins: origin_file::RestoredOrigins,
+    /// File for further origins, if the instance has a disk.
+    pub(super) origin_file: Option<origin_file::OriginFile>,
+}
+
 /// Job progress restored from the checkpoint file of the previous process.
 pub(super) struct RestoredProgress {
     /// Restored progress by job.
@@ -118,6 +131,14 @@
     pub(super) slot_queues: cell::RefCell<slot_queue::SlotQueues>,
     /// Jobs that are run or read here.
     pub jobs: job_table::JobTable,
+    /// Endpoints that may have started again while the list shows their earlier start.
+    pub(super) unlisted_starts: cell::RefCell<unlisted_starts::UnlistedStarts>,
+    /// Origins of streams that this process keeps.
+    pub(super) origins: cell::RefCell<stream_origins::OriginTable>,
+    /// File for the origins of streams, if the instance has a disk.
+    pub(super) origin_file: Option<origin_file::OriginFile>,
+    /// Services with one software version that were last noted in that file.
+    pub(super) noted_versions: cell::RefCell<Vec<origin_file::SoleVersionLine>>,
     /// Progress of jobs that other processes run.
     pub checkpoints: job_checkpoints::CheckpointTable,
     /// Progress of jobs that run here, queued for transfer to peers.
@@ -245,8 +266,13 @@
     pub(super) fn new(
         options: ProcessOptions,
         adapters: ProcessAdapters,
-        progress: RestoredProgress,
+        restored: RestoredState,
     ) -> Self {
+        let RestoredState {
+            progress,
+            origins: restored_origins,
+            origin_file,
+        } = restored;
         let started_at = adapters.clock.now();
         let mut pools =
             token_pools::PoolTable::new(options.member.id.clone(), options.tolerance, started_at);
@@ -257,11 +283,23 @@
             instance: options.member.id.clone(),
             run: ids::RunNumber::random(),
         };
+        let fleet = fleet_model::FleetModel::new(adapters.clock.clone());
+        let mut directory = fleet.directory.borrow_mut();
+        let history = directory.versions_mut();
+        if options.is_first_start {
+            history.set_complete();
+        }
+        restored_origins.restore_versions(history, started_at);
+        drop(directory);
+        let mut origins = stream_origins::OriginTable::default();
+        for record in restored_origins.origins {
+            origins.insert(record, stream_origins::OriginReach::Shared);
+        }
         let metrics = metrics::MetricSet::default();
         let caller_memory = caller_memory::CallerMemory::new(options.memory_bytes, &metrics);
         Self {
             run,
-            fleet: rc::Rc::new(fleet_model::FleetModel::new(adapters.clock.clone())),
+            fleet: rc::Rc::new(fleet),
             options,
             wire: adapters.wire,
             store: adapters.store,
@@ -275,6 +313,10 @@
             permits: cell::RefCell::default(),
             slot_queues: cell::RefCell::default(),
             jobs: job_table::JobTable::default(),
+            unlisted_starts: cell::RefCell::default(),
+            origins: cell::RefCell::new(origins),
+            origin_file,
+            noted_versions: cell::RefCell::default(),
             checkpoints: progress.board,
             progress_queue: progress_transfer::ProgressQueue::default(),
             checkpoint_file: progress.file,
--- a/src/serving/directory.rs
+++ b/src/serving/directory.rs
@@ -4,11 +4,15 @@
 
 pub use super::{
     directory_transfer::{DirectoryDelta, DirectorySnapshot, DirectoryUpdate},
-    endpoint_entry::{EndpointChange, EndpointEntry},
+    endpoint_entry::{software_label, EndpointChange, EndpointEntry, ServiceSoftware},
 };
 
 use super::endpoint_index;
-use crate::{clock, decisions::endpoint_backoff, ids, protection};
+use crate::{
+    clock,
+    decisions::{endpoint_backoff, version_history},
+    ids, protection,
+};
 
 /// Backoff of an endpoint at whose address another endpoint responded.
 ///
@@ -87,6 +91,11 @@
     evacuated: collections::BTreeSet<ids::DomainName>,
     /// Until when all endpoints of a domain count as cold after its evacuation.
     returned: collections::BTreeMap<ids::DomainName, clock::MonotonicTime>,
+    /// Software versions of the services, by all listed endpoints.
+    versions: version_history::VersionHistory,
+    /// Services whose endpoints have several versions since [`Self::take_mixed`] was last
+    /// called.
+    mixed: Vec<ids::ServiceName>,
 }
 
 impl Default for EndpointDirectory {
@@ -105,6 +114,8 @@
             cold: collections::HashMap::new(),
             evacuated: collections::BTreeSet::new(),
             returned: collections::BTreeMap::new(),
+            versions: version_history::VersionHistory::default(),
+            mixed: Vec::new(),
         }
     }
 }
@@ -121,6 +132,38 @@
                 EndpointChange::Removed(id) => self.remove(id, timing.remove_at),
             }
         }
+        self.observe_versions(timing.now);
+    }
+
+    /// Records which software versions are listed now.
+    fn observe_versions(&mut self, now: clock::MonotonicTime) {
+        for (service, listed) in self.index.listed_versions() {
+            match self.versions.observe(service, listed, now) {
+                Some(version_history::VersionChange::Sole(version)) => {
+                    log::info!("event=software_sole service={service} software={version}");
+                }
+                Some(version_history::VersionChange::Mixed) => {
+                    log::info!("event=software_mixed service={service}");
+                    self.mixed.push(service.clone());
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Returns the history of the services' software versions.
+    pub fn versions(&self) -> &version_history::VersionHistory {
+        &self.versions
+    }
+
+    /// Returns the history of the services' software versions, to be extended.
+    pub fn versions_mut(&mut self) -> &mut version_history::VersionHistory {
+        &mut self.versions
+    }
+
+    /// Takes the services whose endpoints have several software versions since the last call.
+    pub fn take_mixed(&mut self) -> Vec<ids::ServiceName> {
+        std::mem::take(&mut self.mixed)
     }
 
     fn record_cold(&mut self, entry: &EndpointEntry, now: clock::MonotonicTime) {
@@ -356,6 +399,7 @@
         for id in &due {
             self.drop_entry(id);
         }
+        self.observe_versions(now);
         due
     }
 
@@ -373,6 +417,7 @@
                 self.insert(entry.clone());
             }
         }
+        self.observe_versions(now);
         due.into_iter().map(|entry| entry.id).collect()
     }
 
@@ -444,6 +489,22 @@
         self.index.of_service(service)
     }
 
+    /// Returns the endpoints of a service that may go on with a text begun at `version`,
+    /// sorted by name: all of them for a text that is not begun.
+    pub fn of_version(
+        &self,
+        service: &ids::ServiceName,
+        version: Option<&ids::SoftwareVersion>,
+    ) -> &[rc::Rc<EndpointEntry>] {
+        let Some(version) = version else {
+            return self.of_service(service);
+        };
+        self.index.of_software(&ServiceSoftware {
+            service: service.clone(),
+            version: version.clone(),
+        })
+    }
+
     /// Returns an endpoint if it may get new work.
     pub fn usable(&self, id: &ids::EndpointId) -> Option<&rc::Rc<EndpointEntry>> {
         self.index
--- a/src/serving/endpoint_entry.rs
+++ b/src/serving/endpoint_entry.rs
@@ -29,6 +29,28 @@
 }
 
 impl EndpointEntry {
+    /// Returns the software that the endpoint runs, if its version is known.
+    pub fn service_software(&self) -> Option<ServiceSoftware> {
+        Some(ServiceSoftware {
+            service: self.service.clone(),
+            version: self.software.clone()?,
+        })
+    }
+
+    /// Returns the run of the endpoint that the entry describes.
+    pub fn run(&self) -> ids::EndpointRun {
+        ids::EndpointRun {
+            endpoint: self.id.clone(),
+            started: self.started,
+        }
+    }
+
+    /// Returns whether the endpoint may go on with a text that was begun at `version`; `None`
+    /// for a text that is not begun.
+    pub fn continues(&self, version: Option<&ids::SoftwareVersion>) -> bool {
+        version.is_none() || self.software.as_ref() == version
+    }
+
     /// Returns the version of its software for a log line.
     pub fn software_label(&self) -> &str {
         software_label(self.software.as_ref())
@@ -49,6 +71,22 @@
     version.map_or("-", ids::SoftwareVersion::as_str)
 }
 
+/// Software of a service's endpoints. Texts that two versions of it write do not fit
+/// together.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct ServiceSoftware {
+    /// The service; versions of two services are not comparable.
+    pub service: ids::ServiceName,
+    /// The version.
+    pub version: ids::SoftwareVersion,
+}
+
+impl fmt::Display for ServiceSoftware {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.service, self.version)
+    }
+}
+
 /// Change of one endpoint in the list.
 #[derive(Debug, Clone)]
 pub enum EndpointChange {
--- a/src/serving/endpoint_index.rs
+++ b/src/serving/endpoint_index.rs
@@ -7,19 +7,23 @@
 
 use xxhash_rust::xxh3;
 
-use super::endpoint_entry::EndpointEntry;
+use super::endpoint_entry::{EndpointEntry, ServiceSoftware};
 use crate::ids;
 
 /// Entries of the list.
 ///
 /// Invariants: `addresses` holds each entry of `entries` once. Each list of `services` is
-/// sorted by name and has no entry that is not in `entries`. `digest` is the wrapping sum
+/// sorted by name and has no entry that is not in `entries`; `versions` splits these lists. `digest` is the wrapping sum
 /// of the hashes of all entries.
 #[derive(Debug, Default)]
 pub(super) struct EndpointIndex {
     entries: collections::HashMap<ids::EndpointId, rc::Rc<EndpointEntry>>,
     addresses: collections::HashMap<net::SocketAddr, Vec<rc::Rc<EndpointEntry>>>,
     services: collections::HashMap<ids::ServiceName, Vec<rc::Rc<EndpointEntry>>>,
+    /// The entries of `services` by software version.
+    versions: collections::HashMap<ServiceSoftware, Vec<rc::Rc<EndpointEntry>>>,
+    /// Number of entries of each service by software version, those in no service included.
+    listed_versions: collections::HashMap<ids::ServiceName, VersionCounts>,
     /// Names of services and domains, and software versions, of which all entries share the
     /// text.
     service_names: collections::HashSet<ids::ServiceName>,
@@ -30,6 +34,9 @@
     examined: cell::Cell<u64>,
 }
 
+/// Number of entries by software version; `None` for an unknown one.
+type VersionCounts = collections::BTreeMap<Option<ids::SoftwareVersion>, usize>;
+
 impl EndpointIndex {
     /// Adds or replaces an entry, which is in no service yet. Returns the replaced one.
     pub(super) fn insert(&mut self, mut entry: EndpointEntry) -> Option<rc::Rc<EndpointEntry>> {
@@ -40,6 +47,9 @@
         entry.software = software.map(|version| share(&mut self.software_versions, version));
         let entry = rc::Rc::new(entry);
         self.digest = self.digest.wrapping_add(hash_of(&entry));
+        let listed = self.listed_versions.entry(entry.service.clone());
+        let count = listed.or_default().entry(entry.software.clone());
+        *count.or_default() += 1;
         let holders = self.addresses.entry(entry.address);
         // Most addresses have one holder, so more room would double the size of the index.
         let holders = holders.or_insert_with(|| Vec::with_capacity(1));
@@ -60,6 +70,12 @@
                 self.addresses.remove(&entry.address);
             }
         }
+        if let Some(listed) = self.listed_versions.get_mut(&entry.service) {
+            if let Some(count) = listed.get_mut(&entry.software) {
+                *count -= 1;
+            }
+            listed.retain(|_, count| *count > 0);
+        }
         self.set_in_service(&entry, false);
         Some(entry)
     }
@@ -71,27 +87,19 @@
         entry: &rc::Rc<EndpointEntry>,
         is_member: bool,
     ) -> bool {
-        let Some(list) = self.services.get_mut(&entry.service) else {
-            if is_member {
-                let list = vec![entry.clone()];
-                self.services.insert(entry.service.clone(), list);
-            }
-            return is_member;
-        };
         let examined = &self.examined;
-        let found = list.binary_search_by(|known| {
-            examined.set(examined.get() + 1);
-            known.id.cmp(&entry.id)
-        });
-        match (found, is_member) {
-            (Ok(_), true) | (Err(_), false) => return false,
-            (Ok(position), false) => drop(list.remove(position)),
-            (Err(position), true) => list.insert(position, entry.clone()),
+        let has_changed = set_listed(
+            &mut self.services,
+            &entry.service,
+            entry,
+            is_member,
+            examined,
+        );
+        if let Some(software) = entry.service_software().filter(|_| has_changed) {
+            let unexamined = cell::Cell::new(0);
+            set_listed(&mut self.versions, &software, entry, is_member, &unexamined);
         }
-        if list.is_empty() {
-            self.services.remove(&entry.service);
-        }
-        true
+        has_changed
     }
 
     /// Returns an entry by its name.
@@ -113,6 +121,25 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the entries in the list of a service that have a software version, sorted by
+    /// name.
+    pub(super) fn of_software(&self, software: &ServiceSoftware) -> &[rc::Rc<EndpointEntry>] {
+        self.versions.get(software).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the software versions of all entries of each service, each once.
+    pub(super) fn listed_versions(
+        &self,
+    ) -> impl Iterator<
+        Item = (
+            &ids::ServiceName,
+            impl Iterator<Item = Option<&ids::SoftwareVersion>>,
+        ),
+    > {
+        let services = self.listed_versions.iter();
+        services.map(|(service, counts)| (service, counts.keys().map(Option::as_ref)))
+    }
+
     /// Returns all entries.
     pub(super) fn entries(&self) -> impl Iterator<Item = &rc::Rc<EndpointEntry>> {
         self.entries.values()
@@ -134,6 +161,36 @@
     }
 }
 
+/// Adds an entry to the list under a key, or removes it from there, and counts the entries
+/// examined. Returns whether the list has changed.
+fn set_listed<K: Clone + Eq + hash::Hash>(
+    lists: &mut collections::HashMap<K, Vec<rc::Rc<EndpointEntry>>>,
+    key: &K,
+    entry: &rc::Rc<EndpointEntry>,
+    is_member: bool,
+    examined: &cell::Cell<u64>,
+) -> bool {
+    let Some(list) = lists.get_mut(key) else {
+        if is_member {
+            lists.insert(key.clone(), vec![entry.clone()]);
+        }
+        return is_member;
+    };
+    let found = list.binary_search_by(|known| {
+        examined.set(examined.get() + 1);
+        known.id.cmp(&entry.id)
+    });
+    match (found, is_member) {
+        (Ok(_), true) | (Err(_), false) => return false,
+        (Ok(position), false) => drop(list.remove(position)),
+        (Err(position), true) => list.insert(position, entry.clone()),
+    }
+    if list.is_empty() {
+        lists.remove(key);
+    }
+    true
+}
+
 /// Returns the copy of a name that all entries share.
 fn share<T: Clone + Eq + hash::Hash>(names: &mut collections::HashSet<T>, name: T) -> T {
     match names.get(&name) {
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -97,6 +97,11 @@
         // The observation is of a run that has ended.
         return;
     }
+    if let peers::EndpointObservation::Failed(_) = &observation {
+        let now = context.clock.now();
+        let mut starts = context.unlisted_starts.borrow_mut();
+        starts.record_failure(&endpoint.id, endpoint.started, now);
+    }
     apply(context, endpoint, &observation);
     let report = peers::EndpointReport {
         endpoint: endpoint.id.clone(),
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -1,16 +1,17 @@
 //! Relays event streams to callers: each event once and in order, resumed at another
 //! endpoint where the route allows it.
 
-use std::{io, time};
+use std::{io, rc, time};
 
 use actix_http::{body, StatusCode};
 use futures::stream;
 
 use super::{
-    attempt_flow, connection, event_split,
+    attempt_flow, connection, directory, event_split, origin_exchange,
     relay::{FinalError, RequestRelay, ServedResponse, ANSWERED},
     response_copy,
     slow_attempt::{self, Waited},
+    stream_origins, stream_resumption,
 };
 use crate::http_server;
 
@@ -49,7 +50,10 @@
             let waiting = next_event(&mut open.incoming, &mut splitter);
             let awaited = slow_attempt::Awaited::FirstEvent;
             let first = match self.wait_or_hand_off(slot, awaited, waiting).await {
-                Waited::Done(result) => self.check_order(result),
+                Waited::Done(result) => {
+                    let result = self.check_software(&slot.endpoint, result);
+                    self.check_order(result)
+                }
                 Waited::Lost(waited) => EventResult::Truncated(no_event(waited)),
                 Waited::HandedOff(next, waited) => {
                     self.record_attempt(&slot.endpoint.id, "cut", &no_event(waited));
@@ -60,6 +64,7 @@
             let first = match first {
                 EventResult::Event(event) => {
                     slot.record_event();
+                    self.record_origin(&slot.endpoint).await;
                     Some(event)
                 }
                 EventResult::Finished => None,
@@ -103,6 +108,49 @@
         Ok(ServedResponse::Full(response))
     }
 
+    /// Checks that the first event of a run that goes on with a stream comes from the software
+    /// that began it: the endpoint may have started again with another one since it was chosen.
+    fn check_software(
+        &self,
+        endpoint: &directory::EndpointEntry,
+        result: EventResult,
+    ) -> EventResult {
+        let Some(origin) = &self.origin else {
+            return result;
+        };
+        let directory = self.context.fleet.directory.borrow();
+        let listed = directory.entry(&endpoint.id);
+        let is_same = listed.is_none_or(|listed| {
+            listed.started == endpoint.started && listed.software == endpoint.software
+        });
+        match is_same && endpoint.service_software().as_ref() == Some(&origin.software) {
+            true => result,
+            false => EventResult::Truncated("the endpoint has other software by now".into()),
+        }
+    }
+
+    /// Records where the stream begins, and shares it before the first event is sent.
+    async fn record_origin(&mut self, endpoint: &rc::Rc<directory::EndpointEntry>) {
+        if self.origin.is_some() {
+            return;
+        }
+        let Some(origin) = stream_origins::StreamOrigin::at(endpoint) else {
+            return;
+        };
+        self.origin = Some(origin.clone());
+        let name = self.request.terms.id.as_ref();
+        let name = name.and_then(|id| id.parse().ok());
+        let Some(name) = name.filter(|_| self.may_repeat()) else {
+            return;
+        };
+        let record = stream_origins::OriginRecord {
+            key: stream_resumption::stream_key(&self.request, &name),
+            origin,
+            remaining: self.request.resumable_for(),
+        };
+        origin_exchange::record(&self.context, record, self.request.route.timeout).await;
+    }
+
     /// Checks that an event follows the last one, and records it.
     ///
     /// Any other event is treated as a truncated stream.
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -4,7 +4,7 @@
 
 use super::{
     context, crash_guard, crash_trials, directory, fleet_model, job_checkpoints, limit_links,
-    loop_delay, members, slot_grants,
+    loop_delay, members, origin_exchange, slot_grants,
 };
 use crate::{
     clock,
@@ -73,6 +73,8 @@
         expire_doubts(&context);
         refresh_owners(&context);
         slot_grants::refresh(&context);
+        origin_exchange::share_mixed(&context);
+        origin_exchange::note_versions(&context);
         if ticks.is_multiple_of(SWEEP_TICKS) {
             let now = context.clock.now();
             context.pool.sweep();
@@ -80,6 +82,8 @@
             crash_guard::expire(&context);
             crash_trials::expire(&context);
             limit_links::forget_idle(&context);
+            context.unlisted_starts.borrow_mut().expire(now);
+            origin_exchange::sweep(&context);
             context.members.borrow_mut().expire_beats(now);
             release_ended(&context);
             slot_grants::forget_ended(&context);
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -6,8 +6,8 @@
 
 use super::{
     context, crash_guard, crash_trials, endpoint_records, endpoint_reports, fleet_sync, job_calls,
-    job_checkpoints, job_records, job_runner, job_supervisor, limit_links, peers, slot_grants,
-    slot_relay,
+    job_checkpoints, job_records, job_runner, job_supervisor, limit_links, origin_exchange, peers,
+    slot_grants, slot_relay,
 };
 use crate::{decisions::endpoint_speed, ids, store};
 
@@ -64,6 +64,16 @@
             // the owners, and a number that is passed on by several of them is granted twice.
             reply(sender, slot_grants::grant(context, &request));
         }
+        C::KeepOrigin(message, sender) => {
+            origin_exchange::keep(context, message);
+            reply(sender, origin_exchange::sole_software(context));
+        }
+        C::FindOrigin(query, sender) => {
+            let context = context.clone();
+            actix_rt::spawn(async move {
+                reply(sender, origin_exchange::find(&context, &query).await);
+            });
+        }
         C::Release(ended) => slot_grants::release(context, ended),
         C::Report(report) => apply_report(context, &report),
         C::CrashUpdate(message) => {
@@ -264,6 +274,10 @@
     }
     record_life_evidence(context, endpoint, observation);
     let now = context.clock.now();
+    if let peers::EndpointObservation::Failed(_) = observation {
+        let mut starts = context.unlisted_starts.borrow_mut();
+        starts.record_failure(endpoint, *started, now);
+    }
     match observation {
         peers::EndpointObservation::Failed(failure)
         | peers::EndpointObservation::Slow(failure)
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -9,8 +9,8 @@
     directory, job_records, members,
     peers::{
         BatchSlotRequest, BorrowedSlot, EndpointReport, HeartbeatMessage, OnlineSlotRequest,
-        OnlineSlotResponse, PeerServiceClient, ProgressPart, ResultRequest, SlotRelease,
-        WriteOutcome,
+        OnlineSlotResponse, OriginMessage, OriginQuery, OriginReply, PeerServiceClient,
+        ProgressPart, ResultRequest, SlotRelease, SoleSoftware, WriteOutcome,
     },
     permits, state_snapshot, wire,
     workspaces::limit_messages,
@@ -228,6 +228,32 @@
         connect_and_call!(self, peer, timeout, acquire(request))
     }
 
+    /// Sends the origin of a stream; returns which services have one software version.
+    ///
+    /// # Errors
+    /// The peer does not respond.
+    pub async fn keep_origin(
+        &self,
+        peer: net::SocketAddr,
+        message: OriginMessage,
+        timeout: time::Duration,
+    ) -> Result<Vec<SoleSoftware>, PeerError> {
+        connect_and_call!(self, peer, timeout, keep_origin(message))
+    }
+
+    /// Asks for the origin of a stream.
+    ///
+    /// # Errors
+    /// The peer does not respond.
+    pub async fn find_origin(
+        &self,
+        peer: net::SocketAddr,
+        query: OriginQuery,
+        timeout: time::Duration,
+    ) -> Result<OriginReply, PeerError> {
+        connect_and_call!(self, peer, timeout, find_origin(query))
+    }
+
     /// Requests a slot from an owner on behalf of a peer that is cut off from it.
     ///
     /// # Errors
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -13,8 +13,8 @@
     peer_links::{frames, RECONNECT_DELAY},
     peers::{
         BatchSlotRequest, BorrowedSlot, EndpointReport, HeartbeatMessage, OnlineSlotRequest,
-        OnlineSlotResponse, PeerCall, PeerService, ProgressPart, ResultRequest, SlotRelease,
-        WriteOutcome,
+        OnlineSlotResponse, OriginMessage, OriginQuery, OriginReply, PeerCall, PeerService,
+        ProgressPart, ResultRequest, SlotRelease, SoleSoftware, WriteOutcome,
     },
     state_snapshot, wire,
     workspaces::limit_messages,
@@ -209,6 +209,24 @@
         self.notify(PeerCall::ReturnTrial(digest)).await;
     }
 
+    async fn keep_origin(
+        self,
+        _: tarpc::context::Context,
+        message: OriginMessage,
+    ) -> Option<Vec<SoleSoftware>> {
+        self.send_request(|reply| PeerCall::KeepOrigin(message, reply))
+            .await
+    }
+
+    async fn find_origin(
+        self,
+        _: tarpc::context::Context,
+        query: OriginQuery,
+    ) -> Option<OriginReply> {
+        self.send_request(|reply| PeerCall::FindOrigin(query, reply))
+            .await
+    }
+
     async fn write_end(self, _: tarpc::context::Context, job: ids::JobId) -> Option<WriteOutcome> {
         self.send_request(|reply| PeerCall::WriteEnd(job, reply))
             .await
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -7,8 +7,8 @@
 use tokio::sync::oneshot;
 
 use super::{
-    directory, evacuations, job_records, members, route_table, state_snapshot, wire,
-    workspaces::limit_messages,
+    directory, evacuations, job_records, members, route_table, state_snapshot, stream_origins,
+    wire, workspaces::limit_messages,
 };
 use crate::{
     decisions::{admission, crash_ledger, endpoint_doubt, endpoint_speed, health, liveness},
@@ -112,6 +112,8 @@
     pub service: ids::ServiceName,
     /// Endpoints to exclude.
     pub tried: Vec<ids::EndpointId>,
+    /// Software version at which the stream goes on; `None` for any.
+    pub software: Option<ids::SoftwareVersion>,
     /// Whether a queue slot of a full endpoint is acceptable.
     pub may_queue: bool,
     /// How long the request may wait in a queue and still be on time.
@@ -125,6 +127,13 @@
     pub ticket: Option<QueueTicket>,
 }
 
+impl OnlineSlotRequest {
+    /// Returns whether the request may not run at an endpoint.
+    pub fn excludes(&self, entry: &directory::EndpointEntry) -> bool {
+        self.tried.contains(&entry.id) || !entry.continues(self.software.as_ref())
+    }
+}
+
 /// Place of a request in the order of a wait queue.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct QueueTicket {
@@ -275,6 +284,44 @@
     pub wait: time::Duration,
 }
 
+/// Origin of a stream, sent to a process that keeps it.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct OriginMessage {
+    /// The origin.
+    pub record: stream_origins::OriginRecord,
+    /// Whether the receiver passes it on to the holders of the stream.
+    pub passes_on: bool,
+}
+
+/// Question for the origin of a stream.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct OriginQuery {
+    /// The stream.
+    pub key: ids::StreamKey,
+    /// Whether the receiver asks the holders of the stream if it does not know the origin.
+    pub passes_on: bool,
+}
+
+/// Answer to an [`OriginQuery`].
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+pub struct OriginReply {
+    /// The origin, if it is known.
+    pub record: Option<stream_origins::OriginRecord>,
+    /// Whether all processes that may know it have been asked.
+    pub is_final: bool,
+    /// Services whose endpoints have one software version, by a current list.
+    pub sole: Vec<SoleSoftware>,
+}
+
+/// The only software version of a service's endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct SoleSoftware {
+    /// The software.
+    pub software: directory::ServiceSoftware,
+    /// For how long no other version has been listed; `None` for as long as the system exists.
+    pub age: Option<time::Duration>,
+}
+
 /// RPC service of a process for its peers.
 #[tarpc::service]
 pub trait PeerService {
@@ -339,6 +386,10 @@
     /// Requests a slot on behalf of a peer that is cut off from the owners. A process that
     /// owns no endpoints responds so, and does not relay the request again.
     async fn acquire_relayed(request: OnlineSlotRequest) -> Option<OnlineSlotResponse>;
+    /// Sends the origin of a stream; returns which services have one software version.
+    async fn keep_origin(message: OriginMessage) -> Option<Vec<SoleSoftware>>;
+    /// Asks for the origin of a stream.
+    async fn find_origin(query: OriginQuery) -> Option<OriginReply>;
 }
 
 /// Incoming call of a peer and the channel for its response.
@@ -349,6 +400,10 @@
     Acquire(OnlineSlotRequest, oneshot::Sender<OnlineSlotResponse>),
     /// See [`PeerService::acquire_relayed`].
     AcquireRelayed(OnlineSlotRequest, oneshot::Sender<OnlineSlotResponse>),
+    /// See [`PeerService::keep_origin`].
+    KeepOrigin(OriginMessage, oneshot::Sender<Vec<SoleSoftware>>),
+    /// See [`PeerService::find_origin`].
+    FindOrigin(OriginQuery, oneshot::Sender<OriginReply>),
     /// See [`PeerService::release`].
     Release(SlotRelease),
     /// See [`PeerService::report`].
--- a/src/serving/permits/capacity.rs
+++ b/src/serving/permits/capacity.rs
@@ -88,7 +88,7 @@
         let owned: Vec<_> = ledgers
             .filter(|o| o.entry.service == request.service)
             .collect();
-        let is_excluded = |owned: &&&OwnedLedger| request.tried.contains(&owned.entry.id);
+        let is_excluded = |owned: &&&OwnedLedger| request.excludes(&owned.entry);
         let is_of_service = |h: &&PermitHolder| {
             let ledger = self.ledgers.get(&h.endpoint);
             ledger.is_some_and(|o| o.entry.service == request.service)
--- a/src/serving/permits/failures.rs
+++ b/src/serving/permits/failures.rs
@@ -68,7 +68,7 @@
     ) -> bool {
         let candidates = self
             .of_service(&request.service, now)
-            .filter(|owned| !request.tried.contains(&owned.entry.id));
+            .filter(|owned| !request.excludes(&owned.entry));
         let mut free = candidates
             .filter(|owned| owned.free_online_slots() > 0)
             .map(|owned| self.is_acceptable(owned, request, ejected, now))
@@ -85,7 +85,7 @@
         now: clock::MonotonicTime,
     ) -> bool {
         let owned = self.owned().filter(|e| e.service == request.service);
-        let mut candidates = owned.filter(|e| !request.tried.contains(&e.id));
+        let mut candidates = owned.filter(|e| !request.excludes(e));
         candidates.all(|e| ejected.contains(&e.id) || self.is_suspect(&e.id, now))
     }
 
--- a/src/serving/permits/grants.rs
+++ b/src/serving/permits/grants.rs
@@ -34,7 +34,7 @@
         let scale = self.speed_scale(&request.service, now);
         let usable = self
             .of_service(&request.service, now)
-            .filter(|owned| !request.tried.contains(&owned.entry.id))
+            .filter(|owned| !request.excludes(&owned.entry))
             .filter(|owned| self.is_acceptable(owned, request, ejected, now));
         let best = usable.min_by_key(|owned| {
             let is_full = owned.spare_slots() <= 0;
--- a/src/serving/permits/mod.rs
+++ b/src/serving/permits/mod.rs
@@ -261,7 +261,7 @@
     /// excludes all of them.
     pub fn are_all_excluded(&self, request: &peers::OnlineSlotRequest) -> bool {
         let mut owned = self.owned().filter(|e| e.service == request.service);
-        self.owns(&request.service) && owned.all(|e| request.tried.contains(&e.id))
+        self.owns(&request.service) && owned.all(|e| request.excludes(e))
     }
 
     /// Returns whether a permit is held.
--- a/src/serving/permits/staging.rs
+++ b/src/serving/permits/staging.rs
@@ -42,7 +42,7 @@
             let is_distrusted = ejected.contains(id) || self.doubts.is_suspect(id, now);
             let is_limited = owned.is_unverified || owned.cold_gate.is_cold(now);
             let refuses = self.staging_refusals.is_backed_off(id);
-            !request.tried.contains(id) && !is_distrusted && !is_limited && !refuses
+            !request.excludes(&owned.entry) && !is_distrusted && !is_limited && !refuses
         });
         let candidates = usable.map(|owned| {
             let speed = owned.candidate(now).speed;
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -6,8 +6,8 @@
 
 use super::{
     checkpoint_file, context, crash_guard, fleet_sync, job_checkpoints, job_runner, listener,
-    member_sync, members, metrics_page, owners, peer_calls, peer_server, probes, start_record,
-    suspension,
+    member_sync, members, metrics_page, origin_file, owners, peer_calls, peer_server, probes,
+    start_record, suspension,
 };
 use crate::{clock, decisions::call_budget::CallClass, protection, store};
 
@@ -28,8 +28,13 @@
     mut stop: mpsc::Receiver<()>,
 ) -> io::Result<()> {
     let calls = peer_server::serve(options.internal)?;
-    let progress = open_checkpoints(&options);
-    let context = rc::Rc::new(context::ProcessContext::new(options, adapters, progress));
+    let (origin_file, origins) = open_origins(&options);
+    let restored = context::RestoredState {
+        progress: open_checkpoints(&options),
+        origins,
+        origin_file,
+    };
+    let context = rc::Rc::new(context::ProcessContext::new(options, adapters, restored));
     log::info!(
         "event=started instance={} role={:?} domain={}",
         context.id(),
@@ -79,6 +84,24 @@
     context::RestoredProgress { board, file }
 }
 
+/// Restores the origins of streams of the previous process and opens their file.
+fn open_origins(
+    options: &context::ProcessOptions,
+) -> (
+    Option<origin_file::OriginFile>,
+    origin_file::RestoredOrigins,
+) {
+    let folder = options.data_folder.clone();
+    match folder.map(origin_file::OriginFile::start) {
+        Some(Ok((file, restored))) => (Some(file), restored),
+        Some(Err(e)) => {
+            log::warn!("event=origins_unwritten why=\"{e}\"");
+            (None, origin_file::RestoredOrigins::default())
+        }
+        None => (None, origin_file::RestoredOrigins::default()),
+    }
+}
+
 /// Drains the process: waits until all responses are sent and all jobs are handed back, or
 /// the grace period is nearly over.
 async fn stop_gracefully(context: &rc::Rc<context::ProcessContext>) {
--- a/src/serving/queried_owners.rs
+++ b/src/serving/queried_owners.rs
@@ -1,6 +1,6 @@
 //! Owners that are queried for a slot, by the free slots that they reported.
 
-use std::{collections, time};
+use std::{collections, rc, time};
 
 use rand::seq::IndexedRandom as _;
 
@@ -24,11 +24,22 @@
 /// Returns the owners in the order in which they are queried: those that have reported free
 /// slots of the service or whose first report is awaited, then other owners of some of its
 /// endpoints that have not reported any, then the full ones.
+///
+/// For a stream that goes on at a software version, only owners of some endpoints of that
+/// version are queried: a report of free slots does not tell versions apart.
 pub(super) fn owner_order(
     context: &context::ProcessContext,
     service: &ids::ServiceName,
+    software: Option<&ids::SoftwareVersion>,
 ) -> Vec<ids::InstanceId> {
-    let owners = context.owners();
+    let owners = match software {
+        None => context.owners(),
+        Some(_) => {
+            let all = context.owners();
+            let owners = sampled_owners(context, service, software, &all);
+            rc::Rc::new(owners.into_iter().cloned().collect())
+        }
+    };
     let is_reachable = |id: &ids::InstanceId| id == context.id() || context.receives_from(id);
     let is_same_domain = |domain: &ids::DomainName| domain == context.domain();
     let free_slots = context.free_slots.borrow();
@@ -56,7 +67,7 @@
     let are_full = known.iter().all(|owner| owner.free_slots == 0);
     let mut reachable = owners.iter().filter(|owner| is_reachable(&owner.id));
     let unreported = match are_full || reachable.any(|owner| awaits_report(&owner.id)) {
-        true => sampled_owners(context, service, &owners),
+        true => sampled_owners(context, service, software, &owners),
         false => Vec::new(),
     };
     let unreported = unreported
@@ -84,14 +95,16 @@
     }
 }
 
-/// Returns the owners of some endpoints of a service, drawn at random.
+/// Returns the owners of some endpoints of a service, drawn at random among those that may go
+/// on with a text begun at `software`.
 fn sampled_owners<'a>(
     context: &context::ProcessContext,
     service: &ids::ServiceName,
+    software: Option<&ids::SoftwareVersion>,
     owners: &'a [ownership::OwnerCandidate],
 ) -> Vec<&'a ownership::OwnerCandidate> {
     let directory = context.fleet.directory.borrow();
-    let endpoints = directory.of_service(service);
+    let endpoints = directory.of_version(service, software);
     let index = ownership::OwnerIndex::new(owners);
     let drawn = endpoints.choose_multiple(&mut rand::rng(), SAMPLED_ENDPOINTS);
     let owners = drawn.filter_map(|e| index.owner_of(&e.id, &e.domain));
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -8,7 +8,7 @@
     attempt, attempt_flow, caller_memory, context, crash_guard,
     crash_trials::{self, TrialAdmission},
     event_flow, held_slot, refusals, request_admission, response_copy, route_table, slow_attempt,
-    suspension, wire,
+    stream_origins, stream_resumption, suspension, wire,
 };
 use crate::{clock, http_server, ids};
 
@@ -41,6 +41,20 @@
     pub workspace: Option<ids::WorkspaceId>,
 }
 
+/// Time after the end of a caller's patience for which the origin of its stream is kept.
+const ORIGIN_GRACE: time::Duration = time::Duration::from_secs(1);
+/// Maximum time for which the origin of a stream is kept.
+const MAX_ORIGIN_TIME: time::Duration = time::Duration::from_secs(300);
+
+impl CallerRequest {
+    /// Returns for how long the caller may resume the stream of the request.
+    pub(super) fn resumable_for(&self) -> time::Duration {
+        let patience = self.terms.timeout.unwrap_or(self.route.timeout);
+        let left = patience.saturating_sub(self.arrived.elapsed());
+        (left + ORIGIN_GRACE).min(MAX_ORIGIN_TIME)
+    }
+}
+
 /// Guard that counts an active request until its response was sent or its caller left.
 pub struct ActiveRequest {
     context: rc::Rc<context::ProcessContext>,
@@ -72,6 +86,9 @@
     /// It did not run; endpoints crashed during it, and a trial within this time decides
     /// whether it is quarantined.
     Suspected(time::Duration),
+    /// It did not run: it resumes a stream that can go on nowhere; the caller may retry after
+    /// this time.
+    NotResumed(stream_resumption::ResumeDenial, time::Duration),
     /// It may have run, and failed.
     Failed(String),
     /// Its deadline has passed.
@@ -85,6 +102,7 @@
             Self::NotRun(..) => "no_slot",
             Self::Held(_) => "quarantined",
             Self::Suspected(_) => "suspected",
+            Self::NotResumed(denial, _) => denial.label(),
             Self::Failed(_) | Self::Late => "failed",
         }
     }
@@ -92,7 +110,10 @@
     /// Returns after which time the caller may retry, if the request did not run.
     fn retry_after(&self) -> Option<time::Duration> {
         match self {
-            Self::NotRun(delay, _) | Self::Held(delay) | Self::Suspected(delay) => Some(*delay),
+            Self::NotRun(delay, _)
+            | Self::NotResumed(_, delay)
+            | Self::Held(delay)
+            | Self::Suspected(delay) => Some(*delay),
             Self::Failed(_) | Self::Late => None,
         }
     }
@@ -108,6 +129,9 @@
     pub(super) last_event: Option<u64>,
     /// Whether the head of a stream was sent to the caller.
     pub(super) is_started: bool,
+    /// Where the stream began, at whose software version alone it goes on; `None` before its
+    /// first event.
+    pub(super) origin: Option<stream_origins::StreamOrigin>,
     /// Time from the arrival of the request to the first event sent to the caller.
     first_event: std::cell::Cell<Option<time::Duration>>,
     /// Trial that this request is, if it is suspected of crashing endpoints.
@@ -128,21 +152,22 @@
         log: attempt_flow::AttemptLog::default(),
         last_event,
         is_started: false,
+        origin: None,
         first_event: std::cell::Cell::new(None),
         trial: None,
         _active: active,
     };
-    let terms = &relay.request.terms;
-    let id = terms.id.as_deref().unwrap_or("-");
-    if last_event.is_some() || terms.resumes != wire::ResumedStream::Unnamed {
-        log::info!(
-            "event=stream_resumed request={id} resumes={} route={} after={} left_ms={}",
-            terms.resumes,
-            relay.request.route.name,
-            event_label(last_event),
-            relay.time_left().as_millis(),
-        );
+    let is_stream = relay.request.route.kind.is_stream();
+    if is_stream && stream_resumption::is_resumed(&relay.request) {
+        match stream_resumption::resolve(&relay.context, &relay.request).await {
+            Ok(origin) => relay.origin = Some(origin),
+            Err(denial) => {
+                let error = relay.not_resumable(denial);
+                return relay.refuse(&error);
+            }
+        }
     }
+    let id = relay.request.terms.id.as_deref().unwrap_or("-");
     let digest = relay.request.forwarded.digest;
     // A quarantined request must not wait for a slot.
     let time_left = relay.time_left();
@@ -152,7 +177,7 @@
         TrialAdmission::Suspected(left) => return relay.refuse(&FinalError::Suspected(left)),
         TrialAdmission::Quarantined(left) => return relay.refuse(&FinalError::Held(left)),
     }
-    let outcome = match relay.request.route.kind.is_stream() {
+    let outcome = match is_stream {
         true => relay.open_stream(None).await,
         false => relay.full_response().await,
     };
@@ -368,6 +393,7 @@
             FinalError::NotRun(..) => ("refused", StatusCode::SERVICE_UNAVAILABLE),
             FinalError::Held(_) => ("held", StatusCode::SERVICE_UNAVAILABLE),
             FinalError::Suspected(_) => ("suspected", StatusCode::SERVICE_UNAVAILABLE),
+            FinalError::NotResumed(..) => ("not_resumed", StatusCode::SERVICE_UNAVAILABLE),
             FinalError::Failed(_) => ("failed", StatusCode::BAD_GATEWAY),
             FinalError::Late => ("late", StatusCode::GATEWAY_TIMEOUT),
         };
@@ -388,9 +414,10 @@
             response.insert_header((header::RETRY_AFTER, format!("{:.3}", delay.as_secs_f64())));
         }
         let body = match error {
-            FinalError::Held(_) => QUARANTINED_BODY,
-            FinalError::Suspected(_) => SUSPECTED_BODY,
-            _ => outcome,
+            FinalError::Held(_) => QUARANTINED_BODY.to_owned(),
+            FinalError::Suspected(_) => SUSPECTED_BODY.to_owned(),
+            FinalError::NotResumed(denial, _) => format!("not resumed: {denial}\n"),
+            _ => outcome.to_owned(),
         };
         let response = response.body(body).map_into_boxed_body();
         match retry_after {
@@ -406,8 +433,9 @@
             .deadline
             .duration_since(clock::BootInstant::now());
         let why = match error {
-            FinalError::NotRun(_, why) => why,
-            _ => "endpoints crashed under this request",
+            FinalError::NotRun(_, why) => why.clone(),
+            FinalError::NotResumed(denial, _) => denial.to_string(),
+            _ => "endpoints crashed under this request".to_owned(),
         };
         format!(
             "route={} left_ms={} not_run={} why=\"{why}\"",
--- a/src/serving/route_table.rs
+++ b/src/serving/route_table.rs
@@ -113,6 +113,23 @@
     pub is_public: bool,
 }
 
+impl Route {
+    /// Draws the service of an attempt at random by the weights of the targets.
+    pub fn draw_service(&self) -> Option<ids::ServiceName> {
+        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
+        if total == 0 {
+            return self.targets.first().map(|t| t.service.clone());
+        }
+        let mut point = rand::random_range(0..total);
+        let chosen = self.targets.iter().find(|t| {
+            let is_inside = point < t.weight;
+            point = point.saturating_sub(t.weight);
+            is_inside
+        });
+        chosen.map(|t| t.service.clone())
+    }
+}
+
 /// Service that routes refer to.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 pub struct ServiceSpec {
--- a/src/serving/slot_grants.rs
+++ b/src/serving/slot_grants.rs
@@ -1,11 +1,11 @@
 //! Grants slots of owned endpoints, at once or to requests that wait for them.
 
-use std::{collections, rc, time};
+use std::{borrow, collections, rc, time};
 
 use tokio::sync::oneshot;
 
 use super::{
-    context, endpoint_records, peers, permits,
+    context, continuations, endpoint_records, peers, permits,
     slot_queue::{self, WaitOutcome, WaitRefusal},
     waiting_grants::{self, WaitGrant},
 };
@@ -41,11 +41,27 @@
     Some(slot.endpoint)
 }
 
+/// Returns a request that excludes the endpoints at which its stream may not go on by what
+/// this owner knows.
+fn with_exclusions<'a>(
+    context: &context::ProcessContext,
+    request: &'a peers::OnlineSlotRequest,
+) -> borrow::Cow<'a, peers::OnlineSlotRequest> {
+    let excluded = continuations::excluded(context, &request.service, request.software.as_ref());
+    if excluded.is_empty() {
+        return borrow::Cow::Borrowed(request);
+    }
+    let mut request = request.clone();
+    request.tried.extend(excluded);
+    borrow::Cow::Owned(request)
+}
+
 /// Grants a slot at an owned endpoint, preempting batch streams if necessary.
 pub fn grant(
     context: &context::ProcessContext,
     request: &peers::OnlineSlotRequest,
 ) -> peers::OnlineSlotResponse {
+    let request = &*with_exclusions(context, request);
     let now = context.clock.now();
     let endpoint = acquire(context, request);
     let permits = context.permits.borrow();
@@ -176,6 +192,7 @@
     context: &rc::Rc<context::ProcessContext>,
     request: &peers::OnlineSlotRequest,
 ) -> peers::OnlineSlotResponse {
+    let request = &*with_exclusions(context, request);
     let was_released = context
         .permits
         .borrow_mut()
--- a/src/serving/slot_relay.rs
+++ b/src/serving/slot_relay.rs
@@ -19,7 +19,7 @@
     // An owner is given too little time here for its wait queue.
     request.ticket = None;
     let number = request.number;
-    let owners = queried_owners::owner_order(context, &request.service);
+    let owners = queried_owners::owner_order(context, &request.service, request.software.as_ref());
     let owners = &owners[..owners.len().min(queried_owners::MAX_QUERIED_OWNERS)];
     // A suspect endpoint qualifies once no queried owner has another one.
     let rounds = owners.iter().map(|owner| (owner, false));
--- a/src/serving/slot_requests.rs
+++ b/src/serving/slot_requests.rs
@@ -3,7 +3,7 @@
 use std::{rc, time};
 
 use super::{
-    context,
+    context, continuations, directory,
     held_permit::{self, HeldPermit},
     held_slot::{GrantState, HeldSlot},
     peers, pending_permit, queried_owners, slot_grants,
@@ -17,6 +17,8 @@
     pub service: &'a ids::ServiceName,
     /// Endpoints that were tried before and are excluded.
     pub tried: &'a [ids::EndpointId],
+    /// Software version at which the stream goes on; `None` for any.
+    pub software: Option<&'a ids::SoftwareVersion>,
     /// Latency objective for the first event.
     pub objective: time::Duration,
     /// Whether the request may run only once.
@@ -51,8 +53,11 @@
 }
 
 /// Returns which endpoints with failures a request accepts before all owners were asked.
+///
+/// An endpoint that has just failed may have started again with other software, which the list
+/// does not show yet.
 pub(super) fn first_use(request: &SlotParams<'_>) -> endpoint_doubt::SuspectUse {
-    match request.single_attempt {
+    match request.single_attempt || request.software.is_some() {
         true => endpoint_doubt::SuspectUse::Avoid,
         false => endpoint_doubt::SuspectUse::Probe,
     }
@@ -87,6 +92,7 @@
         }
         _ => {}
     }
+    avoided.extend(continuations::excluded(context, service, request.software));
     let mut excluded = tried.to_vec();
     excluded.extend(avoided.into_iter().filter(|id| !tried.contains(id)));
     peers::OnlineSlotRequest {
@@ -95,6 +101,7 @@
         domain: context.domain().clone(),
         service: service.clone(),
         tried: excluded,
+        software: request.software.cloned(),
         may_queue: false,
         wait: first.unwrap_or_default().max_wait(request.objective),
         single_attempt: request.single_attempt,
@@ -110,6 +117,7 @@
     request: peers::OnlineSlotRequest,
 ) -> OwnerReply {
     let number = request.number;
+    let software = request.software.clone();
     let service = &request.service.clone();
     let (response, permit) = if owner == context.id() {
         let response = match slot_grants::may_wait(&request) {
@@ -164,7 +172,7 @@
         }
         return OwnerReply::None(SlotReply::Full(response.free_queue_slots));
     }
-    match accept_response(context, owner, response, permit) {
+    match accept_response(context, owner, response, permit, software.as_ref()) {
         Some(slot) => OwnerReply::Slot(slot),
         None => OwnerReply::None(SlotReply::Silent),
     }
@@ -187,6 +195,7 @@
         ..online_slot_request(context, request, first_use(request))
     };
     let permit = HeldPermit::Peer(relay.address, request.number);
+    let software = request.software.clone();
     let pending = pending_permit::PendingPermit::new(context, relay.address, request.number);
     match context
         .links
@@ -195,7 +204,7 @@
     {
         Ok(response) => {
             pending.settle();
-            accept_response(context, &relay.id, response, permit)
+            accept_response(context, &relay.id, response, permit, software.as_ref())
         }
         Err(e) => {
             log::info!("event=relay_silent relay={} why=\"{e}\"", relay.id);
@@ -208,7 +217,8 @@
     context.metrics.permits.with_label_values(&[outcome]).inc();
 }
 
-/// Returns the slot granted by a response, if its endpoint is listed here.
+/// Returns the slot granted by a response, if its endpoint is listed here with the software
+/// version at which the stream goes on.
 ///
 /// Otherwise the permit is released.
 fn accept_response(
@@ -216,12 +226,14 @@
     from: &ids::InstanceId,
     response: peers::OnlineSlotResponse,
     permit: HeldPermit,
+    software: Option<&ids::SoftwareVersion>,
 ) -> Option<HeldSlot> {
     let id = response.endpoint?;
     let found = context.fleet.directory.borrow().usable(&id).cloned();
-    let Some(endpoint) = found else {
+    let Some(endpoint) = found.filter(|endpoint| endpoint.continues(software)) else {
         log::info!(
-            "event=place_refused endpoint={id} from={from} why=\"the endpoint is not listed here\""
+            "event=place_refused endpoint={id} from={from} software={} why=\"the endpoint is not listed here\"",
+            directory::software_label(software)
         );
         held_permit::release_permit(context, permit, false);
         return None;
--- a/src/serving/slots.rs
+++ b/src/serving/slots.rs
@@ -4,7 +4,7 @@
 use std::{rc, time};
 
 use super::{
-    context, directory,
+    context, continuations, directory,
     held_slot::{GrantState, HeldSlot},
     peers, queried_owners,
     slot_requests::{self, OwnerReply, SlotParams, SlotReply},
@@ -50,7 +50,8 @@
         OwnerReply::Slot(slot) => Ok(slot),
         OwnerReply::None(SlotReply::Full(_)) => Err(SlotUnavailable::Full),
         OwnerReply::Booked(delay) => Err(SlotUnavailable::Booked(delay)),
-        OwnerReply::None(_) => choose_locally(context, request.service, request.tried),
+        OwnerReply::None(SlotReply::Excluded) => Err(SlotUnavailable::NoEndpoint),
+        OwnerReply::None(_) => choose_locally(context, request),
     }
 }
 
@@ -156,11 +157,14 @@
     context: &rc::Rc<context::ProcessContext>,
     request: &SlotParams<'_>,
 ) -> Result<HeldSlot, SlotUnavailable> {
-    match acquire(context, request).await {
-        Err(SlotUnavailable::Full | SlotUnavailable::Booked(_)) => {
-            choose_locally(context, request.service, request.tried)
-        }
-        slot => slot,
+    let result = acquire(context, request).await;
+    let Err(SlotUnavailable::Full | SlotUnavailable::Booked(_)) = result else {
+        return result;
+    };
+    // An owner may know of endpoints at which a begun stream may not go on.
+    match continuations::may_start_unlisted(context, request.service, request.software) {
+        true => result,
+        false => choose_locally(context, request),
     }
 }
 
@@ -170,12 +174,16 @@
     request: &SlotParams<'_>,
 ) -> OwnerReply {
     let service = request.service;
-    let owners = queried_owners::owner_order(context, service);
+    let owners = queried_owners::owner_order(context, service, request.software);
     let denials = match request_slot(context, request, &owners).await {
         Ok(slot) => return OwnerReply::Slot(slot),
         Err(denials) => denials,
     };
     let replies: Vec<_> = denials.iter().map(|(reply, _)| *reply).collect();
+    let is_excluded = |reply: &SlotReply| *reply == SlotReply::Excluded;
+    if request.software.is_some() && !replies.is_empty() && replies.iter().all(is_excluded) {
+        return OwnerReply::None(SlotReply::Excluded);
+    }
     if !all_full(&replies) {
         let slot = match replies.contains(&SlotReply::Silent) {
             // The silent owner may have trusted endpoints, which are chosen without it.
@@ -302,18 +310,19 @@
 /// No endpoint is left.
 pub fn choose_locally(
     context: &rc::Rc<context::ProcessContext>,
-    service: &ids::ServiceName,
-    tried: &[ids::EndpointId],
+    request: &SlotParams<'_>,
 ) -> Result<HeldSlot, SlotUnavailable> {
+    let SlotParams { service, tried, .. } = *request;
     let directory = context.fleet.directory.borrow();
-    let candidates = directory.of_service(service);
+    let candidates = directory.of_version(service, request.software);
     let now = context.clock.now();
     let table = context.fleet.table();
     let is_limited = table.service(service).is_some_and(|s| s.cold_rate > 0.0);
     // Only its owner can hold a cold endpoint to its rate.
     let is_excluded = |entry: &directory::EndpointEntry| {
         let is_cold = is_limited && directory.cold_until(entry).is_some_and(|at| now < at);
-        is_cold || tried.contains(&entry.id)
+        let is_uncertain = request.software.is_some() && continuations::is_excluded(context, entry);
+        is_cold || tried.contains(&entry.id) || is_uncertain
     };
     let loads = context.loads.borrow();
     let domain = context.domain();
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -332,12 +332,12 @@
     /// The request is a task of its own, so that a late response is still received and its
     /// slot released.
     async fn acquire_slot(&self, relay: &relay::RequestRelay) -> Option<held_slot::HeldSlot> {
-        let service = relay.choose_service()?;
+        let (service, software) = relay.slot_target().ok()?;
         let may_queue = self
             .queue_from
             .is_some_and(|at| at <= clock::BootInstant::now());
         let mut tried = self.excluded.clone();
-        if !self.has_others(relay, &service) {
+        if !self.has_others(relay, &service, software.as_ref()) {
             // A new connection to the same endpoint qualifies if the pooled one may be
             // dead: otherwise the caller would wait in vain until its deadline.
             if !may_queue || !self.may_be_dead {
@@ -352,6 +352,7 @@
             let request = slot_requests::SlotParams {
                 service: &service,
                 tried: &tried,
+                software: software.as_ref(),
                 objective,
                 // The request moves for good, and a suspect endpoint is no better.
                 single_attempt: true,
@@ -371,10 +372,16 @@
         }
     }
 
-    /// Returns whether the service has an endpoint that is not excluded.
-    fn has_others(&self, relay: &relay::RequestRelay, service: &ids::ServiceName) -> bool {
+    /// Returns whether the service has an endpoint that may go on with the request and is not
+    /// excluded.
+    fn has_others(
+        &self,
+        relay: &relay::RequestRelay,
+        service: &ids::ServiceName,
+        software: Option<&ids::SoftwareVersion>,
+    ) -> bool {
         let directory = relay.context.fleet.directory.borrow();
-        let listed = directory.of_service(service);
+        let listed = directory.of_version(service, software);
         listed.iter().any(|e| !self.excluded.contains(&e.id))
     }
 }
@@ -426,7 +433,7 @@
     context: &rc::Rc<context::ProcessContext>,
     request: &slot_requests::SlotParams<'_>,
 ) -> Result<held_slot::HeldSlot, slots::SlotUnavailable> {
-    let owners = queried_owners::owner_order(context, request.service);
+    let owners = queried_owners::owner_order(context, request.service, request.software);
     if !owners.is_empty() {
         let result = slots::request_slot(context, request, &owners).await;
         return result.map_err(|_| slots::SlotUnavailable::Full);
@@ -435,5 +442,5 @@
         let result = slot_requests::request_from_relay(context, request, false).await;
         return result.ok_or(slots::SlotUnavailable::Full);
     }
-    slots::choose_locally(context, request.service, request.tried)
+    slots::choose_locally(context, request)
 }
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -57,6 +57,7 @@
         domain: "z".parse().expect("a name"),
         service: service(),
         tried: Vec::new(),
+        software: None,
         may_queue: false,
         wait: time::Duration::ZERO,
         single_attempt: false,
--- a/tests/endpoint_doubt.rs
+++ b/tests/endpoint_doubt.rs
@@ -48,6 +48,7 @@
         domain: "z".parse().expect("a name"),
         service: "s".parse().expect("a name"),
         tried: Vec::new(),
+        software: None,
         may_queue: false,
         wait: time::Duration::ZERO,
         single_attempt,
@@ -392,6 +393,7 @@
     assert_eq!(first.map(|slot| slot.endpoint), Some(id("e3")));
     let without_last = peers::OnlineSlotRequest {
         tried: vec![id("e3")],
+        software: None,
         ..slot_request(2, true)
     };
     assert!(table.acquire(&without_last, &ejected, at_ms(2)).is_none());
--- a/tests/slots.rs
+++ b/tests/slots.rs
@@ -41,6 +41,7 @@
         domain: "z".parse().expect("a name"),
         service: service(),
         tried: Vec::new(),
+        software: None,
         may_queue: false,
         wait: time::Duration::ZERO,
         single_attempt: false,
@@ -307,6 +308,7 @@
     let table = table(&[entry("a", "z"), entry("b", "z")]);
     let request = |tried: &[&str]| peers::OnlineSlotRequest {
         tried: tried.iter().map(|id| id.parse().expect("an id")).collect(),
+        software: None,
         ..slot_request(run("g"), 1)
     };
     assert!(!table.are_all_excluded(&request(&["a"])));
--- a/tests/staged_requests.rs
+++ b/tests/staged_requests.rs
@@ -67,6 +67,7 @@
         domain: "z".parse().expect("a name"),
         service: service(),
         tried: Vec::new(),
+        software: None,
         may_queue: true,
         wait: WAIT,
         single_attempt: false,
@@ -183,6 +184,7 @@
     );
     let excluding = peers::OnlineSlotRequest {
         tried: vec![id("a")],
+        software: None,
         ..patient(9)
     };
     assert_eq!(table.stage(&patient(9), &ejected, at(500)), None);
--- a/tests/wait_queue.rs
+++ b/tests/wait_queue.rs
@@ -307,6 +307,7 @@
             domain: "z".parse().expect("a name"),
             service: self.service.clone(),
             tried: Vec::new(),
+            software: None,
             may_queue: true,
             wait: WAIT,
             single_attempt: false,
