fix(jobs): an item goes on only at the software version that wrote its events

Seen: texts of results with events of two software versions, in tests; no report of callers. Found as the same cause elsewhere: an item that is cut, preempted or taken over by another owner is resumed at any endpoint of the service.

Cause: the progress of an item did not say which version wrote it, neither here nor in the checkpoints on disk and at other processes.

Change: progress and checkpoints carry the service and its version. An item with progress takes a slot at that version; it waits for one for at most as long as its work so far took, and otherwise starts over, at once if no endpoint of the version is listed. Nothing of an item has been read by a caller before it is complete, so nothing is lost but work. A checkpoint without a version, from an earlier build, counts only if it holds a result.

--- a/src/serving/borrowed_slots.rs
+++ b/src/serving/borrowed_slots.rs
@@ -119,9 +119,10 @@
             .usable(&slot.endpoint)
             .cloned();
         let matching_item = endpoint.as_ref().and_then(|e| {
-            let targets_service =
-                |item: &ready_items::ReadyItem| is_target(&item.route, &e.service);
-            ready.iter().position(targets_service)
+            let fits = |item: &ready_items::ReadyItem| {
+                is_target(&item.route, &e.service) && ready_items::accepts(context, item, e)
+            };
+            ready.iter().position(fits)
         });
         let (Some(endpoint), Some(position)) = (endpoint, matching_item) else {
             context.links.give_back(lender, slot);
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -246,6 +246,11 @@
                         }
                         if last_event == resume_after {
                             self.context.fleet.record_verified(&self.endpoint.id);
+                            if resume_after.is_some() && !self.is_unchanged() {
+                                return RunEnd::Cut(
+                                    "the endpoint has other software by now".into(),
+                                );
+                            }
                         }
                         last_event = Some(event.id);
                         if !self.append_event(&event) {
@@ -271,6 +276,15 @@
         RunEnd::Completed
     }
 
+    /// Returns whether the endpoint is not listed with another start or software by now.
+    fn is_unchanged(&self) -> bool {
+        let directory = self.context.fleet.directory.borrow();
+        let listed = directory.entry(&self.endpoint.id);
+        listed.is_none_or(|listed| {
+            listed.started == self.endpoint.started && listed.software == self.endpoint.software
+        })
+    }
+
     /// Appends an event to the item and returns whether the item still needs this run.
     fn append_event(&self, event: &event_split::RawEvent) -> bool {
         let mut job = self.job.borrow_mut();
@@ -282,6 +296,9 @@
             return false;
         }
         progress.empty_runs = 0;
+        if progress.events.is_empty() {
+            progress.software = self.endpoint.service_software();
+        }
         progress.events.push(event.data());
         progress.last_event = Some(event.id);
         true
@@ -350,6 +367,7 @@
         }
         let progress = &mut job.items[self.index];
         progress.phase = open_job::ItemPhase::Waiting;
+        progress.waiting_since = clock::BootInstant::now();
         match end {
             RunEnd::Completed => job.finish(self.index, wire::ItemState::Completed),
             RunEnd::Impossible => job.finish(self.index, wire::ItemState::GivenUp),
--- a/src/serving/job_checkpoints.rs
+++ b/src/serving/job_checkpoints.rs
@@ -8,7 +8,7 @@
 
 use std::{cell, collections, rc, time};
 
-use super::{context, job_table, open_job, peers, progress_transfer, wire};
+use super::{context, directory, job_table, open_job, peers, progress_transfer, wire};
 use crate::{clock, decisions::ownership, ids};
 
 /// Interval between checkpoints, which bounds the work lost with an owner.
@@ -38,6 +38,9 @@
     pub state: Option<wire::ItemState>,
     /// Index of the last event.
     pub last_event: Option<u64>,
+    /// Software that wrote the events; without it, only a final state is of use.
+    #[serde(default)]
+    pub software: Option<directory::ServiceSoftware>,
     /// Number of runs that an endpoint ended with a failure of its own.
     pub failures: u32,
     /// Total time for which the item's runs have held slots.
@@ -108,7 +111,11 @@
         }
         let current_events = current.as_ref().map_or(0, |k| k.events.len());
         if update.skipped == 0 {
-            let is_further = update.events.len() > current_events;
+            // An item whose software version is gone has started over.
+            let is_new_text = current
+                .as_ref()
+                .is_some_and(|k| k.chain != update.chain && k.software != update.software);
+            let is_further = update.events.len() > current_events || is_new_text;
             if is_further {
                 self.items.insert(update.index, update);
             }
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -133,16 +133,24 @@
         start_item(context, &item, &mut services_without_slots);
     }
     for (service, waiting) in services_without_slots {
-        borrowed_slots::borrow_slots(context, service, waiting);
+        borrowed_slots::borrow_slots(context, service, waiting.count);
     }
 }
 
+/// Items of a service that wait for a slot.
+#[derive(Debug, Default)]
+struct WaitingItems {
+    count: usize,
+    /// Whether the service has no free slot at any endpoint.
+    has_no_slot: bool,
+}
+
 /// Starts an item if a slot is free. Otherwise counts it in `services_without_slots`,
-/// which maps each service to its number of waiting items.
+/// which maps each service to its waiting items.
 fn start_item(
     context: &rc::Rc<context::ProcessContext>,
     item: &ready_items::ReadyItem,
-    services_without_slots: &mut collections::HashMap<ids::ServiceName, usize>,
+    services_without_slots: &mut collections::HashMap<ids::ServiceName, WaitingItems>,
 ) {
     let targets = &item.route.targets;
     let total: u32 = targets.iter().map(|t| t.weight.max(1)).sum();
@@ -153,18 +161,31 @@
         inside
     });
     let Some(target) = target else { return };
-    if let Some(waiting) = services_without_slots.get_mut(&target.service) {
-        *waiting += 1;
+    let waiting = services_without_slots.get_mut(&target.service);
+    if let Some(waiting) = waiting.filter(|waiting| waiting.has_no_slot) {
+        waiting.count += 1;
         return;
     }
     let now = context.clock.now();
+    let job = item.job.borrow();
+    let progress = &job.items[item.index];
+    let is_listed = ready_items::is_software_listed(context, progress);
     let slot = {
         let mut permits = context.permits.borrow_mut();
         let ejected = context.ejected_endpoints(&permits, now);
-        permits.begin_batch(&target.service, &ejected, now)
+        let accepts = |entry: &directory::EndpointEntry| {
+            ready_items::continues_at(context, progress, entry) || progress.starts_over(is_listed)
+        };
+        permits.begin_batch_at(&target.service, accepts, &ejected, now)
     };
+    let has_progress = !progress.events.is_empty();
+    drop(job);
     let Some((endpoint, number)) = slot else {
-        services_without_slots.insert(target.service.clone(), 1);
+        let waiting = services_without_slots.entry(target.service.clone());
+        let waiting = waiting.or_default();
+        waiting.count += 1;
+        // An item with progress may wait for a software version while others have slots.
+        waiting.has_no_slot |= !has_progress;
         return;
     };
     let slot = StreamSlot {
@@ -190,7 +211,18 @@
     slot: StreamSlot,
 ) {
     let mut job = item.job.borrow_mut();
+    let id = job.record.items[item.index].id.clone();
     let progress = &mut job.items[item.index];
+    if !ready_items::continues_at(context, progress, &slot.endpoint) {
+        log::info!(
+            "event=item_started_over item={id} software={} endpoint={} new_software={} events={}",
+            directory::software_label(progress.software.as_ref().map(|s| &s.version)),
+            slot.endpoint.id,
+            slot.endpoint.software_label(),
+            progress.events.len(),
+        );
+        progress.start_over();
+    }
     progress.phase = open_job::ItemPhase::Running;
     let chain = progress.chain();
     drop(job);
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -4,7 +4,9 @@
 
 use tokio::sync::watch;
 
-use super::{job_checkpoints, job_records, job_table::StreamKey, progress_transfer, wire};
+use super::{
+    directory, job_checkpoints, job_records, job_table::StreamKey, progress_transfer, wire,
+};
 use crate::{clock, ids};
 
 /// Delay before results are committed, while their job has time left: this much per job
@@ -57,6 +59,10 @@
     pub events: Vec<String>,
     /// Index of the last event.
     pub last_event: Option<u64>,
+    /// Software that wrote `events`, if it is known. The item goes on there only.
+    pub software: Option<directory::ServiceSoftware>,
+    /// When the last run ended.
+    pub waiting_since: clock::BootInstant,
     /// Number of runs that an endpoint ended with a failure of its own.
     pub failures: u32,
     /// Total time for which the item's runs have held slots.
@@ -84,6 +90,31 @@
         self.phase == ItemPhase::Running && self.chain == chain
     }
 
+    /// Returns whether the item starts over at an endpoint where it cannot go on. `is_listed` says
+    /// whether any endpoint has the software that wrote its events.
+    ///
+    /// It waits for one for at most as long as its work so far took.
+    pub fn starts_over(&self, is_listed: bool) -> bool {
+        let has_waited = self.waiting_since.elapsed() >= self.spent;
+        self.software.is_none() || !is_listed || has_waited
+    }
+
+    /// Returns whether the events so far are of the software of an endpoint.
+    pub fn continues_at(&self, endpoint: &directory::EndpointEntry) -> bool {
+        let software = endpoint.service_software();
+        self.events.is_empty() || (software.is_some() && software == self.software)
+    }
+
+    /// Drops the events so far; the next run begins a new chain.
+    pub fn start_over(&mut self) {
+        self.events.clear();
+        self.last_event = None;
+        self.software = None;
+        self.chain = rand::random();
+        self.replicated_events = 0;
+        self.spent = time::Duration::ZERO;
+    }
+
     /// Returns whether the item may start now.
     pub fn is_ready(&self, now: clock::BootInstant) -> bool {
         self.phase == ItemPhase::Waiting && self.not_before <= now
@@ -106,6 +137,7 @@
             events: update.to_vec(),
             state: None,
             last_event: self.last_event,
+            software: self.software.clone(),
             failures: self.failures,
             spent: self.spent,
         })
@@ -116,6 +148,8 @@
             phase: ItemPhase::Waiting,
             events: Vec::new(),
             last_event: None,
+            software: None,
+            waiting_since: clock::BootInstant::now(),
             failures: 0,
             spent: time::Duration::ZERO,
             chain: rand::random(),
@@ -290,6 +324,7 @@
             events: vec![result.output.clone()],
             state: Some(result.state),
             last_event: item.last_event,
+            software: item.software.clone(),
             failures: item.failures,
             spent: item.spent,
         })
@@ -359,7 +394,8 @@
             ItemPhase::Done => return false,
         };
         let is_further = from.state.is_some() || from.events.len() >= min_events;
-        if !is_further || from.skipped > 0 {
+        let is_usable = from.state.is_some() || from.software.is_some();
+        if !is_further || !is_usable || from.skipped > 0 {
             return false;
         }
         item.phase = ItemPhase::Waiting;
@@ -367,6 +403,8 @@
         item.chain = rand::random();
         item.replicated_events = 0;
         item.last_event = from.last_event;
+        item.software = from.software;
+        item.waiting_since = clock::BootInstant::now();
         item.failures = item.failures.max(from.failures);
         item.spent = item.spent.max(from.spent);
         if let Some(state) = from.state {
--- a/src/serving/permits/batch.rs
+++ b/src/serving/permits/batch.rs
@@ -11,13 +11,25 @@
 };
 
 impl PermitTable {
-    /// Begins a batch stream at the owned endpoint of `service` with the most free slots,
-    /// where those of slow endpoints count more.
+    /// Begins a batch stream at any owned endpoint of `service`, see [`Self::begin_batch_at`].
     pub fn begin_batch(
         &mut self,
         service: &ids::ServiceName,
         ejected: &collections::HashSet<ids::EndpointId>,
         now: clock::MonotonicTime,
+    ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
+        self.begin_batch_at(service, |_| true, ejected, now)
+    }
+
+    /// Begins a batch stream at the owned endpoint of `service` with the most free slots,
+    /// where those of slow endpoints count more. `accepts` returns whether the stream may run
+    /// at an endpoint.
+    pub fn begin_batch_at(
+        &mut self,
+        service: &ids::ServiceName,
+        accepts: impl Fn(&directory::EndpointEntry) -> bool,
+        ejected: &collections::HashSet<ids::EndpointId>,
+        now: clock::MonotonicTime,
     ) -> Option<(rc::Rc<directory::EndpointEntry>, admission::StreamNumber)> {
         let scale = self.speed_scale(service, now);
         let (refusals, doubts) = (&self.refusals, &self.doubts);
@@ -32,7 +44,8 @@
             let awaits_response = owned.is_unverified && owned.is_held();
             let is_open = !refusals.is_backed_off(id) && owned.cold_gate.is_open(now);
             let is_open = is_open && !awaits_response && !(has_choice && is_broken(id));
-            owned.entry.service == *service && !ejected.contains(id) && is_open
+            let is_open = is_open && !ejected.contains(id);
+            owned.entry.service == *service && is_open && accepts(&owned.entry)
         });
         let available = usable.filter_map(|owned| {
             let free_slots = owned.ledger.free_batch_slots(now);
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, hash, rc, time};
 
-use super::{context, crash_trials, item_run, job_runner, job_table, open_job, route_table, wire};
+use super::{
+    context, continuations, crash_trials, directory, item_run, job_runner, job_table, open_job,
+    route_table, wire,
+};
 use crate::{
     clock,
     decisions::{crash_ledger::CrashVerdict, item_order},
@@ -210,6 +213,41 @@
     true
 }
 
+/// Returns whether a run of an item at an endpoint goes on with the item's events so far.
+pub(super) fn continues_at(
+    context: &context::ProcessContext,
+    progress: &open_job::ItemProgress,
+    endpoint: &directory::EndpointEntry,
+) -> bool {
+    let is_certain = || !continuations::is_excluded(context, endpoint);
+    progress.events.is_empty() || (progress.continues_at(endpoint) && is_certain())
+}
+
+/// Returns whether an endpoint is listed that can go on with the progress of an item.
+pub(super) fn is_software_listed(
+    context: &context::ProcessContext,
+    progress: &open_job::ItemProgress,
+) -> bool {
+    let directory = context.fleet.directory.borrow();
+    let software = progress.software.as_ref();
+    software.is_some_and(|software| {
+        let listed = directory.of_version(&software.service, Some(&software.version));
+        !listed.is_empty()
+    })
+}
+
+/// Returns whether an item may run at an endpoint now: it goes on there, or starts over.
+pub(super) fn accepts(
+    context: &context::ProcessContext,
+    item: &ReadyItem,
+    endpoint: &directory::EndpointEntry,
+) -> bool {
+    let job = item.job.borrow();
+    let progress = &job.items[item.index];
+    continues_at(context, progress, endpoint)
+        || progress.starts_over(is_software_listed(context, progress))
+}
+
 fn waiting_item(
     context: &context::ProcessContext,
     job: &open_job::OpenJob,
--- a/tests/checkpoint_file.rs
+++ b/tests/checkpoint_file.rs
@@ -21,6 +21,7 @@
         events: vec!["one".into(), "two".into()],
         state,
         last_event: Some(2),
+        software: None,
         failures: 1,
         spent: time::Duration::from_millis(30),
     };
--- a/tests/job_checkpoints.rs
+++ b/tests/job_checkpoints.rs
@@ -19,6 +19,7 @@
             events: (0..events).map(data).collect(),
             state: None,
             last_event: Some((skipped + events) as u64),
+            software: None,
             failures: 0,
             spent: time::Duration::ZERO,
         }],
--- a/tests/progress_transfer.rs
+++ b/tests/progress_transfer.rs
@@ -16,6 +16,7 @@
         events: (0..100).map(|n| format!("{n:0100}")).collect(),
         state: None,
         last_event: Some(100),
+        software: None,
         failures: 0,
         spent: time::Duration::ZERO,
     });
