--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -6,8 +6,8 @@
 use futures::future::{self, FutureExt as _};
 
 use super::{
-    attempt, connection, continuations, crash_watch, held_slot, peers, relay, search_backoff,
-    slot_requests, slots, slow_attempt, stream_resumption, wire,
+    attempt, connection, crash_watch, held_slot, peers, relay, search_backoff, slot_requests,
+    slots, slow_attempt, stream_resumption, unlisted_starts, wire,
 };
 use crate::{clock, ids, outcome, protection};
 
@@ -17,6 +17,11 @@
 /// `Retry-After` of a refused request, as a share of the route's latency objective.
 const RETRY_AFTER_SHARE: f64 = 1.0;
 
+/// Time for which the resume of a stream searches for a slot at its software version. In it the
+/// list shows which version the endpoints have that have just failed.
+const RESUME_SEARCH_TIME: time::Duration =
+    unlisted_starts::LISTING_TIME.saturating_add(time::Duration::from_millis(200));
+
 /// The attempts of one request so far.
 #[derive(Default)]
 pub(super) struct AttemptLog {
@@ -95,12 +100,7 @@
         let listed = directory.of_version(&software.service, Some(&software.version));
         let denial = match origin.is_certain(&directory) {
             false => stream_resumption::ResumeDenial::Unknown,
-            true if listed
-                .iter()
-                .all(|entry| continuations::is_excluded(&self.context, entry)) =>
-            {
-                stream_resumption::ResumeDenial::VersionGone
-            }
+            true if listed.is_empty() => stream_resumption::ResumeDenial::VersionGone,
             true => return Ok((software.service.clone(), Some(software.version.clone()))),
         };
         Err(self.not_resumable(denial))
@@ -236,10 +236,10 @@
     }
 
     /// Returns whether the search for an endpoint goes on although none has a slot: for a
-    /// request that has run, and for the resume of a stream within its objective.
+    /// request that has run, and for a while for the resume of a stream.
     fn may_search(&self) -> bool {
-        let objective = self.request.route.objective;
-        let is_resume = self.origin.is_some() && self.request.arrived.elapsed() < objective;
+        let is_recent = self.request.arrived.elapsed() < RESUME_SEARCH_TIME;
+        let is_resume = self.origin.is_some() && is_recent;
         let may_go_on = (self.log.ran > 0 || is_resume) && self.attempts_left() > 0;
         let directory = self.context.fleet.directory.borrow();
         let targets = &self.request.route.targets;
--- a/src/serving/continuations.rs
+++ b/src/serving/continuations.rs
@@ -12,7 +12,7 @@
     let directory = context.fleet.directory.borrow();
     let is_mixed = directory.versions().sole(&entry.service).is_none();
     let starts = context.unlisted_starts.borrow();
-    is_mixed && starts.may_include(entry, context.clock.now())
+    is_mixed && starts.is_uncertain(entry, context.clock.now())
 }
 
 /// Returns the endpoints at which a text that goes on at `software` may not.
--- a/src/serving/held_slot.rs
+++ b/src/serving/held_slot.rs
@@ -161,6 +161,10 @@
 
     /// Records an event of the response.
     pub fn record_event(&self) {
+        let mut starts = self.context.unlisted_starts.borrow_mut();
+        let now = self.context.clock.now();
+        starts.record_life(&self.endpoint.id, self.acquired_at, now);
+        drop(starts);
         let now = self.context.clock.now();
         let mut progress = self.progress.get();
         let first = progress.events_at.map_or(now, |(first, _)| first);
--- a/src/serving/stream_resumption.rs
+++ b/src/serving/stream_resumption.rs
@@ -104,27 +104,32 @@
         wire::ResumedStream::Named(name) => (stream_key(request, name), true),
         _ => (ids::StreamKey::random(), false),
     };
+    let sure = || sure_origin(context, request).map(|origin| (origin, "sole"));
     loop {
-        if let Some(origin) = sure_origin(context, request) {
-            return Ok((origin, "sole"));
-        }
         // Without a name, only the history of the versions tells where the stream began.
-        if !is_named && !has_sole_target(context, request) {
-            return Err(ResumeDenial::Unknown);
+        if !is_named {
+            if let Some(origin) = sure() {
+                return Ok(origin);
+            }
+            if !has_sole_target(context, request) {
+                return Err(ResumeDenial::Unknown);
+            }
         }
+        // A holder may know of a version that the list does not show here yet.
         match origin_exchange::search(context, key).await {
             F::Known { record, source } => {
                 return check(context, request, record.origin).map(|origin| (origin, source));
             }
-            F::Unknown => {
-                let sure = sure_origin(context, request).map(|origin| (origin, "sole"));
-                return sure.ok_or(ResumeDenial::Unknown);
-            }
-            F::Unanswered if begun.elapsed() >= hold => {
-                let sure = sure_origin(context, request).map(|origin| (origin, "sole"));
-                return sure.ok_or(ResumeDenial::Unanswered);
+            F::Unknown => return sure().ok_or(ResumeDenial::Unknown),
+            F::Unanswered => {
+                if let Some(origin) = sure() {
+                    return Ok(origin);
+                }
+                if begun.elapsed() >= hold {
+                    return Err(ResumeDenial::Unanswered);
+                }
+                tokio::time::sleep(ASK_INTERVAL).await;
             }
-            F::Unanswered => tokio::time::sleep(ASK_INTERVAL).await,
         }
     }
 }
--- a/src/serving/unlisted_starts.rs
+++ b/src/serving/unlisted_starts.rs
@@ -10,8 +10,11 @@
 use crate::{clock, ids};
 
 /// Time within which the list shows the start of an endpoint: it registers when it starts, and
-/// its entry reaches every process within a second or two.
-const LISTING_TIME: time::Duration = time::Duration::from_secs(3);
+/// its entry is known everywhere within a second.
+pub const LISTING_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Time for which bytes of a run may be in transit after its end.
+const TRANSIT_TIME: time::Duration = time::Duration::from_millis(150);
 
 /// Failures of endpoints by their listed start.
 #[derive(Debug, Default)]
@@ -34,8 +37,22 @@
         }
     }
 
+    /// Records that an endpoint went on with a run that was there at `since`: if it failed
+    /// between, it has not started again.
+    pub fn record_life(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        since: clock::MonotonicTime,
+        now: clock::MonotonicTime,
+    ) {
+        let failure = self.failures.get(endpoint);
+        if failure.is_some_and(|(_, at)| since < *at && now.since(*at) > TRANSIT_TIME) {
+            self.failures.remove(endpoint);
+        }
+    }
+
     /// Returns whether an endpoint may run other software than its entry shows.
-    pub fn may_include(
+    pub fn is_uncertain(
         &self,
         entry: &endpoint_entry::EndpointEntry,
         now: clock::MonotonicTime,
