--- a/src/serving/endpoint_index.rs
+++ b/src/serving/endpoint_index.rs
@@ -216,8 +216,7 @@
         software,
     } = entry;
     let mut hasher = xxh3::Xxh3::new();
-    let software = software.as_ref().map_or("", ids::SoftwareVersion::as_str);
-    for text in [id.as_str(), service.as_str(), domain.as_str(), software] {
+    for text in [id.as_str(), service.as_str(), domain.as_str()] {
         // The length keeps different splits of the same bytes apart.
         hasher.update(&(text.len() as u64).to_le_bytes());
         hasher.update(text.as_bytes());
@@ -232,5 +231,8 @@
     let started = started.map_or(0, |started| started.0);
     hasher.update(&started.to_le_bytes());
     hasher.update(&cold_ms.to_le_bytes());
+    if let Some(version) = software {
+        hasher.update(version.as_str().as_bytes());
+    }
     hasher.digest()
 }
--- a/src/serving/origin_exchange.rs
+++ b/src/serving/origin_exchange.rs
@@ -16,7 +16,7 @@
 use crate::{
     clock,
     decisions::{origin_holders, ownership, version_history},
-    ids, protection,
+    ids,
 };
 
 /// Timeout of a message to a process that passes it on or may have to connect first.
@@ -173,7 +173,7 @@
         record.clone(),
         stream_origins::OriginReach::Unshared,
     );
-    if is_sure || protection::is_disabled("stream_origin") {
+    if is_sure {
         return;
     }
     let sharing = share(context.clone(), record);
@@ -287,11 +287,8 @@
     let live = context.owners();
     let members = context.members.borrow();
     let mut listed = members.dispatchers();
-    let own = &context.options.member;
-    if live.iter().any(|owner| owner.id == own.id) {
-        let own = live.iter().find(|owner| owner.id == own.id);
-        listed.extend(own.cloned());
-    }
+    // The table of members does not hold this process itself.
+    listed.extend(live.iter().find(|owner| owner.id == *context.id()).cloned());
     let chosen = origin_holders::choose(key, &live).chain(origin_holders::choose(key, &listed));
     let chosen = chosen.map(|candidate| &candidate.id);
     let mut chosen: Vec<_> = chosen.filter(|id| *id != context.id()).cloned().collect();
