--- a/tests/job_checkpoints.rs
+++ b/tests/job_checkpoints.rs
@@ -4,10 +4,35 @@
 use std::time;
 
 use jayhollow::serving::{
+    directory,
     job_checkpoints::{CheckpointTable, ItemCheckpoint, JobCheckpoint},
     job_records, job_table, open_job, wire,
 };
 
+fn software() -> directory::ServiceSoftware {
+    directory::ServiceSoftware {
+        service: "s".parse().expect("valid service name"),
+        version: "v1".parse().expect("valid version"),
+    }
+}
+
+fn one_item_job() -> job_records::JobRecord {
+    let item = wire::JobItem {
+        id: "i-1".into(),
+        path: "/p".into(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+    };
+    job_records::JobRecord {
+        id: "job-1".parse().expect("valid job identifier"),
+        workspace: None,
+        host: "h".into(),
+        submitted_ms: 1,
+        version: Default::default(),
+        items: vec![item],
+    }
+}
+
 fn update(chain: u64, skipped: usize, events: usize) -> JobCheckpoint {
     let data = |n: usize| format!("chain {chain} event {}", skipped + n + 1);
     JobCheckpoint {
@@ -19,7 +44,7 @@
             events: (0..events).map(data).collect(),
             state: None,
             last_event: Some((skipped + events) as u64),
-            software: None,
+            software: Some(software()),
             failures: 0,
             spent: time::Duration::ZERO,
         }],
@@ -62,22 +87,8 @@
 
 #[test]
 fn a_run_that_began_before_a_checkpoint_came_adds_nothing_any_more() {
-    let item = wire::JobItem {
-        id: "i-1".into(),
-        path: "/p".into(),
-        headers: Vec::new(),
-        body: bytes::Bytes::new(),
-    };
-    let record = job_records::JobRecord {
-        id: "job-1".parse().expect("valid job identifier"),
-        workspace: None,
-        host: "h".into(),
-        submitted_ms: 1,
-        version: Default::default(),
-        items: vec![item],
-    };
     let table = job_table::JobTable::default();
-    let shared = table.get_or_insert(record, None);
+    let shared = table.get_or_insert(one_item_job(), None);
     let mut job = shared.borrow_mut();
     // One run resumes from the disk while another process resumes from the same
     // checkpoint and advances further. Both chains had the same identifier, so the
@@ -101,3 +112,31 @@
         "resuming from a checkpoint must start a new chain"
     );
 }
+
+#[test]
+fn events_of_an_unknown_software_version_are_not_gone_on_with() {
+    let table = job_table::JobTable::default();
+    let shared = table.get_or_insert(one_item_job(), None);
+    let mut job = shared.borrow_mut();
+    let mut events = update(7, 0, 10).items.remove(0);
+    events.software = None;
+    assert!(!job.resume_from(events.clone()));
+    let result = ItemCheckpoint {
+        state: Some(wire::ItemState::Completed),
+        ..events
+    };
+    assert!(job.resume_from(result), "a result is whole");
+}
+
+#[test]
+fn a_replica_follows_an_item_that_starts_over_at_another_software_version() {
+    let table = CheckpointTable::default();
+    table.merge(update(1, 0, 9));
+    let mut over = update(2, 0, 3);
+    over.items[0].software = Some(directory::ServiceSoftware {
+        version: "v2".parse().expect("valid version"),
+        ..software()
+    });
+    assert!(table.merge(over.clone()));
+    assert_eq!(table.all(), [over]);
+}
