fix(serving): a cut stream of a service of one version is placed as before

Cause: by the log the owner was full in each second round, as both endpoints were backed off after a refusal, and the gateway no longer chose an endpoint by its own counts then: a begun stream may not go where the list is behind. That matters only while a service has several versions; this one has one.

--- a/src/serving/continuations.rs
+++ b/src/serving/continuations.rs
@@ -33,13 +33,14 @@
 }
 
 /// Returns whether an endpoint at which a text goes on at `software` may start again under its
-/// name, so that the list is behind for a while.
+/// name with another version, so that the list is behind for a while.
 pub(super) fn may_start_unlisted(
     context: &context::ProcessContext,
     service: &ids::ServiceName,
     software: Option<&ids::SoftwareVersion>,
 ) -> bool {
     let directory = context.fleet.directory.borrow();
+    let is_mixed = directory.versions().sole(service).is_none();
     let mut listed = directory.of_version(service, software).iter();
-    software.is_some() && listed.any(|entry| entry.started.is_some())
+    software.is_some() && is_mixed && listed.any(|entry| entry.started.is_some())
 }
