feat(serving): log prompt parts and events of runs whose endpoint ended

Of an endpoint that crashed, the logs named the requests at work there, but not what these have in common, nor which of them had begun to be answered: the hypotheses of docs/incidents/prompt-part-that-crashes-endpoints.md could not be told apart. The wire adapter reads the parts of a prompt, and event=endpoint_ended has parts= and events=. Nothing is decided by them yet.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -360,6 +360,26 @@
 
 hex_digest!(RequestDigest);
 
+/// Digest of a part that prompts share, for the model that reads it.
+///
+/// Parts are named by their content, so requests of all callers that share a part have the
+/// same digest for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartDigest(u128);
+
+impl PartDigest {
+    /// Computes the digest of the part `id` of prompts for a model.
+    pub fn of(model: &str, id: &str) -> Self {
+        let mut hasher = xxh3::Xxh3::new();
+        hasher.update(&(model.len() as u64).to_le_bytes());
+        hasher.update(model.as_bytes());
+        hasher.update(id.as_bytes());
+        Self(hasher.digest128())
+    }
+}
+
+hex_digest!(PartDigest);
+
 /// Digest of the name under which a stream began and of the workspace that it is served for.
 ///
 /// A collision has the same probability as that of two [`RequestDigest`]s.
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -26,6 +26,8 @@
     pub body: bytes::Bytes,
     /// Digest of the content, the same for each attempt and each retry by the caller.
     pub digest: ids::RequestDigest,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Vec<ids::PartDigest>,
     /// Request id, which the endpoint echoes in its response.
     pub id: Option<String>,
     /// Whether the request may run more than once.
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -29,6 +29,8 @@
     pub(super) tried: Vec<ids::EndpointId>,
     /// The endpoint tried last.
     pub(super) last: Option<ids::EndpointId>,
+    /// Number of events that the current attempt has brought.
+    pub(super) events: u64,
     /// Number of attempts that ran or may have run.
     pub(super) ran: u32,
     /// Number of attempts that did not run.
@@ -50,6 +52,7 @@
     pub(super) fn record_start(&mut self, id: &ids::EndpointId) {
         self.tried.push(id.clone());
         self.last = Some(id.clone());
+        self.events = 0;
         self.slow_backoff.set(None);
         self.checked_at.set(None);
     }
@@ -411,6 +414,8 @@
             endpoint: slot.endpoint.clone(),
             begun: slot.acquired_at(),
             has_head,
+            events: self.log.events,
+            parts: self.request.forwarded.parts.clone(),
             is_trial: self.trial.is_some(),
         };
         crash_watch::start(&self.context, run);
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -176,6 +176,7 @@
     }
     let forwarded = attempt::ForwardedRequest {
         digest,
+        parts: terms.prompt.parts().to_vec(),
         method: request.method().clone(),
         uri: request.uri().clone(),
         headers,
--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -34,6 +34,10 @@
     pub(super) begun: clock::MonotonicTime,
     /// Whether the head of a response had arrived.
     pub(super) has_head: bool,
+    /// Number of events that the run had brought.
+    pub(super) events: u64,
+    /// Parts of its prompt that other requests may share.
+    pub(super) parts: Vec<ids::PartDigest>,
     /// Whether the run was the trial of a caller's request.
     pub(super) is_trial: bool,
 }
@@ -98,6 +102,18 @@
     true
 }
 
+/// Formats parts for a log line.
+fn part_list(parts: &[ids::PartDigest]) -> String {
+    match parts {
+        [] => "-".to_owned(),
+        _ => parts
+            .iter()
+            .map(ids::PartDigest::to_string)
+            .collect::<Vec<_>>()
+            .join(","),
+    }
+}
+
 fn record_end(
     context: &rc::Rc<context::ProcessContext>,
     run: &InterruptedRun,
@@ -127,9 +143,11 @@
     let label = evidence.label();
     context.metrics.ended_runs.with_label_values(&[label]).inc();
     log::info!(
-        "event=endpoint_ended endpoint={endpoint} request={} digest={} evidence={label} outcome=\"{outcome:?}\"",
+        "event=endpoint_ended endpoint={endpoint} request={} digest={} evidence={label} outcome=\"{outcome:?}\" events={} parts={}",
         run.id,
         run.digest,
+        run.events,
+        part_list(&run.parts),
     );
     if evidence == EndEvidence::Refused {
         let observation = endpoint_reports::failure(context, true);
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -165,6 +165,7 @@
             }
             _ => {
                 self.last_event = Some(event.id);
+                self.log.events += 1;
                 EventResult::Event(event)
             }
         }
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -104,6 +104,14 @@
         self.context.jobs.work.notify_one();
     }
 
+    /// Returns the parts of the item's prompt.
+    fn parts(&self) -> Vec<ids::PartDigest> {
+        let job = self.job.borrow();
+        let parsed = parse_item(&job.record.items[self.index]);
+        let prefix = parsed.map(|(_, headers)| self.context.wire.prompt_prefix(&headers));
+        prefix.map_or_else(|_| Vec::new(), |prefix| prefix.parts().to_vec())
+    }
+
     fn digest(&self) -> ids::RequestDigest {
         let job = self.job.borrow();
         item_digest(&job.record.host, &job.record.items[self.index])
@@ -125,6 +133,8 @@
             endpoint: self.endpoint.clone(),
             begun,
             has_head: self.has_head.get(),
+            events: 0,
+            parts: self.parts(),
             is_trial: false,
         };
         crash_watch::start(&self.context, run);
@@ -218,6 +228,7 @@
         wire.write_item_id(&mut headers, &item.id);
         let request = attempt::ForwardedRequest {
             digest: item_digest(&job.record.host, item),
+            parts: wire.prompt_prefix(&headers).parts().to_vec(),
             method: ITEM_METHOD,
             uri,
             headers,
--- a/src/serving/wire.rs
+++ b/src/serving/wire.rs
@@ -20,6 +20,36 @@
     pub resumes: ResumedStream,
     /// API key that the caller presents.
     pub key: api_key::PresentedKey,
+    /// Parts of its prompt that other requests may share.
+    pub prompt: PromptPrefix,
+}
+
+/// Parts of a prompt that other requests may share: all but the last one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PromptPrefix {
+    /// The parts, from the start of the prompt, as many as are tracked.
+    Parts(Vec<ids::PartDigest>),
+    /// The request describes its prompt in a way that cannot be read.
+    Malformed,
+}
+
+impl Default for PromptPrefix {
+    fn default() -> Self {
+        Self::Parts(Vec::new())
+    }
+}
+
+impl PromptPrefix {
+    /// Maximum number of parts of a prompt that are tracked.
+    pub const MAX_PARTS: usize = 32;
+
+    /// Returns the parts; none if they cannot be read.
+    pub fn parts(&self) -> &[ids::PartDigest] {
+        match self {
+            Self::Parts(parts) => parts,
+            Self::Malformed => &[],
+        }
+    }
 }
 
 /// How a caller names the stream that it resumes.
@@ -175,6 +205,9 @@
     /// Reads the terms from the head of a caller's request.
     fn caller_terms(&self, headers: &HeaderMap) -> CallerTerms;
 
+    /// Reads the parts of a prompt from the headers of a request or of an item.
+    fn prompt_prefix(&self, headers: &HeaderMap) -> PromptPrefix;
+
     /// Sets the headers of an attempt in addition to the caller's own.
     fn write_attempt(&self, headers: &mut HeaderMap, terms: &AttemptTerms<'_>);
 
