--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -14,37 +14,23 @@
 pub use super::crash_record::{
     CrashId, CrashMessage, CrashUpdate, CrashedRun, MAX_CRASHES, MAX_TRIALS,
 };
-use super::crash_record::{CrashRecord, MIN_DOWNTIME};
+use super::{
+    crash_record::{CrashRecord, MIN_DOWNTIME},
+    subject_policy,
+};
 use crate::{clock, ids};
 
-/// Time after which another trial is allowed if the outcome of the last one is unknown;
-/// longer than most requests take.
-const TRIAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// Maximum number of records. Each crash adds up to eight, one for each request that was
 /// running there, so 1024 records cover about 130 crashes within an hour and take about 200
 /// KB.
 const MAX_RECORDS: usize = 1024;
 
-/// Delay before the first quarantine is reported to a caller, so that updates from other
-/// processes can arrive. It protects a frequent request that was running on several endpoints
-/// when they crashed together, before it was ever served: its runs elsewhere finish within
-/// half a second and clear it. A request that does crash endpoints is refused that much
-/// later, once for each counted crash.
-const VERDICT_DELAY: time::Duration = time::Duration::from_millis(500);
-
-/// Maximum number of endpoints whose last crash is remembered for that time.
+/// Maximum number of endpoints whose last crash is remembered.
 const MAX_CRASHED_RUNS: num::NonZeroUsize =
     num::NonZeroUsize::new(256).expect("the capacity is not zero");
 
-/// Time after a request was served during which no crash is attributed to it. Endpoints that
-/// crash together, or because of another request, are back within seconds, and a frequent
-/// request is served again by then. A request that is no longer served, for example after a
-/// release that cannot handle it, is suspected soon enough.
-const EXCUSE_DURATION: time::Duration = time::Duration::from_secs(30);
-
-/// Maximum number of requests remembered as served; it covers those frequent enough to run on
-/// several endpoints that crash at once.
+/// Maximum number of requests, and of parts, remembered as served; it covers those frequent
+/// enough to run on several endpoints that crash at once.
 const MAX_SERVED: num::NonZeroUsize =
     num::NonZeroUsize::new(4096).expect("the capacity is not zero");
 
@@ -61,6 +47,12 @@
     Counted(usize),
 }
 
+impl fmt::Display for CrashOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
 /// Decision whether a request may be sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashVerdict {
@@ -87,9 +79,11 @@
 /// Invariant: `fingerprint` is the wrapping sum of the fingerprints of `records`.
 #[derive(Debug)]
 pub struct CrashLedger {
-    records: collections::HashMap<ids::RequestDigest, CrashRecord>,
+    records: collections::HashMap<ids::CrashSubject, CrashRecord>,
     /// Time at which each request was last served by this process.
-    served: lru::LruCache<ids::RequestDigest, clock::MonotonicTime>,
+    served: lru::LruCache<ids::CrashSubject, clock::MonotonicTime>,
+    /// Time at which the last request with each part was sent that was served by this process.
+    served_parts: lru::LruCache<ids::CrashSubject, clock::MonotonicTime>,
     /// Time at which each endpoint was last seen to crash, whichever request ran there.
     last_ends: lru::LruCache<ids::EndpointRun, clock::MonotonicTime>,
     fingerprint: u64,
@@ -100,6 +94,7 @@
         Self {
             records: collections::HashMap::new(),
             served: lru::LruCache::new(MAX_SERVED),
+            served_parts: lru::LruCache::new(MAX_SERVED),
             last_ends: lru::LruCache::new(MAX_CRASHED_RUNS),
             fingerprint: 0,
         }
@@ -115,7 +110,7 @@
         if self.is_excused(run, now) {
             return CrashOutcome::Excused;
         }
-        let count = self.update_record(run.digest, now, |record| {
+        let count = self.update_record(run.subject, now, |record| {
             let is_new = record.add_crash(run, now);
             is_new.then(|| record.count())
         });
@@ -144,44 +139,77 @@
         is_seen || self.records.values().any(|r| r.has_crash_before(run))
     }
 
-    /// Returns whether a request was served so recently that a crash is not attributed to it.
+    /// Returns whether a subject was served so recently that a crash is not attributed to it.
     ///
     /// A frequent request runs on most of the endpoints that crash together, for example when
     /// their rack loses power, or that crash one by one because of another request.
     fn is_excused(&mut self, run: &CrashedRun, now: clock::MonotonicTime) -> bool {
-        let served_at = self.served.get(&run.digest);
-        served_at.is_some_and(|at| now.since(*at) < EXCUSE_DURATION)
+        let served_at = match run.subject.is_part() {
+            true => self.served_parts.get(&run.subject),
+            false => self.served.get(&run.subject),
+        };
+        let excuse = subject_policy::policy_of(run.subject).excuse;
+        served_at.is_some_and(|at| now.since(*at) < excuse)
     }
 
     /// Records that an endpoint completed a request; returns whether that clears it of crashes.
-    pub fn record_served(&mut self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> bool {
-        self.served.put(digest, now);
-        let is_suspect = self.records.get(&digest).is_some_and(|r| r.count() > 0);
+    pub fn record_served(&mut self, subject: ids::CrashSubject, now: clock::MonotonicTime) -> bool {
+        self.served.put(subject, now);
+        let is_suspect = self.records.get(&subject).is_some_and(|r| r.count() > 0);
         if is_suspect {
-            self.update_record(digest, now, CrashRecord::clear);
+            self.update_record(subject, now, CrashRecord::clear);
         }
         is_suspect
     }
 
-    /// Clears a request of crashes that other processes reported, if this process saw it served
-    /// recently; returns whether it did.
-    pub fn exonerate(&mut self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> bool {
-        let served_at = self.served.peek(&digest);
-        let was_served = served_at.is_some_and(|at| now.since(*at) < EXCUSE_DURATION);
-        let is_suspect = self.records.get(&digest).is_some_and(|r| r.count() > 0);
-        if was_served && is_suspect {
-            self.update_record(digest, now, CrashRecord::clear);
+    /// Records that an endpoint went on after it had begun to answer a request with a part;
+    /// returns whether that clears the part of crashes.
+    ///
+    /// It clears the part of those that were known when the request was sent: a part that has
+    /// turned bad since is in answers that began before.
+    pub fn record_part_served(
+        &mut self,
+        part: ids::PartDigest,
+        sent_at: clock::MonotonicTime,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        let subject = part.into();
+        let last = self.served_parts.get_or_insert_mut(subject, || sent_at);
+        *last = sent_at.max(*last);
+        let is_blamed = self.records.get(&subject).is_some_and(|r| r.count() > 0);
+        is_blamed && self.update_record(subject, now, |record| record.clear_before(sent_at))
+    }
+
+    /// Clears a subject of crashes that other processes reported, if this process saw it served
+    /// recently, or after the last of them if it is a part; returns whether it did.
+    pub fn exonerate(&mut self, subject: ids::CrashSubject, now: clock::MonotonicTime) -> bool {
+        let Some(record) = self.records.get(&subject).filter(|r| r.count() > 0) else {
+            return false;
+        };
+        let was_served = match subject.is_part() {
+            true => {
+                let sent_at = self.served_parts.peek(&subject);
+                sent_at.is_some_and(|at| *at > record.last_crash())
+            }
+            false => {
+                let excuse = subject_policy::policy_of(subject).excuse;
+                let served_at = self.served.peek(&subject);
+                served_at.is_some_and(|at| now.since(*at) < excuse)
+            }
+        };
+        if was_served {
+            self.update_record(subject, now, CrashRecord::clear);
         }
-        was_served && is_suspect
+        was_served
     }
 
     /// Decides whether a request may be sent now, and starts the trial if one is due.
-    pub fn admit(&mut self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> CrashVerdict {
-        let is_due = self.trial_delay(digest, now).is_some_and(|d| d.is_zero());
+    pub fn admit(&mut self, subject: ids::CrashSubject, now: clock::MonotonicTime) -> CrashVerdict {
+        let is_due = self.trial_delay(subject, now).is_some_and(|d| d.is_zero());
         if !is_due {
-            return self.verdict(digest, now);
+            return self.verdict(subject, now);
         }
-        self.begin_trial(digest, now);
+        self.begin_trial(subject, now);
         CrashVerdict::Trial
     }
 
@@ -191,43 +219,43 @@
     /// show that the request causes them.
     pub fn trial_delay(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> Option<time::Duration> {
-        let record = self.suspect(digest)?;
-        let due_at = match self.is_convicted(digest) {
-            true => record.quarantined_until(self.convictions(digest, record)),
-            false => record.first_trial_at(),
+        let record = self.suspect(subject)?;
+        let due_at = match self.is_convicted(subject) {
+            true => record.quarantined_until(self.excess_convictions(subject, record)),
+            false => record.early_trial_at(),
         };
         Some(due_at.since(now))
     }
 
     /// Records that a trial of a request begins.
-    pub fn begin_trial(&mut self, digest: ids::RequestDigest, now: clock::MonotonicTime) {
-        if let Some(record) = self.records.get_mut(&digest) {
-            record.begin_trial(now, TRIAL_TIMEOUT);
+    pub fn begin_trial(&mut self, subject: ids::CrashSubject, now: clock::MonotonicTime) {
+        if let Some(record) = self.records.get_mut(&subject) {
+            record.begin_trial(now);
         }
     }
 
     /// Returns whether a trial of a request is under way.
-    pub fn is_on_trial(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> bool {
-        let record = self.records.get(&digest);
+    pub fn is_on_trial(&self, subject: ids::CrashSubject, now: clock::MonotonicTime) -> bool {
+        let record = self.records.get(&subject);
         record.is_some_and(|record| record.is_on_trial(now))
     }
 
     /// Records that the trial of a request did not run, so that another may begin.
-    pub fn cancel_trial(&mut self, digest: ids::RequestDigest) {
-        if let Some(record) = self.records.get_mut(&digest) {
+    pub fn cancel_trial(&mut self, subject: ids::CrashSubject) {
+        if let Some(record) = self.records.get_mut(&subject) {
             record.cancel_trial();
         }
     }
 
     /// Decides whether a request may be sent now, without starting a trial.
-    pub fn verdict(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> CrashVerdict {
-        let Some(record) = self.suspect(digest) else {
+    pub fn verdict(&self, subject: ids::CrashSubject, now: clock::MonotonicTime) -> CrashVerdict {
+        let Some(record) = self.suspect(subject) else {
             return CrashVerdict::Allowed;
         };
-        let until = record.quarantined_until(self.convictions(digest, record));
+        let until = record.quarantined_until(self.excess_convictions(subject, record));
         match until > now {
             true => CrashVerdict::Quarantined(until.since(now)),
             false => CrashVerdict::Trial,
@@ -238,29 +266,37 @@
     /// recent and makes it a suspect.
     pub fn verdict_delay(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> time::Duration {
-        let suspect = self.suspect(digest);
-        let age = suspect.map_or(VERDICT_DELAY, |record| now.since(record.last_crash()));
-        VERDICT_DELAY.saturating_sub(age)
+        let delay = subject_policy::policy_of(subject).verdict_delay;
+        let suspect = self.suspect(subject);
+        let age = suspect.map_or(delay, |record| now.since(record.last_crash()));
+        delay.saturating_sub(age)
     }
 
     /// Returns whether the crashes so far make a request a suspect, even if a trial is due.
-    pub fn is_quarantined(&self, digest: ids::RequestDigest) -> bool {
-        self.suspect(digest).is_some()
+    pub fn is_quarantined(&self, subject: ids::CrashSubject) -> bool {
+        self.suspect(subject).is_some()
     }
 
     /// Returns the number of crashes of a request that count, explained ones included.
-    pub fn count(&self, digest: ids::RequestDigest) -> usize {
-        self.records.get(&digest).map_or(0, CrashRecord::count)
+    pub fn count(&self, subject: ids::CrashSubject) -> usize {
+        self.records.get(&subject).map_or(0, CrashRecord::count)
+    }
+
+    /// Returns whether a trial of a subject has failed, with any explanation.
+    pub fn has_failed_trial(&self, subject: ids::CrashSubject) -> bool {
+        let record = self.records.get(&subject);
+        record.is_some_and(|record| record.failed_trials().next().is_some())
     }
 
     /// Returns whether a trial has shown that a suspect crashes endpoints, or no trial is left.
-    pub fn is_convicted(&self, digest: ids::RequestDigest) -> bool {
-        self.suspect(digest).is_some_and(|record| {
+    pub fn is_convicted(&self, subject: ids::CrashSubject) -> bool {
+        self.suspect(subject).is_some_and(|record| {
             let has_trials_left = record.failed_trials().count() < MAX_TRIALS;
-            !has_trials_left || self.convictions(digest, record) > 0
+            let min_convictions = subject_policy::policy_of(subject).min_convictions;
+            !has_trials_left || self.convictions(subject, record) >= min_convictions
         })
     }
 
@@ -269,48 +305,71 @@
         self.records.values().any(CrashRecord::is_suspect)
     }
 
-    /// Returns the numbers of requests that are suspected only, and that are convicted.
-    pub fn suspect_counts(&self) -> (usize, usize) {
-        let suspects = self.records.keys().filter(|d| self.is_quarantined(**d));
+    /// Returns the numbers of requests, or of parts, that are suspected only, and that are
+    /// convicted.
+    pub fn suspect_counts(&self, of_parts: bool) -> (usize, usize) {
+        let subjects = self.records.keys().filter(|s| s.is_part() == of_parts);
+        let suspects = subjects.filter(|s| self.is_quarantined(**s));
         let verdicts: Vec<_> = suspects.map(|d| self.is_convicted(*d)).collect();
         let convicted = verdicts.iter().filter(|verdict| **verdict).count();
         (verdicts.len() - convicted, convicted)
     }
 
-    /// Returns the record of a request if enough crashes count that nothing else explains.
-    fn suspect(&self, digest: ids::RequestDigest) -> Option<&CrashRecord> {
-        let record = self.records.get(&digest).filter(|r| r.is_suspect())?;
+    /// Returns the record of a subject if enough crashes count that nothing else explains.
+    fn suspect(&self, subject: ids::CrashSubject) -> Option<&CrashRecord> {
+        let record = self.records.get(&subject).filter(|r| r.is_suspect())?;
+        if subject.is_part() {
+            return (!self.is_one_request(subject, record)).then_some(record);
+        }
         let unexplained = record.counted().filter(|id| {
-            let mut others = self.others(digest);
-            !others.any(|other| explains(other, record, id))
+            let mut others = self.others(subject);
+            !others.any(|(_, other)| explains(other, record, id))
         });
         (unexplained.count() >= MAX_CRASHES).then_some(record)
     }
 
-    /// Returns the number of failed trials that no other request may have caused.
-    fn convictions(&self, digest: ids::RequestDigest, record: &CrashRecord) -> usize {
+    /// Returns whether a part crashed endpoints under one request only, which is a suspect
+    /// itself.
+    fn is_one_request(&self, part: ids::CrashSubject, record: &CrashRecord) -> bool {
+        let mut requests = self.others(part).filter(|(other, _)| !other.is_part());
+        requests.any(|(_, other)| other.is_suspect() && record.counted().all(|id| other.counts(id)))
+    }
+
+    /// Returns the number of failed trials that no other request, or no other suspected part,
+    /// may have caused.
+    fn convictions(&self, subject: ids::CrashSubject, record: &CrashRecord) -> usize {
+        let is_part = subject.is_part();
         let alone = record.failed_trials().filter(|id| {
-            let mut others = self.others(digest);
-            !others.any(|other| other.counts(id))
+            let mut rivals = self
+                .others(subject)
+                .filter(|(other, _)| other.is_part() == is_part);
+            !rivals.any(|(_, other)| other.counts(id) && (!is_part || other.is_suspect()))
         });
         alone.count()
     }
 
-    fn others(&self, digest: ids::RequestDigest) -> impl Iterator<Item = &CrashRecord> {
+    /// Returns the convictions, of which the first one that suffices counts as one.
+    fn excess_convictions(&self, subject: ids::CrashSubject, record: &CrashRecord) -> usize {
+        let min_convictions = subject_policy::policy_of(subject).min_convictions;
+        (self.convictions(subject, record) + 1).saturating_sub(min_convictions)
+    }
+
+    fn others(
+        &self,
+        subject: ids::CrashSubject,
+    ) -> impl Iterator<Item = (&ids::CrashSubject, &CrashRecord)> {
         let records = self.records.iter();
-        records
-            .filter(move |(other, _)| **other != digest)
-            .map(|(_, record)| record)
+        records.filter(move |(other, _)| **other != subject)
     }
 
     /// Returns the message about a request for other processes.
     pub fn message_of(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> Option<CrashMessage> {
-        let record = self.records.get(&digest)?;
-        Some(record.message(digest, now))
+        let record = self.records.get(&subject)?;
+        Some(record.message(subject, now))
     }
 
     /// Returns all records that are still shared with other processes.
@@ -323,44 +382,44 @@
     pub fn messages(&self, now: clock::MonotonicTime) -> Vec<CrashMessage> {
         let shared = self.records.iter().filter(|(_, record)| record.is_shared());
         shared
-            .map(|(digest, record)| record.message(*digest, now))
+            .map(|(subject, record)| record.message(*subject, now))
             .collect()
     }
 
     /// Merges a message from another process; returns whether it changed anything.
     pub fn merge_message(&mut self, message: CrashMessage, now: clock::MonotonicTime) -> bool {
-        let digest = message.update.digest;
+        let subject = message.update.subject;
         let is_new = self.merge(message.update, now);
-        if !self.records.contains_key(&digest) {
+        if !self.records.contains_key(&subject) {
             return is_new;
         }
         let has_new_trials =
-            self.update_record(digest, now, |record| record.merge_trials(&message.trials));
+            self.update_record(subject, now, |record| record.merge_trials(&message.trials));
         is_new || has_new_trials
     }
 
     /// Merges an update from another process; returns whether it changed anything.
     pub fn merge(&mut self, update: CrashUpdate, now: clock::MonotonicTime) -> bool {
-        let known = self.records.get(&update.digest);
+        let known = self.records.get(&update.subject);
         if known.is_none() && (update.is_expiring() || update.crashes.is_empty()) {
             return false;
         }
         if known.is_some_and(|known| !known.lacks(&update)) {
             return false;
         }
-        self.update_record(update.digest, now, |record| record.merge(update, now));
+        self.update_record(update.subject, now, |record| record.merge(update, now));
         true
     }
 
     /// Removes expired records; returns the requests among them that were quarantined.
-    pub fn expire(&mut self, now: clock::MonotonicTime) -> Vec<ids::RequestDigest> {
+    pub fn expire(&mut self, now: clock::MonotonicTime) -> Vec<ids::CrashSubject> {
         let mut fingerprint = 0_u64;
         let mut released = Vec::new();
-        self.records.retain(|digest, record| {
+        self.records.retain(|subject, record| {
             let is_retained = record.expire(now);
-            fingerprint = fingerprint.wrapping_add(record.fingerprint(*digest));
+            fingerprint = fingerprint.wrapping_add(record.fingerprint(*subject));
             if !is_retained && record.is_suspect() {
-                released.push(*digest);
+                released.push(*subject);
             }
             is_retained
         });
@@ -388,35 +447,36 @@
     /// fingerprint.
     fn update_record<T>(
         &mut self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
         change: impl FnOnce(&mut CrashRecord) -> T,
     ) -> T {
-        if !self.records.contains_key(&digest) {
+        if !self.records.contains_key(&subject) {
             self.evict_oldest();
         }
-        let record = self.records.entry(digest);
-        let record = record.or_insert_with(|| CrashRecord::new(now));
-        let before = record.fingerprint(digest);
+        let record = self.records.entry(subject);
+        let record = record.or_insert_with(|| CrashRecord::new(subject, now));
+        let before = record.fingerprint(subject);
         let changed = change(record);
         record.expire(now);
-        let after = record.fingerprint(digest);
+        let after = record.fingerprint(subject);
         self.fingerprint = self.fingerprint.wrapping_sub(before).wrapping_add(after);
         changed
     }
 
-    /// Removes the oldest record if the ledger is full; records of quarantined requests go last.
+    /// Removes a record if the ledger is full: one with the fewest crashes that count, of these
+    /// the oldest. Records of suspects go last.
     fn evict_oldest(&mut self) {
         if self.records.len() < MAX_RECORDS {
             return;
         }
-        let key = |record: &CrashRecord| (record.is_suspect(), record.last_crash());
+        let key = |record: &CrashRecord| (record.count().min(MAX_CRASHES), record.last_crash());
         let oldest = self.records.iter().min_by_key(|(_, record)| key(record));
-        let Some(digest) = oldest.map(|(digest, _)| *digest) else {
+        let Some(subject) = oldest.map(|(subject, _)| *subject) else {
             return;
         };
-        if let Some(record) = self.records.remove(&digest) {
-            self.fingerprint = self.fingerprint.wrapping_sub(record.fingerprint(digest));
+        if let Some(record) = self.records.remove(&subject) {
+            self.fingerprint = self.fingerprint.wrapping_sub(record.fingerprint(subject));
         }
     }
 }
--- a/src/decisions/crash_record.rs
+++ b/src/decisions/crash_record.rs
@@ -8,6 +8,7 @@
 
 use xxhash_rust::xxh3;
 
+use super::subject_policy::{self, SubjectPolicy};
 use crate::{clock, ids};
 
 /// Number of crashes after which a request is suspected of causing them. Up to the third,
@@ -20,13 +21,9 @@
 /// whose fault has been fixed at the endpoints. Each trial may crash one more endpoint.
 pub const MAX_TRIALS: usize = 3;
 
-/// Delay of the first trial after the last crash. A crashed endpoint is back within a few
-/// seconds, and runs that were in flight elsewhere have ended by then.
-const FIRST_TRIAL_DELAY: time::Duration = time::Duration::from_secs(2);
-
-/// Quarantine of a suspect until its first trial has failed, and after that. A crashed endpoint takes the other requests that
-/// run there with it and is unavailable for seconds; ten minutes make that rare, and are short
-/// enough for a caller whose request is harmless.
+/// Quarantine of a suspect until its first trial has failed, and after that. A crashed endpoint
+/// takes the other requests that run there with it and is unavailable for seconds; ten minutes
+/// make that rare, and are short enough for a caller whose request is harmless.
 const INITIAL_QUARANTINE: time::Duration = time::Duration::from_secs(600);
 
 /// Factor by which the quarantine grows after each further failed trial.
@@ -71,7 +68,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CrashUpdate {
     /// Digest of the request.
-    pub digest: ids::RequestDigest,
+    pub subject: ids::CrashSubject,
     /// Crashes while the request was running.
     pub crashes: collections::BTreeSet<CrashId>,
     /// Subset of `crashes` that no longer counts, as the request was served since.
@@ -99,7 +96,8 @@
 
     /// Returns whether the record in the update is about to expire.
     pub fn is_expiring(&self) -> bool {
-        self.age + SHARING_CUTOFF >= retention_of(self.count())
+        let policy = subject_policy::policy_of(self.subject);
+        self.age + SHARING_CUTOFF >= retention_of(policy, self.count())
     }
 }
 
@@ -107,7 +105,7 @@
 #[derive(Debug, Clone)]
 pub struct CrashedRun {
     /// Digest of the request.
-    pub digest: ids::RequestDigest,
+    pub subject: ids::CrashSubject,
     /// Run of the endpoint.
     pub endpoint: ids::EndpointRun,
     /// Time at which the request was sent to the endpoint.
@@ -127,6 +125,7 @@
 /// Invariant: `cleared` and `trials` are subsets of `crashes`.
 #[derive(Debug, Clone)]
 pub(super) struct CrashRecord {
+    policy: &'static SubjectPolicy,
     /// Crashes, with the time at which this process learned of each.
     crashes: collections::BTreeMap<CrashId, clock::MonotonicTime>,
     cleared: collections::BTreeSet<CrashId>,
@@ -138,8 +137,9 @@
 }
 
 impl CrashRecord {
-    pub(super) fn new(now: clock::MonotonicTime) -> Self {
+    pub(super) fn new(subject: ids::CrashSubject, now: clock::MonotonicTime) -> Self {
         Self {
+            policy: subject_policy::policy_of(subject),
             crashes: collections::BTreeMap::new(),
             cleared: collections::BTreeSet::new(),
             trials: collections::BTreeSet::new(),
@@ -184,7 +184,7 @@
     }
 
     fn retention(&self) -> time::Duration {
-        retention_of(self.count())
+        retention_of(self.policy, self.count())
     }
 
     /// Updates whether the record is shared; returns whether it is still retained.
@@ -205,9 +205,13 @@
         self.after_trial(self.last_crash + duration)
     }
 
-    /// Returns when a trial may begin while none counts against the request.
-    pub(super) fn first_trial_at(&self) -> clock::MonotonicTime {
-        self.after_trial(self.last_crash + FIRST_TRIAL_DELAY)
+    /// Returns when a trial may begin while none has convicted the subject.
+    pub(super) fn early_trial_at(&self) -> clock::MonotonicTime {
+        let delay = match self.failed_trials().next() {
+            None => self.policy.first_trial_delay,
+            Some(_) => self.policy.next_trial_delay,
+        };
+        self.after_trial(self.last_crash + delay)
     }
 
     /// Returns the later of a time and the end of the trial that is under way.
@@ -241,10 +245,22 @@
         self.trial = None;
     }
 
-    pub(super) fn begin_trial(&mut self, now: clock::MonotonicTime, timeout: time::Duration) {
+    /// Marks the crashes as cleared that became known before a time; returns whether any of
+    /// them counted.
+    pub(super) fn clear_before(&mut self, time: clock::MonotonicTime) -> bool {
+        let before = self.count();
+        let earlier = self.crashes.iter().filter(|(_, learned)| **learned < time);
+        self.cleared.extend(earlier.map(|(id, _)| id.clone()));
+        if self.count() == 0 {
+            self.trial = None;
+        }
+        self.count() < before
+    }
+
+    pub(super) fn begin_trial(&mut self, now: clock::MonotonicTime) {
         self.trial = Some(TrialWindow {
             begun_at: now,
-            expires_at: now + timeout,
+            expires_at: now + self.policy.trial_timeout,
         });
     }
 
@@ -292,11 +308,11 @@
 
     pub(super) fn update(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> CrashUpdate {
         CrashUpdate {
-            digest,
+            subject,
             crashes: self.crashes.keys().cloned().collect(),
             cleared: self.cleared.clone(),
             age: now.since(self.last_crash),
@@ -305,22 +321,22 @@
 
     pub(super) fn message(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> CrashMessage {
         CrashMessage {
-            update: self.update(digest, now),
+            update: self.update(subject, now),
             trials: self.trials.clone(),
         }
     }
 
     /// Returns a hash of the record, or 0 for one that is empty or no longer shared.
-    pub(super) fn fingerprint(&self, digest: ids::RequestDigest) -> u64 {
+    pub(super) fn fingerprint(&self, subject: ids::CrashSubject) -> u64 {
         if !self.is_shared || self.crashes.is_empty() {
             return 0;
         }
         let mut hasher = xxh3::Xxh3::new();
-        hasher.update(digest.to_string().as_bytes());
+        hasher.update(subject.to_string().as_bytes());
         for id in self.crashes.keys() {
             hasher.update(format!("+{id}").as_bytes());
         }
@@ -341,11 +357,14 @@
     }
 
     /// Returns the identifier of the crash during `run`, or `None` if that crash is recorded
-    /// already.
+    /// already or the record is full.
     ///
     /// A request that was sent after a recorded crash reached the endpoint after its return, so
     /// the crash during it is a new one.
     fn next_crash(&self, run: &CrashedRun) -> Option<CrashId> {
+        if self.crashes.len() >= self.policy.max_crashes {
+            return None;
+        }
         let known = self.crashes.iter().filter(|(m, _)| m.run == run.endpoint);
         let latest = known.max_by_key(|(id, _)| id.ordinal);
         let ordinal = match latest {
@@ -366,9 +385,10 @@
 }
 
 /// Returns how long a record with so many counted crashes is retained after the last one.
-fn retention_of(count: usize) -> time::Duration {
-    match count >= MAX_CRASHES {
-        true => SUSPECT_RETENTION,
-        false => CRASH_RETENTION,
+fn retention_of(policy: &SubjectPolicy, count: usize) -> time::Duration {
+    match count {
+        0 => policy.cleared_retention,
+        1..MAX_CRASHES => CRASH_RETENTION,
+        _ => SUSPECT_RETENTION,
     }
 }
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -37,6 +37,7 @@
 pub mod staging;
 pub mod start_hold;
 pub mod step_model;
+mod subject_policy;
 pub mod version_history;
 pub mod wait_queue;
 pub mod workspace_limit;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -380,6 +380,47 @@
 
 hex_digest!(PartDigest);
 
+/// What crashes of endpoints are attributed to: a request, by its content, or a part that
+/// prompts share.
+///
+/// Both are written in the same form, so processes that know no parts pass them on. A subject
+/// that begins with `PART_TAG` is a part; of requests one in four billion does so by chance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashSubject(u128);
+
+impl CrashSubject {
+    const PART_TAG: u32 = 0x7061_7274;
+    const TAG_SHIFT: u32 = u128::BITS - u32::BITS;
+
+    /// Returns whether it is a part of prompts.
+    pub fn is_part(self) -> bool {
+        self.0 >> Self::TAG_SHIFT == u128::from(Self::PART_TAG)
+    }
+
+    /// Returns the name of its kind for log lines.
+    pub fn kind(self) -> &'static str {
+        match self.is_part() {
+            true => "part",
+            false => "request",
+        }
+    }
+}
+
+impl From<RequestDigest> for CrashSubject {
+    fn from(digest: RequestDigest) -> Self {
+        Self(digest.0)
+    }
+}
+
+impl From<PartDigest> for CrashSubject {
+    fn from(digest: PartDigest) -> Self {
+        let tag = u128::from(Self::PART_TAG) << Self::TAG_SHIFT;
+        Self(digest.0 << u32::BITS >> u32::BITS | tag)
+    }
+}
+
+hex_digest!(CrashSubject);
+
 /// Digest of the name under which a stream began and of the workspace that it is served for.
 ///
 /// A collision has the same probability as that of two [`RequestDigest`]s.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -38,6 +38,8 @@
     pub ended_runs: prometheus::IntCounterVec,
     /// Requests during which endpoints crashed, by state: suspected or convicted.
     pub quarantined_requests: prometheus::IntGaugeVec,
+    /// Parts of prompts under which endpoints crashed, by state: suspected or convicted.
+    pub quarantined_parts: prometheus::IntGaugeVec,
     /// Store objects that could not be read.
     pub unreadable_objects: prometheus::IntGauge,
     /// Failure domains that are evacuated.
@@ -198,6 +200,12 @@
                 "Requests under which endpoints crashed, suspected or convicted",
                 "state",
             ),
+            quarantined_parts: gauges(
+                r,
+                "jayhollow_quarantined_parts",
+                "Prompt parts under which endpoints crashed, suspected or convicted",
+                "state",
+            ),
             unreadable_objects: gauge(
                 r,
                 "jayhollow_unreadable_objects",
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one endpoint: connects, sends the request and classifies the response.
 
-use std::{cell, rc, time};
+use std::{cell, iter, rc, time};
 
 use actix_http::{header, Method, StatusCode};
 
@@ -34,6 +34,23 @@
     pub repeatable: bool,
 }
 
+impl ForwardedRequest {
+    /// Returns what crashes during the request may be attributed to: itself, and the parts of
+    /// its prompt.
+    pub fn subjects(&self) -> Vec<ids::CrashSubject> {
+        crash_subjects(self.digest, &self.parts)
+    }
+}
+
+/// Returns what crashes during a request may be attributed to.
+pub fn crash_subjects(
+    digest: ids::RequestDigest,
+    parts: &[ids::PartDigest],
+) -> Vec<ids::CrashSubject> {
+    let parts = parts.iter().map(|part| ids::CrashSubject::from(*part));
+    iter::once(digest.into()).chain(parts).collect()
+}
+
 /// A response whose head has been read and whose body is still open.
 pub struct OpenResponse {
     /// The response and its connection.
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -6,8 +6,8 @@
 use futures::future::{self, FutureExt as _};
 
 use super::{
-    attempt, connection, crash_watch, held_slot, peers, relay, search_backoff, slot_requests,
-    slots, slow_attempt, stream_resumption, unlisted_starts, wire,
+    attempt, connection, crash_trials, crash_watch, held_slot, peers, relay, search_backoff,
+    slot_requests, slots, slow_attempt, stream_resumption, unlisted_starts, wire,
 };
 use crate::{clock, ids, outcome, protection};
 
@@ -31,6 +31,8 @@
     pub(super) last: Option<ids::EndpointId>,
     /// Number of events that the current attempt has brought.
     pub(super) events: u64,
+    /// When the slot of the current attempt was acquired.
+    pub(super) acquired_at: clock::MonotonicTime,
     /// Number of attempts that ran or may have run.
     pub(super) ran: u32,
     /// Number of attempts that did not run.
@@ -48,10 +50,12 @@
 }
 
 impl AttemptLog {
-    /// Records the start of an attempt at an endpoint.
-    pub(super) fn record_start(&mut self, id: &ids::EndpointId) {
+    /// Records the start of an attempt at the endpoint of a slot.
+    pub(super) fn record_start(&mut self, slot: &held_slot::HeldSlot) {
+        let id = &slot.endpoint.id;
         self.tried.push(id.clone());
         self.last = Some(id.clone());
+        self.acquired_at = slot.acquired_at();
         self.events = 0;
         self.slow_backoff.set(None);
         self.checked_at.set(None);
@@ -135,7 +139,7 @@
                 Some(current) => *current,
                 None => {
                     let slot = self.find_slot().await?;
-                    self.log.record_start(&slot.endpoint.id);
+                    self.log.record_start(&slot);
                     self.set_trial_run(true);
                     self.start(slot, None)
                 }
@@ -168,6 +172,10 @@
                 return Err(relay::FinalError::Failed(reason.into()));
             }
             match self.request_slot().await? {
+                // Endpoints may have crashed while the request waited for the slot.
+                Ok(_) if self.log.ran == 0 && self.trial.is_none() && self.is_blamed() => {
+                    self.pass_trial().await?;
+                }
                 Ok(slot) => return Ok(slot),
                 Err(reason) if !self.may_search() => return Err(self.slot_unavailable(reason)),
                 Err(_) => {
@@ -185,10 +193,12 @@
         }
     }
 
-    /// Returns whether the request is quarantined, which its own attempts may have caused.
+    /// Returns whether the request or a part of its prompt is quarantined, which its own
+    /// attempts may have caused.
     pub(super) fn is_blamed(&self) -> bool {
-        let digest = self.request.forwarded.digest;
-        self.context.crashes.is_blamed(digest)
+        let crashes = &self.context.crashes;
+        let mut subjects = self.subjects.iter();
+        subjects.any(|subject| crashes.is_blamed(*subject))
     }
 
     /// Waits before the next round of the search.
@@ -416,7 +426,7 @@
             has_head,
             events: self.log.events,
             parts: self.request.forwarded.parts.clone(),
-            is_trial: self.trial.is_some(),
+            trial: self.trial.as_ref().map(crash_trials::TrialGuard::subject),
         };
         crash_watch::start(&self.context, run);
     }
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -137,6 +137,11 @@
         let inputs = format!("route={}", route.name);
         return refusals::refuse(StatusCode::BAD_REQUEST, "resume_malformed", inputs, body);
     }
+    if terms.prompt == wire::PromptPrefix::Malformed {
+        let body = "the list of prompt parts is not a list of IDs and numbers of tokens\n";
+        let inputs = format!("route={}", route.name);
+        return refusals::refuse(StatusCode::BAD_REQUEST, "prompt_malformed", inputs, body);
+    }
     let timeout = terms.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let body_timeout = timeout.min(time::Duration::from_secs(10));
     let holder = workspace.as_ref().map(|spec| spec.id.clone());
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -14,6 +14,10 @@
     ids, store,
 };
 
+/// Number of events of a response that prove that its endpoint went on after it had begun to
+/// answer; a first one may have been sent right before a crash.
+pub(super) const PROOF_EVENTS: u64 = 2;
+
 /// Kind of the records of quarantined requests in the store.
 const QUARANTINE_KIND: &str = "held-requests";
 
@@ -66,7 +70,7 @@
     /// Trials of suspects.
     pub(super) trials: trial_state::TrialState,
     /// Requests whose records are being written to the store.
-    saving: cell::RefCell<collections::HashSet<ids::RequestDigest>>,
+    saving: cell::RefCell<collections::HashSet<ids::CrashSubject>>,
     /// Guard that allows one pull at a time.
     flight: single_flight::SingleFlight,
     /// Number of consecutive pulls that brought nothing new.
@@ -82,8 +86,8 @@
     }
 
     /// Returns whether a request is quarantined because of the crashes so far.
-    pub(super) fn is_blamed(&self, digest: ids::RequestDigest) -> bool {
-        self.ledger.borrow().is_quarantined(digest)
+    pub(super) fn is_blamed(&self, subject: ids::CrashSubject) -> bool {
+        self.ledger.borrow().is_quarantined(subject)
     }
 
     /// Returns whether any request is quarantined.
@@ -91,6 +95,12 @@
         self.ledger.borrow().has_quarantined()
     }
 
+    /// Returns whether a suspect has a record in the store. A part has none before its first
+    /// trial has failed: a popular one may be a suspect for a moment at each crash.
+    pub(super) fn is_recorded(&self, subject: ids::CrashSubject) -> bool {
+        !subject.is_part() || self.ledger.borrow().has_failed_trial(subject)
+    }
+
     /// Returns the messages that transfer the whole ledger to a peer.
     pub(super) fn messages(&self, now: clock::MonotonicTime) -> Vec<crash_ledger::CrashMessage> {
         self.ledger.borrow().messages(now)
@@ -99,43 +109,56 @@
     /// Returns the message about a request for a peer.
     pub(super) fn message_of(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> Option<crash_ledger::CrashMessage> {
-        self.ledger.borrow().message_of(digest, now)
+        self.ledger.borrow().message_of(subject, now)
     }
 
-    /// Returns the time until a trial of a suspect may begin; `None` if the request may be
-    /// sent to an endpoint.
-    pub(super) fn trial_delay(
+    /// Returns the subject that decides whether a request may run, and the time until a trial of
+    /// it may begin; `None` if no subject is a suspect.
+    ///
+    /// A convicted one comes first, then the one with the most crashes. Of equals it is the
+    /// last part, as fewer requests share it.
+    pub(super) fn main_suspect(
         &self,
-        digest: ids::RequestDigest,
+        subjects: &[ids::CrashSubject],
         now: clock::MonotonicTime,
-    ) -> Option<time::Duration> {
-        self.ledger.borrow().trial_delay(digest, now)
+    ) -> Option<(ids::CrashSubject, time::Duration)> {
+        let ledger = self.ledger.borrow();
+        if ledger.is_empty() {
+            return None;
+        }
+        let suspects = subjects.iter().filter_map(|subject| {
+            let delay = ledger.trial_delay(*subject, now)?;
+            let rank = (ledger.is_convicted(*subject), ledger.count(*subject));
+            Some((rank, (*subject, delay)))
+        });
+        let main = suspects.max_by_key(|(rank, _)| *rank);
+        main.map(|(_, suspect)| suspect)
     }
 
     /// Returns how long to wait until the verdict on a request has settled.
     pub(super) fn settling_time(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> time::Duration {
-        self.ledger.borrow().verdict_delay(digest, now)
+        self.ledger.borrow().verdict_delay(subject, now)
     }
 
     /// Returns whether a trial has shown that a request crashes endpoints.
-    pub(super) fn is_convicted(&self, digest: ids::RequestDigest) -> bool {
-        self.ledger.borrow().is_convicted(digest)
+    pub(super) fn is_convicted(&self, subject: ids::CrashSubject) -> bool {
+        self.ledger.borrow().is_convicted(subject)
     }
 
     /// Returns whether a trial of a request is under way, as far as this process knows.
     pub(super) fn is_on_trial(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> bool {
-        self.ledger.borrow().is_on_trial(digest, now)
+        self.ledger.borrow().is_on_trial(subject, now)
     }
 
     /// Returns whether the endpoint of a run is known to have crashed before the request was
@@ -144,23 +167,23 @@
         self.ledger.borrow().has_ended_before(run)
     }
 
-    /// Grants the trial of a request if it is due.
+    /// Grants the trial of a suspect if it is due, and returns the decision.
     pub(super) fn grant_trial(
         &self,
-        digest: ids::RequestDigest,
+        subject: ids::CrashSubject,
         now: clock::MonotonicTime,
-    ) -> bool {
-        self.ledger.borrow_mut().admit(digest, now) == crash_ledger::CrashVerdict::Trial
+    ) -> crash_ledger::CrashVerdict {
+        self.ledger.borrow_mut().admit(subject, now)
     }
 
     /// Records that this process runs the trial of a request.
-    pub(super) fn begin_trial(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) {
-        self.ledger.borrow_mut().begin_trial(digest, now);
+    pub(super) fn begin_trial(&self, subject: ids::CrashSubject, now: clock::MonotonicTime) {
+        self.ledger.borrow_mut().begin_trial(subject, now);
     }
 
     /// Records that the trial of a request did not run.
-    pub(super) fn cancel_trial(&self, digest: ids::RequestDigest) {
-        self.ledger.borrow_mut().cancel_trial(digest);
+    pub(super) fn cancel_trial(&self, subject: ids::CrashSubject) {
+        self.ledger.borrow_mut().cancel_trial(subject);
     }
 }
 
@@ -172,9 +195,9 @@
     let now = context.clock.now();
     let outcome = context.crashes.ledger.borrow_mut().record_crash(run, now);
     if let crash_ledger::CrashOutcome::Counted(count) = outcome {
-        notify_owners(context, run.digest);
-        if count >= crash_ledger::MAX_CRASHES {
-            actix_rt::spawn(save(context.clone(), run.digest));
+        notify_owners(context, run.subject);
+        if count >= crash_ledger::MAX_CRASHES && context.crashes.is_recorded(run.subject) {
+            actix_rt::spawn(save(context.clone(), run.subject));
         }
     }
     outcome
@@ -182,27 +205,55 @@
 
 /// Records that an endpoint completed a request, which proves that the request does not
 /// crash every endpoint that starts it.
-pub(super) fn record_served(context: &rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) {
+pub(super) fn record_served(context: &rc::Rc<context::ProcessContext>, subject: ids::CrashSubject) {
+    record_service(context, subject, |ledger, now| {
+        ledger.record_served(subject, now)
+    });
+}
+
+/// Records that an endpoint answers on parts of a prompt, for a request that was sent to it at
+/// `sent_at`.
+pub(super) fn record_parts_served(
+    context: &rc::Rc<context::ProcessContext>,
+    parts: &[ids::PartDigest],
+    sent_at: clock::MonotonicTime,
+) {
+    for part in parts {
+        record_service(context, (*part).into(), |ledger, now| {
+            ledger.record_part_served(*part, sent_at, now)
+        });
+    }
+}
+
+/// Records that a subject was served; if that clears it of crashes, notifies the owners and the
+/// requests that wait, and updates its record in the store.
+fn record_service(
+    context: &rc::Rc<context::ProcessContext>,
+    subject: ids::CrashSubject,
+    record: impl FnOnce(&mut crash_ledger::CrashLedger, clock::MonotonicTime) -> bool,
+) {
     let now = context.clock.now();
+    let has_record = context.crashes.is_recorded(subject);
     let mut ledger = context.crashes.ledger.borrow_mut();
-    let was_quarantined = ledger.is_quarantined(digest);
-    let has_stored_record = ledger.count(digest) >= crash_ledger::MAX_CRASHES;
-    let is_cleared = ledger.record_served(digest, now);
+    let was_quarantined = ledger.is_quarantined(subject);
+    let has_stored_record = has_record && ledger.count(subject) >= crash_ledger::MAX_CRASHES;
+    let is_cleared = record(&mut ledger, now);
     drop(ledger);
     if !is_cleared {
         return;
     }
-    log::info!("event=request_cleared digest={digest} held={was_quarantined}");
+    let kind = subject.kind();
+    log::info!("event=request_cleared digest={subject} kind={kind} held={was_quarantined}");
     context.crashes.trials.changed.notify_waiters();
-    notify_owners(context, digest);
+    notify_owners(context, subject);
     if has_stored_record {
-        actix_rt::spawn(save(context.clone(), digest));
+        actix_rt::spawn(save(context.clone(), subject));
     }
 }
 
 /// Sends the ledger's entry of a request to the owners. Other processes pull it from them.
-fn notify_owners(context: &context::ProcessContext, digest: ids::RequestDigest) {
-    let message = context.crashes.message_of(digest, context.clock.now());
+fn notify_owners(context: &context::ProcessContext, subject: ids::CrashSubject) {
+    let message = context.crashes.message_of(subject, context.clock.now());
     let Some(message) = message else { return };
     let owners = context.owners();
     let others = owners.iter().filter(|owner| owner.id != *context.id());
@@ -222,22 +273,24 @@
     context: &rc::Rc<context::ProcessContext>,
     message: crash_ledger::CrashMessage,
 ) -> bool {
-    let digest = message.update.digest;
-    let was_quarantined = context.crashes.is_blamed(digest);
+    let subject = message.update.subject;
+    let was_quarantined = context.crashes.is_blamed(subject);
     let is_new = merge(context, message);
     let now = context.clock.now();
     // A process that has just started has not seen the request succeed and may blame it
     // wrongly; a process that has seen it exonerates it here.
-    if context.crashes.ledger.borrow_mut().exonerate(digest, now) {
-        log::info!("event=request_cleared digest={digest} held={was_quarantined}");
-        notify_owners(context, digest);
+    if context.crashes.ledger.borrow_mut().exonerate(subject, now) {
+        log::info!("event=request_cleared digest={subject} held={was_quarantined}");
+        notify_owners(context, subject);
     }
-    let has_changed = was_quarantined != context.crashes.is_blamed(digest);
+    let is_quarantined = context.crashes.is_blamed(subject);
+    let has_changed = was_quarantined != is_quarantined;
     if has_changed {
         context.crashes.trials.changed.notify_waiters();
     }
-    if has_changed && is_writer(context) {
-        actix_rt::spawn(save(context.clone(), digest));
+    let is_due = has_changed || (is_new && is_quarantined && subject.is_part());
+    if is_due && context.crashes.is_recorded(subject) && is_writer(context) {
+        actix_rt::spawn(save(context.clone(), subject));
     }
     is_new
 }
@@ -246,17 +299,18 @@
 /// whether it contained anything new.
 fn merge(context: &context::ProcessContext, message: crash_ledger::CrashMessage) -> bool {
     let now = context.clock.now();
-    let digest = message.update.digest;
+    let subject = message.update.subject;
     let mut ledger = context.crashes.ledger.borrow_mut();
-    let was_quarantined = ledger.is_quarantined(digest);
-    let was_convicted = ledger.is_convicted(digest);
+    let was_quarantined = ledger.is_quarantined(subject);
+    let was_convicted = ledger.is_convicted(subject);
     let is_new = ledger.merge_message(message, now);
-    let is_quarantined = ledger.is_quarantined(digest);
-    let is_convicted = ledger.is_convicted(digest);
+    let is_quarantined = ledger.is_quarantined(subject);
+    let is_convicted = ledger.is_convicted(subject);
     if was_quarantined != is_quarantined || was_convicted != is_convicted {
-        let verdict = ledger.verdict(digest, now);
+        let verdict = ledger.verdict(subject, now);
         log::info!(
-            "event=held_elsewhere digest={digest} verdict=\"{verdict}\" convicted={is_convicted}"
+            "event=held_elsewhere digest={subject} kind={} verdict=\"{verdict}\" convicted={is_convicted}",
+            subject.kind()
         );
     }
     is_new
@@ -324,38 +378,41 @@
 pub(super) fn expire(context: &rc::Rc<context::ProcessContext>) {
     let now = context.clock.now();
     let expired = context.crashes.ledger.borrow_mut().expire(now);
-    let (suspected, convicted) = context.crashes.ledger.borrow().suspect_counts();
-    let gauge = &context.metrics.quarantined_requests;
-    gauge
-        .with_label_values(&["suspected"])
-        .set(suspected as i64);
-    gauge
-        .with_label_values(&["convicted"])
-        .set(convicted as i64);
+    let metrics = &context.metrics;
+    for (of_parts, gauge) in [
+        (false, &metrics.quarantined_requests),
+        (true, &metrics.quarantined_parts),
+    ] {
+        let (suspected, convicted) = context.crashes.ledger.borrow().suspect_counts(of_parts);
+        let suspected_gauge = gauge.with_label_values(&["suspected"]);
+        suspected_gauge.set(suspected as i64);
+        let convicted_gauge = gauge.with_label_values(&["convicted"]);
+        convicted_gauge.set(convicted as i64);
+    }
     let owners = context.owners();
     let is_first = owners.first().is_some_and(|o| o.id == *context.id());
-    for digest in expired {
-        log::info!("event=request_freed digest={digest}");
+    for subject in expired {
+        log::info!("event=request_freed digest={subject}");
         if is_first {
-            actix_rt::spawn(remove(context.clone(), digest));
+            actix_rt::spawn(remove(context.clone(), subject));
         }
     }
 }
 
-fn record_key(digest: ids::RequestDigest) -> String {
-    format!("{QUARANTINE_KIND}/{digest}")
+fn record_key(subject: ids::CrashSubject) -> String {
+    format!("{QUARANTINE_KIND}/{subject}")
 }
 
 /// Writes the record of a request to the store, again if it changes during the write.
-async fn save(context: rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) {
+async fn save(context: rc::Rc<context::ProcessContext>, subject: ids::CrashSubject) {
     let saving = &context.crashes.saving;
-    if !saving.borrow_mut().insert(digest) {
+    if !saving.borrow_mut().insert(subject) {
         return;
     }
     let mut written = None;
     for attempt in 0..MAX_SAVE_ATTEMPTS {
         let now = context.clock.now();
-        let Some(message) = context.crashes.message_of(digest, now) else {
+        let Some(message) = context.crashes.message_of(subject, now) else {
             break;
         };
         let update = &message.update;
@@ -371,13 +428,13 @@
         match write(&context, message).await {
             Ok(()) => written = Some(counts),
             Err(e) => {
-                log::info!("event=held_request_unwritten digest={digest} why=\"{e}\"");
+                log::info!("event=held_request_unwritten digest={subject} why=\"{e}\"");
                 let delay = retry::backoff_delay(attempt, &SAVE_BACKOFF, &mut rand::rng());
                 actix_rt::time::sleep(delay).await;
             }
         }
     }
-    saving.borrow_mut().remove(&digest);
+    saving.borrow_mut().remove(&subject);
 }
 
 async fn write(
@@ -385,7 +442,7 @@
     message: crash_ledger::CrashMessage,
 ) -> store::StoreResult<()> {
     let crash_ledger::CrashMessage { update, trials } = message;
-    let key = record_key(update.digest);
+    let key = record_key(update.subject);
     let age = update.age.as_millis() as u64;
     let record = QuarantineRecord {
         crashes: update.crashes,
@@ -399,12 +456,12 @@
     written.await.map(drop)
 }
 
-async fn remove(context: rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) {
+async fn remove(context: rc::Rc<context::ProcessContext>, subject: ids::CrashSubject) {
     let always = store::WriteCondition::Always;
-    let key = record_key(digest);
+    let key = record_key(subject);
     let removed = context.store.remove(CallClass::Control, &key, always);
     if let Err(e) = removed.await {
-        log::info!("event=held_request_left digest={digest} why=\"{e}\"");
+        log::info!("event=held_request_left digest={subject} why=\"{e}\"");
     }
 }
 
@@ -446,20 +503,20 @@
 ) {
     let name = change.key.strip_prefix(prefix).unwrap_or(&change.key);
     let Some(value) = change.value else { return };
-    let digest = name.parse().map_err(|e| format!("invalid name: {e}"));
+    let subject = name.parse().map_err(|e| format!("invalid name: {e}"));
     let record = serde_json::from_str::<QuarantineRecord>(&value).map_err(|e| e.to_string());
-    match digest.and_then(|digest| Ok((digest, record?))) {
-        Ok((digest, record)) => {
+    match subject.and_then(|subject| Ok((subject, record?))) {
+        Ok((subject, record)) => {
             let age_ms = clock::epoch_ms().saturating_sub(record.last_ms);
             let update = crash_ledger::CrashUpdate {
-                digest,
+                subject,
                 crashes: record.crashes,
                 cleared: record.cleared,
                 age: time::Duration::from_millis(age_ms),
             };
             // The request has been served since, so the record is obsolete.
             if update.count() < crash_ledger::MAX_CRASHES {
-                actix_rt::spawn(remove(context.clone(), digest));
+                actix_rt::spawn(remove(context.clone(), subject));
             }
             let trials = record.trials;
             merge(context, crash_ledger::CrashMessage { update, trials });
--- a/src/serving/crash_trials.rs
+++ b/src/serving/crash_trials.rs
@@ -1,7 +1,7 @@
 //! Trials of requests that are suspected of crashing endpoints.
 //!
 //! A suspect runs once, and the outcome decides: it is cleared if it is served, and
-//! quarantined if its endpoint crashes as well. One owner, chosen by the digest of the
+//! quarantined if its endpoint crashes as well. One owner, chosen by the subject of the
 //! request, grants the trial, so that of all processes only one runs it. Requests that
 //! arrive meanwhile wait for the outcome for a short time.
 
@@ -37,28 +37,33 @@
     Allowed,
     /// The request runs as a trial.
     Trial(TrialGuard),
-    /// A trial is pending; the caller may retry after this time.
-    Suspected(time::Duration),
-    /// A trial has failed; holds the remaining quarantine.
-    Quarantined(time::Duration),
+    /// A trial of the subject is pending; the caller may retry after this time.
+    Suspected(ids::CrashSubject, time::Duration),
+    /// Trials of the subject have failed; holds the remaining quarantine.
+    Quarantined(ids::CrashSubject, time::Duration),
 }
 
 /// A granted trial. It is returned on drop unless the request may have run.
 pub(super) struct TrialGuard {
     context: rc::Rc<context::ProcessContext>,
-    digest: ids::RequestDigest,
+    subject: ids::CrashSubject,
     has_run: cell::Cell<bool>,
 }
 
 impl TrialGuard {
-    fn new(context: &rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) -> Self {
+    fn new(context: &rc::Rc<context::ProcessContext>, subject: ids::CrashSubject) -> Self {
         Self {
             context: context.clone(),
-            digest,
+            subject,
             has_run: cell::Cell::new(false),
         }
     }
 
+    /// Returns what the trial decides about.
+    pub(super) fn subject(&self) -> ids::CrashSubject {
+        self.subject
+    }
+
     /// Sets whether the request has run or may have.
     pub(super) fn set_run(&self, has_run: bool) {
         self.has_run.set(has_run);
@@ -68,7 +73,7 @@
 impl Drop for TrialGuard {
     fn drop(&mut self) {
         if !self.has_run.get() {
-            return_trial(&self.context, self.digest);
+            return_trial(&self.context, self.subject);
         }
     }
 }
@@ -77,11 +82,15 @@
 /// expected within the request's time.
 pub(super) async fn admit(
     context: &rc::Rc<context::ProcessContext>,
-    digest: ids::RequestDigest,
+    subjects: &[ids::CrashSubject],
     id: &str,
     time_left: time::Duration,
 ) -> TrialAdmission {
-    let settling_time = context.crashes.settling_time(digest, context.clock.now());
+    let now = context.clock.now();
+    let settling_times = subjects
+        .iter()
+        .map(|s| context.crashes.settling_time(*s, now));
+    let settling_time = settling_times.max().unwrap_or_default();
     if !settling_time.is_zero() {
         actix_rt::time::sleep(settling_time).await;
     }
@@ -89,28 +98,28 @@
     loop {
         let changed = context.crashes.trials.changed.notified();
         let now = context.clock.now();
-        let Some(trial_delay) = context.crashes.trial_delay(digest, now) else {
+        let Some((subject, trial_delay)) = context.crashes.main_suspect(subjects, now) else {
             return TrialAdmission::Allowed;
         };
         if trial_delay.is_zero() {
-            if let Some(trial) = claim(context, digest).await {
-                log::info!("event=trial_begun request={id} digest={digest}");
+            if let Some(trial) = claim(context, subject).await {
+                log::info!("event=trial_begun request={id} digest={subject}");
                 return TrialAdmission::Trial(trial);
             }
         }
-        if context.crashes.is_convicted(digest) {
+        if context.crashes.is_convicted(subject) {
             let left = trial_delay.max(RETRY_AFTER);
-            log_refusal(digest, id, "quarantined", left);
-            return TrialAdmission::Quarantined(left);
+            log_refusal(subject, id, "quarantined", left);
+            return TrialAdmission::Quarantined(subject, left);
         }
-        let is_on_trial = context.crashes.is_on_trial(digest, now);
+        let is_on_trial = context.crashes.is_on_trial(subject, now);
         if now >= wait_until || (!is_on_trial && now + trial_delay >= wait_until) {
             let retry_after = match is_on_trial {
                 true => RETRY_AFTER,
                 false => trial_delay.max(RETRY_AFTER),
             };
-            log_refusal(digest, id, "suspected", retry_after);
-            return TrialAdmission::Suspected(retry_after);
+            log_refusal(subject, id, "suspected", retry_after);
+            return TrialAdmission::Suspected(subject, retry_after);
         }
         tokio::select! {
             () = changed => {}
@@ -119,9 +128,10 @@
     }
 }
 
-fn log_refusal(digest: ids::RequestDigest, id: &str, verdict: &str, left: time::Duration) {
+fn log_refusal(subject: ids::CrashSubject, id: &str, verdict: &str, left: time::Duration) {
     log::info!(
-        "event=request_held request={id} digest={digest} verdict={verdict} left_ms={}",
+        "event=request_held request={id} digest={subject} kind={} verdict={verdict} left_ms={}",
+        subject.kind(),
         left.as_millis()
     );
 }
@@ -129,32 +139,30 @@
 /// Decides whether an item may run. Claims its trial in the background if one is due.
 pub(super) fn admit_item(
     context: &rc::Rc<context::ProcessContext>,
-    digest: ids::RequestDigest,
+    subjects: &[ids::CrashSubject],
     id: &str,
 ) -> CrashVerdict {
     let now = context.clock.now();
-    if context.crashes.trials.is_granted(digest, now) {
+    let Some((subject, trial_delay)) = context.crashes.main_suspect(subjects, now) else {
+        return CrashVerdict::Allowed;
+    };
+    if context.crashes.trials.is_granted(subject, now) {
         return CrashVerdict::Trial;
     }
-    match context.crashes.trial_delay(digest, now) {
-        None => CrashVerdict::Allowed,
-        Some(time::Duration::ZERO) => {
-            actix_rt::spawn(claim_for_item(context.clone(), digest));
-            CrashVerdict::Quarantined(CLAIM_INTERVAL)
-        }
-        Some(left) => {
-            log_refusal(digest, id, "quarantined", left);
-            CrashVerdict::Quarantined(left)
-        }
+    if trial_delay.is_zero() {
+        actix_rt::spawn(claim_for_item(context.clone(), subject));
+        return CrashVerdict::Quarantined(CLAIM_INTERVAL);
     }
+    log_refusal(subject, id, "quarantined", trial_delay);
+    CrashVerdict::Quarantined(trial_delay)
 }
 
-async fn claim_for_item(context: rc::Rc<context::ProcessContext>, digest: ids::RequestDigest) {
-    if let Some(trial) = claim(&context, digest).await {
+async fn claim_for_item(context: rc::Rc<context::ProcessContext>, subject: ids::CrashSubject) {
+    if let Some(trial) = claim(&context, subject).await {
         // Returned by `expire` if the item gets no slot.
         trial.set_run(true);
         let trials = &context.crashes.trials;
-        trials.keep_for_item(digest, context.clock.now());
+        trials.keep_for_item(subject, context.clock.now());
         context.jobs.work.notify_one();
     }
 }
@@ -162,8 +170,8 @@
 /// Returns the granted trials of items that got no slot in time.
 pub(super) fn expire(context: &context::ProcessContext) {
     let expired = context.crashes.trials.take_expired(context.clock.now());
-    for digest in expired {
-        return_trial(context, digest);
+    for subject in expired {
+        return_trial(context, subject);
     }
 }
 
@@ -173,21 +181,21 @@
 /// all the same is returned.
 async fn claim(
     context: &rc::Rc<context::ProcessContext>,
-    digest: ids::RequestDigest,
+    subject: ids::CrashSubject,
 ) -> Option<TrialGuard> {
-    if !context.crashes.trials.begin_claim(digest) {
+    if !context.crashes.trials.begin_claim(subject) {
         return None;
     }
     let context = context.clone();
     let claiming = actix_rt::spawn(async move {
-        let is_granted = request_grant(&context, digest).await;
-        context.crashes.trials.end_claim(digest);
-        is_granted.then(|| TrialGuard::new(&context, digest))
+        let is_granted = request_grant(&context, subject).await;
+        context.crashes.trials.end_claim(subject);
+        is_granted.then(|| TrialGuard::new(&context, subject))
     });
     match claiming.await {
         Ok(trial) => trial,
         Err(e) => {
-            log::warn!("event=trial_unclaimed digest={digest} why=\"{e}\"");
+            log::warn!("event=trial_unclaimed digest={subject} why=\"{e}\"");
             None
         }
     }
@@ -195,78 +203,84 @@
 
 async fn request_grant(
     context: &rc::Rc<context::ProcessContext>,
-    digest: ids::RequestDigest,
+    subject: ids::CrashSubject,
 ) -> bool {
-    let Some(arbiter) = arbiter_of(context, digest) else {
-        log::info!("event=trial_unclaimed digest={digest} why=\"no owner is live\"");
+    let Some(arbiter) = arbiter_of(context, subject) else {
+        log::info!("event=trial_unclaimed digest={subject} why=\"no owner is live\"");
         return false;
     };
-    let Some(message) = context.crashes.message_of(digest, context.clock.now()) else {
+    let Some(message) = context.crashes.message_of(subject, context.clock.now()) else {
         return false;
     };
     if arbiter == *context.id() {
         return grant(context, message);
     }
     let Some(address) = context.members.borrow().address_of(&arbiter) else {
-        log::info!("event=trial_unclaimed digest={digest} why=\"{arbiter} has no address\"");
+        log::info!("event=trial_unclaimed digest={subject} why=\"{arbiter} has no address\"");
         return false;
     };
     let claimed = context.links.claim_trial(address, message, CLAIM_TIMEOUT);
     match claimed.await {
         Ok(is_granted) => {
             if is_granted {
-                context.crashes.begin_trial(digest, context.clock.now());
+                context.crashes.begin_trial(subject, context.clock.now());
             }
             is_granted
         }
         Err(e) => {
-            log::info!("event=trial_unclaimed digest={digest} arbiter={arbiter} why=\"{e}\"");
+            log::info!("event=trial_unclaimed digest={subject} arbiter={arbiter} why=\"{e}\"");
             false
         }
     }
 }
 
 /// Grants the trial of a suspect if none is under way; the requester's record is merged
-/// first.
+/// first. A part that is no suspect here, as it was served since, may run.
 pub(super) fn grant(
     context: &rc::Rc<context::ProcessContext>,
     message: crash_ledger::CrashMessage,
 ) -> bool {
-    let digest = message.update.digest;
+    let subject = message.update.subject;
     crash_guard::apply_update(context, message);
-    let is_granted = context.crashes.grant_trial(digest, context.clock.now());
+    let verdict = context.crashes.grant_trial(subject, context.clock.now());
+    let is_granted = match verdict {
+        CrashVerdict::Trial => true,
+        CrashVerdict::Allowed => subject.is_part(),
+        CrashVerdict::Quarantined(_) => false,
+    };
     if is_granted {
-        log::info!("event=trial_granted digest={digest}");
+        log::info!("event=trial_granted digest={subject} verdict=\"{verdict}\"");
     }
     is_granted
 }
 
 /// Returns a trial that did not run or has no outcome, so that another process may claim it.
-pub(super) fn return_trial(context: &context::ProcessContext, digest: ids::RequestDigest) {
-    log::info!("event=trial_returned digest={digest}");
-    cancel(context, digest);
-    let Some(arbiter) = arbiter_of(context, digest) else {
+pub(super) fn return_trial(context: &context::ProcessContext, subject: ids::CrashSubject) {
+    log::info!("event=trial_returned digest={subject}");
+    cancel(context, subject);
+    let Some(arbiter) = arbiter_of(context, subject) else {
         return;
     };
     if let Some(address) = context.members.borrow().address_of(&arbiter) {
-        context.links.return_trial(address, digest);
+        context.links.return_trial(address, subject);
     }
 }
 
 /// Allows another trial in place of one that did not run.
-pub(super) fn cancel(context: &context::ProcessContext, digest: ids::RequestDigest) {
-    context.crashes.cancel_trial(digest);
+pub(super) fn cancel(context: &context::ProcessContext, subject: ids::CrashSubject) {
+    context.crashes.cancel_trial(subject);
     context.crashes.trials.changed.notify_waiters();
 }
 
 /// Returns the owner that grants the trials of a request.
 fn arbiter_of(
     context: &context::ProcessContext,
-    digest: ids::RequestDigest,
+    subject: ids::CrashSubject,
 ) -> Option<ids::InstanceId> {
     let owners = context.owners();
-    let digest = digest.to_string();
-    let weight = |owner: &&ownership::OwnerCandidate| ownership::weight(&digest, owner.id.as_str());
+    let subject = subject.to_string();
+    let weight =
+        |owner: &&ownership::OwnerCandidate| ownership::weight(&subject, owner.id.as_str());
     owners
         .iter()
         .max_by_key(weight)
--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -4,9 +4,9 @@
 //! endpoint has ended if nothing listens at its address any more, or if it had begun to
 //! respond and is listed with another start time soon afterwards.
 
-use std::{io, rc, time};
+use std::{fmt, io, rc, time};
 
-use super::{connection, context, crash_guard, crash_trials, directory, endpoint_reports};
+use super::{attempt, connection, context, crash_guard, crash_trials, directory, endpoint_reports};
 use crate::{clock, decisions::crash_ledger, ids};
 
 /// Timeout of a probe connection. A refusal arrives within a round trip, 1 to 4 ms. A lost
@@ -38,8 +38,21 @@
     pub(super) events: u64,
     /// Parts of its prompt that other requests may share.
     pub(super) parts: Vec<ids::PartDigest>,
-    /// Whether the run was the trial of a caller's request.
-    pub(super) is_trial: bool,
+    /// What the run was the trial of, if it was one of a caller's request.
+    pub(super) trial: Option<ids::CrashSubject>,
+}
+
+impl InterruptedRun {
+    /// Returns what the end of the endpoint is attributed to.
+    ///
+    /// A part crashes an endpoint that begins to write an answer on it, so it is not the cause
+    /// once the answer goes on.
+    fn suspects(&self) -> Vec<ids::CrashSubject> {
+        match self.events < crash_guard::PROOF_EVENTS {
+            true => attempt::crash_subjects(self.digest, &self.parts),
+            false => vec![self.digest.into()],
+        }
+    }
 }
 
 /// Evidence that an endpoint ended.
@@ -102,15 +115,12 @@
     true
 }
 
-/// Formats parts for a log line.
-fn part_list(parts: &[ids::PartDigest]) -> String {
-    match parts {
-        [] => "-".to_owned(),
-        _ => parts
-            .iter()
-            .map(ids::PartDigest::to_string)
-            .collect::<Vec<_>>()
-            .join(","),
+/// Formats values for a log line.
+fn list(values: &[impl fmt::Display]) -> String {
+    let texts: Vec<_> = values.iter().map(ToString::to_string).collect();
+    match texts.is_empty() {
+        true => "-".to_owned(),
+        false => texts.join(","),
     }
 }
 
@@ -123,31 +133,36 @@
         endpoint: run.endpoint.id.clone(),
         started: run.endpoint.started,
     };
-    let crash = crash_ledger::CrashedRun {
-        digest: run.digest,
-        endpoint: endpoint.clone(),
-        sent_at: run.begun,
-    };
-    let outcome = match evidence {
-        EndEvidence::StartedAgain if context.crashes.has_ended_before(&crash) => {
-            crash_ledger::CrashOutcome::Gone
-        }
-        EndEvidence::StartedAgain | EndEvidence::Refused => {
-            crash_guard::record_crash(context, &crash)
+    let mut outcomes = Vec::new();
+    for subject in run.suspects() {
+        let crash = crash_ledger::CrashedRun {
+            subject,
+            endpoint: endpoint.clone(),
+            sent_at: run.begun,
+        };
+        let outcome = match evidence {
+            EndEvidence::StartedAgain if context.crashes.has_ended_before(&crash) => {
+                crash_ledger::CrashOutcome::Gone
+            }
+            EndEvidence::StartedAgain | EndEvidence::Refused => {
+                crash_guard::record_crash(context, &crash)
+            }
+        };
+        if run.trial == Some(subject) && outcome == crash_ledger::CrashOutcome::Gone {
+            // The trial proves nothing, and nobody else reports its outcome.
+            crash_trials::return_trial(context, subject);
         }
-    };
-    if run.is_trial && outcome == crash_ledger::CrashOutcome::Gone {
-        // The trial proves nothing, and nobody else reports its outcome.
-        crash_trials::return_trial(context, run.digest);
+        outcomes.push(outcome);
     }
     let label = evidence.label();
     context.metrics.ended_runs.with_label_values(&[label]).inc();
     log::info!(
-        "event=endpoint_ended endpoint={endpoint} request={} digest={} evidence={label} outcome=\"{outcome:?}\" events={} parts={}",
+        "event=endpoint_ended endpoint={endpoint} request={} digest={} evidence={label} outcome=\"{}\" events={} parts={}",
         run.id,
         run.digest,
+        list(&outcomes),
         run.events,
-        part_list(&run.parts),
+        list(&run.parts.iter().map(|part| ids::CrashSubject::from(*part)).collect::<Vec<_>>()),
     );
     if evidence == EndEvidence::Refused {
         let observation = endpoint_reports::failure(context, true);
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -7,7 +7,7 @@
 use futures::stream;
 
 use super::{
-    attempt_flow, connection, directory, event_split, origin_exchange,
+    attempt_flow, connection, crash_guard, directory, event_split, origin_exchange,
     relay::{FinalError, RequestRelay, ServedResponse, ANSWERED},
     response_copy,
     slow_attempt::{self, Waited},
@@ -166,6 +166,9 @@
             _ => {
                 self.last_event = Some(event.id);
                 self.log.events += 1;
+                if self.log.events == crash_guard::PROOF_EVENTS {
+                    self.record_parts_served();
+                }
                 EventResult::Event(event)
             }
         }
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -80,9 +80,9 @@
         self.job.borrow_mut().streams.insert(key.clone());
         let before = self.last_event();
         let started_at = self.context.clock.now();
-        self.context.crashes.trials.begin_item(self.digest());
+        self.context.crashes.trials.begin_item(&self.subjects());
         let end = {
-            let work = self.stream();
+            let work = self.stream(started_at);
             futures::pin_mut!(work);
             match future::select(work, cancelled).await {
                 future::Either::Left((end, _)) => end,
@@ -95,7 +95,11 @@
         match end {
             RunEnd::Cut(_) if self.last_event() == before => self.check_for_crash(started_at),
             RunEnd::Completed | RunEnd::Impossible | RunEnd::Failed => {
-                crash_guard::record_served(&self.context, self.digest());
+                crash_guard::record_served(&self.context, self.digest().into());
+                if end == RunEnd::Completed {
+                    let parts = self.parts();
+                    crash_guard::record_parts_served(&self.context, &parts, started_at);
+                }
             }
             RunEnd::Cut(_) | RunEnd::NotRun(_) | RunEnd::Preempted => {}
         }
@@ -107,9 +111,12 @@
     /// Returns the parts of the item's prompt.
     fn parts(&self) -> Vec<ids::PartDigest> {
         let job = self.job.borrow();
-        let parsed = parse_item(&job.record.items[self.index]);
-        let prefix = parsed.map(|(_, headers)| self.context.wire.prompt_prefix(&headers));
-        prefix.map_or_else(|_| Vec::new(), |prefix| prefix.parts().to_vec())
+        item_parts(&self.context, &job.record.items[self.index])
+    }
+
+    /// Returns what crashes during the item may be attributed to.
+    fn subjects(&self) -> Vec<ids::CrashSubject> {
+        attempt::crash_subjects(self.digest(), &self.parts())
     }
 
     fn digest(&self) -> ids::RequestDigest {
@@ -135,7 +142,7 @@
             has_head: self.has_head.get(),
             events: 0,
             parts: self.parts(),
-            is_trial: false,
+            trial: None,
         };
         crash_watch::start(&self.context, run);
     }
@@ -169,7 +176,7 @@
     }
 
     /// Sends the item and appends the received events to its progress.
-    async fn stream(&self) -> RunEnd {
+    async fn stream(&self, started_at: clock::MonotonicTime) -> RunEnd {
         use outcome::AttemptOutcome as O;
 
         let (request, resume_after) = match self.request() {
@@ -203,7 +210,8 @@
         let status = open.incoming.head.status.as_u16();
         match status {
             200..=299 => {
-                self.read_events(open.incoming, resume_after, open.metadata.idle_limit)
+                let idle_limit = open.metadata.idle_limit;
+                self.read_events(open.incoming, resume_after, idle_limit, started_at)
                     .await
             }
             422 => RunEnd::Impossible,
@@ -244,9 +252,11 @@
         mut incoming: connection::IncomingResponse,
         resume_after: Option<u64>,
         idle_limit: Option<time::Duration>,
+        started_at: clock::MonotonicTime,
     ) -> RunEnd {
         let mut splitter = event_split::EventSplitter::default();
         let mut last_event = resume_after;
+        let mut events = 0;
         loop {
             loop {
                 match splitter.next_event() {
@@ -264,6 +274,11 @@
                             }
                         }
                         last_event = Some(event.id);
+                        events += 1;
+                        if events == crash_guard::PROOF_EVENTS {
+                            let parts = self.parts();
+                            crash_guard::record_parts_served(&self.context, &parts, started_at);
+                        }
                         if !self.append_event(&event) {
                             return RunEnd::Preempted;
                         }
@@ -412,6 +427,16 @@
     ids::RequestDigest::of(ITEM_METHOD.as_str(), host, &item.path, &item.body)
 }
 
+/// Returns the parts of an item's prompt that other requests may share.
+pub(super) fn item_parts(
+    context: &context::ProcessContext,
+    item: &wire::JobItem,
+) -> Vec<ids::PartDigest> {
+    let parsed = parse_item(item);
+    let prefix = parsed.map(|(_, headers)| context.wire.prompt_prefix(&headers));
+    prefix.map_or_else(|_| Vec::new(), |prefix| prefix.parts().to_vec())
+}
+
 /// Parses the path and headers of an item's request.
 ///
 /// # Errors
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -81,7 +81,7 @@
         }
         C::Crashes(sender) => reply(sender, context.crashes.messages(context.clock.now())),
         C::ClaimTrial(message, sender) => reply(sender, crash_trials::grant(context, message)),
-        C::ReturnTrial(digest) => crash_trials::cancel(context, digest),
+        C::ReturnTrial(subject) => crash_trials::cancel(context, subject),
         C::StatePart(request, sender) => {
             let table = context.fleet.table();
             if !table.is_known() {
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -298,8 +298,8 @@
     }
 
     /// Returns a trial that did not run.
-    pub fn return_trial(&self, peer: net::SocketAddr, digest: ids::RequestDigest) {
-        notify_peer!(self, peer, return_trial(digest));
+    pub fn return_trial(&self, peer: net::SocketAddr, subject: ids::CrashSubject) {
+        notify_peer!(self, peer, return_trial(subject));
     }
 
     /// Requests all records about such requests: up to 200 KB, for which the call waits
--- a/src/serving/peer_server.rs
+++ b/src/serving/peer_server.rs
@@ -205,8 +205,8 @@
             .await
     }
 
-    async fn return_trial(self, _: tarpc::context::Context, digest: ids::RequestDigest) {
-        self.notify(PeerCall::ReturnTrial(digest)).await;
+    async fn return_trial(self, _: tarpc::context::Context, subject: ids::CrashSubject) {
+        self.notify(PeerCall::ReturnTrial(subject)).await;
     }
 
     async fn keep_origin(
--- a/src/serving/peers.rs
+++ b/src/serving/peers.rs
@@ -379,7 +379,7 @@
     /// whether it is granted.
     async fn claim_trial(message: crash_ledger::CrashMessage) -> Option<bool>;
     /// Returns a trial that did not run.
-    async fn return_trial(digest: ids::RequestDigest);
+    async fn return_trial(subject: ids::CrashSubject);
     /// Hands off a job that the sender has just created and sent to no other owner; returns
     /// whether it has already completed.
     async fn take_new_job(record: job_records::JobRecord) -> Option<bool>;
@@ -415,7 +415,7 @@
     /// See [`PeerService::claim_trial`].
     ClaimTrial(crash_ledger::CrashMessage, oneshot::Sender<bool>),
     /// See [`PeerService::return_trial`].
-    ReturnTrial(ids::RequestDigest),
+    ReturnTrial(ids::CrashSubject),
     /// See [`PeerService::state_part`].
     StatePart(
         state_snapshot::StatePartRequest,
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -3,8 +3,8 @@
 use std::{collections, hash, rc, time};
 
 use super::{
-    context, continuations, crash_trials, directory, item_run, job_runner, job_table, open_job,
-    route_table, wire,
+    attempt, context, continuations, crash_trials, directory, item_run, job_runner, job_table,
+    open_job, route_table, wire,
 };
 use crate::{
     clock,
@@ -204,7 +204,9 @@
     let mut job = job.borrow_mut();
     let item = &job.record.items[index];
     let digest = item_run::item_digest(&job.record.host, item);
-    let verdict = crash_trials::admit_item(context, digest, &item.id);
+    let parts = item_run::item_parts(context, item);
+    let subjects = attempt::crash_subjects(digest, &parts);
+    let verdict = crash_trials::admit_item(context, &subjects, &item.id);
     let CrashVerdict::Quarantined(remaining) = verdict else {
         return false;
     };
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -21,6 +21,14 @@
 /// Response body for a request whose trial is pending.
 const SUSPECTED_BODY: &str = "suspected: endpoints crashed while they ran this request\n";
 
+/// Response body for a request that shares a quarantined part of its prompt.
+const QUARANTINED_PART_BODY: &str =
+    "held back: endpoints crash when they begin to answer a part of this prompt\n";
+
+/// Response body for a request that shares a part of its prompt whose trial is pending.
+const SUSPECTED_PART_BODY: &str =
+    "suspected: endpoints crashed while they ran requests with a part of this prompt\n";
+
 /// An active request of a caller.
 pub struct CallerRequest {
     /// Route that the request matched.
@@ -81,11 +89,12 @@
 pub enum FinalError {
     /// It did not run and will not; the caller may retry after this time.
     NotRun(time::Duration, String),
-    /// It did not run; it is quarantined for this time, as it crashes endpoints.
-    Held(time::Duration),
-    /// It did not run; endpoints crashed during it, and a trial within this time decides
-    /// whether it is quarantined.
-    Suspected(time::Duration),
+    /// It did not run; it is quarantined for this time, as it or a part of its prompt crashes
+    /// endpoints.
+    Held(ids::CrashSubject, time::Duration),
+    /// It did not run; endpoints crashed during it or requests with a part of its prompt, and a
+    /// trial within this time decides whether it is quarantined.
+    Suspected(ids::CrashSubject, time::Duration),
     /// It did not run: it resumes a stream that can go on nowhere; the caller may retry after
     /// this time.
     NotResumed(stream_resumption::ResumeDenial, time::Duration),
@@ -100,8 +109,8 @@
     fn label(&self) -> &'static str {
         match self {
             Self::NotRun(..) => "no_slot",
-            Self::Held(_) => "quarantined",
-            Self::Suspected(_) => "suspected",
+            Self::Held(..) => "quarantined",
+            Self::Suspected(..) => "suspected",
             Self::NotResumed(denial, _) => denial.label(),
             Self::Failed(_) | Self::Late => "failed",
         }
@@ -112,8 +121,8 @@
         match self {
             Self::NotRun(delay, _)
             | Self::NotResumed(_, delay)
-            | Self::Held(delay)
-            | Self::Suspected(delay) => Some(*delay),
+            | Self::Held(_, delay)
+            | Self::Suspected(_, delay) => Some(*delay),
             Self::Failed(_) | Self::Late => None,
         }
     }
@@ -134,6 +143,8 @@
     pub(super) origin: Option<stream_origins::StreamOrigin>,
     /// Time from the arrival of the request to the first event sent to the caller.
     first_event: std::cell::Cell<Option<time::Duration>>,
+    /// What crashes during the request may be attributed to.
+    pub(super) subjects: Vec<ids::CrashSubject>,
     /// Trial that this request is, if it is suspected of crashing endpoints.
     pub(super) trial: Option<crash_trials::TrialGuard>,
     _active: ActiveRequest,
@@ -148,6 +159,7 @@
     let last_event = request.terms.resume_after;
     let mut relay = RequestRelay {
         context,
+        subjects: request.forwarded.subjects(),
         request,
         log: attempt_flow::AttemptLog::default(),
         last_event,
@@ -167,15 +179,9 @@
             }
         }
     }
-    let id = relay.request.terms.id.as_deref().unwrap_or("-");
-    let digest = relay.request.forwarded.digest;
     // A quarantined request must not wait for a slot.
-    let time_left = relay.time_left();
-    match crash_trials::admit(&relay.context, digest, id, time_left).await {
-        TrialAdmission::Allowed => {}
-        TrialAdmission::Trial(guard) => relay.trial = Some(guard),
-        TrialAdmission::Suspected(left) => return relay.refuse(&FinalError::Suspected(left)),
-        TrialAdmission::Quarantined(left) => return relay.refuse(&FinalError::Held(left)),
+    if let Err(e) = relay.pass_trial().await {
+        return relay.refuse(&e);
     }
     let outcome = match is_stream {
         true => relay.open_stream(None).await,
@@ -214,6 +220,33 @@
         suspension::sleep_remaining(&self.context, || self.time_left()).await;
     }
 
+    /// Waits until the request may run, with regard to the crashes that are attributed to it or
+    /// to a part of its prompt.
+    ///
+    /// # Errors
+    /// It is quarantined, or may not run yet.
+    pub(super) async fn pass_trial(&mut self) -> Result<(), FinalError> {
+        let id = self.request.terms.id.as_deref().unwrap_or("-");
+        let time_left = self.time_left();
+        match crash_trials::admit(&self.context, &self.subjects, id, time_left).await {
+            TrialAdmission::Allowed => {}
+            TrialAdmission::Trial(guard) => self.trial = Some(guard),
+            TrialAdmission::Suspected(subject, left) => {
+                return Err(FinalError::Suspected(subject, left))
+            }
+            TrialAdmission::Quarantined(subject, left) => {
+                return Err(FinalError::Held(subject, left))
+            }
+        }
+        Ok(())
+    }
+
+    /// Records that the endpoint of the current attempt answers on the parts of the prompt.
+    pub(super) fn record_parts_served(&self) {
+        let parts = &self.request.forwarded.parts;
+        crash_guard::record_parts_served(&self.context, parts, self.log.acquired_at);
+    }
+
     /// Returns whether the request may run more than once.
     pub(super) fn may_repeat(&self) -> bool {
         self.request.route.kind.is_repeatable()
@@ -360,7 +393,10 @@
     pub(super) fn record_end(&self, outcome: &str, status: u16) {
         let duration = self.request.arrived.elapsed();
         if outcome == ANSWERED {
-            crash_guard::record_served(&self.context, self.request.forwarded.digest);
+            crash_guard::record_served(&self.context, self.request.forwarded.digest.into());
+            if (200..300).contains(&status) {
+                self.record_parts_served();
+            }
         }
         let metrics = &self.context.metrics;
         metrics.responses.with_label_values(&[outcome]).inc();
@@ -391,8 +427,8 @@
     fn refuse(&mut self, error: &FinalError) -> http_server::HttpResponse {
         let (outcome, status) = match error {
             FinalError::NotRun(..) => ("refused", StatusCode::SERVICE_UNAVAILABLE),
-            FinalError::Held(_) => ("held", StatusCode::SERVICE_UNAVAILABLE),
-            FinalError::Suspected(_) => ("suspected", StatusCode::SERVICE_UNAVAILABLE),
+            FinalError::Held(..) => ("held", StatusCode::SERVICE_UNAVAILABLE),
+            FinalError::Suspected(..) => ("suspected", StatusCode::SERVICE_UNAVAILABLE),
             FinalError::NotResumed(..) => ("not_resumed", StatusCode::SERVICE_UNAVAILABLE),
             FinalError::Failed(_) => ("failed", StatusCode::BAD_GATEWAY),
             FinalError::Late => ("late", StatusCode::GATEWAY_TIMEOUT),
@@ -414,8 +450,14 @@
             response.insert_header((header::RETRY_AFTER, format!("{:.3}", delay.as_secs_f64())));
         }
         let body = match error {
-            FinalError::Held(_) => QUARANTINED_BODY.to_owned(),
-            FinalError::Suspected(_) => SUSPECTED_BODY.to_owned(),
+            FinalError::Held(subject, _) => match subject.is_part() {
+                true => QUARANTINED_PART_BODY.to_owned(),
+                false => QUARANTINED_BODY.to_owned(),
+            },
+            FinalError::Suspected(subject, _) => match subject.is_part() {
+                true => SUSPECTED_PART_BODY.to_owned(),
+                false => SUSPECTED_BODY.to_owned(),
+            },
             FinalError::NotResumed(denial, _) => format!("not resumed: {denial}\n"),
             _ => outcome.to_owned(),
         };
@@ -435,7 +477,10 @@
         let why = match error {
             FinalError::NotRun(_, why) => why.clone(),
             FinalError::NotResumed(denial, _) => denial.to_string(),
-            _ => "endpoints crashed under this request".to_owned(),
+            FinalError::Held(subject, _) | FinalError::Suspected(subject, _) => {
+                format!("endpoints crashed under {} {subject}", subject.kind())
+            }
+            FinalError::Failed(_) | FinalError::Late => "it may have run".to_owned(),
         };
         format!(
             "route={} left_ms={} not_run={} why=\"{why}\"",
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -228,7 +228,6 @@
                 return None;
             }
         };
-        let id = found.slot.endpoint.id.clone();
         let mut sent = self.start(found.slot, Some(opened));
         let timeout = HANDOFF_TIMEOUT.min(self.time_left());
         let result = tokio::time::timeout(timeout, &mut sent.sending).await;
@@ -240,7 +239,7 @@
             Ok(outcome) => sent.sending = future::ready(outcome).boxed_local(),
             Err(_) => {}
         }
-        self.log.record_start(&id);
+        self.log.record_start(&sent.slot);
         Some(sent)
     }
 
--- a/src/serving/trial_state.rs
+++ b/src/serving/trial_state.rs
@@ -11,48 +11,51 @@
 #[derive(Default)]
 pub(super) struct TrialState {
     /// Requests whose trial is being claimed.
-    claiming: cell::RefCell<collections::HashSet<ids::RequestDigest>>,
+    claiming: cell::RefCell<collections::HashSet<ids::CrashSubject>>,
     /// Granted trials of items that wait for a slot, with their expiry.
-    granted: cell::RefCell<collections::HashMap<ids::RequestDigest, clock::MonotonicTime>>,
+    granted: cell::RefCell<collections::HashMap<ids::CrashSubject, clock::MonotonicTime>>,
     /// Notified when a request is cleared or suspected.
     pub(super) changed: tokio::sync::Notify,
 }
 
 impl TrialState {
     /// Records that a trial is being claimed; returns whether it was not before.
-    pub(super) fn begin_claim(&self, digest: ids::RequestDigest) -> bool {
-        self.claiming.borrow_mut().insert(digest)
+    pub(super) fn begin_claim(&self, subject: ids::CrashSubject) -> bool {
+        self.claiming.borrow_mut().insert(subject)
     }
 
-    pub(super) fn end_claim(&self, digest: ids::RequestDigest) {
-        self.claiming.borrow_mut().remove(&digest);
+    pub(super) fn end_claim(&self, subject: ids::CrashSubject) {
+        self.claiming.borrow_mut().remove(&subject);
     }
 
     /// Keeps a granted trial for an item until the item gets a slot.
-    pub(super) fn keep_for_item(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) {
+    pub(super) fn keep_for_item(&self, subject: ids::CrashSubject, now: clock::MonotonicTime) {
         self.granted
             .borrow_mut()
-            .insert(digest, now + ITEM_GRANT_TTL);
+            .insert(subject, now + ITEM_GRANT_TTL);
     }
 
     /// Returns whether an item may run as a trial.
-    pub(super) fn is_granted(&self, digest: ids::RequestDigest, now: clock::MonotonicTime) -> bool {
+    pub(super) fn is_granted(&self, subject: ids::CrashSubject, now: clock::MonotonicTime) -> bool {
         let granted = self.granted.borrow();
-        granted.get(&digest).is_some_and(|expiry| now < *expiry)
+        granted.get(&subject).is_some_and(|expiry| now < *expiry)
     }
 
-    /// Uses up the granted trial of an item that begins to run.
-    pub(super) fn begin_item(&self, digest: ids::RequestDigest) {
-        if self.granted.borrow_mut().remove(&digest).is_some() {
-            log::info!("event=trial_begun request=- digest={digest}");
+    /// Uses up the granted trials of an item that begins to run.
+    pub(super) fn begin_item(&self, subjects: &[ids::CrashSubject]) {
+        let mut granted = self.granted.borrow_mut();
+        for subject in subjects {
+            if granted.remove(subject).is_some() {
+                log::info!("event=trial_begun request=- digest={subject}");
+            }
         }
     }
 
     /// Takes the granted trials of items that got no slot in time.
-    pub(super) fn take_expired(&self, now: clock::MonotonicTime) -> Vec<ids::RequestDigest> {
+    pub(super) fn take_expired(&self, now: clock::MonotonicTime) -> Vec<ids::CrashSubject> {
         let mut granted = self.granted.borrow_mut();
         let expired = granted.iter().filter(|(_, expiry)| **expiry <= now);
-        let expired: Vec<_> = expired.map(|(digest, _)| *digest).collect();
+        let expired: Vec<_> = expired.map(|(subject, _)| *subject).collect();
         granted.retain(|_, expiry| now < *expiry);
         expired
     }
--- a/tests/crash_ledger.rs
+++ b/tests/crash_ledger.rs
@@ -19,8 +19,8 @@
     clock::MonotonicTime(seconds * 1_000_000)
 }
 
-fn digest(name: &str) -> ids::RequestDigest {
-    ids::RequestDigest::of("POST", "users.example", name, b"q")
+fn digest(name: &str) -> ids::CrashSubject {
+    ids::RequestDigest::of("POST", "users.example", name, b"q").into()
 }
 
 fn endpoint(number: u64) -> ids::EndpointRun {
@@ -40,7 +40,7 @@
 /// Records that an endpoint crashed during a request that was sent one second earlier.
 fn crash(ledger: &mut CrashLedger, name: &str, number: u64, second: u64) -> CrashOutcome {
     let run = CrashedRun {
-        digest: digest(name),
+        subject: digest(name),
         endpoint: endpoint(number),
         sent_at: at(second - 1),
     };
@@ -79,7 +79,7 @@
 fn one_crash_of_an_endpoint_counts_once() {
     let mut ledger = crashed("x", 1);
     let run = CrashedRun {
-        digest: digest("x"),
+        subject: digest("x"),
         endpoint: endpoint(1),
         sent_at: at(0),
     };
@@ -115,7 +115,7 @@
 fn request_sent_to_a_crashed_endpoint_is_not_suspected() {
     let mut ledger = crashed("x", 1);
     let sent = |name: &str, micros: u64| CrashedRun {
-        digest: digest(name),
+        subject: digest(name),
         endpoint: endpoint(1),
         sent_at: clock::MonotonicTime(1_000_000 + micros),
     };
@@ -139,7 +139,7 @@
 fn start_after_a_known_crash_is_no_crash_of_a_later_run() {
     let ledger = crashed("x", 1);
     let sent = |name: &str, number: u64, second: u64| CrashedRun {
-        digest: digest(name),
+        subject: digest(name),
         endpoint: endpoint(number),
         sent_at: at(second),
     };
@@ -340,7 +340,7 @@
     let [left, right] =
         [("ab", "c"), ("a", "bc")].map(|(host, uri)| ids::RequestDigest::of("GET", host, uri, b""));
     assert_ne!(left, right);
-    assert!("zz".parse::<ids::RequestDigest>().is_err());
+    assert!("zz".parse::<ids::CrashSubject>().is_err());
 }
 
 /// Generates an update with a subset of a request's crashes; endpoint `n` crashed in second
@@ -355,7 +355,7 @@
             false => collections::BTreeSet::new(),
         };
         CrashUpdate {
-            digest: digest(["x", "y", "z"][name]),
+            subject: digest(["x", "y", "z"][name]),
             crashes,
             cleared,
             age: time::Duration::from_secs(200 - last),
--- a/tests/crash_trials.rs
+++ b/tests/crash_trials.rs
@@ -16,14 +16,14 @@
     clock::MonotonicTime(seconds * 1_000_000)
 }
 
-fn digest(name: &str) -> ids::RequestDigest {
-    ids::RequestDigest::of("POST", "users.example", name, b"q")
+fn digest(name: &str) -> ids::CrashSubject {
+    ids::RequestDigest::of("POST", "users.example", name, b"q").into()
 }
 
 /// Records that an endpoint crashed during a request that was sent in the same second.
 fn crash(ledger: &mut CrashLedger, name: &str, number: u64, second: u64) {
     let run = CrashedRun {
-        digest: digest(name),
+        subject: digest(name),
         endpoint: ids::EndpointRun {
             endpoint: format!("e{number}").parse().expect("the name is valid"),
             started: Some(ids::StartTime(number)),
@@ -132,7 +132,7 @@
     // A run that was sent before the trial began tells nothing about the trial either.
     let trial = start_trial(&mut ledger, "popular", 1);
     let early = CrashedRun {
-        digest: digest("popular"),
+        subject: digest("popular"),
         endpoint: ids::EndpointRun {
             endpoint: "e13".parse().expect("the name is valid"),
             started: None,
