fix(serving): a response of HTTP/1.0 without a length ends with its connection

Seen: of an endpoint that answers with the status line of HTTP/1.0 and neither a length nor chunks, a plain response became a 502, and a stream was cut after its last event.

Cause: the codec of the HTTP library frames such a body by itself, without an end, so the orderly close of the connection counted as a truncation.

Change: a body is framed by the codec only if its head has a length or a transfer encoding. Two cases of an_unframed_response_is_whole failed before; the others, with the status line of HTTP/1.1, passed.

--- a/src/serving/connection.rs
+++ b/src/serving/connection.rs
@@ -202,10 +202,13 @@
 fn framing_of(head: &actix_http::ResponseHead, codec: h1::ClientCodec) -> BodyFraming {
     use actix_http::header;
 
-    if codec.message_type() != h1::MessageType::None {
+    let headers = head.headers();
+    // Of an HTTP/1.0 response the codec knows no end, so its connection tells it.
+    let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    if is_delimited && codec.message_type() != h1::MessageType::None {
         return BodyFraming::Framed(codec.into_payload_codec());
     }
-    let headers = head.headers();
     let is_empty = head.status == StatusCode::NO_CONTENT
         || head.status == StatusCode::NOT_MODIFIED
         || headers.contains_key(header::CONTENT_LENGTH);
