fix(serving): a stream that ends with its connection before any event is no success

Seen: an endpoint that crashed in order, right after the head of a stream with neither length nor chunks, gave the caller an empty stream with status 200, and an item of a job the result "completed" with an empty text.

Cause: the end of such a stream is the end of its connection, and one without events counted as complete. No crash was looked for either.

Change: an empty stream that ends with its connection is truncated, and its endpoint is checked for a crash. Only a resumed stream may have no events left; its endpoint must still listen then. A stream that ends in order between two events cannot be told from a complete one and counts as such.

an_unframed_stream_without_events_is_no_success and the case "crashed" of the items failed before (status 200; output ""), and pass now.

--- a/src/serving/connection.rs
+++ b/src/serving/connection.rs
@@ -65,6 +65,8 @@
     connection: EndpointConnection,
     framing: BodyFraming,
     keep_alive: bool,
+    /// Whether the end of the body is the end of the connection.
+    is_until_close: bool,
 }
 
 /// Initial size of the read buffer, in bytes.
@@ -118,6 +120,7 @@
         Ok(IncomingResponse {
             head,
             connection: self,
+            is_until_close: matches!(framing, BodyFraming::UntilClose),
             framing,
             keep_alive,
         })
@@ -220,6 +223,12 @@
 }
 
 impl IncomingResponse {
+    /// Returns whether the body ends with its connection, so that an endpoint that stopped
+    /// midway may look as if it had finished.
+    pub fn is_until_close(&self) -> bool {
+        self.is_until_close
+    }
+
     /// Returns the next bytes of the body, or `None` at its end.
     ///
     /// # Errors
--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -101,6 +101,18 @@
     }
 }
 
+/// Returns whether a stream that brought no event is complete.
+///
+/// One that ends with its connection may be that of an endpoint that crashed. Only a resumed
+/// stream may have no events left, from an endpoint that still listens.
+pub(super) async fn is_empty_stream_complete(
+    incoming: &connection::IncomingResponse,
+    endpoint: &directory::EndpointEntry,
+    is_resumed: bool,
+) -> bool {
+    !incoming.is_until_close() || (is_resumed && has_listener(endpoint).await)
+}
+
 /// Returns whether a process may be listening at an endpoint's address.
 async fn has_listener(endpoint: &directory::EndpointEntry) -> bool {
     for probe in 1..=PROBE_COUNT {
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -7,7 +7,7 @@
 use futures::stream;
 
 use super::{
-    attempt_flow, connection, crash_guard, directory, event_split, origin_exchange,
+    attempt_flow, connection, crash_guard, crash_watch, directory, event_split, origin_exchange,
     relay::{FinalError, RequestRelay, ServedResponse, ANSWERED},
     response_copy,
     slow_attempt::{self, Waited},
@@ -61,6 +61,19 @@
                     continue;
                 }
             };
+            let is_resumed = self.last_event.is_some();
+            let incoming = &responding.open.incoming;
+            let endpoint = &responding.slot.endpoint;
+            let first = match first {
+                EventResult::Finished
+                    if !crash_watch::is_empty_stream_complete(incoming, endpoint, is_resumed)
+                        .await =>
+                {
+                    EventResult::Truncated("the connection ended before the first event".into())
+                }
+                first => first,
+            };
+            let slot = &responding.slot;
             let first = match first {
                 EventResult::Event(event) => {
                     slot.record_event();
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -296,6 +296,13 @@
                 Err(_) => return RunEnd::Cut("no event arrived within the timeout".into()),
             }
         }
+        let is_resumed = resume_after.is_some();
+        let is_empty = events == 0;
+        if is_empty
+            && !crash_watch::is_empty_stream_complete(&incoming, &self.endpoint, is_resumed).await
+        {
+            return RunEnd::Cut("the connection ended before the first event".into());
+        }
         if let Some(connection) = incoming.into_connection() {
             self.context.pool.put(connection, idle_limit);
         }
