fix(serving): new connections beyond the limit are not kept waiting

Seen: with 100 connections that callers had opened before and kept open, new ones were neither read nor closed: 36 of 300 first tries got nothing within a second, though another gateway would have served them.

Cause: at its limit of connections a gateway stopped to accept. What waited in the kernel's backlog could not know, and an idle connection kept its place for 20 s.

Change: the connection that has been idle for longest gives way to a new one, if that was for a second at least. Where none is idle, the new one is accepted and closed unread, so that its caller turns to another gateway. A connection with an active request, or with bytes that its caller has not read, never gives way. Metric jayhollow_refused_connections_total, log connections_refused.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -77,6 +77,8 @@
     pub bundle_generation: prometheus::IntGauge,
     /// Version of the active desired state.
     pub state_version: prometheus::IntGauge,
+    /// Connections of callers that were closed unread, by reason.
+    pub refused_connections: prometheus::IntCounterVec,
     /// Requests rejected because of their key or workspace limit, by reason.
     pub rejected: prometheus::IntCounterVec,
     /// Requests that were held at the start of this process, by outcome.
@@ -255,6 +257,12 @@
                 "Broken invariants",
                 "name",
             ),
+            refused_connections: counters(
+                r,
+                "jayhollow_refused_connections_total",
+                "Connections of callers that were closed unread, by reason",
+                "reason",
+            ),
             rejected: counters(
                 r,
                 "jayhollow_rejected_requests_total",
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -6,8 +6,8 @@
 use futures::future;
 
 use super::{
-    attempt, caller_memory, context, job_calls, readiness_gate, refusals, relay, request_admission,
-    route_table, wire,
+    attempt, caller_connections, caller_memory, context, job_calls, readiness_gate, refusals,
+    relay, request_admission, route_table, wire,
 };
 use crate::{clock, decisions::caller_budget, http_server, ids};
 
@@ -39,6 +39,8 @@
     ) -> future::LocalBoxFuture<'static, http_server::HttpResponse> {
         let (context, gate) = (self.context.clone(), self.gate.clone());
         let arrived = clock::BootInstant::now();
+        let connection = request.conn_data::<rc::Rc<caller_connections::ConnectionActivity>>();
+        let activity = connection.map(caller_connections::RequestActivity::begin);
         Box::pin(async move {
             let active = relay::ActiveRequest::begin(&context);
             let terms = context.wire.caller_terms(request.head().headers());
@@ -57,7 +59,10 @@
                     .head_mut()
                     .set_connection_type(actix_http::ConnectionType::Close);
             }
-            response
+            match activity {
+                Some(activity) => activity.hold_in(response),
+                None => response,
+            }
         })
     }
 }
--- a/src/serving/caller_socket.rs
+++ b/src/serving/caller_socket.rs
@@ -4,7 +4,7 @@
 
 use tokio::{io as tokio_io, net};
 
-use super::caller_memory;
+use super::{caller_connections, caller_memory};
 
 /// A caller's connection, counted in `waiting` while the kernel has not accepted all bytes
 /// written to it.
@@ -16,6 +16,7 @@
     is_waiting: bool,
     /// Bytes held by the write buffer.
     account: caller_memory::ConnectionAccount,
+    activity: rc::Rc<caller_connections::ConnectionActivity>,
 }
 
 impl CallerSocket {
@@ -24,6 +25,7 @@
         socket: net::TcpStream,
         waiting: rc::Rc<cell::Cell<usize>>,
         memory: &rc::Rc<caller_memory::CallerMemory>,
+        activity: rc::Rc<caller_connections::ConnectionActivity>,
     ) -> Self {
         let account = caller_memory::HeldBytes::none(memory, None);
         Self {
@@ -31,9 +33,15 @@
             waiting,
             is_waiting: false,
             account: rc::Rc::new(cell::RefCell::new(account)),
+            activity,
         }
     }
 
+    /// Returns what the caller does on the connection.
+    pub(super) fn activity(&self) -> rc::Rc<caller_connections::ConnectionActivity> {
+        self.activity.clone()
+    }
+
     /// Returns the account of the bytes that the write buffer holds.
     pub(super) fn account(&self) -> caller_memory::ConnectionAccount {
         self.account.clone()
@@ -56,6 +64,7 @@
         let was_waiting = std::mem::replace(&mut self.is_waiting, is_waiting);
         let others = self.waiting.get() - usize::from(was_waiting);
         self.waiting.set(others + usize::from(is_waiting));
+        self.activity.set_unsent(is_waiting);
     }
 }
 
@@ -71,7 +80,11 @@
         context: &mut task::Context<'_>,
         buffer: &mut tokio_io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.socket).poll_read(context, buffer)
+        let read = pin::Pin::new(&mut self.socket).poll_read(context, buffer);
+        if read.is_ready() {
+            self.activity.record_use();
+        }
+        read
     }
 }
 
@@ -88,6 +101,7 @@
             // The caller has disconnected.
             task::Poll::Ready(Err(_)) => false,
         };
+        self.activity.record_use();
         self.set_waiting(is_waiting);
         self.count_buffer(bytes.len(), is_waiting);
         written
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -1,11 +1,14 @@
 //! The listener for callers: one task per connection, limited in number.
 
-use std::{cell, convert, io, net, rc, time};
+use std::{convert, io, net, rc, time};
 
 use actix_http::error::{DispatchError, ParseError};
 use actix_service::{Service as _, ServiceFactory as _};
 
-use super::{caller_handler, caller_memory, caller_socket, context, refusals};
+use super::{
+    caller_connections, caller_handler, caller_memory, caller_socket, connection_gate, context,
+    refusals,
+};
 use crate::{decisions::caller_budget, protection};
 
 /// Delay after a failed accept, such as one without free descriptors.
@@ -50,19 +53,6 @@
     }
 }
 
-/// Guard that counts an open connection until it is dropped.
-struct OpenConnection {
-    count: rc::Rc<cell::Cell<usize>>,
-    closed: rc::Rc<tokio::sync::Notify>,
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.count.set(self.count.get() - 1);
-        self.closed.notify_one();
-    }
-}
-
 /// Starts to serve callers if the process has an address for them.
 ///
 /// # Errors
@@ -88,6 +78,7 @@
             .on_connect_ext(|socket: &caller_socket::CallerSocket, data| {
                 let account: caller_memory::ConnectionAccount = socket.account();
                 data.insert(account);
+                data.insert(socket.activity());
             })
             .finish(move |request: actix_http::Request| {
                 let response = handler.handle(request);
@@ -97,11 +88,13 @@
             Ok(service) => rc::Rc::new(service),
             Err(()) => return log::error!("event=callers_not_served address={address}"),
         };
-        accept_callers(&listener, max_connections, |socket| {
+        let gate = connection_gate::ConnectionGate::new(&metrics_context, max_connections);
+        accept_callers(&listener, &gate, |socket, activity| {
             let service = service.clone();
             let context = metrics_context.clone();
+            let memory = &context.caller_memory;
             let socket =
-                caller_socket::CallerSocket::new(socket, waiting.clone(), &context.caller_memory);
+                caller_socket::CallerSocket::new(socket, waiting.clone(), memory, activity);
             async move {
                 let call = service.call((socket, actix_http::Protocol::Http1, None));
                 if let Err(e) = call.await {
@@ -117,36 +110,31 @@
     Ok(())
 }
 
-/// Accepts callers; those beyond `max_connections` wait in the kernel's backlog.
+/// Accepts callers; closes the connections at once that the gate refuses, so that their callers
+/// turn to another gateway.
 async fn accept_callers<F>(
     listener: &tokio::net::TcpListener,
-    max_connections: usize,
-    serve: impl Fn(tokio::net::TcpStream) -> F,
+    gate: &connection_gate::ConnectionGate,
+    serve: impl Fn(tokio::net::TcpStream, rc::Rc<caller_connections::ConnectionActivity>) -> F,
 ) where
     F: std::future::Future<Output = ()> + 'static,
 {
-    let count = rc::Rc::new(cell::Cell::new(0_usize));
-    let closed = rc::Rc::new(tokio::sync::Notify::new());
     loop {
-        if count.get() >= max_connections {
-            closed.notified().await;
-            continue;
-        }
         let Some(socket) = accept(listener).await else {
             continue;
         };
+        let Some(connection) = gate.admit() else {
+            continue;
+        };
         if let Err(e) = socket.set_nodelay(true) {
             log::debug!("event=caller_socket why=\"{e}\"");
         }
-        count.set(count.get() + 1);
-        let guard = OpenConnection {
-            count: count.clone(),
-            closed: closed.clone(),
-        };
-        let serving = serve(socket);
+        let serving = serve(socket, connection.activity.clone());
         actix_rt::spawn(async move {
-            serving.await;
-            drop(guard);
+            tokio::select! {
+                () = serving => {}
+                () = connection.activity.closed() => {}
+            }
         });
     }
 }
