fix(serving): a gateway that falls behind closes new connections unread

Suspected, by reading: nothing bounds what a gateway reads while most new connections of a zone come to it. An instance with an eighth of a core reads more requests than it can serve, and all of them are late; closed unread, they would be served by another gateway.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -10,6 +10,7 @@
 pub mod caller_budget;
 pub mod chunk;
 pub mod cold_start;
+pub mod connection_shedding;
 pub mod crash_ledger;
 mod crash_record;
 pub mod endpoint_backoff;
--- a/src/serving/connection_gate.rs
+++ b/src/serving/connection_gate.rs
@@ -2,8 +2,8 @@
 
 use std::{cell, rc, time};
 
-use super::{caller_connections, context};
-use crate::clock;
+use super::{caller_connections, context, loop_delay};
+use crate::{clock, decisions::connection_shedding};
 
 /// Interval between two log lines about refused connections.
 const LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -13,31 +13,38 @@
 enum RefusalReason {
     /// The limit is reached, and no connection is idle.
     Limit,
+    /// The process falls behind.
+    Overload,
 }
 
 impl RefusalReason {
     fn label(self) -> &'static str {
         match self {
             Self::Limit => "limit",
+            Self::Overload => "overload",
         }
     }
 }
 
-/// Admits new connections up to a limit.
+/// Admits new connections up to a limit, and fewer while the process falls behind.
 pub(super) struct ConnectionGate {
     context: rc::Rc<context::ProcessContext>,
     table: rc::Rc<caller_connections::ConnectionTable>,
+    shedding: rc::Rc<cell::RefCell<connection_shedding::ConnectionShedding>>,
     /// Refusals since the last log line, and when that was written.
     refused: cell::Cell<u64>,
     logged_at: cell::Cell<Option<clock::MonotonicTime>>,
 }
 
 impl ConnectionGate {
-    /// Creates a gate for so many connections.
-    pub(super) fn new(context: &rc::Rc<context::ProcessContext>, limit: usize) -> Self {
+    /// Creates a gate, and starts to sample by how much the process falls behind.
+    pub(super) fn start(context: &rc::Rc<context::ProcessContext>, limit: usize) -> Self {
+        let shedding = rc::Rc::default();
+        actix_rt::spawn(sample_delay(context.clone(), rc::Rc::downgrade(&shedding)));
         Self {
             context: context.clone(),
             table: caller_connections::ConnectionTable::new(limit),
+            shedding,
             refused: cell::Cell::new(0),
             logged_at: cell::Cell::new(None),
         }
@@ -45,6 +52,10 @@
 
     /// Returns the place of a new connection, or `None` if it is refused.
     pub(super) fn admit(&self) -> Option<caller_connections::OpenConnection> {
+        if self.shedding.borrow().refuses(rand::random()) {
+            self.record_refusal(RefusalReason::Overload);
+            return None;
+        }
         let opened = self.table.open();
         if opened.is_none() {
             self.record_refusal(RefusalReason::Limit);
@@ -63,9 +74,23 @@
         }
         self.logged_at.set(Some(now));
         log::info!(
-            "event=connections_refused count={} reason={}",
+            "event=connections_refused count={} reason={} share={:.2}",
             self.refused.replace(0),
             reason.label(),
+            self.shedding.borrow().share(),
         );
     }
 }
+
+/// Samples the delay of the event loop until the gate is dropped.
+async fn sample_delay(
+    context: rc::Rc<context::ProcessContext>,
+    shedding: rc::Weak<cell::RefCell<connection_shedding::ConnectionShedding>>,
+) {
+    while let Some(shedding) = shedding.upgrade() {
+        let interval = connection_shedding::SAMPLE_INTERVAL;
+        let wakeup = loop_delay::ExpectedWakeup::after(&context, interval);
+        actix_rt::time::sleep(interval).await;
+        shedding.borrow_mut().record_delay(wakeup.delay(&context));
+    }
+}
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -88,7 +88,7 @@
             Ok(service) => rc::Rc::new(service),
             Err(()) => return log::error!("event=callers_not_served address={address}"),
         };
-        let gate = connection_gate::ConnectionGate::new(&metrics_context, max_connections);
+        let gate = connection_gate::ConnectionGate::start(&metrics_context, max_connections);
         accept_callers(&listener, &gate, |socket, activity| {
             let service = service.clone();
             let context = metrics_context.clone();
--- a/src/serving/loop_delay.rs
+++ b/src/serving/loop_delay.rs
@@ -21,9 +21,14 @@
         }
     }
 
+    /// Returns by how much the wake-up is late.
+    pub(super) fn delay(&self, context: &context::ProcessContext) -> time::Duration {
+        context.clock.now().since(self.due_at)
+    }
+
     /// Logs and counts by how much the wake-up is late, if that is long.
     pub(super) fn report(&self, context: &context::ProcessContext) {
-        let delay = context.clock.now().since(self.due_at);
+        let delay = self.delay(context);
         if delay < MIN_REPORTED {
             return;
         }
