fix(jobs): one item runs as the trial of a prompt part

Seen: of 20 items with a part that crashes endpoints, 20 more runs reached endpoints later than three seconds after the fifth crash; three are allowed.

Cause: a granted trial was kept for its subject, and all items that share the part passed as that trial at once. A trial whose item did not run was not returned either, so the next one waited for its timeout.

--- a/src/serving/crash_trials.rs
+++ b/src/serving/crash_trials.rs
@@ -146,23 +146,27 @@
     let Some((subject, trial_delay)) = context.crashes.main_suspect(subjects, now) else {
         return CrashVerdict::Allowed;
     };
-    if context.crashes.trials.is_granted(subject, now) {
+    if context.crashes.trials.is_granted(subject, id, now) {
         return CrashVerdict::Trial;
     }
     if trial_delay.is_zero() {
-        actix_rt::spawn(claim_for_item(context.clone(), subject));
+        actix_rt::spawn(claim_for_item(context.clone(), subject, id.to_owned()));
         return CrashVerdict::Quarantined(CLAIM_INTERVAL);
     }
     log_refusal(subject, id, "quarantined", trial_delay);
     CrashVerdict::Quarantined(trial_delay)
 }
 
-async fn claim_for_item(context: rc::Rc<context::ProcessContext>, subject: ids::CrashSubject) {
+async fn claim_for_item(
+    context: rc::Rc<context::ProcessContext>,
+    subject: ids::CrashSubject,
+    item: String,
+) {
     if let Some(trial) = claim(&context, subject).await {
         // Returned by `expire` if the item gets no slot.
         trial.set_run(true);
         let trials = &context.crashes.trials;
-        trials.keep_for_item(subject, context.clock.now());
+        trials.keep_for_item(subject, &item, context.clock.now());
         context.jobs.work.notify_one();
     }
 }
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -5,8 +5,8 @@
 use futures::future;
 
 use super::{
-    attempt, connection, context, crash_guard, crash_watch, directory, endpoint_records,
-    endpoint_reports, event_split, job_table, open_job, peers, wire,
+    attempt, connection, context, crash_guard, crash_trials, crash_watch, directory,
+    endpoint_records, endpoint_reports, event_split, job_table, open_job, peers, wire,
 };
 use crate::{
     clock,
@@ -80,7 +80,7 @@
         self.job.borrow_mut().streams.insert(key.clone());
         let before = self.last_event();
         let started_at = self.context.clock.now();
-        self.context.crashes.trials.begin_item(&self.subjects());
+        let trial = self.begin_trial();
         let end = {
             let work = self.stream(started_at);
             futures::pin_mut!(work);
@@ -101,6 +101,11 @@
                     crash_guard::record_parts_served(&self.context, &parts, started_at);
                 }
             }
+            RunEnd::NotRun(_) | RunEnd::Preempted if self.last_event() == before => {
+                if let Some(subject) = trial {
+                    crash_trials::return_trial(&self.context, subject);
+                }
+            }
             RunEnd::Cut(_) | RunEnd::NotRun(_) | RunEnd::Preempted => {}
         }
         self.record_hold_time(started.elapsed(), &end);
@@ -114,6 +119,15 @@
         item_parts(&self.context, &job.record.items[self.index])
     }
 
+    /// Uses up the trial that was granted to the item, if there is one; returns what it decides
+    /// about.
+    fn begin_trial(&self) -> Option<ids::CrashSubject> {
+        let subjects = self.subjects();
+        let job = self.job.borrow();
+        let item = &job.record.items[self.index].id;
+        self.context.crashes.trials.begin_item(&subjects, item)
+    }
+
     /// Returns what crashes during the item may be attributed to.
     fn subjects(&self) -> Vec<ids::CrashSubject> {
         attempt::crash_subjects(self.digest(), &self.parts())
