fix(serving): a served part is not held back by the trial that it passed

Seen: by reading. An owner that learned that a part is cleared kept the window of its trial, so that a part that was suspected again waited up to two seconds for its next trial, and sound requests with it.

Change: a record of which no crash counts has no trial under way. Beside it, a gateway without any dispatcher in reach reads what is quarantined from the store once it sees a crash: it may be cut off from those who know.

No test shows either; those of the ledger pass as before.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -1,4 +1,4 @@
-//! Tracking of requests that crash endpoints, and their quarantine.
+//! Tracking of requests, and of parts of prompts, that crash endpoints, and their quarantine.
 //!
 //! A request that runs on an endpoint when it crashes is not necessarily the cause. What
 //! happens to the request on other endpoints decides: one that is served somewhere does not
@@ -8,6 +8,9 @@
 //! Many crashes alone do not convict a request: a frequent one is in flight wherever an
 //! endpoint crashes. It is suspected then, and its next run is a trial; the quarantine is
 //! long only after a trial has failed. Crashes that another request explains do not count.
+//!
+//! A part is judged in the same way, by its crashes since it was last served: see
+//! `subject_policy`.
 
 use std::{collections, fmt, num, time};
 
--- a/src/decisions/crash_record.rs
+++ b/src/decisions/crash_record.rs
@@ -1,6 +1,6 @@
-//! Crash record of one request, and how it is exchanged between processes.
+//! Crash record of one subject, and how it is exchanged between processes.
 //!
-//! The crashes of a request form a grow-only set, and so do those that were cleared and those
+//! The crashes of a subject form a grow-only set, and so do those that were cleared and those
 //! that ended a trial. Sets of two processes are merged in any order and any number of times,
 //! so a crash that one process has cleared is not restored by an update from another.
 
@@ -290,6 +290,9 @@
             self.crashes.entry(id.clone()).or_insert(now);
         }
         self.cleared.extend(update.cleared);
+        if self.count() == 0 {
+            self.trial = None;
+        }
     }
 
     /// Merges failed trials that another process has seen; returns whether any was unknown.
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -1,9 +1,10 @@
-//! Quarantines requests that crash one endpoint after another, across all processes.
+//! Quarantines requests, and parts of prompts, that crash one endpoint after another, across all
+//! processes.
 //!
 //! A process that sees an endpoint end during a request notifies the owners at once. The
 //! other processes pull the update from them after a probe, within a quarter of a second.
-//! Quarantined requests are also recorded in the store, so that they outlive a restart of
-//! all processes; the records are read at the start.
+//! What is quarantined is also recorded in the store, so that it outlives a restart of all
+//! processes; the records are read at the start.
 
 use std::{cell, collections, net, rc, time};
 
@@ -71,6 +72,8 @@
     pub(super) trials: trial_state::TrialState,
     /// Requests whose records are being written to the store.
     saving: cell::RefCell<collections::HashSet<ids::CrashSubject>>,
+    /// Whether the records are being read from the store after a crash.
+    is_reading: cell::Cell<bool>,
     /// Guard that allows one pull at a time.
     flight: single_flight::SingleFlight,
     /// Number of consecutive pulls that brought nothing new.
@@ -196,6 +199,7 @@
     let outcome = context.crashes.ledger.borrow_mut().record_crash(run, now);
     if let crash_ledger::CrashOutcome::Counted(count) = outcome {
         notify_owners(context, run.subject);
+        read_if_isolated(context);
         if count >= crash_ledger::MAX_CRASHES && context.crashes.is_recorded(run.subject) {
             actix_rt::spawn(save(context.clone(), run.subject));
         }
@@ -280,7 +284,8 @@
     // A process that has just started has not seen the request succeed and may blame it
     // wrongly; a process that has seen it exonerates it here.
     if context.crashes.ledger.borrow_mut().exonerate(subject, now) {
-        log::info!("event=request_cleared digest={subject} held={was_quarantined}");
+        let kind = subject.kind();
+        log::info!("event=request_cleared digest={subject} kind={kind} held={was_quarantined}");
         notify_owners(context, subject);
     }
     let is_quarantined = context.crashes.is_blamed(subject);
@@ -465,7 +470,8 @@
     }
 }
 
-/// Reads the records of quarantined requests from the store at the start.
+/// Reads the records of quarantined requests and parts from the store, at the start or while no
+/// dispatcher is in reach.
 ///
 /// Gateways pull them from dispatchers, and read the store only if there is no dispatcher.
 pub(super) async fn read_quarantined(context: rc::Rc<context::ProcessContext>) {
@@ -495,6 +501,22 @@
     }
 }
 
+/// Reads the records from the store if no dispatcher is in reach: what other processes know may
+/// be found nowhere else.
+fn read_if_isolated(context: &rc::Rc<context::ProcessContext>) {
+    let now = context.clock.now();
+    let is_gateway = context.options.member.role == members::MemberRole::Gateway;
+    let is_isolated = is_gateway && context.members.borrow().live_dispatchers(now).is_empty();
+    if !is_isolated || context.crashes.is_reading.replace(true) {
+        return;
+    }
+    let context = context.clone();
+    actix_rt::spawn(async move {
+        read_quarantined(context.clone()).await;
+        context.crashes.is_reading.set(false);
+    });
+}
+
 /// Applies a record of the store. An unreadable one is logged and skipped.
 fn apply_record(
     context: &rc::Rc<context::ProcessContext>,
--- a/src/serving/crash_trials.rs
+++ b/src/serving/crash_trials.rs
@@ -1,8 +1,8 @@
-//! Trials of requests that are suspected of crashing endpoints.
+//! Trials of requests, and of parts of prompts, that are suspected of crashing endpoints.
 //!
 //! A suspect runs once, and the outcome decides: it is cleared if it is served, and
-//! quarantined if its endpoint crashes as well. One owner, chosen by the subject of the
-//! request, grants the trial, so that of all processes only one runs it. Requests that
+//! quarantined if its endpoint crashes as well. One owner, chosen by the digest of the
+//! suspect, grants the trial, so that of all processes only one runs it. Requests that
 //! arrive meanwhile wait for the outcome for a short time.
 
 use std::{cell, rc, time};
