fix(serving): a part that is served again after its quarantine is free everywhere

Seen: by a test. A convicted part whose next trial is served, ten minutes after its last crash, stayed refused at the processes that did not run that trial.

Cause: a record without counted crashes is kept for two minutes after the last crash, which were long over, so the clearing was never shared with the others.

Change: retention counts from the clearing if that is later than the last crash.

a_part_that_stops_crashing_endpoints_is_served_again_after_its_next_trial failed before (the peer still wanted a trial) and passes now. Another new test, of both sides of a cut, passed before.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -460,7 +460,11 @@
         let record = self.records.entry(subject);
         let record = record.or_insert_with(|| CrashRecord::new(subject, now));
         let before = record.fingerprint(subject);
+        let cleared_count = record.cleared_count();
         let changed = change(record);
+        if record.cleared_count() > cleared_count {
+            record.record_clearing(now);
+        }
         record.expire(now);
         let after = record.fingerprint(subject);
         self.fingerprint = self.fingerprint.wrapping_sub(before).wrapping_add(after);
--- a/src/decisions/crash_record.rs
+++ b/src/decisions/crash_record.rs
@@ -131,6 +131,8 @@
     cleared: collections::BTreeSet<CrashId>,
     trials: collections::BTreeSet<CrashId>,
     last_crash: clock::MonotonicTime,
+    /// When this process learned of the last clearing.
+    cleared_at: clock::MonotonicTime,
     trial: Option<TrialWindow>,
     /// Whether the record is young enough to be sent to other processes.
     is_shared: bool,
@@ -144,6 +146,7 @@
             cleared: collections::BTreeSet::new(),
             trials: collections::BTreeSet::new(),
             last_crash: now,
+            cleared_at: clock::MonotonicTime::default(),
             trial: None,
             is_shared: true,
         }
@@ -187,9 +190,21 @@
         retention_of(self.policy, self.count())
     }
 
+    /// Returns the number of crashes that were cleared.
+    pub(super) fn cleared_count(&self) -> usize {
+        self.cleared.len()
+    }
+
+    /// Records when this process learned of a clearing.
+    pub(super) fn record_clearing(&mut self, now: clock::MonotonicTime) {
+        self.cleared_at = now;
+    }
+
     /// Updates whether the record is shared; returns whether it is still retained.
+    ///
+    /// A clearing may come long after the last crash, and must reach the other processes.
     pub(super) fn expire(&mut self, now: clock::MonotonicTime) -> bool {
-        let age = now.since(self.last_crash);
+        let age = now.since(self.last_crash.max(self.cleared_at));
         self.is_shared = age + SHARING_CUTOFF < self.retention();
         age < self.retention()
     }
--- a/tests/crash_parts.rs
+++ b/tests/crash_parts.rs
@@ -129,11 +129,6 @@
     let (mut blaming, mut serving) = (CrashLedger::default(), CrashLedger::default());
     crash_under(&mut blaming, &["first"]);
     serving.record_part_served(part("first"), at(2900), at(2950));
-    let transfer = |from: &CrashLedger, to: &mut CrashLedger, millis| {
-        for message in from.messages(at(millis)) {
-            to.merge_message(message, at(millis));
-        }
-    };
     transfer(&blaming, &mut serving, 3010);
     assert!(
         !serving.exonerate(subject("first"), at(3010)),
@@ -145,6 +140,69 @@
     assert!(!is_suspect(&blaming, "first"));
 }
 
+/// Moves all records of a ledger to another.
+fn transfer(from: &CrashLedger, to: &mut CrashLedger, millis: u64) {
+    for message in from.messages(at(millis)) {
+        to.merge_message(message, at(millis));
+    }
+}
+
+/// Guards against a part that stays refused after its endpoints were mended.
+#[test]
+fn a_part_that_stops_crashing_endpoints_is_served_again_after_its_next_trial() {
+    let (mut ledger, mut peer) = (CrashLedger::default(), CrashLedger::default());
+    crash_under(&mut ledger, &["bad"]);
+    let now = fail_trial(&mut ledger, &["bad"], 11, 3000);
+    let now = fail_trial(&mut ledger, &["bad"], 12, now);
+    transfer(&ledger, &mut peer, now);
+    assert!(peer.is_convicted(subject("bad")));
+    let delay = ledger
+        .trial_delay(subject("bad"), at(now))
+        .expect("it is a suspect");
+    assert!(
+        delay <= time::Duration::from_secs(600),
+        "the trial is due in {delay:?}"
+    );
+    let due = now + delay.as_millis() as u64;
+    assert_eq!(ledger.admit(subject("bad"), at(due)), CrashVerdict::Trial);
+    assert!(ledger.record_part_served(part("bad"), at(due + 1), at(due + 60)));
+    transfer(&ledger, &mut peer, due + 300);
+    for ledger in [&ledger, &peer] {
+        assert_eq!(
+            ledger.verdict(subject("bad"), at(due + 300)),
+            CrashVerdict::Allowed
+        );
+    }
+}
+
+/// Guards against trials that each side of a cut starts anew once the cut has healed.
+#[test]
+fn both_sides_of_a_cut_agree_on_a_part_once_it_has_healed() {
+    let mut sides = [CrashLedger::default(), CrashLedger::default()];
+    for (number, side) in sides.iter_mut().enumerate() {
+        for crashed in 1..=MAX_CRASHES as u64 {
+            let subjects = [request(&format!("r{number}-{crashed}")), subject("bad")];
+            crash(
+                side,
+                &subjects,
+                100 * number as u64 + crashed,
+                1000 * crashed,
+            );
+        }
+        fail_trial(side, &["bad"], 100 * number as u64 + 50, 3000);
+        assert!(!side.is_convicted(subject("bad")));
+    }
+    let [left, right] = &mut sides;
+    transfer(left, right, 3500);
+    transfer(right, left, 3500);
+    assert_eq!(left.fingerprint(), right.fingerprint());
+    for side in &mut sides {
+        assert!(side.is_convicted(subject("bad")));
+        let verdict = side.admit(subject("bad"), at(60_000));
+        assert!(matches!(verdict, CrashVerdict::Quarantined(_)));
+    }
+}
+
 #[test]
 fn a_trial_under_which_another_suspect_crashed_the_endpoint_convicts_nobody() {
     let mut ledger = CrashLedger::default();
