--- a/src/serving/caller_connections.rs
+++ b/src/serving/caller_connections.rs
@@ -1,4 +1,4 @@
-//! The open connections of callers: which are idle, and which one gives way to a new one.
+//! The open connections of callers: which are idle, and which one is evicted for a new one.
 
 use std::{cell, collections, pin, rc, task, time};
 
@@ -6,8 +6,8 @@
 
 use crate::clock;
 
-/// Time for which a connection must be idle to give way to a new one: what was written last has
-/// reached the caller by then, and its next request may still come.
+/// Minimum idle time before a connection is evicted: what was written last has reached the
+/// caller by then.
 const MIN_IDLE: time::Duration = time::Duration::from_secs(1);
 
 /// What a caller does on its connection.
@@ -121,7 +121,7 @@
     open: cell::RefCell<collections::HashMap<u64, rc::Rc<ConnectionActivity>>>,
 }
 
-/// An open connection; its place is free again on drop.
+/// An open connection; removed from the table on drop.
 pub(super) struct OpenConnection {
     table: rc::Rc<ConnectionTable>,
     number: u64,
@@ -145,7 +145,7 @@
         })
     }
 
-    /// Takes a place for a new connection, if there is one or an idle connection gives way.
+    /// Admits a new connection if the limit allows it or an idle connection can be evicted.
     pub(super) fn open(self: &rc::Rc<Self>) -> Option<OpenConnection> {
         let is_full = self.open.borrow().len() >= self.limit;
         if is_full && !self.close_idlest() {
--- a/src/serving/connection_gate.rs
+++ b/src/serving/connection_gate.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Returns the place of a new connection, or `None` if it is refused.
+    /// Admits a new connection; returns `None` if it is refused.
     pub(super) fn admit(&self) -> Option<caller_connections::OpenConnection> {
         if self.shedding.borrow().refuses(rand::random()) {
             self.record_refusal(RefusalReason::Overload);
