fix(serving): a store that turns away between two lists of members is missed

Cause, by the log of that run: the first list of members lacked the dispatcher's own record, so it was to be read again after 500 ms; the store refused that read and each later one. Members were known, so these failures did not count, and endpoints are first read after the members. No call was left that could tell that the store does not respond. Callers are harmed only where a process acts on that belief: it told its peers nothing false, as it did not count as a follower.

Change: until endpoints are read, a failed read of the members counts.

a_store_that_turns_away_between_two_lists_of_members_is_missed_at_once plays that order of events: failed before (30 s without a sign), passes now; all five tests of the file pass.

--- a/src/serving/member_sync.rs
+++ b/src/serving/member_sync.rs
@@ -104,10 +104,11 @@
                     "event=members_unread age_ms={} why=\"{e}\"",
                     context.age().as_millis()
                 );
-                if !context.members_known.get() && context.age() >= UNREACHABLE_AGE {
-                    context
-                        .fleet
-                        .apply(fleet_source::FleetUpdate::Reachable(false));
+                // A list that may be partial is read again before the first read of endpoints.
+                let is_probe = fleet.follows_store() && !fleet.has_start_source();
+                let is_first_sign = !context.members_known.get() || is_probe;
+                if is_first_sign && context.age() >= UNREACHABLE_AGE {
+                    fleet.apply(fleet_source::FleetUpdate::Reachable(false));
                 }
                 actix_rt::time::sleep(retry_delay).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
