fix(serving): a gateway short of processor time refuses new connections in time

Seen, by a new test over processes: a gateway with a tenth of a processor gets 600 new connections a second. Shedding had been tested on plain values only.

Cause, by the sampled delays: (1) the refused share grew by a fixed step for each late sample, but a loop that is late by 700 ms takes one sample in 800 ms; (2) one early sample reset it, and with a processor that is allotted in slices, early ones (3 ms) come between those of 300 ms; (3) connections that had been accepted before the share grew were still served, long after their callers had gone.

The checks on plain values are as before and pass: a single pause refuses nothing, and an overloaded gateway reads what it can serve.

--- a/src/serving/caller_connections.rs
+++ b/src/serving/caller_connections.rs
@@ -47,10 +47,15 @@
         self.closing.notified().await;
     }
 
+    /// Returns the time since bytes were last read or written, or since the connection opened.
+    pub(super) fn unused_time(&self) -> time::Duration {
+        self.used_at.get().elapsed()
+    }
+
     /// Returns for how long the connection has been idle; `None` for one at work.
     fn idle_time(&self) -> Option<time::Duration> {
         let is_idle = self.active.get() == 0 && !self.is_unsent.get();
-        is_idle.then(|| self.used_at.get().elapsed())
+        is_idle.then(|| self.unused_time())
     }
 }
 
--- a/src/serving/connection_gate.rs
+++ b/src/serving/connection_gate.rs
@@ -63,6 +63,16 @@
         opened
     }
 
+    /// Returns whether a connection that was not read yet is closed: it has waited for too long.
+    pub(super) fn is_overdue(&self, connection: &caller_connections::OpenConnection) -> bool {
+        let unread = connection.activity.unused_time();
+        let is_overdue = self.shedding.borrow().is_overdue(unread);
+        if is_overdue {
+            self.record_refusal(RefusalReason::Overload);
+        }
+        is_overdue
+    }
+
     fn record_refusal(&self, reason: RefusalReason) {
         let refused = &self.context.metrics.refused_connections;
         refused.with_label_values(&[reason.label()]).inc();
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -89,6 +89,7 @@
             Err(()) => return log::error!("event=callers_not_served address={address}"),
         };
         let gate = connection_gate::ConnectionGate::start(&metrics_context, max_connections);
+        let gate = rc::Rc::new(gate);
         accept_callers(&listener, &gate, |socket, activity| {
             let service = service.clone();
             let context = metrics_context.clone();
@@ -114,7 +115,7 @@
 /// turn to another gateway.
 async fn accept_callers<F>(
     listener: &tokio::net::TcpListener,
-    gate: &connection_gate::ConnectionGate,
+    gate: &rc::Rc<connection_gate::ConnectionGate>,
     serve: impl Fn(tokio::net::TcpStream, rc::Rc<caller_connections::ConnectionActivity>) -> F,
 ) where
     F: std::future::Future<Output = ()> + 'static,
@@ -130,7 +131,11 @@
             log::debug!("event=caller_socket why=\"{e}\"");
         }
         let serving = serve(socket, connection.activity.clone());
+        let gate = gate.clone();
         actix_rt::spawn(async move {
+            if gate.is_overdue(&connection) {
+                return;
+            }
             tokio::select! {
                 () = serving => {}
                 () = connection.activity.closed() => {}
--- a/tests/connection_shedding.rs
+++ b/tests/connection_shedding.rs
@@ -61,3 +61,17 @@
     }
     assert!(shedding.share() < 1.0 && !shedding.refuses(0.95));
 }
+
+#[test]
+fn an_unread_connection_is_closed_only_while_others_are_refused() {
+    let (early, late) = (
+        time::Duration::from_millis(100),
+        time::Duration::from_millis(600),
+    );
+    let mut shedding = ConnectionShedding::default();
+    assert!(!shedding.is_overdue(late));
+    for _ in 0..2 {
+        shedding.record_delay(time::Duration::from_millis(200));
+    }
+    assert!(shedding.is_overdue(late) && !shedding.is_overdue(early));
+}
