--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod ended_job_runs;
 mod ended_results;
 mod record;
+mod zero_weight;
 
 use std::{env, panic, path, process, time};
 
@@ -42,6 +43,7 @@
     });
     let outcome = panic::catch_unwind(panic::AssertUnwindSafe(|| match case.as_str() {
         "ended-job-runs" => Some(ended_job_runs::run(&record, has_trouble)),
+        "zero-weight" => Some(zero_weight::run(&record, has_trouble)),
         "ended-results" => Some(ended_results::run(&record, has_trouble)),
         _ => None,
     }));
