Review: a frozen owner wakes with an outdated copy (cases 1 and 3)

Case 1 now needs one freeze of a store machine instead of two planned stops; these stay beside it. Case 3: the same freeze beside online requests that leave no slot to batch work; the stale owner answers readers from a copy that lacks results that had been read.

--- /dev/null
+++ b/review/1/run-stops.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# The same fault by two planned stops of one store machine instead of a freeze.
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/release/jayhollow-review ended-results review/1
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,7 +5,9 @@
 
 mod ended_job_runs;
 mod ended_results;
+mod frozen_owner;
 mod record;
+mod stale_owner;
 mod zero_weight;
 
 use std::{env, panic, path, process, time};
@@ -44,6 +46,8 @@
     let outcome = panic::catch_unwind(panic::AssertUnwindSafe(|| match case.as_str() {
         "ended-job-runs" => Some(ended_job_runs::run(&record, has_trouble)),
         "zero-weight" => Some(zero_weight::run(&record, has_trouble)),
+        "frozen-owner" => Some(frozen_owner::run(&record, has_trouble)),
+        "stale-owner" => Some(stale_owner::run(&record, has_trouble)),
         "ended-results" => Some(ended_results::run(&record, has_trouble)),
         _ => None,
     }));
