--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 mod ended_job_runs;
 mod ended_results;
 mod frozen_owner;
+mod mixed_streams;
 mod record;
 mod stale_owner;
 mod zero_weight;
@@ -48,6 +49,7 @@
         "zero-weight" => Some(zero_weight::run(&record, has_trouble)),
         "frozen-owner" => Some(frozen_owner::run(&record, has_trouble)),
         "stale-owner" => Some(stale_owner::run(&record, has_trouble)),
+        "mixed-streams" => Some(mixed_streams::run(&record, has_trouble)),
         "ended-results" => Some(ended_results::run(&record, has_trouble)),
         _ => None,
     }));
