--- a/review/standins/src/frozen_owner.rs
+++ b/review/standins/src/frozen_owner.rs
@@ -39,6 +39,10 @@
             expected = results;
         }
     }
+    assert!(
+        expected.len() > before,
+        "more results came while the owner was frozen"
+    );
     let ended = Caller::call(system.front(1), "DELETE", &format!("/lots/{JOB}"), &[], "");
     record.line(&format!("DELETE /lots/{JOB} gateway=1 -> {}", ended.status));
     assert_eq!(ended.status, 200);
