--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -8,6 +8,7 @@
 mod frozen_owner;
 mod mixed_streams;
 mod record;
+mod report_front;
 mod stale_owner;
 mod zero_weight;
 
--- a/review/standins/src/mixed_streams.rs
+++ b/review/standins/src/mixed_streams.rs
@@ -1,11 +1,11 @@
 //! Streams are taken up again at another gateway just after a server has started again under its
 //! name with other software, which the list does not show yet.
 
-use std::{net, thread, time};
+use std::{net, sync::atomic::Ordering, thread, time};
 
-use jayhollow_testkit::Caller;
+use jayhollow_testkit::{Caller, System, ENGINES};
 
-use crate::{ended_results::start_with, record::Record, Verdict};
+use crate::{ended_results::start_with, record::Record, report_front::ReportFront, Verdict};
 
 /// Servers, of which one starts again: a share of 0.167.
 const SERVERS: usize = 6;
@@ -87,10 +87,29 @@
     (id, tries)
 }
 
+/// Lists a server at its front.
+fn list(system: &System, fronts: &[ReportFront], number: usize) {
+    let entry = system.engines[number].entry_at(fronts[number].address, ENGINES, "ready");
+    let id = format!("i-e{}", number + 1);
+    system.store.put("servers", &id, entry);
+}
+
 /// Runs the case.
 pub fn run(record: &Record, has_trouble: bool) -> Verdict {
     let mut system = start_with(record, SERVERS);
+    let servers: Vec<_> = system.engines.iter().map(ReportFront::start).collect();
+    for number in 0..SERVERS {
+        list(&system, &servers, number);
+    }
     thread::sleep(time::Duration::from_secs(4));
+    let told = Caller::call(servers[0].address, "GET", "/report", &[], "");
+    record.line(&format!(
+        "GET /report at i-e1, by the driver -> {} {}",
+        told.status,
+        told.text()
+    ));
+    assert_eq!(told.status, 200);
+    let by_driver = 1;
     let fronts = [system.front(0), system.front(1)];
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| thread::spawn(move || follow(fronts, number)))
@@ -108,7 +127,7 @@
         system.gateways[0].kill();
         record.line("gateway-0 is killed (SIGKILL)");
         thread::sleep(LIST_LAG - KILL_AFTER);
-        system.list_server(0, "ready");
+        list(&system, &servers, 0);
         record.line("the list shows the new start and software of i-e1");
     }
     let mut mixed = 0;
@@ -138,6 +157,14 @@
         ));
         mixed += usize::from(is_mixed);
     }
+    let asked: usize = servers
+        .iter()
+        .map(|s| s.reports.load(Ordering::Relaxed))
+        .sum();
+    record.line(&format!(
+        "calls of GET /report by the system: {}",
+        asked - by_driver
+    ));
     record.line(&format!("streams with events of both versions: {mixed}"));
     match mixed > 2 {
         true => Verdict::Broken,
