fix(serving): results of an ended job are read from the store, not from an outdated copy

Callers saw results disappear that they had read: a job was ended while its owner was frozen, or between two planned stops of it, after another owner had listed more results. Back again, the first owner listed 28 of 35 at all gateways, for good.

Cause: the store was never read again for a finished job, and a job counts as finished once it is ended, whether or not the copy is complete.

Why it works: only a copy with all results, or that of the owner of an open job, has nothing beyond it. Same cause elsewhere: the removal of an old job left the parts in the store that its copy lacked.

--- a/src/serving/job_table.rs
+++ b/src/serving/job_table.rs
@@ -268,8 +268,7 @@
     loop {
         let (id, parts, complete) = {
             let job = job.borrow();
-            let complete = job.committed.len() >= job.record.items.len();
-            (job.record.id.clone(), job.parts, complete)
+            (job.record.id.clone(), job.parts, job.is_complete())
         };
         if complete {
             break;
@@ -319,21 +318,28 @@
         refresh_job(context, &job).await?;
     }
     loop {
-        let (committed, finished, stale, mut changes) = {
+        let (committed, ended, stale, mut changes) = {
             let job = job.borrow();
             let fresh = |at: clock::BootInstant| at.elapsed() < RESULTS_MAX_AGE;
             let stale = !job.read_at.is_some_and(fresh);
             let committed = job.committed.len();
-            (committed, job.is_finished(), stale, job.changed.subscribe())
+            (committed, job.ended, stale, job.changed.subscribe())
         };
-        let behind = request.after > committed || (!owned && request.after >= committed);
-        if behind && stale && !finished {
+        let complete = job.borrow().is_complete();
+        // The owner of an open job appends its results, so it knows all of them.
+        let is_certain = complete || (owned && !ended);
+        let behind = request.after > committed || (!is_certain && request.after >= committed);
+        if behind && stale && !complete {
             refresh_results(context, &job).await?;
             continue;
         }
         let remaining = deadline.duration_since(clock::BootInstant::now());
-        if committed > request.after || finished || remaining.is_zero() {
-            return Ok(Some(job.borrow().page(request.after)));
+        if committed > request.after || complete || ended || remaining.is_zero() {
+            let job = job.borrow();
+            if committed <= request.after && !complete {
+                log_empty_page(&job, request.after, owned);
+            }
+            return Ok(Some(job.page(request.after)));
         }
         let timeout = if owned {
             remaining
@@ -347,6 +353,19 @@
     }
 }
 
+/// Logs that a reader gets no results, and what that is based on.
+fn log_empty_page(job: &OpenJob, after: usize, owned: bool) {
+    let age_ms = job.read_at.map_or(-1, |at| at.elapsed().as_millis() as i64);
+    log::info!(
+        "event=no_results job={} after={after} committed={} parts={} owned={owned} ended={} knowledge={:?} read_ms_ago={age_ms}",
+        job.record.id,
+        job.committed.len(),
+        job.parts,
+        job.ended,
+        job.knowledge,
+    );
+}
+
 /// Commits the pending results of a job in the background until none is left, unless a
 /// commit is already in progress.
 pub fn commit(context: &rc::Rc<context::ProcessContext>, job: &SharedJob) {
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -3,7 +3,9 @@
 
 use std::{collections, rc, time};
 
-use super::{context, job_checkpoints, job_records, job_runner, members, open_job, owners};
+use super::{
+    context, job_checkpoints, job_records, job_runner, job_table, members, open_job, owners,
+};
 use crate::{clock, ids, platform, store};
 
 /// Delay after a change of owners before the store is searched for their jobs. The
@@ -216,12 +218,11 @@
     context: &rc::Rc<context::ProcessContext>,
     job: &open_job::SharedJob,
 ) -> store::StoreResult<()> {
-    let (id, parts, ended, age, finished) = {
+    let (id, ended, age, finished) = {
         let job = job.borrow();
         let age = clock::epoch_ms().saturating_sub(job.record.submitted_ms);
         (
             job.record.id.clone(),
-            job.parts,
             job.ended,
             time::Duration::from_millis(age),
             job.is_finished(),
@@ -231,6 +232,9 @@
     if !owned || !finished || age < RESULTS_RETENTION * 2 {
         return Ok(());
     }
+    // Parts that other owners have appended would stay in the store for good.
+    job_table::refresh_results(context, job).await?;
+    let parts = job.borrow().parts;
     job_records::remove(context.store.as_ref(), &id, parts, ended).await?;
     log::info!("event=old_job_removed job={id} age_s={}", age.as_secs());
     context.jobs.remove(&id);
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -234,7 +234,15 @@
 
     /// Returns whether all results are in the store or the job was ended.
     pub fn is_finished(&self) -> bool {
-        self.ended || self.committed.len() >= self.record.items.len()
+        self.ended || self.is_complete()
+    }
+
+    /// Returns whether all results are known here, so that none can be added.
+    ///
+    /// An ended job may have more results in the store: those of other owners, or of one that
+    /// learns of the end late.
+    pub fn is_complete(&self) -> bool {
+        self.committed.len() >= self.record.items.len()
     }
 
     /// Applies the next result part of the store.
