fix(serving): the end of a job reaches its owner over silent connections

Callers saw items of an ended job reach endpoints until 4.6 to 5.8 s after the confirmation; 3 s are allowed. The open connections had fallen silent without a reset just before.

Cause: the owner was notified once, on a link that was silent, and waited for the end mark in a watch of up to 25 s on a connection that was silent too. Only the failure of another watch, after up to 6.8 s, had it opened anew.

Why it works: the notice is repeated until it is acknowledged, on a new connection after 0.4 s without a response. The process that reads the state for all every 0.6 s reads new end marks too and notifies the owners of each, as the gateway of the caller may be lost after the confirmation. Same cause elsewhere: preempt of a borrowed batch stream is repeated as well.

--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -4,7 +4,8 @@
 use std::{net, rc, time};
 
 use super::{
-    context, crash_guard, fleet_source, limit_links, members, owners, peers, probes, state_transfer,
+    context, crash_guard, fleet_source, job_upkeep, limit_links, members, owners, peers, probes,
+    state_transfer,
 };
 
 /// Timeout for the members of a peer, and for the next bytes of its list of endpoints.
@@ -270,12 +271,13 @@
         for kind in [K::Endpoints, K::State, K::Evacuations] {
             context.source.refresh(kind, context.fleet.clone()).await;
         }
+        job_upkeep::read_ends(&context).await;
     }
 }
 
 /// Returns whether this process reads for all: it is the first owner that watches the
 /// store. The first of all owners may have no access to the store.
-fn is_refresher(context: &context::ProcessContext) -> bool {
+pub(super) fn is_refresher(context: &context::ProcessContext) -> bool {
     let owners = context.owners();
     let now = context.clock.now();
     let members = context.members.borrow();
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -93,8 +93,32 @@
     context.jobs.work.notify_one();
 }
 
+/// How a process learns of the end of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndSource {
+    /// From the caller.
+    Caller,
+    /// From another process.
+    Peer,
+    /// From the watch of the end marks.
+    Watch,
+    /// From a periodic read of the end marks.
+    Read,
+}
+
+impl EndSource {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Peer => "peer",
+            Self::Watch => "watch",
+            Self::Read => "read",
+        }
+    }
+}
+
 /// Ends a job: cancels its streams and prevents further starts.
-pub fn end_job(context: &rc::Rc<context::ProcessContext>, id: &ids::JobId) {
+pub fn end_job(context: &rc::Rc<context::ProcessContext>, id: &ids::JobId, source: EndSource) {
     // Recorded even if the job is unknown here: an owner may hand it off later.
     context.jobs.record_end(id);
     let Some(job) = context.jobs.get(id) else {
@@ -103,8 +127,12 @@
     if std::mem::replace(&mut job.borrow_mut().ended, true) {
         return;
     }
-    log::info!("event=job_ended job={id} told_by=peer");
     let streams = std::mem::take(&mut job.borrow_mut().streams);
+    log::info!(
+        "event=job_ended job={id} told_by={} streams={}",
+        source.label(),
+        streams.len()
+    );
     for (endpoint, number) in streams {
         context.jobs.preempt(&endpoint, number);
     }
--- a/src/serving/job_table.rs
+++ b/src/serving/job_table.rs
@@ -24,6 +24,17 @@
 /// Key of a batch stream: the endpoint and the stream's number in its slot ledger.
 pub type StreamKey = (ids::EndpointId, admission::StreamNumber);
 
+/// Ends of jobs that are known.
+///
+/// Invariant: `marks` has all end marks of the store up to `revision`.
+struct KnownEnds {
+    /// Ended jobs whose marks the store has sent.
+    marks: collections::HashSet<ids::JobId>,
+    revision: store::ObjectRevision,
+    /// Ended jobs that callers or peers have reported.
+    reported: collections::HashSet<ids::JobId>,
+}
+
 /// Running stream that can be cancelled.
 struct RunningStream {
     /// Whether the stream uses a slot that another owner lent.
@@ -39,8 +50,10 @@
     streams: cell::RefCell<collections::HashMap<StreamKey, RunningStream>>,
     /// Notified when there may be work, such as a new job or a free slot.
     pub work: Notify,
-    /// Jobs known to be ended; `None` until the watch has read all end marks.
-    ended: cell::RefCell<Option<collections::HashSet<ids::JobId>>>,
+    /// End marks of jobs; `None` until the watch has read all of them.
+    ended: cell::RefCell<Option<KnownEnds>>,
+    /// Notified when a read found end marks that the watch has not reported.
+    pub(super) ends_missed: Notify,
     /// Whether a request for slots of other owners is in progress.
     pub is_borrowing: cell::Cell<bool>,
     /// Estimates of the total time for which an item of a service holds slots.
@@ -62,19 +75,42 @@
 
     /// Returns whether a job was ended, or `None` if the end marks are not known.
     pub fn is_ended(&self, id: &ids::JobId) -> Option<bool> {
-        self.ended.borrow().as_ref().map(|ended| ended.contains(id))
+        let ended = self.ended.borrow();
+        ended
+            .as_ref()
+            .map(|ended| ended.marks.contains(id) || ended.reported.contains(id))
     }
 
-    /// Records end marks received from the watch.
-    pub fn record_ended(&self, ids: impl Iterator<Item = ids::JobId>) {
+    /// Returns the revision up to which all end marks are known, if they are.
+    pub(super) fn ends_revision(&self) -> Option<store::ObjectRevision> {
+        self.ended.borrow().as_ref().map(|ended| ended.revision)
+    }
+
+    /// Records end marks that the store has sent up to a revision; returns those that it had
+    /// not sent before.
+    pub(super) fn record_ends(
+        &self,
+        ids: Vec<ids::JobId>,
+        revision: store::ObjectRevision,
+    ) -> Vec<ids::JobId> {
         let mut ended = self.ended.borrow_mut();
-        ended.get_or_insert_default().extend(ids);
+        let ended = ended.get_or_insert_with(|| KnownEnds {
+            marks: collections::HashSet::new(),
+            revision,
+            reported: collections::HashSet::new(),
+        });
+        ended.revision = ended.revision.max(revision);
+        let is_new = |id: &ids::JobId| {
+            ended.reported.remove(id);
+            ended.marks.insert(id.clone())
+        };
+        ids.into_iter().filter(is_new).collect()
     }
 
     /// Records the end of a job reported by a peer or a caller.
     pub fn record_end(&self, id: &ids::JobId) {
         if let Some(ended) = self.ended.borrow_mut().as_mut() {
-            ended.insert(id.clone());
+            ended.reported.insert(id.clone());
         }
     }
 
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -4,7 +4,8 @@
 use std::{collections, rc, time};
 
 use super::{
-    context, job_checkpoints, job_records, job_runner, job_table, members, open_job, owners,
+    context, fleet_sync, job_calls, job_checkpoints, job_records, job_runner, job_table, members,
+    open_job, owners,
 };
 use crate::{clock, ids, platform, store};
 
@@ -167,16 +168,16 @@
         let response = tokio::select! {
             response = response => response,
             () = context.fleet.source_recovered() => continue,
+            // The connection of this watch may have fallen silent.
+            () = context.jobs.ends_missed.notified() => {
+                since = context.jobs.ends_revision().unwrap_or(since);
+                continue;
+            }
         };
         match response {
             Ok(response) => {
                 since = store::ObjectRevision(response.revision);
-                let ended = response.changes.iter();
-                let ended: Vec<_> = ended.filter_map(|c| ended_job(&prefix, c)).collect();
-                context.jobs.record_ended(ended.iter().cloned());
-                for id in &ended {
-                    job_runner::end_job(&context, id);
-                }
+                apply_ends(&context, &prefix, response, job_runner::EndSource::Watch);
             }
             Err(e) => {
                 context.jobs.forget_ended();
@@ -188,6 +189,57 @@
     }
 }
 
+/// Reads the end marks since the last ones that are known. One process does it for all, and
+/// notifies the owners: their watches may have fallen silent, and the process that a caller
+/// ended the job at may be lost.
+pub(super) async fn read_ends(context: &rc::Rc<context::ProcessContext>) {
+    let Some(since) = context.jobs.ends_revision() else {
+        // The watch reads all of them first.
+        return;
+    };
+    let prefix = format!("{}/", job_records::END_KIND);
+    let read = context
+        .store
+        .watch(&[&prefix], since, time::Duration::ZERO)
+        .await;
+    match read {
+        Ok(response) => {
+            let ended = apply_ends(context, &prefix, response, job_runner::EndSource::Read);
+            if ended > 0 {
+                log::info!("event=ends_missed count={ended} since={since}");
+                context.jobs.ends_missed.notify_one();
+            }
+        }
+        Err(e) => log::info!(
+            "event=refresh_failed kind={} why=\"{e}\"",
+            job_records::END_KIND
+        ),
+    }
+}
+
+/// Ends the jobs whose end marks the store has sent; returns how many marks it had not sent
+/// before.
+fn apply_ends(
+    context: &rc::Rc<context::ProcessContext>,
+    prefix: &str,
+    response: platform::WatchResponse,
+    source: job_runner::EndSource,
+) -> usize {
+    let is_first = context.jobs.ends_revision().is_none();
+    let revision = store::ObjectRevision(response.revision);
+    let ended = response.changes.iter();
+    let ended: Vec<_> = ended.filter_map(|c| ended_job(prefix, c)).collect();
+    let new = context.jobs.record_ends(ended, revision);
+    for id in &new {
+        job_runner::end_job(context, id, source);
+        // The first read brings the marks of all jobs so far.
+        if !is_first && fleet_sync::is_refresher(context) {
+            job_calls::notify_owners_of_end(context, id);
+        }
+    }
+    new.len()
+}
+
 /// Returns the job that an end mark refers to; logs marks that cannot be read.
 fn ended_job(prefix: &str, change: &platform::ObjectChange) -> Option<ids::JobId> {
     let value = change.value.as_ref()?;
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -122,7 +122,7 @@
                 }
             });
         }
-        C::EndJob(job) => job_runner::end_job(context, &job),
+        C::EndJob(job) => job_runner::end_job(context, &job, job_runner::EndSource::Peer),
         C::Lend(request, sender) => {
             let now = context.clock.now();
             let mut members = context.members.borrow_mut();
--- a/src/serving/peer_links.rs
+++ b/src/serving/peer_links.rs
@@ -431,9 +431,20 @@
         connect_and_call!(self, peer, timeout, read_results(request))
     }
 
-    /// Notifies a peer that a job was ended; the store records the end as well.
-    pub fn end_job(&self, peer: net::SocketAddr, job: ids::JobId) {
-        notify_peer!(self, peer, end_job(job));
+    /// Notifies a peer that a job was ended, and waits for the acknowledgement.
+    ///
+    /// # Errors
+    /// The peer does not respond.
+    pub async fn end_job(
+        &self,
+        peer: net::SocketAddr,
+        job: ids::JobId,
+        timeout: time::Duration,
+    ) -> Result<(), PeerError> {
+        let context = deadline_in(timeout);
+        self.connect_before(peer, context.deadline).await;
+        let client = self.connected(peer).ok_or(PeerError::NotSent)?;
+        into_result(client.end_job(context, job).await.map(Some))
     }
 
     /// Requests batch slots from an owner.
@@ -459,9 +470,10 @@
         notify_with_retry!(self, peer, cancel_lent(number));
     }
 
-    /// Preempts a batch stream.
+    /// Preempts a batch stream, retrying while its owner is unreachable: until it ends, its
+    /// endpoint has one request more than slots.
     pub fn preempt(&self, peer: net::SocketAddr, slot: BorrowedSlot) {
-        notify_peer!(self, peer, preempt(slot));
+        notify_with_retry!(self, peer, preempt(slot));
     }
 
     /// Requests that a peer writes an accepted job.
