fix(serving): an owner that was away reads its jobs again before it has nothing for a reader

Callers found positions empty that they had read: their job's owner had been frozen, another one had listed results meanwhile, and the first one, awake again beside online requests that leave no slot, answered from its copy.

Cause: a copy counted as current if its process owns the job at the moment of asking, whatever happened since it was read. The same class as the results of ended jobs, on the path of open ones.

Why it works: a copy of the owner is certain only if it was read after the last moment at which another process may have run its jobs: a delay of the event loop of 400 ms (heartbeats are 250 ms apart, and peers take a process for lost 800 ms after the last one), an owner that joins or comes back, or a peer that reports a part which it appended late. The reader itself checks the delay, as it may be the first event after a freeze. In calm no call is added; items go on meanwhile.

--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -48,17 +48,22 @@
     if is_new && context.jobs.is_ended(&id) == Some(false) {
         let mut job = job.borrow_mut();
         job.is_loaded = true;
+        job.read_at = Some(clock::BootInstant::now());
         job.knowledge = open_job::OwnerKnowledge::Current;
     }
     context.jobs.work.notify_one();
     false
 }
 
-/// Adopts a job from the store in the background, unless it is known here. Returns
-/// whether it is already finished.
+/// Adopts a job from the store in the background. Returns whether it is already finished.
+///
+/// The requester may have appended results to a job that is known here, so the copy is
+/// uncertain until it is read again.
 pub fn adopt_stored_job(context: &rc::Rc<context::ProcessContext>, id: ids::JobId) -> bool {
     if let Some(job) = context.jobs.get(&id) {
-        return job.borrow().is_finished();
+        let mut job = job.borrow_mut();
+        job.read_at = None;
+        return job.is_finished();
     }
     let context = context.clone();
     actix_rt::spawn(async move {
--- a/src/serving/job_table.rs
+++ b/src/serving/job_table.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use super::{
-    context, job_records,
+    context, job_records, members,
     open_job::{OpenJob, SharedJob},
     peers, wire,
 };
@@ -18,6 +18,19 @@
 /// Maximum age of results read from the store before they are read again.
 const RESULTS_MAX_AGE: time::Duration = time::Duration::from_millis(400);
 
+/// Delay of the event loop after which other processes may have run the jobs of this one: they
+/// take it for lost [`members::PEER_TIMEOUT`] after its last heartbeat, which may be older than
+/// the delay by a probe interval.
+const MAX_LOOP_DELAY: time::Duration = time::Duration::from_millis(400);
+
+const _: () = assert!(
+    MAX_LOOP_DELAY.as_millis() + members::PROBE_INTERVAL.as_millis()
+        < members::PEER_TIMEOUT.as_millis()
+);
+
+/// Timeout of notifying the owner of a job of a part that this process has appended to it.
+const APPEND_NOTICE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
 /// Maximum total size of finished jobs that are retained for readers, in bytes.
 const MAX_FINISHED_BYTES: usize = 24 << 20;
 
@@ -60,6 +73,10 @@
     hold_times: cell::RefCell<collections::HashMap<ids::ServiceName, item_order::DurationEstimate>>,
     /// Notified when the owners of jobs change.
     pub owners_changed: Notify,
+    /// When the event loop last ran.
+    active_at: cell::Cell<Option<clock::BootInstant>>,
+    /// Last time until which other processes may have run the jobs that this one owns.
+    doubted_at: cell::Cell<Option<clock::BootInstant>>,
 }
 
 impl JobTable {
@@ -119,6 +136,35 @@
         *self.ended.borrow_mut() = None;
     }
 
+    /// Records that the event loop runs. After a delay in which peers may have taken this
+    /// process for lost, they may have appended results to its jobs.
+    pub(super) fn record_activity(&self) {
+        let now = clock::BootInstant::now();
+        let delay = self.active_at.replace(Some(now));
+        let delay = delay.map_or(time::Duration::ZERO, |at| now.duration_since(at));
+        if delay >= MAX_LOOP_DELAY {
+            self.doubt_copies("delayed");
+        }
+    }
+
+    /// Makes the copies of open jobs uncertain until they are read again, as other processes
+    /// may have appended results.
+    pub(super) fn doubt_copies(&self, reason: &str) {
+        let jobs = self.jobs.borrow();
+        let open = jobs.values().filter(|job| !job.borrow().is_finished());
+        let open = open.count();
+        if open > 0 {
+            log::info!("event=job_copies_doubted open={open} why={reason}");
+        }
+        self.doubted_at.set(Some(clock::BootInstant::now()));
+    }
+
+    /// Returns whether a copy was read since other processes may last have appended results to
+    /// the jobs that this one owns.
+    fn is_undoubted(&self, job: &OpenJob) -> bool {
+        job.read_at > self.doubted_at.get()
+    }
+
     /// Inserts a job unless the table has it, and returns the entry.
     pub fn get_or_insert(&self, record: job_records::JobRecord, due_ms: Option<u64>) -> SharedJob {
         let mut jobs = self.jobs.borrow_mut();
@@ -301,6 +347,7 @@
     context: &rc::Rc<context::ProcessContext>,
     job: &SharedJob,
 ) -> store::StoreResult<()> {
+    let begun_at = clock::BootInstant::now();
     loop {
         let (id, parts, complete) = {
             let job = job.borrow();
@@ -330,7 +377,7 @@
         }
     }
     let mut job = job.borrow_mut();
-    job.read_at = Some(clock::BootInstant::now());
+    job.read_at = Some(begun_at);
     job.is_loaded = true;
     Ok(())
 }
@@ -354,18 +401,25 @@
         refresh_job(context, &job).await?;
     }
     loop {
-        let (committed, ended, stale, mut changes) = {
+        // The first event after a delay of the loop may be this one.
+        context.jobs.record_activity();
+        let (committed, complete, ended, undoubted, fresh, mut changes) = {
             let job = job.borrow();
-            let fresh = |at: clock::BootInstant| at.elapsed() < RESULTS_MAX_AGE;
-            let stale = !job.read_at.is_some_and(fresh);
-            let committed = job.committed.len();
-            (committed, job.ended, stale, job.changed.subscribe())
+            let is_fresh = |at: clock::BootInstant| at.elapsed() < RESULTS_MAX_AGE;
+            (
+                job.committed.len(),
+                job.is_complete(),
+                job.ended,
+                context.jobs.is_undoubted(&job),
+                job.read_at.is_some_and(is_fresh),
+                job.changed.subscribe(),
+            )
         };
-        let complete = job.borrow().is_complete();
         // The owner of an open job appends its results, so it knows all of them.
-        let is_certain = complete || (owned && !ended);
+        let is_certain = complete || (owned && !ended && undoubted);
         let behind = request.after > committed || (!is_certain && request.after >= committed);
-        if behind && stale && !complete {
+        let is_due = !fresh || (owned && !undoubted);
+        if behind && is_due && !complete {
             refresh_results(context, &job).await?;
             continue;
         }
@@ -441,6 +495,7 @@
                     job.apply_part(part);
                 }
                 log::info!("event=results_committed job={id} part={number} results={count}");
+                notify_owner_of_part(context, &id);
                 Ok(())
             }
             // Another process, or an earlier attempt of this one, has created the part.
@@ -461,6 +516,24 @@
     }
 }
 
+/// Notifies the owner of a job of a part that this process has appended to it, if it is no
+/// longer the owner: the copy of the owner lacks the part.
+fn notify_owner_of_part(context: &rc::Rc<context::ProcessContext>, id: &ids::JobId) {
+    let owner = context.job_owner(id).filter(|owner| owner != context.id());
+    let address = owner.and_then(|owner| context.members.borrow().address_of(&owner));
+    let Some(address) = address else { return };
+    let (context, id) = (context.clone(), id.clone());
+    actix_rt::spawn(async move {
+        context.links.try_connect(address).await;
+        let sent = context
+            .links
+            .find_job(address, id.clone(), APPEND_NOTICE_TIMEOUT);
+        if let Err(e) = sent.await {
+            log::info!("event=part_untold job={id} peer={address} why=\"{e}\"");
+        }
+    });
+}
+
 /// Waits for further results while the job has time left and unfinished items.
 async fn delay_commit(context: &rc::Rc<context::ProcessContext>, job: &SharedJob) {
     /// Interval at which the remaining delay is computed again.
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -199,6 +199,8 @@
     pub(super) committing: bool,
     /// Peer that holds a replica of the items' progress.
     replica_peer: Option<ids::InstanceId>,
+    /// When the last read of all results in the store began, or a new job was taken, which has
+    /// none. All results up to then are in `committed`.
     pub(super) read_at: Option<clock::BootInstant>,
     pub(super) changed: watch::Sender<usize>,
 }
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -67,6 +67,7 @@
     let mut ticks = 0_u32;
     loop {
         ticks = ticks.wrapping_add(1);
+        context.jobs.record_activity();
         context.fleet.expire();
         forget_ended_runs(&context);
         context.permits.borrow_mut().reopen(context.clock.now());
@@ -285,6 +286,13 @@
         for lost in context.owners().iter().filter(|o| !owners.contains(o)) {
             context.free_slots.borrow_mut().remove(&lost.id);
         }
+        let known = context.owners();
+        let is_new =
+            |owner: &ownership::OwnerCandidate| owner.id != *context.id() && !known.contains(owner);
+        if owners.iter().any(is_new) {
+            // It, or its side of a cut, may have run the jobs of this process.
+            context.jobs.doubt_copies("owner_joined");
+        }
         *context.owners.borrow_mut() = rc::Rc::new(owners);
     }
     limit_links::update_quota_servers(context);
