fix(serving): items under which endpoints crashed by bad luck are run again

Callers of jobs waited for items that were never placed again: in a burst of crashes several endpoints had crashed while they ran them, and all was calm since.

Cause: an item was judged like a caller's request. Three crashes made it a suspect, failed trials quarantined it for ten minutes and then a week, and only a run would have cleared it. A part that its items share was convicted in the same way.

Why it works: no crash is attributed to an item; it starts again 0.6 s after a crash, then after twice as long each time, 5 s at most. Parts keep their verdicts, as callers' requests share them, but for waiting items the trials of a convicted part go on after 8, 16 and 64 s and then every ten minutes, one in the fleet: three more crashes in a minute and a half at most if the part is bad, as the rule allows.

--- a/src/decisions/crash_ledger.rs
+++ b/src/decisions/crash_ledger.rs
@@ -233,6 +233,32 @@
         Some(due_at.since(now))
     }
 
+    /// Returns the time until a trial of a suspect may begin for an item, which is owed until it
+    /// is done; `None` if the subject is no suspect.
+    pub fn owed_trial_delay(
+        &self,
+        subject: ids::CrashSubject,
+        now: clock::MonotonicTime,
+    ) -> Option<time::Duration> {
+        let delay = self.trial_delay(subject, now)?;
+        let owed_at = self.suspect(subject)?.owed_trial_at();
+        Some(owed_at.map_or(delay, |at| delay.min(at.since(now))))
+    }
+
+    /// Grants a trial if one is due, for a request or for an item; returns whether it did.
+    pub fn grant_trial(
+        &mut self,
+        subject: ids::CrashSubject,
+        now: clock::MonotonicTime,
+    ) -> CrashVerdict {
+        let is_due = self.owed_trial_delay(subject, now);
+        if !is_due.is_some_and(|delay| delay.is_zero()) {
+            return self.verdict(subject, now);
+        }
+        self.begin_trial(subject, now);
+        CrashVerdict::Trial
+    }
+
     /// Records that a trial of a request begins.
     pub fn begin_trial(&mut self, subject: ids::CrashSubject, now: clock::MonotonicTime) {
         if let Some(record) = self.records.get_mut(&subject) {
--- a/src/decisions/crash_record.rs
+++ b/src/decisions/crash_record.rs
@@ -229,6 +229,16 @@
         self.after_trial(self.last_crash + delay)
     }
 
+    /// Returns when a trial for an owed item may begin after the trials so far have failed;
+    /// `None` if the subject has no such trials.
+    pub(super) fn owed_trial_at(&self) -> Option<clock::MonotonicTime> {
+        let delays = self.policy.owed_trial_delays;
+        let failed = self.failed_trials().count();
+        let excess = failed.saturating_sub(self.policy.min_convictions);
+        let delay = delays.get(excess).or(delays.last())?;
+        Some(self.after_trial(self.last_crash + *delay))
+    }
+
     /// Returns the later of a time and the end of the trial that is under way.
     fn after_trial(&self, at: clock::MonotonicTime) -> clock::MonotonicTime {
         let trial_end = self.trial.map(|trial| trial.expires_at);
--- a/src/decisions/subject_policy.rs
+++ b/src/decisions/subject_policy.rs
@@ -23,6 +23,9 @@
     pub(super) trial_timeout: time::Duration,
     /// Number of failed trials, with no other explanation, that convict a subject.
     pub(super) min_convictions: usize,
+    /// Delays of further trials for owed items after the last crash, by the number of failed
+    /// trials beyond `min_convictions`; the last one repeats. Empty if there are none.
+    pub(super) owed_trial_delays: &'static [time::Duration],
     /// Retention of a record of which no crash counts any more.
     pub(super) cleared_retention: time::Duration,
     /// Maximum number of crashes in a record; further ones are ignored until it expires.
@@ -46,6 +49,7 @@
     // Longer than most requests take.
     trial_timeout: time::Duration::from_secs(10),
     min_convictions: 1,
+    owed_trial_delays: &[],
     cleared_retention: time::Duration::from_secs(3600),
     max_crashes: usize::MAX,
 };
@@ -61,10 +65,21 @@
     // An endpoint begins to answer, or crashes, within a few hundred milliseconds.
     trial_timeout: time::Duration::from_secs(2),
     min_convictions: 2,
+    owed_trial_delays: &OWED_TRIAL_DELAYS,
     cleared_retention: time::Duration::from_secs(120),
     max_crashes: 64,
 };
 
+/// Items that share a part are owed until they are done, and endpoints may have crashed under
+/// the part by bad luck, so its trials go on. Each may crash one more endpoint: three of them
+/// take a minute and a half.
+const OWED_TRIAL_DELAYS: [time::Duration; 4] = [
+    time::Duration::from_secs(8),
+    time::Duration::from_secs(16),
+    time::Duration::from_secs(64),
+    time::Duration::from_secs(600),
+];
+
 /// Returns how the crashes of a subject are judged.
 pub(super) fn policy_of(subject: ids::CrashSubject) -> &'static SubjectPolicy {
     match subject.is_part() {
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -47,8 +47,14 @@
     digest: ids::RequestDigest,
     parts: &[ids::PartDigest],
 ) -> Vec<ids::CrashSubject> {
-    let parts = parts.iter().map(|part| ids::CrashSubject::from(*part));
-    iter::once(digest.into()).chain(parts).collect()
+    iter::once(digest.into())
+        .chain(part_subjects(parts))
+        .collect()
+}
+
+/// Returns the parts of a prompt as what crashes may be attributed to.
+pub fn part_subjects(parts: &[ids::PartDigest]) -> Vec<ids::CrashSubject> {
+    parts.iter().map(|part| (*part).into()).collect()
 }
 
 /// A response whose head has been read and whose body is still open.
@@ -180,7 +186,10 @@
 }
 
 /// Returns whether an endpoint still accepts requests.
-fn is_usable(context: &context::ProcessContext, endpoint: &directory::EndpointEntry) -> bool {
+pub(super) fn is_usable(
+    context: &context::ProcessContext,
+    endpoint: &directory::EndpointEntry,
+) -> bool {
     let directory = context.fleet.directory.borrow();
     directory.usable(&endpoint.id).is_some()
 }
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -420,6 +420,7 @@
     fn watch_for_crash(&self, slot: &held_slot::HeldSlot, has_head: bool) {
         let run = crash_watch::InterruptedRun {
             digest: self.request.forwarded.digest,
+            is_item: false,
             id: self.request.terms.id.clone().unwrap_or_default(),
             endpoint: slot.endpoint.clone(),
             begun: slot.acquired_at(),
--- a/src/serving/crash_guard.rs
+++ b/src/serving/crash_guard.rs
@@ -120,25 +120,25 @@
 
     /// Returns the subject that decides whether a request may run, and the time until a trial of
     /// it may begin; `None` if no subject is a suspect.
-    ///
-    /// A convicted one comes first, then the one with the most crashes. Of equals it is the
-    /// last part, as fewer requests share it.
     pub(super) fn main_suspect(
         &self,
         subjects: &[ids::CrashSubject],
         now: clock::MonotonicTime,
     ) -> Option<(ids::CrashSubject, time::Duration)> {
         let ledger = self.ledger.borrow();
-        if ledger.is_empty() {
-            return None;
-        }
-        let suspects = subjects.iter().filter_map(|subject| {
-            let delay = ledger.trial_delay(*subject, now)?;
-            let rank = (ledger.is_convicted(*subject), ledger.count(*subject));
-            Some((rank, (*subject, delay)))
-        });
-        let main = suspects.max_by_key(|(rank, _)| *rank);
-        main.map(|(_, suspect)| suspect)
+        main_of(&ledger, subjects, |subject| {
+            ledger.trial_delay(subject, now)
+        })
+    }
+
+    /// The same for an item, whose trials begin sooner as it is owed.
+    pub(super) fn main_suspect_of_item(
+        &self,
+        parts: &[ids::CrashSubject],
+        now: clock::MonotonicTime,
+    ) -> Option<(ids::CrashSubject, time::Duration)> {
+        let ledger = self.ledger.borrow();
+        main_of(&ledger, parts, |part| ledger.owed_trial_delay(part, now))
     }
 
     /// Returns how long to wait until the verdict on a request has settled.
@@ -176,7 +176,7 @@
         subject: ids::CrashSubject,
         now: clock::MonotonicTime,
     ) -> crash_ledger::CrashVerdict {
-        self.ledger.borrow_mut().admit(subject, now)
+        self.ledger.borrow_mut().grant_trial(subject, now)
     }
 
     /// Records that this process runs the trial of a request.
@@ -190,6 +190,27 @@
     }
 }
 
+/// Returns the suspect that decides about a request, and the delay of its trial.
+///
+/// A convicted one comes first, then the one with the most crashes. Of equals it is the last
+/// part, as fewer requests share it.
+fn main_of(
+    ledger: &crash_ledger::CrashLedger,
+    subjects: &[ids::CrashSubject],
+    trial_delay: impl Fn(ids::CrashSubject) -> Option<time::Duration>,
+) -> Option<(ids::CrashSubject, time::Duration)> {
+    if ledger.is_empty() {
+        return None;
+    }
+    let suspects = subjects.iter().filter_map(|subject| {
+        let delay = trial_delay(*subject)?;
+        let rank = (ledger.is_convicted(*subject), ledger.count(*subject));
+        Some((rank, (*subject, delay)))
+    });
+    let main = suspects.max_by_key(|(rank, _)| *rank);
+    main.map(|(_, suspect)| suspect)
+}
+
 /// Records that an endpoint ended during a request, and notifies the owners.
 pub(super) fn record_crash(
     context: &rc::Rc<context::ProcessContext>,
--- a/src/serving/crash_trials.rs
+++ b/src/serving/crash_trials.rs
@@ -136,14 +136,15 @@
     );
 }
 
-/// Decides whether an item may run. Claims its trial in the background if one is due.
+/// Decides whether an item with these parts may run. Claims their trial in the background if
+/// one is due.
 pub(super) fn admit_item(
     context: &rc::Rc<context::ProcessContext>,
-    subjects: &[ids::CrashSubject],
+    parts: &[ids::CrashSubject],
     id: &str,
 ) -> CrashVerdict {
     let now = context.clock.now();
-    let Some((subject, trial_delay)) = context.crashes.main_suspect(subjects, now) else {
+    let Some((subject, trial_delay)) = context.crashes.main_suspect_of_item(parts, now) else {
         return CrashVerdict::Allowed;
     };
     if context.crashes.trials.is_granted(subject, id, now) {
--- a/src/serving/crash_watch.rs
+++ b/src/serving/crash_watch.rs
@@ -26,6 +26,8 @@
 pub(super) struct InterruptedRun {
     /// Digest of the request.
     pub(super) digest: ids::RequestDigest,
+    /// Whether it is an item of a job, which is never the cause by itself.
+    pub(super) is_item: bool,
     /// ID of the request in this try.
     pub(super) id: String,
     /// Endpoint that ran the request.
@@ -48,9 +50,12 @@
     /// A part crashes an endpoint that begins to write an answer on it, so it is not the cause
     /// once the answer goes on.
     fn suspects(&self) -> Vec<ids::CrashSubject> {
-        match self.events < crash_guard::PROOF_EVENTS {
-            true => attempt::crash_subjects(self.digest, &self.parts),
-            false => vec![self.digest.into()],
+        let has_proof = self.events >= crash_guard::PROOF_EVENTS;
+        match (self.is_item, has_proof) {
+            (false, false) => attempt::crash_subjects(self.digest, &self.parts),
+            (false, true) => vec![self.digest.into()],
+            (true, false) => attempt::part_subjects(&self.parts),
+            (true, true) => Vec::new(),
         }
     }
 }
@@ -74,18 +79,18 @@
 }
 
 /// Starts a task that checks whether the endpoint of an interrupted run has ended.
-///
-/// An endpoint that was leaving or is not listed ends as planned and is not checked.
 pub(super) fn start(context: &rc::Rc<context::ProcessContext>, run: InterruptedRun) {
-    let directory = context.fleet.directory.borrow();
-    let is_listed = directory.usable(&run.endpoint.id).is_some();
-    drop(directory);
-    if is_listed {
-        actix_rt::spawn(watch(context.clone(), run));
-    }
+    actix_rt::spawn(watch(context.clone(), run));
 }
 
-async fn watch(context: rc::Rc<context::ProcessContext>, run: InterruptedRun) {
+/// Checks whether the endpoint of an interrupted run has ended, and records it; returns whether
+/// it has.
+///
+/// An endpoint that was leaving or is not listed ends as planned and is not checked.
+pub(super) async fn watch(context: rc::Rc<context::ProcessContext>, run: InterruptedRun) -> bool {
+    if !attempt::is_usable(&context, &run.endpoint) {
+        return false;
+    }
     let evidence = match has_listener(&run.endpoint).await {
         false => Some(EndEvidence::Refused),
         // Without a response, a proxy may have accepted the connection for a dead endpoint.
@@ -99,6 +104,7 @@
     if let Some(evidence) = evidence {
         record_end(&context, &run, evidence);
     }
+    evidence.is_some()
 }
 
 /// Returns whether a stream that brought no event is complete.
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -94,19 +94,16 @@
         self.release_slot();
         match end {
             RunEnd::Cut(_) if self.last_event() == before => self.check_for_crash(started_at),
-            RunEnd::Completed | RunEnd::Impossible | RunEnd::Failed => {
-                crash_guard::record_served(&self.context, self.digest().into());
-                if end == RunEnd::Completed {
-                    let parts = self.parts();
-                    crash_guard::record_parts_served(&self.context, &parts, started_at);
-                }
+            RunEnd::Completed => {
+                let parts = self.parts();
+                crash_guard::record_parts_served(&self.context, &parts, started_at);
             }
             RunEnd::NotRun(_) | RunEnd::Preempted if self.last_event() == before => {
                 if let Some(subject) = trial {
                     crash_trials::return_trial(&self.context, subject);
                 }
             }
-            RunEnd::Cut(_) | RunEnd::NotRun(_) | RunEnd::Preempted => {}
+            _ => {}
         }
         self.record_hold_time(started.elapsed(), &end);
         self.settle(end);
@@ -122,15 +119,10 @@
     /// Uses up the trial that was granted to the item, if there is one; returns what it decides
     /// about.
     fn begin_trial(&self) -> Option<ids::CrashSubject> {
-        let subjects = self.subjects();
+        let parts = attempt::part_subjects(&self.parts());
         let job = self.job.borrow();
         let item = &job.record.items[self.index].id;
-        self.context.crashes.trials.begin_item(&subjects, item)
-    }
-
-    /// Returns what crashes during the item may be attributed to.
-    fn subjects(&self) -> Vec<ids::CrashSubject> {
-        attempt::crash_subjects(self.digest(), &self.parts())
+        self.context.crashes.trials.begin_item(&parts, item)
     }
 
     fn digest(&self) -> ids::RequestDigest {
@@ -145,11 +137,13 @@
 
     /// Checks whether the endpoint crashed during a run that produced no events.
     ///
-    /// An item that produces events is not suspected: it runs for seconds, and often
-    /// runs beside an item that does crash the endpoint.
+    /// The parts of an item that produces events are not suspected: it runs for seconds, and
+    /// often runs beside a request that does crash the endpoint. An item under which endpoints
+    /// crash starts again later each time, as each crash ends all that runs there.
     fn check_for_crash(&self, begun: clock::MonotonicTime) {
         let run = crash_watch::InterruptedRun {
             digest: self.digest(),
+            is_item: true,
             id: self.job.borrow().record.items[self.index].id.clone(),
             endpoint: self.endpoint.clone(),
             begun,
@@ -158,7 +152,12 @@
             parts: self.parts(),
             trial: None,
         };
-        crash_watch::start(&self.context, run);
+        let (context, job, index) = (self.context.clone(), self.job.clone(), self.index);
+        actix_rt::spawn(async move {
+            if crash_watch::watch(context, run).await {
+                job.borrow_mut().items[index].record_crash();
+            }
+        });
     }
 
     /// Adds the run's duration to the item's slot hold time, and records the total when
@@ -342,7 +341,7 @@
         if !progress.is_run_by(self.chain) {
             return false;
         }
-        progress.empty_runs = 0;
+        progress.record_event();
         if progress.events.is_empty() {
             progress.software = self.endpoint.service_software();
         }
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -36,6 +36,15 @@
 /// and an event takes 5 to 60 ms.
 const MIN_EVENT_GAIN: usize = 5;
 
+/// Delay of an item under which an endpoint crashed before its first event; it doubles with
+/// each further crash.
+///
+/// A crashed endpoint is back within seconds, and an item that crashes endpoints itself, against
+/// expectation, crashes one in [`MAX_CRASH_DELAY`].
+const FIRST_CRASH_DELAY: time::Duration = time::Duration::from_millis(600);
+const MAX_CRASH_DELAY: time::Duration = time::Duration::from_secs(5);
+const MAX_CRASH_GROWTH: u32 = 4;
+
 /// Number of replicated events that marks an item whose result the receiver has.
 const RESULT_REPLICATED: usize = usize::MAX;
 
@@ -75,6 +84,8 @@
     pub(super) replicated_events: usize,
     /// Number of consecutive runs without an event.
     pub(super) empty_runs: u32,
+    /// Number of endpoints that crashed under it since its last event.
+    crashes: u32,
     /// Earliest time of the next start.
     pub not_before: clock::BootInstant,
 }
@@ -115,6 +126,20 @@
         self.spent = time::Duration::ZERO;
     }
 
+    /// Records that the endpoint of its last run crashed, and delays its next one.
+    pub(super) fn record_crash(&mut self) {
+        let growth = 1 << self.crashes.min(MAX_CRASH_GROWTH);
+        let delay = (FIRST_CRASH_DELAY * growth).min(MAX_CRASH_DELAY);
+        self.crashes += 1;
+        self.not_before = self.not_before.max(clock::BootInstant::now() + delay);
+    }
+
+    /// Records that its run brought an event.
+    pub(super) fn record_event(&mut self) {
+        self.empty_runs = 0;
+        self.crashes = 0;
+    }
+
     /// Returns whether the item may start now.
     pub fn is_ready(&self, now: clock::BootInstant) -> bool {
         self.phase == ItemPhase::Waiting && self.not_before <= now
@@ -155,6 +180,7 @@
             chain: rand::random(),
             replicated_events: 0,
             empty_runs: 0,
+            crashes: 0,
             not_before: clock::BootInstant::now(),
         }
     }
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -194,8 +194,8 @@
     }
 }
 
-/// Returns whether an item is quarantined because it crashes endpoints, and schedules
-/// the next check.
+/// Returns whether an item is quarantined because a part of its prompt crashes endpoints, and
+/// schedules the next check. An item by itself never is: it is owed until it is done.
 fn is_quarantined(
     context: &rc::Rc<context::ProcessContext>,
     job: &open_job::SharedJob,
@@ -203,10 +203,8 @@
 ) -> bool {
     let mut job = job.borrow_mut();
     let item = &job.record.items[index];
-    let digest = item_run::item_digest(&job.record.host, item);
-    let parts = item_run::item_parts(context, item);
-    let subjects = attempt::crash_subjects(digest, &parts);
-    let verdict = crash_trials::admit_item(context, &subjects, &item.id);
+    let parts = attempt::part_subjects(&item_run::item_parts(context, item));
+    let verdict = crash_trials::admit_item(context, &parts, &item.id);
     let CrashVerdict::Quarantined(remaining) = verdict else {
         return false;
     };
