fix(serving): responses that do not end have a bound in bytes and time

Callers waited beyond their route's timeout, and items of jobs for good, at an endpoint that sends bytes which are no answer and do not end: interim responses, chunk extensions, blank lines, a body or an event that comes a little at a time, events without a pause.

Cause: bounds counted what was kept, not what was skipped; any byte extended the timeout of an item's event; and a timer beside a read that is always ready is never noticed.

Why it works: heads with what precedes them, the framing between two bytes of a body, blank lines between events, and the output of an item have bounds in bytes; an item waits for its next event and not for its next byte; a stream looks at its deadline before each event. Beyond a bound the connection is closed and not reused.

--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -1,6 +1,6 @@
 //! Sends one attempt of a request to an endpoint and reports its outcome.
 
-use std::{net, time};
+use std::{cell, net, rc, time};
 
 use actix_http::{Method, StatusCode};
 use eventsource_stream::Eventsource as _;
@@ -11,6 +11,9 @@
 /// Maximum size of a non-streaming response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Maximum number of bytes of a stream that are received without an event.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Request to an endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointCall {
@@ -176,13 +179,15 @@
     if status.is_server_error() || status == StatusCode::GONE {
         return outcome::AttemptOutcome::Failed(format!("the endpoint answered {status}"));
     }
-    match response.body().limit(MAX_RESPONSE_BYTES).await {
-        Ok(body) => outcome::AttemptOutcome::Completed(OpenedStream::Whole(EndpointResponse {
+    let reading = response.body().limit(MAX_RESPONSE_BYTES);
+    match actix_rt::time::timeout(call.timeout, reading).await {
+        Ok(Ok(body)) => outcome::AttemptOutcome::Completed(OpenedStream::Whole(EndpointResponse {
             status,
             content_type: "application/json".into(),
             body,
         })),
-        Err(e) => outcome::AttemptOutcome::Unknown(e.to_string()),
+        Ok(Err(e)) => outcome::AttemptOutcome::Unknown(e.to_string()),
+        Err(_) => outcome::AttemptOutcome::Unknown("no whole answer in time".into()),
     }
 }
 
@@ -209,9 +214,21 @@
 
 fn events(response: Response) -> EventStream {
     let mut next = 0;
-    response
+    // The parser keeps what is no event yet, without a limit.
+    let received = rc::Rc::new(cell::Cell::new(0));
+    let since_event = received.clone();
+    let bounded = response.map(move |bytes| {
+        let bytes = bytes.map_err(|e| e.to_string())?;
+        received.set(received.get() + bytes.len());
+        match received.get() > MAX_EVENT_BYTES {
+            true => Err(format!("no event within {MAX_EVENT_BYTES} bytes")),
+            false => Ok(bytes),
+        }
+    });
+    bounded
         .eventsource()
         .filter_map(move |event| {
+            since_event.set(0);
             let parsed = match event {
                 Ok(event) if event.data == "[DONE]" => None,
                 Ok(event) => Some(parse_event(event, &mut next)),
--- a/src/serving/connection.rs
+++ b/src/serving/connection.rs
@@ -72,6 +72,14 @@
 /// Initial size of the read buffer, in bytes.
 const INITIAL_BUFFER_BYTES: usize = 2048;
 
+/// Maximum number of bytes received before a response head is complete, interim responses
+/// included. A head has some hundred bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Maximum number of bytes received without a byte of the body, such as those of a chunk's
+/// size and extensions.
+const MAX_FRAMING_BYTES: usize = 16 << 10;
+
 impl EndpointConnection {
     /// Opens a connection.
     ///
@@ -182,22 +190,27 @@
         &mut self,
         codec: &mut h1::ClientCodec,
     ) -> Result<actix_http::ResponseHead, ExchangeError> {
+        let mut received = self.buffer.len();
         loop {
             let decoded = codec.decode(&mut self.buffer);
             match decoded.map_err(|e| ExchangeError::Malformed(e.to_string()))? {
                 Some(head) if head.status == StatusCode::CONTINUE => {}
                 Some(head) => return Ok(head),
-                None => self.fill().await?,
+                None if received > MAX_HEAD_BYTES => {
+                    let reason = format!("no complete head within {received} bytes");
+                    return Err(ExchangeError::Malformed(reason));
+                }
+                None => received += self.fill().await?,
             }
         }
     }
 
-    /// Reads at least one byte.
-    async fn fill(&mut self) -> io::Result<()> {
-        if self.socket.read_buf(&mut self.buffer).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+    /// Reads at least one byte; returns how many were read.
+    async fn fill(&mut self) -> io::Result<usize> {
+        match self.socket.read_buf(&mut self.buffer).await? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            count => Ok(count),
         }
-        Ok(())
     }
 }
 
@@ -234,6 +247,7 @@
     /// # Errors
     /// The body was truncated or is malformed.
     pub async fn next_bytes(&mut self) -> Result<Option<bytes::Bytes>, ExchangeError> {
+        let mut received = 0;
         loop {
             match &mut self.framing {
                 BodyFraming::Empty | BodyFraming::Finished => return Ok(None),
@@ -247,7 +261,11 @@
                             self.framing = BodyFraming::Finished;
                             return Ok(None);
                         }
-                        None => self.connection.fill().await?,
+                        None if received > MAX_FRAMING_BYTES => {
+                            let reason = format!("no byte of the body within {received} bytes");
+                            return Err(ExchangeError::Malformed(reason));
+                        }
+                        None => received += self.connection.fill().await?,
                     }
                 }
             }
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -13,7 +13,7 @@
     slow_attempt::{self, Waited},
     stream_origins, stream_resumption,
 };
-use crate::http_server;
+use crate::{clock, http_server};
 
 /// An open stream with its first event, which is `None` if the stream is empty.
 pub(super) struct OpenStream {
@@ -214,6 +214,9 @@
     }
 }
 
+/// Time after the deadline of a request in which events that have arrived are still sent on.
+const MAX_OVERRUN: time::Duration = time::Duration::from_millis(200);
+
 /// The remaining events of a response whose head was sent.
 struct EventFlow {
     relay: RequestRelay,
@@ -240,6 +243,12 @@
             if let Some(first) = open.first.take() {
                 return Some(Ok(first.bytes));
             }
+            // Events that arrive without a pause leave no wait in which the deadline is noticed.
+            let now = clock::BootInstant::now();
+            if now > self.relay.request.deadline + MAX_OVERRUN {
+                self.open = None;
+                return Some(Err(self.give_up("the deadline has passed")));
+            }
             let attempt_flow::RespondingAttempt {
                 slot,
                 open: response,
--- a/src/serving/event_split.rs
+++ b/src/serving/event_split.rs
@@ -5,6 +5,9 @@
 /// Longest event that is accepted, in bytes; a longer one ends the stream with an error.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Most blank lines between two events, in bytes; more of them end the stream with an error.
+const MAX_BLANK_BYTES: usize = 4 << 10;
+
 /// One complete event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RawEvent {
@@ -33,6 +36,9 @@
     /// An event is longer than `MAX_EVENT_BYTES`.
     #[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
+    /// There are more than `MAX_BLANK_BYTES` of blank lines between two events.
+    #[error("more than {MAX_BLANK_BYTES} blank lines follow an event of the stream")]
+    Blank,
 }
 
 /// Buffer for the bytes of a stream that don't make up a complete event yet.
@@ -41,6 +47,8 @@
     pending: bytes::BytesMut,
     /// Number of leading bytes of `pending` that were searched for the end of an event.
     scanned: usize,
+    /// Number of blank lines since the last event.
+    blank: usize,
 }
 
 impl EventSplitter {
@@ -57,11 +65,15 @@
     /// Returns the next complete event, if there is one.
     ///
     /// # Errors
-    /// The event has no index or is too long, see [`SplitError`].
+    /// The event has no index or is too long, or only blank lines come, see [`SplitError`].
     pub fn next_event(&mut self) -> Result<Option<RawEvent>, SplitError> {
         while self.pending.first() == Some(&b'\n') {
             self.pending.advance(1);
             self.scanned = 0;
+            self.blank += 1;
+        }
+        if self.blank > MAX_BLANK_BYTES {
+            return Err(SplitError::Blank);
         }
         let from = self.scanned.saturating_sub(1);
         let end = self.pending[from..].windows(2).position(|w| w == b"\n\n");
@@ -74,6 +86,7 @@
         };
         let bytes = self.pending.split_to(from + end + 2).freeze();
         self.scanned = 0;
+        self.blank = 0;
         let id = event_id(&bytes).ok_or(SplitError::NoId)?;
         Ok(Some(RawEvent { id, bytes }))
     }
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -18,9 +18,13 @@
 /// slot first.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
-/// Maximum gap between two events of an item; an engine step takes 3 to 60 ms.
+/// Maximum time without a byte of an item's stream; an engine step takes 3 to 60 ms.
 const EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 
+/// Maximum time without a complete event while other bytes arrive. Those that arrived during a
+/// delay of the event loop are read first.
+const MAX_EVENT_TIME: time::Duration = time::Duration::from_millis(2400);
+
 /// Delay before a failed item is started again.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
 
@@ -64,6 +68,8 @@
     Failed,
     /// The stream broke, for the given reason; another run can resume it.
     Cut(String),
+    /// The output is larger than a result may be, so it is no answer; another run starts over.
+    Oversized,
     /// The endpoint did not start the item.
     NotRun(outcome::NotRunReason),
     /// The slot was reclaimed or the job ended.
@@ -103,7 +109,12 @@
                     crash_trials::return_trial(&self.context, subject);
                 }
             }
-            _ => {}
+            RunEnd::Cut(_)
+            | RunEnd::Oversized
+            | RunEnd::NotRun(_)
+            | RunEnd::Preempted
+            | RunEnd::Impossible
+            | RunEnd::Failed => {}
         }
         self.record_hold_time(started.elapsed(), &end);
         self.settle(end);
@@ -270,11 +281,17 @@
         let mut splitter = event_split::EventSplitter::default();
         let mut last_event = resume_after;
         let mut events = 0;
+        let mut output_bytes = self.job.borrow().items[self.index].output_bytes();
+        let mut event_at = clock::BootInstant::now();
         loop {
             loop {
                 match splitter.next_event() {
+                    Ok(None) if event_at.elapsed() > MAX_EVENT_TIME => {
+                        return RunEnd::Cut("no complete event arrived in time".into())
+                    }
                     Ok(None) => break,
                     Ok(Some(event)) => {
+                        event_at = clock::BootInstant::now();
                         if last_event.is_some_and(|last_event| event.id != last_event + 1) {
                             return RunEnd::Cut(format!("event {} after {last_event:?}", event.id));
                         }
@@ -292,6 +309,10 @@
                             let parts = self.parts();
                             crash_guard::record_parts_served(&self.context, &parts, started_at);
                         }
+                        output_bytes += event.bytes.len();
+                        if output_bytes > open_job::PART_BYTES {
+                            return RunEnd::Oversized;
+                        }
                         if !self.append_event(&event) {
                             return RunEnd::Preempted;
                         }
@@ -366,7 +387,7 @@
                 let mut permits = context.permits.borrow_mut();
                 return permits.record_served(&self.endpoint.id);
             }
-            RunEnd::Cut(_) => Some(endpoint_reports::failure(context, true)),
+            RunEnd::Cut(_) | RunEnd::Oversized => Some(endpoint_reports::failure(context, true)),
             RunEnd::NotRun(reason) => {
                 endpoint_reports::count_refusal(context, *reason);
                 endpoint_reports::from_refusal(context, *reason)
@@ -388,6 +409,7 @@
             RunEnd::Impossible => "impossible",
             RunEnd::Failed => "failed",
             RunEnd::Cut(_) => "cut",
+            RunEnd::Oversized => "oversized",
             RunEnd::NotRun(_) => "not_run",
             RunEnd::Preempted => "preempted",
         };
@@ -425,11 +447,14 @@
                     job.finish(self.index, wire::ItemState::GivenUp);
                 }
             }
-            RunEnd::Cut(_) | RunEnd::NotRun(_) => {
+            RunEnd::Cut(_) | RunEnd::NotRun(_) | RunEnd::Oversized => {
                 let delay =
                     retry::backoff_delay(progress.empty_runs, &RETRY_DELAYS, &mut rand::rng());
                 progress.empty_runs += 1;
                 progress.not_before = clock::BootInstant::now() + delay;
+                if end == RunEnd::Oversized {
+                    progress.start_over();
+                }
             }
             RunEnd::Preempted => {}
         }
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -25,8 +25,8 @@
 const NEARLY_DUE_MS: u64 = 4000;
 
 /// Maximum size of the results in one part, in bytes; a stored object holds up to a
-/// megabyte of JSON.
-const PART_BYTES: usize = 600_000;
+/// megabyte of JSON. The output of an item that exceeds it could not be stored.
+pub(super) const PART_BYTES: usize = 600_000;
 
 /// Maximum size of the results in one response to a reader, in bytes.
 const PAGE_BYTES: usize = 900_000;
@@ -145,6 +145,11 @@
         self.phase == ItemPhase::Waiting && self.not_before <= now
     }
 
+    /// Returns the size of the output so far, in bytes.
+    pub(super) fn output_bytes(&self) -> usize {
+        self.events.iter().map(|event| event.len() + 1).sum()
+    }
+
     /// Returns the progress beyond the events that the receiver has, if there is any.
     fn checkpoint(
         &self,
--- a/tests/truncated_answers.rs
+++ b/tests/truncated_answers.rs
@@ -1,4 +1,5 @@
-//! An answer that is cut is never taken for a whole one, however it is framed.
+//! An answer that is cut is never taken for a whole one, however it is framed, and one without
+//! an end is given up.
 
 use std::{
     io::{Read as _, Write as _},
@@ -6,6 +7,7 @@
 };
 
 use actix_http::Method;
+use futures::StreamExt as _;
 use jayhollow::{endpoint_client, outcome};
 use rstest::rstest;
 
@@ -68,3 +70,44 @@
         other => panic!("neither whole nor unknown: {other:?}"),
     }
 }
+
+/// Answers one connection with the head of a stream and then with these bytes until the caller
+/// closes; returns its address and the thread, which ends with the connection.
+fn serve_endlessly(piece: &'static str) -> (net::SocketAddr, thread::JoinHandle<()>) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it has an address");
+    let serving = thread::spawn(move || {
+        let (mut socket, _) = listener.accept().expect("it is called");
+        let _ = socket.read(&mut [0; 4096]);
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let mut sent = socket.write_all(head.as_bytes());
+        let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+        while sent.is_ok() {
+            sent = socket.write_all(chunk.as_bytes());
+        }
+    });
+    (address, serving)
+}
+
+/// Guards against a stream that fills the memory of its reader and brings no event.
+#[rstest]
+#[case::comments(": still here\n\n")]
+#[case::one_event("data: more and more\n")]
+fn a_stream_without_an_event_is_given_up(#[case] piece: &'static str) {
+    let (address, serving) = serve_endlessly(piece);
+    let event = actix_rt::System::new().block_on(async {
+        let client = endpoint_client::new_client();
+        match endpoint_client::open_stream(&client, &call(address)).await {
+            outcome::AttemptOutcome::Completed(endpoint_client::OpenedStream::Events(
+                mut events,
+            )) => {
+                let limit = time::Duration::from_secs(20);
+                actix_rt::time::timeout(limit, events.next()).await
+            }
+            _ => panic!("the stream is opened"),
+        }
+    });
+    let event = event.expect("it is given up in time");
+    assert!(matches!(event, Some(Err(_))), "{event:?}");
+    serving.join().expect("the connection is closed");
+}
