--- a/tests/crash_parts.rs
+++ b/tests/crash_parts.rs
@@ -175,6 +175,38 @@
     }
 }
 
+/// Requests with a bad part that may reach endpoints after the fifth crash.
+const MAX_LATE_RUNS: u64 = 3;
+
+/// Guards against items that are held back for good as they share a part which was convicted by
+/// bad luck, and against trials for them that crash one endpoint after another.
+#[test]
+fn trials_of_a_convicted_part_go_on_for_items_and_are_few() {
+    let bad = subject("bad");
+    let mut ledger = CrashLedger::default();
+    crash_under(&mut ledger, &["bad"]);
+    let now = fail_trial(&mut ledger, &["bad"], 11, 3000);
+    let convicted = fail_trial(&mut ledger, &["bad"], 12, now);
+    let next_trial = |ledger: &CrashLedger, now: u64| {
+        let delay = ledger.owed_trial_delay(bad, at(now));
+        now + delay.expect("it is a suspect").as_millis() as u64
+    };
+    let (mut due, mut late) = (next_trial(&ledger, convicted), 0);
+    while due < convicted + 90_000 {
+        let verdict = ledger.verdict(bad, at(due));
+        assert!(matches!(verdict, CrashVerdict::Quarantined(_)));
+        assert_eq!(ledger.grant_trial(bad, at(due)), CrashVerdict::Trial);
+        assert_ne!(ledger.grant_trial(bad, at(due + 1)), CrashVerdict::Trial);
+        late += 1;
+        crash(&mut ledger, &[bad], 20 + late, due + 60);
+        due = next_trial(&ledger, due + 60);
+    }
+    assert!((1..=MAX_LATE_RUNS).contains(&late), "{late} trials");
+    assert_eq!(ledger.grant_trial(bad, at(due)), CrashVerdict::Trial);
+    assert!(ledger.record_part_served(part("bad"), at(due + 1), at(due + 60)));
+    assert_eq!(ledger.verdict(bad, at(due + 60)), CrashVerdict::Allowed);
+}
+
 /// Guards against trials that each side of a cut starts anew once the cut has healed.
 #[test]
 fn both_sides_of_a_cut_agree_on_a_part_once_it_has_healed() {
