--- a/src/serving/job_table.rs
+++ b/src/serving/job_table.rs
@@ -6,7 +6,7 @@
 
 use super::{
     context, job_records, members,
-    open_job::{OpenJob, SharedJob},
+    open_job::{self, OpenJob, SharedJob},
     peers, wire,
 };
 use crate::{
@@ -403,20 +403,22 @@
     loop {
         // The first event after a delay of the loop may be this one.
         context.jobs.record_activity();
-        let (committed, complete, ended, undoubted, fresh, mut changes) = {
+        let (committed, complete, ended, is_current, undoubted, fresh, mut changes) = {
             let job = job.borrow();
             let is_fresh = |at: clock::BootInstant| at.elapsed() < RESULTS_MAX_AGE;
             (
                 job.committed.len(),
                 job.is_complete(),
                 job.ended,
+                job.knowledge == open_job::OwnerKnowledge::Current,
                 context.jobs.is_undoubted(&job),
                 job.read_at.is_some_and(is_fresh),
                 job.changed.subscribe(),
             )
         };
-        // The owner of an open job appends its results, so it knows all of them.
-        let is_certain = complete || (owned && !ended && undoubted);
+        // The owner of an open job appends its results, so it knows all of them once it has read
+        // those of earlier owners.
+        let is_certain = complete || (owned && is_current && !ended && undoubted);
         let behind = request.after > committed || (!is_certain && request.after >= committed);
         let is_due = !fresh || (owned && !undoubted);
         if behind && is_due && !complete {
