refactor(serving): notices of ends in a module of their own

the_largest_circle_of_imports_only_shrinks found 12 modules that import each other, ten are allowed: the read of the end marks had tied the state of the fleet to jobs. The read is passed to the periodic refresh, and job_ends holds the notices, which import no other module of jobs. Nothing else is changed.

--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -1,11 +1,10 @@
 //! Handles heartbeats, fetches newer state from peers, and reads the store again in case a
 //! watch missed a change.
 
-use std::{net, rc, time};
+use std::{future, net, rc, time};
 
 use super::{
-    context, crash_guard, fleet_source, job_upkeep, limit_links, members, owners, peers, probes,
-    state_transfer,
+    context, crash_guard, fleet_source, limit_links, members, owners, peers, probes, state_transfer,
 };
 
 /// Timeout for the members of a peer, and for the next bytes of its list of endpoints.
@@ -260,7 +259,12 @@
 ///
 /// A watch may miss changes without failing. The other processes receive through probes
 /// what is read here.
-pub(super) async fn refresh_periodically(context: rc::Rc<context::ProcessContext>) {
+///
+/// `read_ends` reads the end marks of jobs, which only this process reads apart from watches.
+pub(super) async fn refresh_periodically<F: future::Future<Output = ()>>(
+    context: rc::Rc<context::ProcessContext>,
+    read_ends: impl Fn(rc::Rc<context::ProcessContext>) -> F,
+) {
     use fleet_source::RefreshKind as K;
 
     loop {
@@ -271,7 +275,7 @@
         for kind in [K::Endpoints, K::State, K::Evacuations] {
             context.source.refresh(kind, context.fleet.clone()).await;
         }
-        job_upkeep::read_ends(&context).await;
+        read_ends(context.clone()).await;
     }
 }
 
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -1,12 +1,12 @@
 //! Handles callers' requests about jobs: submission, results, item bodies and ends.
 
-use std::{net, rc, time};
+use std::{rc, time};
 
 use actix_http::{header, StatusCode};
 
 use super::{
-    context, item_run, job_acceptance, job_records, job_runner, job_supervisor, job_table,
-    peer_links, peers, refusals, request_admission, route_table, wire,
+    context, item_run, job_acceptance, job_ends, job_records, job_runner, job_supervisor,
+    job_table, peers, refusals, request_admission, route_table, wire,
 };
 use crate::{clock, http_server, ids, store};
 
@@ -15,13 +15,6 @@
 /// Time for the owner's response beyond the wait that the caller requested.
 const OWNER_TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(250);
 
-/// Timeout of the acknowledgement of a job's end. A round trip takes 1 to 4 ms, so a longer
-/// wait means that the connection is silent or its peer is lost.
-const END_ACK_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// Time for which an owner is notified of the end of a job. One that is away for longer reads
-/// the end marks when it is back.
-const END_NOTICE_TIME: time::Duration = time::Duration::from_secs(5);
-
 /// Submission of a job by a caller.
 pub struct Submission<'a> {
     /// Route that the request matched.
@@ -266,49 +259,5 @@
 pub fn notify_end(context: &rc::Rc<context::ProcessContext>, job: &ids::JobId) {
     job_supervisor::forget(job);
     job_runner::end_job(context, job, job_runner::EndSource::Caller);
-    notify_owners_of_end(context, job);
-}
-
-/// Notifies the processes that may run a job of its end: all owners in a small fleet, and the
-/// first few for this job in a large one.
-pub(super) fn notify_owners_of_end(context: &rc::Rc<context::ProcessContext>, job: &ids::JobId) {
-    let candidates = context.job_candidates(job).into_iter();
-    for owner in candidates.filter(|owner| owner != context.id()) {
-        let address = context.members.borrow().address_of(&owner);
-        if let Some(address) = address {
-            actix_rt::spawn(deliver_end(context.clone(), owner, address, job.clone()));
-        }
-    }
-}
-
-/// Notifies an owner of the end of a job until it acknowledges, each time on a new connection
-/// if the last one has fallen silent.
-async fn deliver_end(
-    context: rc::Rc<context::ProcessContext>,
-    owner: ids::InstanceId,
-    address: net::SocketAddr,
-    job: ids::JobId,
-) {
-    let started_at = clock::BootInstant::now();
-    for attempt in 1.. {
-        let sent = context.links.end_job(address, job.clone(), END_ACK_TIMEOUT);
-        let outcome = sent.await;
-        let ms = started_at.elapsed().as_millis();
-        match outcome {
-            Ok(()) => {
-                log::info!("event=end_delivered job={job} owner={owner} attempt={attempt} ms={ms}");
-                return;
-            }
-            Err(e) => log::info!(
-                "event=end_undelivered job={job} owner={owner} attempt={attempt} ms={ms} why=\"{e}\""
-            ),
-        }
-        if started_at.elapsed() >= END_NOTICE_TIME {
-            return;
-        }
-        if outcome == Err(peer_links::PeerError::TimedOut) {
-            context.links.close_if_silent(address);
-        }
-        actix_rt::time::sleep(peer_links::RECONNECT_DELAY).await;
-    }
+    job_ends::notify_owners(context, job);
 }
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -4,7 +4,7 @@
 use std::{collections, rc, time};
 
 use super::{
-    context, fleet_sync, job_calls, job_checkpoints, job_records, job_runner, job_table, members,
+    context, fleet_sync, job_checkpoints, job_ends, job_records, job_runner, job_table, members,
     open_job, owners,
 };
 use crate::{clock, ids, platform, store};
@@ -192,7 +192,7 @@
 /// Reads the end marks since the last ones that are known. One process does it for all, and
 /// notifies the owners: their watches may have fallen silent, and the process that a caller
 /// ended the job at may be lost.
-pub(super) async fn read_ends(context: &rc::Rc<context::ProcessContext>) {
+pub(super) async fn read_ends(context: rc::Rc<context::ProcessContext>) {
     let Some(since) = context.jobs.ends_revision() else {
         // The watch reads all of them first.
         return;
@@ -204,7 +204,7 @@
         .await;
     match read {
         Ok(response) => {
-            let ended = apply_ends(context, &prefix, response, job_runner::EndSource::Read);
+            let ended = apply_ends(&context, &prefix, response, job_runner::EndSource::Read);
             if ended > 0 {
                 log::info!("event=ends_missed count={ended} since={since}");
                 context.jobs.ends_missed.notify_one();
@@ -234,7 +234,7 @@
         job_runner::end_job(context, id, source);
         // The first read brings the marks of all jobs so far.
         if !is_first && fleet_sync::is_refresher(context) {
-            job_calls::notify_owners_of_end(context, id);
+            job_ends::notify_owners(context, id);
         }
     }
     new.len()
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -42,6 +42,7 @@
 pub mod job_acceptance;
 pub mod job_calls;
 pub mod job_checkpoints;
+mod job_ends;
 pub mod job_records;
 pub mod job_runner;
 pub mod job_supervisor;
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -5,9 +5,9 @@
 use tokio::sync::mpsc;
 
 use super::{
-    checkpoint_file, context, crash_guard, fleet_sync, job_checkpoints, job_runner, listener,
-    member_sync, members, metrics_page, origin_file, owners, peer_calls, peer_server, probes,
-    start_record, suspension,
+    checkpoint_file, context, crash_guard, fleet_sync, job_checkpoints, job_runner, job_upkeep,
+    listener, member_sync, members, metrics_page, origin_file, owners, peer_calls, peer_server,
+    probes, start_record, suspension,
 };
 use crate::{clock, decisions::call_budget::CallClass, protection, store};
 
@@ -48,7 +48,10 @@
     actix_rt::spawn(member_sync::register(context.clone()));
     actix_rt::spawn(member_sync::watch_members(context.clone()));
     actix_rt::spawn(probes::probe_peers(context.clone()));
-    actix_rt::spawn(fleet_sync::refresh_periodically(context.clone()));
+    actix_rt::spawn(fleet_sync::refresh_periodically(
+        context.clone(),
+        job_upkeep::read_ends,
+    ));
     actix_rt::spawn(crash_guard::read_quarantined(context.clone()));
     actix_rt::spawn(owners::tick(context.clone()));
     actix_rt::spawn(owners::follow_orders(context.clone()));
