--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -445,3 +445,55 @@
     ));
     Ok(short_streams == 0 && short_items == 0)
 }
+
+/// BUDGET: an item that servers answer with 422 reaches them again and again.
+pub fn never(record: &Record, has_trouble: bool) -> Result<bool, String> {
+    const ITEMS: usize = 20;
+    let work = Work {
+        events: 40,
+        pause: time::Duration::from_millis(10),
+        text: short_text,
+        is_unframed: false,
+    };
+    let servers: Vec<_> = (0..6)
+        .map(|n| {
+            Server::start(
+                record,
+                &format!("i-llm{n}"),
+                "drafting-llm",
+                ZONES[n % 3],
+                work,
+            )
+        })
+        .collect();
+    let mut jobs_route = route("jobs", "/lots-in/", "batch", 15_000);
+    jobs_route["Service"] = json!("drafting-llm");
+    let state = json!({
+        "Version": 3, "Routes": [jobs_route], "Limits": harness::limits(),
+        "Services": [{"Name": "drafting-llm", "HealthPath": "/healthz", "MaxConnections": 200, "Engine": {"Slots": 8}}],
+    });
+    let deployment = Deployment::start(record, servers, state, 2, 3);
+    if !deployment.is_ready() {
+        return Err("the deployment is not ready".to_owned());
+    }
+    thread::sleep(seconds(4.0));
+    let poison = usize::from(has_trouble);
+    let job = "70c41e09b52d6a3f".to_owned();
+    let body = harness::poisoned_job_body(&job, ITEMS, 200, poison);
+    if !deployment.submit(0, &job, &body) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let until = time::Instant::now() + seconds(25.0);
+    let listed = read_until(&deployment, &[(job.clone(), ITEMS)], until);
+    let mut runs = BTreeMap::<String, usize>::new();
+    for run in deployment.servers.iter().flat_map(Server::runs) {
+        *runs.entry(run.path).or_default() += 1;
+    }
+    let refused = runs.iter().filter(|(path, _)| path.contains("/never/"));
+    let most = refused.map(|(_, count)| *count).max().unwrap_or(0);
+    record.say(format!(
+        "items listed {} of {ITEMS}; answers of 422 to one item {most}",
+        listed[&job].len()
+    ));
+    Ok(most <= 3)
+}
--- a/review/standins-2/src/harness.rs
+++ b/review/standins-2/src/harness.rs
@@ -289,6 +289,15 @@
         ));
         self.runs.lock().expect("no holder panicked").push(run);
         let goes_on = match request.path.contains("/items/") {
+            // It can never be done. Only an answer of 2xx needs the MAC.
+            true if request.path.contains("/never/") => {
+                let body = "this item can never be done";
+                let text = format!(
+                    "HTTP/1.1 422 Unprocessable Entity\r\nRequest-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                wire.write(text.as_bytes()).is_ok()
+            }
             true => self.stream(request, wire, &id),
             false => {
                 thread::sleep(self.pause);
@@ -716,14 +725,23 @@
 
 /// The body of a job with so many items.
 pub fn job_body(job: &str, items: usize, body_bytes: usize) -> String {
+    poisoned_job_body(job, items, body_bytes, 0)
+}
+
+/// The same, of which the first few can never be done.
+pub fn poisoned_job_body(job: &str, items: usize, body_bytes: usize, poison: usize) -> String {
     use base64::Engine as _;
 
     let body = base64::engine::general_purpose::STANDARD.encode(vec![b'x'; body_bytes]);
     let items: Vec<_> = (0..items)
         .map(|n| {
             let id = item_id(job, n);
+            let path = match n < poison {
+                true => format!("/lots-in/items/never/{id}"),
+                false => format!("/lots-in/items/{id}"),
+            };
             json!({
-                "Id": id, "Path": format!("/lots-in/items/{id}"),
+                "Id": id, "Path": path,
                 "Headers": {"Model": "m", "Token-Usage": "350,400", "Prompt-Prefix": "9c2e41:100,5d07b8:250"},
                 "Body": body, "Tokens": 750,
             })
