fix(serving): results that grow in the store are committed in parts that it accepts

Cause: a part of results was filled up to 600,000 bytes of raw text, but the store counts the encoded object, in which JSON escapes take two or six bytes for one. The store refused the part as too large, and it was sent again unchanged, without end. All later results of the job waited behind it. A single result that grew above the limit blocked its job without any outage.

Fix: a part counts its encoded size against the limit that the store states. A result above it is written as fragments in consecutive parts; as a part is created only by a process that has read all earlier ones, an offset says which fragments it continues. A part that is refused all the same is halved. Pages for readers count their encoded size too; an output may have 1 MiB instead of 600,000 bytes, above which the item started over without end.

--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -36,6 +36,10 @@
     last: time::Duration::from_millis(1200),
 };
 
+/// Maximum size of an item's output in bytes. A response to a reader holds about a megabyte of
+/// results, so a longer output is no answer.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
+
 /// HTTP method of item requests.
 const ITEM_METHOD: actix_http::Method = actix_http::Method::POST;
 
@@ -310,7 +314,7 @@
                             crash_guard::record_parts_served(&self.context, &parts, started_at);
                         }
                         output_bytes += event.bytes.len();
-                        if output_bytes > open_job::PART_BYTES {
+                        if output_bytes > MAX_OUTPUT_BYTES {
                             return RunEnd::Oversized;
                         }
                         if !self.append_event(&event) {
--- a/src/serving/job_records.rs
+++ b/src/serving/job_records.rs
@@ -6,7 +6,7 @@
 //! it. Each item thus has one result at one position, without a lease and without a
 //! clock.
 
-use super::{route_table, wire};
+use super::{result_parts, route_table, wire};
 use crate::{clock, decisions::call_budget::CallClass, ids, store};
 
 /// Kind of the records of accepted jobs.
@@ -46,15 +46,6 @@
     pub items: Vec<wire::JobItem>,
 }
 
-/// Part of a job's results.
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct ResultPart {
-    /// Position of the first result in the job's result sequence.
-    pub start: usize,
-    /// Results in this part.
-    pub results: Vec<wire::ItemResult>,
-}
-
 /// Mark of a job that its caller ended.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct EndMark {
@@ -168,7 +159,7 @@
     store: &dyn store::ObjectStore,
     id: &ids::JobId,
     number: usize,
-    part: &ResultPart,
+    part: &result_parts::ResultPart,
 ) -> store::StoreResult<bool> {
     let key = part_key(id, number);
     create(store, CallClass::Commit, &key, store::encode(part)).await
@@ -182,7 +173,7 @@
     store: &dyn store::ObjectStore,
     id: &ids::JobId,
     number: usize,
-) -> store::StoreResult<Option<ResultPart>> {
+) -> store::StoreResult<Option<result_parts::ResultPart>> {
     match store.get(CallClass::Commit, &part_key(id, number)).await? {
         Some(object) => object.decode().map(Some),
         None => Ok(None),
--- a/src/serving/job_table.rs
+++ b/src/serving/job_table.rs
@@ -7,7 +7,7 @@
 use super::{
     context, job_records, members,
     open_job::{self, OpenJob, SharedJob},
-    peers, wire,
+    peers, result_parts, wire,
 };
 use crate::{
     clock,
@@ -361,7 +361,7 @@
             // as a part without results.
             Err(store::StoreError::Corrupt(reason)) => {
                 log::warn!("event=part_unreadable job={id} part={parts} why=\"{reason}\"");
-                Some(job_records::ResultPart::default())
+                Some(result_parts::ResultPart::default())
             }
             part => part?,
         };
@@ -475,6 +475,7 @@
 
 async fn commit_all(context: &rc::Rc<context::ProcessContext>, job: &SharedJob) {
     let mut backoff = settle::JitteredBackoff::default();
+    let mut limit = result_parts::PartLimit::new(context.store.max_value_size());
     // After a write without a response, other processes may have read the results from
     // the store, even if the job was ended since. The write is therefore repeated until
     // its outcome is known.
@@ -486,9 +487,10 @@
             if job.pending.is_empty() || (job.ended && is_settled) {
                 return;
             }
-            (job.record.id.clone(), job.parts, job.next_part())
+            (job.record.id.clone(), job.parts, job.next_part(limit))
         };
         let count = part.results.len();
+        let (size, is_fragment) = (store::encoded_size(&part), part.fragment.is_some());
         let appended = job_records::append_part(context.store.as_ref(), &id, number, &part).await;
         let settled = match appended {
             Ok(true) => {
@@ -496,12 +498,23 @@
                 if job.parts == number {
                     job.apply_part(part);
                 }
-                log::info!("event=results_committed job={id} part={number} results={count}");
+                log::info!(
+                    "event=results_committed job={id} part={number} results={count} bytes={} is_fragment={is_fragment}",
+                    size.0
+                );
                 notify_owner_of_part(context, &id);
                 Ok(())
             }
             // Another process, or an earlier attempt of this one, has created the part.
             Ok(false) => refresh_results(context, job).await,
+            // The same part would be refused again.
+            Err(store::StoreError::TooLarge) if limit.lower() => {
+                log::warn!(
+                    "event=part_too_large job={id} part={number} results={count} bytes={}",
+                    size.0
+                );
+                continue;
+            }
             Err(e) => Err(e),
         };
         match settled {
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -74,6 +74,7 @@
 pub mod relay;
 mod request_admission;
 pub mod response_copy;
+pub mod result_parts;
 pub mod route_table;
 pub mod search_backoff;
 pub mod selection;
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -5,9 +5,10 @@
 use tokio::sync::watch;
 
 use super::{
-    directory, job_checkpoints, job_records, job_table::StreamKey, progress_transfer, wire,
+    directory, job_checkpoints, job_records, job_table::StreamKey, progress_transfer, result_parts,
+    wire,
 };
-use crate::{clock, ids};
+use crate::{clock, ids, store};
 
 /// Delay before results are committed, while their job has time left: this much per job
 /// owner, within the minimum and the maximum below.
@@ -24,12 +25,8 @@
 /// Time before the due time from which a job counts as nearly due, in milliseconds.
 const NEARLY_DUE_MS: u64 = 4000;
 
-/// Maximum size of the results in one part, in bytes; a stored object holds up to a
-/// megabyte of JSON. The output of an item that exceeds it could not be stored.
-pub(super) const PART_BYTES: usize = 600_000;
-
-/// Maximum size of the results in one response to a reader, in bytes.
-const PAGE_BYTES: usize = 900_000;
+/// Maximum size of the encoded results in one response to a reader.
+const PAGE_SIZE: store::ValueSize = store::ValueSize(900_000);
 
 /// Minimum number of events that a late checkpoint must add to replace a run that has
 /// already started over: the next run reads its prompt again, which takes 5 to 30 ms,
@@ -215,6 +212,8 @@
     pub parts: usize,
     /// Results that are not in the store yet.
     pub pending: Vec<wire::ItemResult>,
+    /// Result of which the last parts in the store hold some fragments.
+    partial: Option<result_parts::PartialResult>,
     /// Progress of each item.
     pub items: Vec<ItemProgress>,
     /// Running streams of the items.
@@ -247,6 +246,7 @@
             committed: Vec::new(),
             parts: 0,
             pending: Vec::new(),
+            partial: None,
             items,
             streams: collections::HashSet::new(),
             ended: false,
@@ -279,8 +279,11 @@
     }
 
     /// Applies the next result part of the store.
-    pub(super) fn apply_part(&mut self, part: job_records::ResultPart) {
-        for result in part.results {
+    pub(super) fn apply_part(&mut self, part: result_parts::ResultPart) {
+        let assembled = part
+            .fragment
+            .and_then(|fragment| result_parts::assemble(&mut self.partial, fragment));
+        for result in part.results.into_iter().chain(assembled) {
             if !self.apply_result(&result) {
                 let (job, item) = (&self.record.id, &result.id);
                 log::warn!(
@@ -454,15 +457,15 @@
         true
     }
 
-    /// Returns the committed results from a position on, up to `PAGE_BYTES` but at least
+    /// Returns the committed results from a position on, up to `PAGE_SIZE` but at least
     /// one if there is any.
     pub(super) fn page(&self, after: usize) -> wire::ResultPage {
-        let mut bytes = 0;
+        let mut size = store::ValueSize::default();
         let rest = self.committed.iter().skip(after);
         let results = rest.take_while(|result| {
-            let first = bytes == 0;
-            bytes += result.output.len() + result.id.len() + 64;
-            first || bytes <= PAGE_BYTES
+            let first = size == store::ValueSize::default();
+            size.0 += store::encoded_size(*result).0 + 64;
+            first || size <= PAGE_SIZE
         });
         let results: Vec<_> = results.cloned().collect();
         wire::ResultPage {
@@ -479,19 +482,9 @@
         bodies.sum::<usize>() + results.sum::<usize>()
     }
 
-    /// Returns the next part to commit: pending results up to `PART_BYTES`, at least one if
-    /// there is any.
-    pub(super) fn next_part(&self) -> job_records::ResultPart {
-        let mut bytes = 0;
-        let fitting = self.pending.iter().take_while(|result| {
-            let first = bytes == 0;
-            bytes += result.output.len() + result.id.len() + 64;
-            first || bytes <= PART_BYTES
-        });
-        job_records::ResultPart {
-            start: self.committed.len(),
-            results: fitting.cloned().collect(),
-        }
+    /// Returns the next part to commit.
+    pub(super) fn next_part(&self, limit: result_parts::PartLimit) -> result_parts::ResultPart {
+        limit.next_part(self.committed.len(), &self.pending, self.partial.as_ref())
     }
 
     /// Returns how long results are collected before a commit, for a number of job
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,6 +1,6 @@
 //! Interface to the platform's object service.
 
-use std::{fmt, time};
+use std::{fmt, io, time};
 
 use futures::future;
 
@@ -26,6 +26,29 @@
     }
 }
 
+/// Size of an object's value in bytes, in the form in which it is stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct ValueSize(pub usize);
+
+impl ValueSize {
+    /// Limit of a platform that names none.
+    pub const DEFAULT_LIMIT: Self = Self(1 << 20);
+}
+
+impl fmt::Display for ValueSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bytes", self.0)
+    }
+}
+
+impl std::str::FromStr for ValueSize {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim_end_matches(" bytes").parse().map(Self)
+    }
+}
+
 /// Precondition of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteCondition {
@@ -90,6 +113,10 @@
 
 /// Operations of the platform's object service.
 pub trait ObjectStore: Send + Sync {
+    /// Returns the largest value that an object may have. A larger one is refused with
+    /// [`StoreError::TooLarge`], however often it is sent.
+    fn max_value_size(&self) -> ValueSize;
+
     /// Reads an object; returns `None` if it does not exist.
     fn get(
         &self,
@@ -167,3 +194,33 @@
     // The stored types contain no maps with keys that JSON cannot represent.
     serde_json::to_vec(value).map_or_else(|_| bytes::Bytes::new(), bytes::Bytes::from)
 }
+
+/// Returns the size of [`encode`]'s result without allocating it.
+///
+/// JSON may be six times as large as the text in it: a control character takes six bytes, and a
+/// quote, a backslash or a line feed two.
+pub fn encoded_size(value: &(impl serde::Serialize + ?Sized)) -> ValueSize {
+    let mut counter = ByteCounter::default();
+    // Counting cannot fail, and the stored types are those of `encode`.
+    match serde_json::to_writer(&mut counter, value) {
+        Ok(()) => ValueSize(counter.bytes),
+        Err(_) => ValueSize::default(),
+    }
+}
+
+/// Writer that counts the bytes written to it.
+#[derive(Debug, Default)]
+struct ByteCounter {
+    bytes: usize,
+}
+
+impl io::Write for ByteCounter {
+    fn write(&mut self, text: &[u8]) -> io::Result<usize> {
+        self.bytes += text.len();
+        Ok(text.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/src/store_client.rs
+++ b/src/store_client.rs
@@ -135,6 +135,10 @@
 }
 
 impl store::ObjectStore for StoreClient {
+    fn max_value_size(&self) -> store::ValueSize {
+        store::ValueSize::DEFAULT_LIMIT
+    }
+
     fn get(
         &self,
         class: call_budget::CallClass,
--- a/tests/settled_writes.rs
+++ b/tests/settled_writes.rs
@@ -67,6 +67,10 @@
 }
 
 impl ObjectStore for FakeStore {
+    fn max_value_size(&self) -> store::ValueSize {
+        store::ValueSize::DEFAULT_LIMIT
+    }
+
     fn get(
         &self,
         _: CallClass,
