fix(serving): items run only at services that have a share of their route

Cause: two rules for one draw. Requests are drawn by their weights; items were drawn by weight.max(1), so that 0 counted as 1. An item that waits for a slot is drawn anew every few milliseconds, which made several per cent of a share of 1 in 101 under load.

Fix: Route::active_targets says which targets have a share, and every draw and check follows it: requests, items, lent slots, resumed streams, the search for a slot and the order of waiting items.

--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -255,16 +255,14 @@
         let is_resume = self.origin.is_some() && is_recent;
         let may_go_on = (self.log.ran > 0 || is_resume) && self.attempts_left() > 0;
         let directory = self.context.fleet.directory.borrow();
-        let targets = &self.request.route.targets;
-        let is_listed = || match &self.origin {
+        let mut targets = self.request.route.active_targets();
+        let mut is_listed = || match &self.origin {
             Some(origin) => {
                 let software = &origin.software;
                 let listed = directory.of_version(&software.service, Some(&software.version));
                 !listed.is_empty()
             }
-            None => targets
-                .iter()
-                .any(|t| !directory.of_service(&t.service).is_empty()),
+            None => targets.any(|t| !directory.of_service(&t.service).is_empty()),
         };
         may_go_on && is_listed()
     }
--- a/src/serving/borrowed_slots.rs
+++ b/src/serving/borrowed_slots.rs
@@ -2,7 +2,7 @@
 
 use std::{net, rc, time};
 
-use super::{context, job_runner, peer_links, peers, ready_items, route_table};
+use super::{context, job_runner, peer_links, peers, ready_items};
 use crate::ids;
 
 /// Maximum wait for a lender before the next one is asked.
@@ -120,7 +120,7 @@
             .cloned();
         let matching_item = endpoint.as_ref().and_then(|e| {
             let fits = |item: &ready_items::ReadyItem| {
-                is_target(&item.route, &e.service) && ready_items::accepts(context, item, e)
+                item.route.leads_to(&e.service) && ready_items::accepts(context, item, e)
             };
             ready.iter().position(fits)
         });
@@ -136,8 +136,3 @@
         job_runner::begin_run(context, &ready.remove(position), slot);
     }
 }
-
-fn is_target(route: &route_table::Route, service: &ids::ServiceName) -> bool {
-    let mut targets = route.targets.iter();
-    targets.any(|t| t.service == *service && t.weight > 0)
-}
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -185,16 +185,10 @@
     item: &ready_items::ReadyItem,
     services_without_slots: &mut collections::HashMap<ids::ServiceName, WaitingItems>,
 ) {
-    let targets = &item.route.targets;
-    let total: u32 = targets.iter().map(|t| t.weight.max(1)).sum();
-    let mut point = rand::random_range(0..total.max(1));
-    let target = targets.iter().find(|t| {
-        let inside = point < t.weight.max(1);
-        point = point.saturating_sub(t.weight.max(1));
-        inside
-    });
-    let Some(target) = target else { return };
-    let waiting = services_without_slots.get_mut(&target.service);
+    let Some(service) = item.route.draw_service() else {
+        return;
+    };
+    let waiting = services_without_slots.get_mut(&service);
     if let Some(waiting) = waiting.filter(|waiting| waiting.has_no_slot) {
         waiting.count += 1;
         return;
@@ -209,12 +203,12 @@
         let accepts = |entry: &directory::EndpointEntry| {
             ready_items::continues_at(context, progress, entry) || progress.starts_over(is_listed)
         };
-        permits.begin_batch_at(&target.service, accepts, &ejected, now)
+        permits.begin_batch_at(&service, accepts, &ejected, now)
     };
     let has_progress = !progress.events.is_empty();
     drop(job);
     let Some((endpoint, number)) = slot else {
-        let waiting = services_without_slots.entry(target.service.clone());
+        let waiting = services_without_slots.entry(service);
         let waiting = waiting.or_default();
         waiting.count += 1;
         // An item with progress may wait for a software version while others have slots.
--- a/src/serving/ready_items.rs
+++ b/src/serving/ready_items.rs
@@ -256,7 +256,7 @@
     numbers: &mut ShareNumbers,
 ) -> item_order::WaitingItem {
     let spent = job.items[index].spent;
-    let service = route.targets.first().map(|t| &t.service);
+    let service = route.active_targets().next().map(|t| &t.service);
     let workspace = &job.record.workspace;
     item_order::WaitingItem {
         timing: item_order::ItemTiming {
--- a/src/serving/route_table.rs
+++ b/src/serving/route_table.rs
@@ -114,19 +114,31 @@
 }
 
 impl Route {
-    /// Draws the service of an attempt at random by the weights of the targets.
+    /// Returns the targets with a share of the requests: those with a weight above 0, or the
+    /// first one if no target has such a weight.
+    pub fn active_targets(&self) -> impl Iterator<Item = &RouteTarget> {
+        let weighted = self.targets.iter().filter(|t| t.weight > 0);
+        let has_weights = self.targets.iter().any(|t| t.weight > 0);
+        let fallback = self.targets.first().filter(|_| !has_weights);
+        weighted.chain(fallback)
+    }
+
+    /// Returns whether a service has a share of the requests.
+    pub fn leads_to(&self, service: &ids::ServiceName) -> bool {
+        self.active_targets().any(|t| t.service == *service)
+    }
+
+    /// Draws the service of an attempt or an item at random by the weights of the targets.
     pub fn draw_service(&self) -> Option<ids::ServiceName> {
-        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
-        if total == 0 {
-            return self.targets.first().map(|t| t.service.clone());
-        }
-        let mut point = rand::random_range(0..total);
-        let chosen = self.targets.iter().find(|t| {
-            let is_inside = point < t.weight;
-            point = point.saturating_sub(t.weight);
+        let weight = |target: &RouteTarget| u64::from(target.weight.max(1));
+        let total: u64 = self.active_targets().map(weight).sum();
+        let mut point = rand::random_range(0..total.max(1));
+        let drawn = self.active_targets().find(|target| {
+            let is_inside = point < weight(target);
+            point = point.saturating_sub(weight(target));
             is_inside
         });
-        chosen.map(|t| t.service.clone())
+        drawn.map(|target| target.service.clone())
     }
 }
 
--- a/src/serving/stream_resumption.rs
+++ b/src/serving/stream_resumption.rs
@@ -150,7 +150,7 @@
 ) -> Option<stream_origins::StreamOrigin> {
     let route = &request.route;
     let sure = |service| origin_exchange::sure_version(context, service, route.timeout);
-    let mut targets = route.targets.iter().filter(|target| target.weight > 0);
+    let mut targets = route.active_targets();
     if !targets.all(|target| sure(&target.service).is_some()) {
         return None;
     }
@@ -168,7 +168,7 @@
 /// Returns whether a service of the route has one software version at present.
 fn has_sole_target(context: &context::ProcessContext, request: &relay::CallerRequest) -> bool {
     let directory = context.fleet.directory.borrow();
-    let mut targets = request.route.targets.iter();
+    let mut targets = request.route.active_targets();
     targets.any(|target| directory.versions().sole(&target.service).is_some())
 }
 
@@ -183,8 +183,7 @@
     if !origin.is_certain(&directory) {
         return Err(ResumeDenial::Unknown);
     }
-    let mut targets = request.route.targets.iter();
-    if !targets.any(|t| t.service == software.service && t.weight > 0) {
+    if !request.route.leads_to(&software.service) {
         return Err(ResumeDenial::ServiceChanged);
     }
     Ok(origin)
