fix(serving): a begun text goes on only at an endpoint that confirms its listed start

Cause: an endpoint that keeps its name over starts may run other software from then on.

Fix: before a begun text goes on at such an endpoint, the endpoint is asked for its start on the connection that then carries the attempt. If it is another one, or does not answer, the text goes on elsewhere or is refused; the endpoint at which the stream began is asked as well. One that reports no start is believed to have the listed one.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -63,6 +63,8 @@
     /// Resumes of streams by callers, by the source of the software version or the reason of
     /// the refusal.
     pub stream_resumes: prometheus::IntCounterVec,
+    /// Questions to endpoints for their start, by outcome.
+    pub start_checks: prometheus::IntCounterVec,
     /// Origins of streams sent to their holders, by outcome.
     pub stream_origins: prometheus::IntCounterVec,
     /// Responses discarded because they belonged to another attempt.
@@ -240,6 +242,12 @@
                 "Resumes of streams by callers, by source of the software version or reason of the refusal",
                 "outcome",
             ),
+            start_checks: counters(
+                r,
+                "jayhollow_start_checks_total",
+                "Questions to endpoints for their start before a begun text goes on there, by outcome",
+                "outcome",
+            ),
             stream_origins: counters(
                 r,
                 "jayhollow_stream_origins_total",
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -24,6 +24,10 @@
     NeverSent,
     /// The connection was closed before any byte of the attempt was written.
     ClosedBeforeSend,
+    /// The endpoint has started again since it was chosen, and was not sent the attempt.
+    StartedAgain,
+    /// The endpoint did not confirm its start, and was not sent the attempt.
+    StartUnconfirmed,
 }
 
 impl fmt::Display for NotRunReason {
@@ -34,6 +38,8 @@
             Self::OtherEndpoint => "other_endpoint",
             Self::NeverSent => "never_sent",
             Self::ClosedBeforeSend => "closed_before_send",
+            Self::StartedAgain => "started_again",
+            Self::StartUnconfirmed => "start_unconfirmed",
         })
     }
 }
@@ -79,6 +85,17 @@
         Self(NotRunReason::NeverSent)
     }
 
+    /// Creates a proof for an attempt that was not sent, as the endpoint has started again.
+    pub fn started_again() -> Self {
+        Self(NotRunReason::StartedAgain)
+    }
+
+    /// Creates a proof for an attempt that was not sent, as the endpoint did not confirm its
+    /// start.
+    pub fn start_unconfirmed() -> Self {
+        Self(NotRunReason::StartUnconfirmed)
+    }
+
     /// Returns the reason why the attempt cannot have run.
     pub fn reason(&self) -> NotRunReason {
         self.0
--- a/src/serving/attempt.rs
+++ b/src/serving/attempt.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{header, Method, StatusCode};
 
-use super::{connection, context, directory, wire};
+use super::{connection, context, directory, start_check, wire};
 use crate::{decisions::endpoint_speed, ids, outcome, protection};
 
 /// Timeout for opening a connection.
@@ -95,6 +95,11 @@
     use outcome::AttemptOutcome as O;
 
     let exchange = async {
+        if start_check::is_needed(endpoint, terms) {
+            let confirmed = start_check::open_confirmed(context, endpoint, opened, head_timeout);
+            let confirmed = confirmed.await.map_err(O::NotRun)?;
+            return exchange_on(context, confirmed, request, terms).await;
+        }
         match opened {
             Some(opened) => exchange_on(context, opened, request, terms).await,
             None => exchange(context, endpoint, request, terms, is_reused, head_timeout).await,
--- a/src/serving/attempt_flow.rs
+++ b/src/serving/attempt_flow.rs
@@ -6,8 +6,9 @@
 use futures::future::{self, FutureExt as _};
 
 use super::{
-    attempt, connection, crash_trials, crash_watch, held_slot, peers, relay, search_backoff,
-    slot_requests, slots, slow_attempt, stream_resumption, unlisted_starts, wire,
+    attempt, connection, continuations, crash_trials, crash_watch, held_slot, peers, relay,
+    search_backoff, slot_requests, slots, slow_attempt, start_check, stream_resumption,
+    unlisted_starts, wire,
 };
 use crate::{clock, ids, outcome, protection};
 
@@ -102,12 +103,11 @@
             let no_service = || relay::FinalError::Failed("the route has no service".into());
             return Ok((service.ok_or_else(no_service)?, None));
         };
-        let directory = self.context.fleet.directory.borrow();
         let software = &origin.software;
-        let listed = directory.of_version(&software.service, Some(&software.version));
-        let denial = match origin.is_certain(&directory) {
+        let is_listed = continuations::has_endpoint(&self.context, software);
+        let denial = match continuations::is_origin_certain(&self.context, origin) {
             false => stream_resumption::ResumeDenial::Unknown,
-            true if listed.is_empty() => stream_resumption::ResumeDenial::VersionGone,
+            true if !is_listed => stream_resumption::ResumeDenial::VersionGone,
             true => return Ok((software.service.clone(), Some(software.version.clone()))),
         };
         Err(self.not_resumable(denial))
@@ -138,6 +138,7 @@
             let current = match sent.take() {
                 Some(current) => *current,
                 None => {
+                    self.check_origin().await;
                     let slot = self.find_slot().await?;
                     self.log.record_start(&slot);
                     self.set_trial_run(true);
@@ -152,6 +153,16 @@
         }
     }
 
+    /// Checks, once, where a stream began that is to go on.
+    pub(super) async fn check_origin(&self) {
+        let Some(origin) = self.origin.as_ref().filter(|_| self.last_event.is_some()) else {
+            return;
+        };
+        if !self.is_origin_checked.replace(true) {
+            start_check::check_origin(&self.context, origin).await;
+        }
+    }
+
     /// Acquires a slot for the next attempt.
     ///
     /// For a request that has run, the search goes on until its deadline; a new request
@@ -257,11 +268,7 @@
         let directory = self.context.fleet.directory.borrow();
         let mut targets = self.request.route.active_targets();
         let mut is_listed = || match &self.origin {
-            Some(origin) => {
-                let software = &origin.software;
-                let listed = directory.of_version(&software.service, Some(&software.version));
-                !listed.is_empty()
-            }
+            Some(origin) => continuations::has_endpoint(&self.context, &origin.software),
             None => targets.any(|t| !directory.of_service(&t.service).is_empty()),
         };
         may_go_on && is_listed()
--- a/src/serving/continuations.rs
+++ b/src/serving/continuations.rs
@@ -1,10 +1,11 @@
 //! Endpoints at which a begun text may not go on.
 
-use super::{context, directory};
+use super::{context, directory, stream_origins};
 use crate::ids;
 
-/// Returns whether no begun text may go on at an endpoint: while the service has several
-/// software versions, the list may be behind for this one.
+/// Returns whether no begun text may go on at an endpoint: it has reported another start than
+/// the listed one, or the list may be behind for it while the service has several software
+/// versions.
 pub(super) fn is_excluded(
     context: &context::ProcessContext,
     entry: &directory::EndpointEntry,
@@ -12,7 +13,62 @@
     let directory = context.fleet.directory.borrow();
     let is_mixed = directory.versions().sole(&entry.service).is_none();
     let starts = context.unlisted_starts.borrow();
-    is_mixed && starts.is_uncertain(entry, context.clock.now())
+    let has_restarted = starts.reported_start(&entry.id, entry.started).is_some();
+    has_restarted || (is_mixed && starts.is_uncertain(entry, context.clock.now()))
+}
+
+/// Returns the software of an endpoint, unless it has reported another start than the listed one
+/// and may thus have other software.
+pub(super) fn certain_software(
+    context: &context::ProcessContext,
+    entry: &directory::EndpointEntry,
+) -> Option<directory::ServiceSoftware> {
+    let starts = context.unlisted_starts.borrow();
+    match starts.reported_start(&entry.id, entry.started) {
+        Some(_) => None,
+        None => entry.service_software(),
+    }
+}
+
+/// Returns whether an endpoint of a service has reported another start than the listed one, so
+/// that the service may have a version that the list does not show.
+pub(super) fn has_unlisted_start(
+    context: &context::ProcessContext,
+    service: &ids::ServiceName,
+) -> bool {
+    let directory = context.fleet.directory.borrow();
+    let starts = context.unlisted_starts.borrow();
+    let mut entries = starts.candidates().filter_map(|id| directory.entry(id));
+    entries.any(|entry| {
+        entry.service == *service && starts.reported_start(&entry.id, entry.started).is_some()
+    })
+}
+
+/// Returns whether a stream is sure to have begun at the software of its origin: its endpoint
+/// has not started again with other software before the first event, unnoticed by the list.
+pub(super) fn is_origin_certain(
+    context: &context::ProcessContext,
+    origin: &stream_origins::StreamOrigin,
+) -> bool {
+    let starts = context.unlisted_starts.borrow();
+    let reported = origin
+        .run
+        .as_ref()
+        .and_then(|run| starts.reported_start(&run.endpoint, run.started));
+    let began_before = reported.is_none_or(|started| origin.began_before(started));
+    began_before && origin.is_certain(&context.fleet.directory.borrow())
+}
+
+/// Returns whether a begun text may go on at some listed endpoint of a software version.
+pub(super) fn has_endpoint(
+    context: &context::ProcessContext,
+    software: &directory::ServiceSoftware,
+) -> bool {
+    let directory = context.fleet.directory.borrow();
+    let starts = context.unlisted_starts.borrow();
+    let listed = directory.of_version(&software.service, Some(&software.version));
+    let mut listed = listed.iter();
+    listed.any(|entry| starts.reported_start(&entry.id, entry.started).is_none())
 }
 
 /// Returns the endpoints at which a text that goes on at `software` may not.
--- a/src/serving/endpoint_reports.rs
+++ b/src/serving/endpoint_reports.rs
@@ -79,7 +79,7 @@
         R::RefusedByEndpoint => Some(peers::EndpointObservation::Full),
         R::OtherEndpoint => Some(peers::EndpointObservation::Misnamed),
         R::ClosedBeforeSend => Some(failure(context, false)),
-        R::NeverSent => None,
+        R::NeverSent | R::StartedAgain | R::StartUnconfirmed => None,
     }
 }
 
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -5,7 +5,7 @@
 use futures::future;
 
 use super::{
-    attempt, connection, context, crash_guard, crash_trials, crash_watch, directory,
+    attempt, connection, context, continuations, crash_guard, crash_trials, crash_watch, directory,
     endpoint_records, endpoint_reports, event_split, job_table, open_job, peers, wire,
 };
 use crate::{
@@ -368,7 +368,7 @@
         }
         progress.record_event();
         if progress.events.is_empty() {
-            progress.software = self.endpoint.service_software();
+            progress.software = continuations::certain_software(&self.context, &self.endpoint);
         }
         progress.events.push(event.data());
         progress.last_event = Some(event.id);
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -85,6 +85,7 @@
 pub mod slot_requests;
 pub mod slots;
 pub mod slow_attempt;
+mod start_check;
 pub mod start_record;
 pub mod state_snapshot;
 pub mod state_transfer;
--- a/src/serving/origin_exchange.rs
+++ b/src/serving/origin_exchange.rs
@@ -12,7 +12,9 @@
 
 use futures::{stream, StreamExt as _};
 
-use super::{context, directory, origin_file, peers, queried_owners, stream_origins};
+use super::{
+    context, continuations, directory, origin_file, peers, queried_owners, stream_origins,
+};
 use crate::{
     clock,
     decisions::{origin_holders, ownership, version_history},
@@ -52,7 +54,7 @@
     service: &ids::ServiceName,
     timeout: time::Duration,
 ) -> Option<ids::SoftwareVersion> {
-    if !is_list_current(context) {
+    if !is_list_current(context) || continuations::has_unlisted_start(context, service) {
         return None;
     }
     let lifetime = (timeout * LIFETIME_TIMEOUTS).max(MIN_LIFETIME);
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -36,10 +36,11 @@
     };
     let context = rc::Rc::new(context::ProcessContext::new(options, adapters, restored));
     log::info!(
-        "event=started instance={} role={:?} domain={}",
+        "event=started instance={} role={:?} domain={} first_start={}",
         context.id(),
         context.options.member.role,
-        context.domain()
+        context.domain(),
+        context.options.is_first_start,
     );
     listener::start(&context)?;
     metrics_page::start(&context)?;
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -1,6 +1,6 @@
 //! Relays one request of a caller to endpoints and returns the final response.
 
-use std::{rc, time};
+use std::{cell, rc, time};
 
 use actix_http::{header, StatusCode};
 
@@ -141,6 +141,8 @@
     /// Where the stream began, at whose software version alone it goes on; `None` before its
     /// first event.
     pub(super) origin: Option<stream_origins::StreamOrigin>,
+    /// Whether the endpoint at which the stream began was asked for its start.
+    pub(super) is_origin_checked: cell::Cell<bool>,
     /// Time from the arrival of the request to the first event sent to the caller.
     first_event: std::cell::Cell<Option<time::Duration>>,
     /// What crashes during the request may be attributed to.
@@ -165,6 +167,7 @@
         last_event,
         is_started: false,
         origin: None,
+        is_origin_checked: cell::Cell::new(false),
         first_event: std::cell::Cell::new(None),
         trial: None,
         _active: active,
--- a/src/serving/slow_attempt.rs
+++ b/src/serving/slow_attempt.rs
@@ -331,6 +331,7 @@
     /// The request is a task of its own, so that a late response is still received and its
     /// slot released.
     async fn acquire_slot(&self, relay: &relay::RequestRelay) -> Option<held_slot::HeldSlot> {
+        relay.check_origin().await;
         let (service, software) = relay.slot_target().ok()?;
         let may_queue = self
             .queue_from
--- a/src/serving/stream_origins.rs
+++ b/src/serving/stream_origins.rs
@@ -51,11 +51,15 @@
         };
         let is_same = entry.service_software().as_ref() == Some(&self.software);
         let began_before = entry.started.is_some_and(|started| {
-            started != run.started.unwrap_or(started)
-                && self.began_ms.saturating_add(CLOCK_MARGIN_MS) < started.0
+            started != run.started.unwrap_or(started) && self.began_before(started)
         });
         is_same || began_before
     }
+
+    /// Returns whether the first event came before an endpoint started.
+    pub fn began_before(&self, started: ids::StartTime) -> bool {
+        self.began_ms.saturating_add(CLOCK_MARGIN_MS) < started.0
+    }
 }
 
 /// Origin of a stream as it goes between processes.
--- a/src/serving/stream_resumption.rs
+++ b/src/serving/stream_resumption.rs
@@ -2,7 +2,10 @@
 
 use std::{rc, time};
 
-use super::{context, directory, origin_exchange, relay, route_table, stream_origins, wire};
+use super::{
+    context, continuations, directory, origin_exchange, relay, route_table, start_check,
+    stream_origins, wire,
+};
 use crate::{clock, ids};
 
 /// Longest time that a resume waits for processes that may know the origin of its stream.
@@ -118,6 +121,7 @@
         // A holder may know of a version that the list does not show here yet.
         match origin_exchange::search(context, key).await {
             F::Known { record, source } => {
+                start_check::check_origin(context, &record.origin).await;
                 return check(context, request, record.origin).map(|origin| (origin, source));
             }
             F::Unknown => return sure().ok_or(ResumeDenial::Unknown),
@@ -179,8 +183,7 @@
     origin: stream_origins::StreamOrigin,
 ) -> Result<stream_origins::StreamOrigin, ResumeDenial> {
     let software = &origin.software;
-    let directory = context.fleet.directory.borrow();
-    if !origin.is_certain(&directory) {
+    if !continuations::is_origin_certain(context, &origin) {
         return Err(ResumeDenial::Unknown);
     }
     if !request.route.leads_to(&software.service) {
--- a/src/serving/unlisted_starts.rs
+++ b/src/serving/unlisted_starts.rs
@@ -16,10 +16,26 @@
 /// Time for which bytes of a run may be in transit after its end.
 const TRANSIT_TIME: time::Duration = time::Duration::from_millis(150);
 
-/// Failures of endpoints by their listed start.
+/// Time for which the report of another start is kept. While the list still shows the earlier
+/// start, the next check finds it again.
+const RESTART_RETENTION: time::Duration = time::Duration::from_secs(60);
+
+/// Start that an endpoint has reported and that the list did not show.
+#[derive(Debug, Clone, Copy)]
+struct ReportedRestart {
+    /// Start that was listed.
+    listed: ids::StartTime,
+    reported: ids::StartTime,
+    at: clock::MonotonicTime,
+}
+
+/// Signs that endpoints have started again, by their listed start.
 #[derive(Debug, Default)]
 pub struct UnlistedStarts {
+    /// Failures, after which an endpoint may have started again.
     failures: collections::HashMap<ids::EndpointId, (ids::StartTime, clock::MonotonicTime)>,
+    /// Starts that endpoints have reported.
+    restarts: collections::HashMap<ids::EndpointId, ReportedRestart>,
 }
 
 impl UnlistedStarts {
@@ -51,7 +67,35 @@
         }
     }
 
-    /// Returns whether an endpoint may run other software than its entry shows.
+    /// Records that the endpoint of a listed run reports another start.
+    pub fn record_restart(
+        &mut self,
+        run: ids::EndpointRun,
+        reported: ids::StartTime,
+        now: clock::MonotonicTime,
+    ) {
+        if let Some(listed) = run.started {
+            let restart = ReportedRestart {
+                listed,
+                reported,
+                at: now,
+            };
+            self.restarts.insert(run.endpoint, restart);
+        }
+    }
+
+    /// Returns the start that an endpoint has reported, if the list still shows another one.
+    pub fn reported_start(
+        &self,
+        endpoint: &ids::EndpointId,
+        listed: Option<ids::StartTime>,
+    ) -> Option<ids::StartTime> {
+        let restart = self.restarts.get(endpoint);
+        let restart = restart.filter(|restart| listed == Some(restart.listed));
+        restart.map(|restart| restart.reported)
+    }
+
+    /// Returns whether an endpoint may run other software than its entry shows, by a failure.
     pub fn is_uncertain(
         &self,
         entry: &endpoint_entry::EndpointEntry,
@@ -65,12 +109,16 @@
 
     /// Returns the endpoints that may have started again.
     pub fn candidates(&self) -> impl Iterator<Item = &ids::EndpointId> {
-        self.failures.keys()
+        let failed = self.failures.keys();
+        let restarted = self.restarts.keys();
+        failed.chain(restarted.filter(|id| !self.failures.contains_key(*id)))
     }
 
     /// Forgets failures after which the list has shown any new start.
     pub fn expire(&mut self, now: clock::MonotonicTime) {
         self.failures
             .retain(|_, (_, at)| now.since(*at) < LISTING_TIME);
+        self.restarts
+            .retain(|_, restart| now.since(restart.at) < RESTART_RETENTION);
     }
 }
--- a/src/serving/wire.rs
+++ b/src/serving/wire.rs
@@ -221,6 +221,12 @@
     /// Reads the metadata from the head of an endpoint's response.
     fn response_metadata(&self, head: &actix_http::ResponseHead) -> ResponseMetadata;
 
+    /// Returns the path at which an endpoint reports its state.
+    fn start_path(&self) -> &'static str;
+
+    /// Reads the start of an endpoint from the state that it reports, if it names one.
+    fn reported_start(&self, body: &[u8]) -> Option<ids::StartTime>;
+
     /// Returns whether a header of an endpoint's response is forwarded to the caller.
     fn is_forwarded(&self, name: &header::HeaderName) -> bool;
 
