fix(serving): jobs larger than an object of the store are accepted

Callers saw: a job of 1.1 MB was refused with 503 and a Retry-After of half a second each time it came, though the desired state allows bodies of up to 4 MiB.

Cause: the record of a job was one object, which the store limits to ValueBytes; its refusal of the size was answered like one of the moment. The same class as results that grow above the limit: callers are told another limit than the one that counts.

Fix: a record above the limit is written as pieces of its encoded items under a name that no other attempt has, and then as a head that names them, whose creation is the acceptance. Pieces of an attempt that did not create a head are removed. The record goes between processes as before.

--- a/src/serving/job_records.rs
+++ b/src/serving/job_records.rs
@@ -6,7 +6,7 @@
 //! it. Each item thus has one result at one position, without a lease and without a
 //! clock.
 
-use super::{result_parts, route_table, wire};
+use super::{result_parts, route_table, split_records, wire};
 use crate::{clock, decisions::call_budget::CallClass, ids, store};
 
 /// Kind of the records of accepted jobs.
@@ -53,7 +53,7 @@
     pub ended_ms: u64,
 }
 
-fn job_key(id: &ids::JobId) -> String {
+pub(super) fn job_key(id: &ids::JobId) -> String {
     format!("{JOB_KIND}/{id}")
 }
 
@@ -74,13 +74,19 @@
     store: &dyn store::ObjectStore,
     record: &JobRecord,
 ) -> store::StoreResult<bool> {
+    if split_records::is_split(store, record) {
+        return split_records::accept(store, record).await;
+    }
     let value = store::encode(record);
     let key = job_key(&record.id);
     create(store, CallClass::Claim, &key, value).await
 }
 
 /// Creates an object and returns whether this call created it.
-async fn create(
+///
+/// # Errors
+/// See [`store::StoreError`].
+pub(super) async fn create(
     store: &dyn store::ObjectStore,
     class: CallClass,
     key: &str,
@@ -104,6 +110,21 @@
     store: &dyn store::ObjectStore,
     id: &ids::JobId,
 ) -> store::StoreResult<Option<JobRecord>> {
+    match read_stored(store, id).await? {
+        Some(StoredRecord::Whole(record)) => Ok(Some(record)),
+        Some(StoredRecord::Split(head)) => split_records::read_items(store, head).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Reads the object of a job's record.
+///
+/// # Errors
+/// See [`store::StoreError`].
+pub(super) async fn read_stored(
+    store: &dyn store::ObjectStore,
+    id: &ids::JobId,
+) -> store::StoreResult<Option<StoredRecord>> {
     match store.get(CallClass::Read, &job_key(id)).await? {
         Some(object) => decode_job(id.as_str(), &object.value)
             .map(Some)
@@ -112,18 +133,48 @@
     }
 }
 
+/// Object of a job's record.
+#[derive(Debug)]
+pub enum StoredRecord {
+    /// The whole record.
+    Whole(JobRecord),
+    /// The record without its items, which are in objects of their own.
+    Split(split_records::RecordHead),
+}
+
+impl StoredRecord {
+    /// Returns the identifier of the job.
+    pub fn id(&self) -> &ids::JobId {
+        match self {
+            Self::Whole(record) => &record.id,
+            Self::Split(head) => &head.id,
+        }
+    }
+}
+
 /// Decodes the record of the job with the given name.
 ///
 /// # Errors
 /// Returns an error if the value is not a job or contains another identifier, under
 /// which its parts and its end mark would not be found.
-pub fn decode_job(name: &str, value: &[u8]) -> Result<JobRecord, String> {
-    let record: JobRecord = serde_json::from_slice(value).map_err(|e| e.to_string())?;
-    match record.id.as_str() == name {
-        true => Ok(record),
+pub fn decode_job(name: &str, value: &[u8]) -> Result<StoredRecord, String> {
+    /// The field by which a head is recognized.
+    #[derive(serde::Deserialize)]
+    struct RecordShape {
+        pieces: Option<serde::de::IgnoredAny>,
+    }
+
+    let decode_error = |e: serde_json::Error| e.to_string();
+    let shape: RecordShape = serde_json::from_slice(value).map_err(decode_error)?;
+    let stored = match shape.pieces {
+        Some(_) => StoredRecord::Split(serde_json::from_slice(value).map_err(decode_error)?),
+        None => StoredRecord::Whole(serde_json::from_slice(value).map_err(decode_error)?),
+    };
+    match stored.id().as_str() == name {
+        true => Ok(stored),
         false => Err(format!(
             "the record contains the job identifier {}",
-            record.id
+            stored.id()
         )),
     }
 }
@@ -186,21 +237,36 @@
 /// See [`store::StoreError`].
 pub async fn remove(
     store: &dyn store::ObjectStore,
-    id: &ids::JobId,
+    record: &JobRecord,
     parts: usize,
     ended: bool,
 ) -> store::StoreResult<()> {
+    let id = &record.id;
     let mut keys: Vec<String> = (0..parts).map(|number| part_key(id, number)).collect();
     if ended {
         keys.push(end_key(id));
     }
+    if split_records::is_split(store, record) {
+        split_records::remove_items(store, id).await?;
+    }
     keys.push(job_key(id));
     for key in keys {
-        let removal = store.remove(CallClass::Read, &key, store::WriteCondition::Always);
-        match removal.await {
-            Ok(()) | Err(store::StoreError::Conflict) => {}
-            Err(e) => return Err(e),
-        }
+        remove_object(store, &key).await?;
     }
     Ok(())
 }
+
+/// Removes an object, if it is there.
+///
+/// # Errors
+/// See [`store::StoreError`].
+pub(super) async fn remove_object(
+    store: &dyn store::ObjectStore,
+    key: &str,
+) -> store::StoreResult<()> {
+    let removal = store.remove(CallClass::Read, key, store::WriteCondition::Always);
+    match removal.await {
+        Ok(()) | Err(store::StoreError::Conflict) => Ok(()),
+        Err(e) => Err(e),
+    }
+}
--- a/src/serving/job_upkeep.rs
+++ b/src/serving/job_upkeep.rs
@@ -5,7 +5,7 @@
 
 use super::{
     context, fleet_sync, job_checkpoints, job_ends, job_records, job_runner, job_table, members,
-    open_job, owners,
+    open_job, owners, split_records,
 };
 use crate::{clock, ids, platform, store};
 
@@ -119,14 +119,13 @@
         let Some(value) = change.value else { continue };
         let name = change.key.strip_prefix(&prefix).unwrap_or(&change.key);
         match job_records::decode_job(name, value.as_bytes()) {
-            Ok(record) => match context.job_owner(&record.id) {
-                Some(owner) if owner == *context.id() => {
-                    job_runner::adopt_job(context, record, job_records::JobOrigin::Stored);
-                }
+            Ok(stored) => match context.job_owner(stored.id()) {
+                Some(owner) if owner == *context.id() => adopt_record(context, stored).await?,
                 Some(owner) if is_large => {
-                    let previous = offered.insert(record.id.clone(), owner.clone());
+                    let id = stored.id();
+                    let previous = offered.insert(id.clone(), owner.clone());
                     if previous.as_ref() != Some(&owner) {
-                        offer_job(context, &record.id, &owner).await;
+                        offer_job(context, id, &owner).await;
                     }
                 }
                 _ => {}
@@ -137,6 +136,34 @@
     Ok(())
 }
 
+/// Adopts a job that was found in the store.
+///
+/// # Errors
+/// Returns an error if the store does not respond.
+async fn adopt_record(
+    context: &rc::Rc<context::ProcessContext>,
+    stored: job_records::StoredRecord,
+) -> store::StoreResult<()> {
+    let record = match stored {
+        job_records::StoredRecord::Whole(record) => record,
+        job_records::StoredRecord::Split(head) if context.jobs.get(&head.id).is_some() => {
+            return Ok(())
+        }
+        job_records::StoredRecord::Split(head) => {
+            let id = head.id.clone();
+            match split_records::read_items(context.store.as_ref(), head).await {
+                Err(store::StoreError::Corrupt(reason)) => {
+                    log::warn!("event=job_unreadable job={id} why=\"{reason}\"");
+                    return Ok(());
+                }
+                read => read?,
+            }
+        }
+    };
+    job_runner::adopt_job(context, record, job_records::JobOrigin::Stored);
+    Ok(())
+}
+
 /// Asks the owner of a job to read it from the store.
 async fn offer_job(context: &context::ProcessContext, job: &ids::JobId, owner: &ids::InstanceId) {
     let address = context.members.borrow().address_of(owner);
@@ -270,25 +297,26 @@
     context: &rc::Rc<context::ProcessContext>,
     job: &open_job::SharedJob,
 ) -> store::StoreResult<()> {
-    let (id, ended, age, finished) = {
+    let (record, ended, age, finished) = {
         let job = job.borrow();
         let age = clock::epoch_ms().saturating_sub(job.record.submitted_ms);
         (
-            job.record.id.clone(),
+            job.record.clone(),
             job.ended,
             time::Duration::from_millis(age),
             job.is_finished(),
         )
     };
-    let owned = context.job_owner(&id).as_ref() == Some(context.id());
+    let id = &record.id;
+    let owned = context.job_owner(id).as_ref() == Some(context.id());
     if !owned || !finished || age < RESULTS_RETENTION * 2 {
         return Ok(());
     }
     // Parts that other owners have appended would stay in the store for good.
     job_table::refresh_results(context, job).await?;
     let parts = job.borrow().parts;
-    job_records::remove(context.store.as_ref(), &id, parts, ended).await?;
+    job_records::remove(context.store.as_ref(), &record, parts, ended).await?;
     log::info!("event=old_job_removed job={id} age_s={}", age.as_secs());
-    context.jobs.remove(&id);
+    context.jobs.remove(id);
     Ok(())
 }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -85,6 +85,7 @@
 pub mod slot_requests;
 pub mod slots;
 pub mod slow_attempt;
+pub mod split_records;
 mod start_check;
 pub mod start_record;
 pub mod state_snapshot;
--- a/src/serving/result_parts.rs
+++ b/src/serving/result_parts.rs
@@ -154,7 +154,8 @@
             ..result.clone()
         };
         let overhead = store::encoded_size(&fragment).0;
-        let text = prefix_within(rest, self.content_bytes().saturating_sub(overhead));
+        let size = store::ValueSize(self.content_bytes().saturating_sub(overhead));
+        let text = store::prefix_within(rest, size);
         fragment.output = text.to_owned();
         ResultFragment {
             offset,
@@ -163,17 +164,3 @@
         }
     }
 }
-
-/// Returns the longest prefix of a text whose encoded form has up to `max_bytes`, at least one
-/// character.
-fn prefix_within(text: &str, max_bytes: usize) -> &str {
-    let mut bytes = 0;
-    let mut encoded = [0; 4];
-    let end = text.char_indices().find(|(index, character)| {
-        let character: &str = character.encode_utf8(&mut encoded);
-        // Without the quotes of a string.
-        bytes += store::encoded_size(character).0 - 2;
-        bytes > max_bytes && *index > 0
-    });
-    end.map_or(text, |(index, _)| &text[..index])
-}
--- a/src/store.rs
+++ b/src/store.rs
@@ -208,6 +208,26 @@
     }
 }
 
+/// Returns the longest prefix of a text whose encoded form has up to `limit`, without the quotes,
+/// but at least one character.
+pub fn prefix_within(text: &str, limit: ValueSize) -> &str {
+    let mut bytes = 0;
+    let end = text.char_indices().find(|(index, character)| {
+        bytes += encoded_bytes(*character);
+        bytes > limit.0 && *index > 0
+    });
+    end.map_or(text, |(index, _)| &text[..index])
+}
+
+/// Returns how many bytes a character takes in a JSON string.
+fn encoded_bytes(character: char) -> usize {
+    match character {
+        '"' | '\\' | '\n' | '\r' | '\t' | '\u{8}' | '\u{c}' => 2,
+        '\0'..='\u{1f}' => 6,
+        _ => character.len_utf8(),
+    }
+}
+
 /// Writer that counts the bytes written to it.
 #[derive(Debug, Default)]
 struct ByteCounter {
--- a/tests/result_parts.rs
+++ b/tests/result_parts.rs
@@ -116,3 +116,19 @@
     assert_eq!(limit, PartLimit::new(ValueSize(0)));
     assert!((5..20).contains(&count), "{count} times");
 }
+
+/// Guards against a size that differs from that of the encoded text.
+#[test]
+fn a_prefix_has_the_largest_size_that_fits() {
+    let text: String = (0..0x300).filter_map(char::from_u32).collect();
+    let whole = store::encoded_size(&text).0 - 2;
+    assert_eq!(store::prefix_within(&text, ValueSize(whole)), text);
+    for limit in 1..whole {
+        let prefix = store::prefix_within(&text, ValueSize(limit));
+        let rest = &text[prefix.len()..];
+        let next = rest.chars().next().expect("a rest").to_string();
+        let size = |text: &str| store::encoded_size(text).0 - 2;
+        assert!(size(prefix) <= limit || prefix.chars().count() == 1);
+        assert!(size(prefix) + size(&next) > limit, "{limit}");
+    }
+}
