fix(serving): the question where a stream began delays its resume by 100 ms at most

Callers would see: a stream whose endpoint has gone dark goes on up to 450 ms later, as the endpoint is asked for its start first.

Cause: the question to the endpoint at which a stream began had the same timeouts as the one to the endpoint at which it is to go on.

Fix: it has 100 ms in all, and an outcome in the log (event=origin_checked). Only endpoints that have reported another start are searched when the history of a service is asked for, rather than all that failed lately.

The cases of platform/tests/rejoined_streams.rs pass.

--- a/src/serving/continuations.rs
+++ b/src/serving/continuations.rs
@@ -38,7 +38,7 @@
 ) -> bool {
     let directory = context.fleet.directory.borrow();
     let starts = context.unlisted_starts.borrow();
-    let mut entries = starts.candidates().filter_map(|id| directory.entry(id));
+    let mut entries = starts.restarted().filter_map(|id| directory.entry(id));
     entries.any(|entry| {
         entry.service == *service && starts.reported_start(&entry.id, entry.started).is_some()
     })
--- a/src/serving/start_check.rs
+++ b/src/serving/start_check.rs
@@ -15,6 +15,10 @@
 /// Timeout of the question. A round trip takes 1 to 4 ms, and endpoints answer it without a slot.
 const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
+/// Timeout of the question to the endpoint at which a stream began, which may have gone dark: the
+/// stream goes on elsewhere, and its caller waits.
+const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Maximum size of the answer in bytes.
 const MAX_ANSWER_BYTES: usize = 256 << 10;
 
@@ -85,6 +89,7 @@
     }
     match connection {
         Some(connection) => Ok(connection),
+        // The endpoint closed it. A start within the next round trip goes unnoticed.
         None => attempt::connect(endpoint, timeout).await,
     }
 }
@@ -101,14 +106,18 @@
         entry.filter(|entry| entry.started.is_some() && entry.started == run.started)
     });
     let Some(endpoint) = endpoint else { return };
-    let confirmed = open_confirmed(context, &endpoint, None, CHECK_TIMEOUT).await;
-    if let Err(proof) = confirmed {
-        log::debug!(
-            "event=origin_unchecked endpoint={} why={}",
-            endpoint.id,
-            proof.reason()
-        );
-    }
+    let asking = open_confirmed(context, &endpoint, None, ORIGIN_TIMEOUT);
+    let outcome = match tokio::time::timeout(ORIGIN_TIMEOUT, asking).await {
+        Ok(Ok(_)) => "listed".to_owned(),
+        Ok(Err(proof)) => proof.reason().to_string(),
+        Err(_) => "silent".to_owned(),
+    };
+    log::info!(
+        "event=origin_checked endpoint={} software={} began_ms={} outcome={outcome}",
+        endpoint.run(),
+        origin.software,
+        origin.began_ms
+    );
 }
 
 /// Asks an endpoint for its start; returns the connection if it can be used again.
--- a/src/serving/unlisted_starts.rs
+++ b/src/serving/unlisted_starts.rs
@@ -95,6 +95,11 @@
         restart.map(|restart| restart.reported)
     }
 
+    /// Returns the endpoints that have reported a start that the list did not show.
+    pub fn restarted(&self) -> impl Iterator<Item = &ids::EndpointId> {
+        self.restarts.keys()
+    }
+
     /// Returns whether an endpoint may run other software than its entry shows, by a failure.
     pub fn is_uncertain(
         &self,
