fix(serving): a text begun at an unlisted start is of unknown software

Callers got 200 and a whole stream of which two software versions had each written a part, after a kill of all gateways or of all processes: an endpoint had started again under its name at another version, its entry still showed the earlier one, new streams began there, and the endpoint crashed or started once more. They went on at the listed version.

Cause: where a stream began was settled only when it went on, by a question to its endpoint. That one could no longer say it, and the list was believed. A process that lives on sees streams break off when an endpoint starts again; one that comes back has seen nothing, and took that for a sign that nothing had happened.

Evidence: origin_checked says no_connection after a crash, and started_again with a start later than the stream after another start.

A listed start is now relied on until the endpoint fails, and after that, or after a later start of the process, once the endpoint has confirmed it. A stream that begins meanwhile is relayed without delay, and the endpoint is asked beside it; if it reports another start, the origin goes to the holders as one of unknown software. Items ask before they begin. Of several unlisted starts the earliest counts.

--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -286,7 +286,8 @@
         let fleet = fleet_model::FleetModel::new(adapters.clock.clone());
         let mut directory = fleet.directory.borrow_mut();
         let history = directory.versions_mut();
-        if options.is_first_start {
+        let is_first_start = options.is_first_start;
+        if is_first_start {
             history.set_complete();
         }
         restored_origins.restore_versions(history, started_at);
@@ -313,7 +314,9 @@
             permits: cell::RefCell::default(),
             slot_queues: cell::RefCell::default(),
             jobs: job_table::JobTable::default(),
-            unlisted_starts: cell::RefCell::default(),
+            unlisted_starts: cell::RefCell::new(unlisted_starts::UnlistedStarts::new(
+                is_first_start,
+            )),
             origins: cell::RefCell::new(origins),
             origin_file,
             noted_versions: cell::RefCell::default(),
--- a/src/serving/continuations.rs
+++ b/src/serving/continuations.rs
@@ -17,17 +17,23 @@
     has_restarted || (is_mixed && starts.is_uncertain(entry, context.clock.now()))
 }
 
-/// Returns the software of an endpoint, unless it has reported another start than the listed one
-/// and may thus have other software.
+/// Returns whether an endpoint has reported another start than the listed one, and may thus have
+/// other software.
+pub(super) fn is_unlisted(
+    context: &context::ProcessContext,
+    entry: &directory::EndpointEntry,
+) -> bool {
+    let starts = context.unlisted_starts.borrow();
+    starts.reported_start(&entry.id, entry.started).is_some()
+}
+
+/// Returns the software of an endpoint, unless it may have other software than the listed one.
 pub(super) fn certain_software(
     context: &context::ProcessContext,
     entry: &directory::EndpointEntry,
 ) -> Option<directory::ServiceSoftware> {
-    let starts = context.unlisted_starts.borrow();
-    match starts.reported_start(&entry.id, entry.started) {
-        Some(_) => None,
-        None => entry.service_software(),
-    }
+    let software = entry.service_software();
+    software.filter(|_| !is_unlisted(context, entry))
 }
 
 /// Returns whether an endpoint of a service has reported another start than the listed one, so
@@ -56,7 +62,7 @@
         .as_ref()
         .and_then(|run| starts.reported_start(&run.endpoint, run.started));
     let began_before = reported.is_none_or(|started| origin.began_before(started));
-    began_before && origin.is_certain(&context.fleet.directory.borrow())
+    !origin.is_unlisted && began_before && origin.is_certain(&context.fleet.directory.borrow())
 }
 
 /// Returns whether a begun text may go on at some listed endpoint of a software version.
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -7,7 +7,8 @@
 use futures::stream;
 
 use super::{
-    attempt_flow, connection, crash_guard, crash_watch, directory, event_split, origin_exchange,
+    attempt_flow, connection, continuations, crash_guard, crash_watch, directory, event_split,
+    origin_exchange,
     relay::{FinalError, RequestRelay, ServedResponse, ANSWERED},
     response_copy,
     slow_attempt::{self, Waited},
@@ -147,9 +148,10 @@
         if self.origin.is_some() {
             return;
         }
-        let Some(origin) = stream_origins::StreamOrigin::at(endpoint) else {
+        let Some(mut origin) = stream_origins::StreamOrigin::at(endpoint) else {
             return;
         };
+        origin.is_unlisted = continuations::is_unlisted(&self.context, endpoint);
         self.origin = Some(origin.clone());
         let name = self.request.terms.id.as_ref();
         let name = name.and_then(|id| id.parse().ok());
@@ -161,7 +163,8 @@
             origin,
             remaining: self.request.resumable_for(),
         };
-        origin_exchange::record(&self.context, record, self.request.route.timeout).await;
+        let timeout = self.request.route.timeout;
+        origin_exchange::record(&self.context, endpoint, record, timeout).await;
     }
 
     /// Checks that an event follows the last one, and records it.
--- a/src/serving/item_run.rs
+++ b/src/serving/item_run.rs
@@ -6,7 +6,7 @@
 
 use super::{
     attempt, connection, context, continuations, crash_guard, crash_trials, crash_watch, directory,
-    endpoint_records, endpoint_reports, event_split, job_table, open_job, peers, wire,
+    endpoint_records, endpoint_reports, event_split, job_table, open_job, peers, start_check, wire,
 };
 use crate::{
     clock,
@@ -219,6 +219,9 @@
             timeout: None,
             resume_after,
         };
+        if resume_after.is_none() {
+            start_check::check_beginning(&self.context, &self.endpoint).await;
+        }
         let is_kept = cell::Cell::new(false);
         let sent = attempt::send(
             &self.context,
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -87,6 +87,7 @@
 pub mod slow_attempt;
 pub mod split_records;
 mod start_check;
+pub mod start_confirmations;
 pub mod start_record;
 pub mod state_snapshot;
 pub mod state_transfer;
--- a/src/serving/origin_exchange.rs
+++ b/src/serving/origin_exchange.rs
@@ -13,7 +13,8 @@
 use futures::{stream, StreamExt as _};
 
 use super::{
-    context, continuations, directory, origin_file, peers, queried_owners, stream_origins,
+    context, continuations, directory, origin_file, peers, queried_owners, start_check,
+    stream_origins,
 };
 use crate::{
     clock,
@@ -159,12 +160,14 @@
     context.origins.borrow_mut().insert(record, reach);
 }
 
-/// Records the origin of a stream whose first event has just come, and sends it to its holders.
+/// Records the origin of a stream whose first event has just come from an endpoint, and sends it
+/// to its holders.
 ///
 /// Waits until one of them keeps it if the service has several versions. The wait is bounded:
 /// without a holder, only this process can resume the stream.
 pub(super) async fn record(
     context: &rc::Rc<context::ProcessContext>,
+    endpoint: &rc::Rc<directory::EndpointEntry>,
     record: stream_origins::OriginRecord,
     timeout: time::Duration,
 ) {
@@ -180,7 +183,8 @@
         // One relay reaches both holders. The second one only shortens the wait.
         targets.truncate(1);
     }
-    let mut sharing = actix_rt::spawn(share(context.clone(), record, targets));
+    let sharing = share_checked(context.clone(), endpoint.clone(), record, targets);
+    let mut sharing = actix_rt::spawn(sharing);
     let counters = &context.metrics.stream_origins;
     if is_sure {
         return counters.with_label_values(&["unawaited"]).inc();
@@ -197,6 +201,25 @@
     }
 }
 
+/// Shares the origin of a stream that has just begun at an endpoint, with what the endpoint says of
+/// its start.
+async fn share_checked(
+    context: rc::Rc<context::ProcessContext>,
+    endpoint: rc::Rc<directory::EndpointEntry>,
+    mut record: stream_origins::OriginRecord,
+    targets: Vec<ExchangeTarget>,
+) -> bool {
+    start_check::check_beginning(&context, &endpoint).await;
+    if continuations::is_unlisted(&context, &endpoint) {
+        record.origin.is_unlisted = true;
+        let (key, software) = (record.key, &record.origin.software);
+        log::info!("event=origin_unlisted stream={key} software={software}");
+        let reach = stream_origins::OriginReach::Unshared;
+        context.origins.borrow_mut().insert(record.clone(), reach);
+    }
+    share(context, record, targets).await
+}
+
 /// Sends an origin to its holders; returns once one of them keeps it, or none does.
 async fn share(
     context: rc::Rc<context::ProcessContext>,
--- a/src/serving/owners.rs
+++ b/src/serving/owners.rs
@@ -83,7 +83,6 @@
             crash_guard::expire(&context);
             crash_trials::expire(&context);
             limit_links::forget_idle(&context);
-            context.unlisted_starts.borrow_mut().expire(now);
             origin_exchange::sweep(&context);
             context.members.borrow_mut().expire_beats(now);
             release_ended(&context);
@@ -91,6 +90,8 @@
             let directory = context.fleet.directory.borrow();
             let listed = |id: &ids::EndpointId| directory.usable(id).is_some();
             context.loads.borrow_mut().retain(listed);
+            let listed = |id: &ids::EndpointId| directory.entry(id).is_some();
+            context.unlisted_starts.borrow_mut().expire(now, listed);
         }
         let wakeup = loop_delay::ExpectedWakeup::after(&context, TICK_INTERVAL);
         tokio::select! {
--- a/src/serving/start_check.rs
+++ b/src/serving/start_check.rs
@@ -1,4 +1,5 @@
-//! Confirms the start of an endpoint before a begun text goes on there.
+//! Confirms the start of an endpoint before a begun text goes on there, and where one begins after
+//! the endpoint may have started again.
 //!
 //! An endpoint that starts again under its name may run other software from then on, and does not
 //! check which one began a text. Its entry in the list may be late, so the endpoint itself is asked
@@ -15,8 +16,8 @@
 /// Timeout of the question. A round trip takes 1 to 4 ms, and endpoints answer it without a slot.
 const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
-/// Timeout of the question to the endpoint at which a stream began, which may have gone dark: the
-/// stream goes on elsewhere, and its caller waits.
+/// Timeout of the question to the endpoint at which a text began or is to begin: it may have gone
+/// dark, and a caller waits.
 const ORIGIN_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
 /// Maximum size of the answer in bytes.
@@ -106,12 +107,7 @@
         entry.filter(|entry| entry.started.is_some() && entry.started == run.started)
     });
     let Some(endpoint) = endpoint else { return };
-    let asking = open_confirmed(context, &endpoint, None, ORIGIN_TIMEOUT);
-    let outcome = match tokio::time::timeout(ORIGIN_TIMEOUT, asking).await {
-        Ok(Ok(_)) => "listed".to_owned(),
-        Ok(Err(proof)) => proof.reason().to_string(),
-        Err(_) => "silent".to_owned(),
-    };
+    let outcome = ask_briefly(context, &endpoint).await;
     log::info!(
         "event=origin_checked endpoint={} software={} began_ms={} outcome={outcome}",
         endpoint.run(),
@@ -120,6 +116,35 @@
     );
 }
 
+/// Checks the start of an endpoint at which a text begins if it may have started again unnoticed.
+/// What it says is recorded; an endpoint that does not answer says nothing.
+pub(super) async fn check_beginning(
+    context: &context::ProcessContext,
+    endpoint: &directory::EndpointEntry,
+) {
+    let is_needed = context.unlisted_starts.borrow().is_doubtful(endpoint);
+    if is_needed {
+        let outcome = ask_briefly(context, endpoint).await;
+        log::info!(
+            "event=beginning_checked endpoint={} outcome={outcome}",
+            endpoint.run()
+        );
+    }
+}
+
+/// Asks an endpoint for its start on a connection of its own; returns the outcome for a log line.
+async fn ask_briefly(
+    context: &context::ProcessContext,
+    endpoint: &directory::EndpointEntry,
+) -> String {
+    let asking = open_confirmed(context, endpoint, None, ORIGIN_TIMEOUT);
+    match tokio::time::timeout(ORIGIN_TIMEOUT, asking).await {
+        Ok(Ok(_)) => "listed".to_owned(),
+        Ok(Err(proof)) => proof.reason().to_string(),
+        Err(_) => "silent".to_owned(),
+    }
+}
+
 /// Asks an endpoint for its start; returns the connection if it can be used again.
 async fn ask(
     context: &context::ProcessContext,
@@ -163,13 +188,11 @@
     let label = reported.label();
     let counters = &context.metrics.start_checks;
     counters.with_label_values(&[label]).inc();
+    let run = endpoint.run();
     let ReportedStart::Other(started) = reported else {
-        return log::debug!(
-            "event=start_checked endpoint={} outcome={label}",
-            endpoint.id
-        );
+        log::debug!("event=start_checked endpoint={run} outcome={label}");
+        return context.unlisted_starts.borrow_mut().record_confirmed(run);
     };
-    let run = endpoint.run();
     log::info!(
         "event=start_checked endpoint={run} outcome={label} reported={started} software={}",
         endpoint.software_label()
--- a/src/serving/stream_origins.rs
+++ b/src/serving/stream_origins.rs
@@ -27,6 +27,9 @@
     pub run: Option<ids::EndpointRun>,
     /// When its first event arrived, in milliseconds since the epoch.
     pub began_ms: u64,
+    /// Whether the endpoint had another start than the listed one, so that its software is unknown.
+    #[serde(default)]
+    pub is_unlisted: bool,
 }
 
 impl StreamOrigin {
@@ -37,6 +40,7 @@
             software: endpoint.service_software()?,
             run: Some(endpoint.run()),
             began_ms: clock::epoch_ms(),
+            is_unlisted: false,
         })
     }
 
--- a/src/serving/stream_resumption.rs
+++ b/src/serving/stream_resumption.rs
@@ -166,6 +166,7 @@
         },
         run: None,
         began_ms: clock::epoch_ms(),
+        is_unlisted: false,
     })
 }
 
--- a/src/serving/unlisted_starts.rs
+++ b/src/serving/unlisted_starts.rs
@@ -6,7 +6,7 @@
 
 use std::{collections, time};
 
-use super::endpoint_entry;
+use super::{endpoint_entry, start_confirmations};
 use crate::{clock, ids};
 
 /// Time within which the list shows the start of an endpoint: it registers when it starts, and
@@ -25,6 +25,7 @@
 struct ReportedRestart {
     /// Start that was listed.
     listed: ids::StartTime,
+    /// Earliest one that was reported meanwhile.
     reported: ids::StartTime,
     at: clock::MonotonicTime,
 }
@@ -36,9 +37,20 @@
     failures: collections::HashMap<ids::EndpointId, (ids::StartTime, clock::MonotonicTime)>,
     /// Starts that endpoints have reported.
     restarts: collections::HashMap<ids::EndpointId, ReportedRestart>,
+    /// Listed starts that are relied on.
+    confirmations: start_confirmations::StartConfirmations,
 }
 
 impl UnlistedStarts {
+    /// Returns a record without signs; `is_complete` states that no endpoint ran before this
+    /// process.
+    pub fn new(is_complete: bool) -> Self {
+        Self {
+            confirmations: start_confirmations::StartConfirmations::new(is_complete),
+            ..Self::default()
+        }
+    }
+
     /// Records that a run of an endpoint failed.
     ///
     /// Without a start time each start has a name of its own, which an attempt names as well.
@@ -50,6 +62,7 @@
     ) {
         if let Some(started) = started {
             self.failures.insert(endpoint.clone(), (started, now));
+            self.confirmations.record_failure(endpoint, started);
         }
     }
 
@@ -67,6 +80,11 @@
         }
     }
 
+    /// Records that the endpoint of a run has the start with which it is listed.
+    pub fn record_confirmed(&mut self, run: ids::EndpointRun) {
+        self.confirmations.record_confirmed(run);
+    }
+
     /// Records that the endpoint of a listed run reports another start.
     pub fn record_restart(
         &mut self,
@@ -74,17 +92,27 @@
         reported: ids::StartTime,
         now: clock::MonotonicTime,
     ) {
-        if let Some(listed) = run.started {
-            let restart = ReportedRestart {
-                listed,
-                reported,
-                at: now,
-            };
-            self.restarts.insert(run.endpoint, restart);
-        }
+        let Some(listed) = run.started else {
+            return;
+        };
+        let earlier = self.reported_start(&run.endpoint, Some(listed));
+        let restart = ReportedRestart {
+            listed,
+            reported: earlier.map_or(reported, |earlier| earlier.min(reported)),
+            at: now,
+        };
+        self.restarts.insert(run.endpoint, restart);
     }
 
-    /// Returns the start that an endpoint has reported, if the list still shows another one.
+    /// Returns whether an endpoint may have started again since the start in its entry, unnoticed
+    /// by this process.
+    pub fn is_doubtful(&self, entry: &endpoint_entry::EndpointEntry) -> bool {
+        let reported = self.reported_start(&entry.id, entry.started);
+        reported.is_none() && self.confirmations.is_doubtful(entry)
+    }
+
+    /// Returns the earliest start that an endpoint has reported, if the list still shows one
+    /// before it.
     pub fn reported_start(
         &self,
         endpoint: &ids::EndpointId,
@@ -119,8 +147,14 @@
         failed.chain(restarted.filter(|id| !self.failures.contains_key(*id)))
     }
 
-    /// Forgets failures after which the list has shown any new start.
-    pub fn expire(&mut self, now: clock::MonotonicTime) {
+    /// Forgets failures after which the list has shown any new start, and endpoints that are no
+    /// longer listed.
+    pub fn expire(
+        &mut self,
+        now: clock::MonotonicTime,
+        is_listed: impl Fn(&ids::EndpointId) -> bool,
+    ) {
+        self.confirmations.retain(is_listed);
         self.failures
             .retain(|_, (_, at)| now.since(*at) < LISTING_TIME);
         self.restarts
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -7,7 +7,10 @@
     clock,
     decisions::{endpoint_doubt, origin_holders, ownership, version_history},
     ids,
-    serving::{directory, origin_file, peers, permits, stream_origins},
+    serving::{
+        directory, origin_file, peers, permits, start_confirmations, stream_origins,
+        unlisted_starts,
+    },
 };
 
 fn version(text: &str) -> ids::SoftwareVersion {
@@ -155,6 +158,56 @@
     assert_eq!(begun.is_certain(&directory), is_certain);
 }
 
+/// What a process sees of an endpoint that is listed with the start 1000.
+#[derive(Debug, Clone, Copy)]
+enum EndpointSign {
+    Fails,
+    Confirms,
+}
+
+#[rstest::rstest]
+#[case::first_start_of_the_system(true, &[], false)]
+#[case::later_start_of_the_process(false, &[], true)]
+#[case::confirmed(false, &[EndpointSign::Confirms], false)]
+#[case::failed(true, &[EndpointSign::Fails], true)]
+#[case::failed_and_confirmed(true, &[EndpointSign::Fails, EndpointSign::Confirms], false)]
+#[case::confirmed_and_failed(true, &[EndpointSign::Confirms, EndpointSign::Fails], true)]
+fn a_listed_start_is_doubtful_until_its_endpoint_confirms_it(
+    #[case] is_complete: bool,
+    #[case] signs: &[EndpointSign],
+    #[case] is_doubtful: bool,
+) {
+    let endpoint = entry("i-1", Some("v1"), Some(1000));
+    let mut confirmations = start_confirmations::StartConfirmations::new(is_complete);
+    for sign in signs {
+        match sign {
+            EndpointSign::Fails => {
+                confirmations.record_failure(&endpoint.id, ids::StartTime(1000));
+            }
+            EndpointSign::Confirms => confirmations.record_confirmed(endpoint.run()),
+        }
+    }
+    assert_eq!(confirmations.is_doubtful(&endpoint), is_doubtful);
+    let listed_anew = entry("i-1", Some("v2"), Some(2000));
+    assert_eq!(confirmations.is_doubtful(&listed_anew), !is_complete);
+    let without_start = entry("i-1", Some("v1"), None);
+    assert!(!confirmations.is_doubtful(&without_start));
+    confirmations.retain(|_| false);
+    assert_eq!(confirmations.is_doubtful(&endpoint), !is_complete);
+}
+
+#[test]
+fn the_earliest_of_several_unlisted_starts_counts() {
+    let endpoint = entry("i-1", Some("v1"), Some(1000));
+    let mut starts = unlisted_starts::UnlistedStarts::new(true);
+    for reported in [3000, 2000, 4000] {
+        starts.record_restart(endpoint.run(), ids::StartTime(reported), at_s(1));
+    }
+    let reported = |listed| starts.reported_start(&endpoint.id, Some(ids::StartTime(listed)));
+    assert_eq!(reported(1000), Some(ids::StartTime(2000)));
+    assert_eq!(reported(4000), None);
+}
+
 fn record(name: &str, remaining: time::Duration) -> stream_origins::OriginRecord {
     stream_origins::OriginRecord {
         key: key(name),
