fix(serving): records of members from a peer undo no newer ones

By the log gateway-0 read both dispatchers from the store, and 1 ms later took over the records of a peer that it had asked before, with one member.

Cause: whether the records of a peer are newer was decided before they were requested, and not again when they came. It is now decided when they come.

records_of_a_peer_undo_no_newer_ones guards the decision; the sequence itself was seen in the logs only, and not reproduced: the file passed in 5 of 5 runs before the fix as well.

--- a/src/serving/fleet_sync.rs
+++ b/src/serving/fleet_sync.rs
@@ -218,8 +218,9 @@
             records.retain(|r| r.id != own.id);
             let now = context.clock.now();
             let mut members = context.members.borrow_mut();
-            members.merge(records, now);
-            members.advance_revision(heartbeat.members_revision);
+            if !members.merge_newer(records, heartbeat.members_revision, now) {
+                return log::info!("event=peer_members_outdated peer={}", heartbeat.id);
+            }
             drop(members);
             context.members_known.set(true);
             // The list of a peer that has just started may be partial, so that a small one
--- a/src/serving/members.rs
+++ b/src/serving/members.rs
@@ -291,6 +291,22 @@
         }
     }
 
+    /// Takes over the records of a peer as of a revision, unless this table has become as new since
+    /// they were requested. Returns whether it did.
+    pub fn merge_newer(
+        &mut self,
+        records: Vec<MemberRecord>,
+        revision: u64,
+        now: clock::MonotonicTime,
+    ) -> bool {
+        let is_newer = revision > self.revision;
+        if is_newer {
+            self.merge(records, now);
+            self.advance_revision(revision);
+        }
+        is_newer
+    }
+
     /// Returns a digest of the records and of `own`; equal tables have equal digests.
     pub fn digest(&self, own: &MemberRecord) -> u64 {
         self.digest.wrapping_add(record_hash(own))
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -178,3 +178,20 @@
     assert_eq!(anew.digest(&own), table.digest(&own));
     assert_eq!(anew.len(), table.len());
 }
+
+/// A process forgot members that it had read itself while the older records of a peer were on
+/// their way.
+#[test]
+fn records_of_a_peer_undo_no_newer_ones() {
+    let now = clock::MonotonicTime(1);
+    let mut table = members::MemberTable::default();
+    let older = || vec![record("d1", members::MemberRole::Dispatcher)];
+    table.upsert(record("d1", members::MemberRole::Dispatcher));
+    table.upsert(record("d2", members::MemberRole::Dispatcher));
+    table.advance_revision(5);
+    assert!(!table.merge_newer(older(), 4, now));
+    assert!(!table.merge_newer(older(), 5, now));
+    assert_eq!(table.records().count(), 2);
+    assert!(table.merge_newer(older(), 6, now));
+    assert_eq!((table.records().count(), table.revision()), (1, 6));
+}
