--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -84,6 +84,11 @@
             .expect("it is an address")
     }
 
+    /// The process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: libc::c_int) {
         // SAFETY: the process is a child of ours and was not waited for yet.
