fix(callers): one request at a time on each connection, and a sum that is held

The cause: the HTTP library bounds what it has written only within the body of one response. Small responses were appended to its write buffer one after another, while up to 16 parsed requests and 128 KB waited behind the one in service. What the budget counted led to refusals only, which are responses too. Responses that nobody reads were kept without a limit and their connections never gave way; receive buffers of the kernel had the system's size; the pages and TLS handshakes had no limit in number; the own interface had no budget; a stop waited for clients that do not read.

Why this works: src/callers/ serves the connections of all listeners. Nothing of a next request is parsed before the response to the last one was written, so what a client sends ahead stays in buffers of the kernel, whose size is set. What a connection holds beyond a fixed amount is counted, and above half of the instance's memory for connections and all that they hold, the one that holds the most is closed, those without progress first. At the limit in number the idle give way, then the stalled.

--- a/src/decisions/caller_budget.rs
+++ b/src/decisions/caller_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! The platform ends a process that exceeds the memory of its instance, with all its
 //! requests. Callers that send large bodies or read slowly decide how much is held, so that
-//! new requests are refused before the memory runs out.
+//! new requests are refused before the memory runs out, and the connections that hold the most
+//! are closed where refusals are not enough.
 
 use std::collections;
 
@@ -16,19 +17,54 @@
 /// Share of the memory that may be held for callers; the rest is for buffers of connections,
 /// the desired state, endpoints and jobs.
 const MEMORY_DIVISOR: usize = 4;
+/// Share of the memory for bytes that have arrived unread; the kernel allows twice the size that
+/// is set.
+const SOCKET_DIVISOR: usize = 8;
+/// Bounds of the size of a socket's buffer, in bytes.
+const MIN_SOCKET_BYTES: usize = 8 << 10;
+const MAX_SOCKET_BYTES: usize = 64 << 10;
 /// Part of the budget up to which every workspace is served, in quarters.
 const UNSHARED_QUARTERS: usize = 3;
 
-/// Returns the maximum number of caller connections of an instance with so many descriptors.
-pub fn max_connections(descriptors: Option<u64>) -> usize {
-    let descriptors = descriptors.unwrap_or(u64::MAX);
-    let connections = (descriptors / CONNECTIONS_DIVISOR).clamp(1, MAX_CONNECTIONS);
+/// Memory that each caller connection takes: its buffers, its task, a request of usual size, and
+/// bytes that have arrived unread.
+pub const CONNECTION_BYTES: usize = 32_000;
+
+/// Returns the maximum number of caller connections of an instance with so many descriptors and
+/// so much memory.
+pub fn max_connections(descriptors: Option<u64>, memory_bytes: Option<usize>) -> usize {
+    let by_descriptors = descriptors.unwrap_or(u64::MAX) / CONNECTIONS_DIVISOR;
+    let by_memory = memory_bytes.map(|bytes| bytes / MEMORY_DIVISOR / CONNECTION_BYTES);
+    let by_memory = by_memory.map_or(u64::MAX, |connections| connections as u64);
+    let connections = by_descriptors.min(by_memory).clamp(1, MAX_CONNECTIONS);
     connections as usize
 }
 
-/// Returns the bytes that may be held for callers on an instance with so much memory.
-pub fn max_held_bytes(memory_bytes: usize) -> usize {
-    memory_bytes / MEMORY_DIVISOR
+/// Returns the size of the kernel's buffer for each direction of a caller connection, in bytes,
+/// such that bytes that wait there on all connections fit beside what the process holds.
+pub fn socket_buffer_bytes(memory_bytes: usize, max_connections: usize) -> usize {
+    let share = memory_bytes / SOCKET_DIVISOR / max_connections.max(1);
+    share.clamp(MIN_SOCKET_BYTES, MAX_SOCKET_BYTES)
+}
+
+/// Limits on the bytes that may be held for callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryLimits {
+    /// Maximum for which new requests are admitted.
+    pub admitted: usize,
+    /// Maximum of what is held for requests and responses and of what the connections take.
+    pub total: usize,
+}
+
+impl MemoryLimits {
+    /// Returns the limits of an instance with so much memory.
+    pub fn of_instance(memory_bytes: usize) -> Self {
+        let admitted = memory_bytes / MEMORY_DIVISOR;
+        Self {
+            admitted,
+            total: 2 * admitted,
+        }
+    }
 }
 
 /// Who holds bytes in the budget: a workspace, or all requests without one.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,7 +18,9 @@
 
 use std::{io, rc, sync, time};
 
-use crate::{daemon_parts, fleet, http_server, link, protection, settings};
+use crate::{
+    daemon_parts, decisions::caller_budget, fleet, http_server, link, metrics, protection, settings,
+};
 
 /// Handle of a running gateway.
 pub struct GatewayDaemon {
@@ -72,7 +74,7 @@
     let role = fleet::InstanceRole::Gateway;
     let fleet = parts.watch_fleet(&settings.instance, &settings.pace, role, link.address)?;
     let _ = handler.fleet.set(fleet.clone());
-    let options = server_options(&settings, parts.metrics.unserved.clone())?;
+    let options = server_options(&settings, &parts.metrics)?;
     let listen = settings.callers.listen.to_string();
     let context = sync::Arc::new(context::GatewayContext::new(settings, parts, fleet));
     let shared = context.clone();
@@ -91,7 +93,7 @@
 
 fn server_options(
     settings: &settings::gateway::GatewaySettings,
-    unserved: prometheus::IntCounter,
+    metrics: &sync::Arc<metrics::MetricSet>,
 ) -> io::Result<http_server::ServerOptions> {
     let limits = &settings.callers.limits;
     let tls = match &settings.callers.tls {
@@ -102,7 +104,15 @@
         name: "callers",
         workers: settings.callers.workers,
         max_connections: limits.connections,
-        unserved: Some(unserved),
+        memory: Some(caller_budget::MemoryLimits {
+            admitted: limits.memory_bytes / 2,
+            total: limits.memory_bytes,
+        }),
+        // A larger head gets an error response, up to what the parser takes.
+        max_head_bytes: 2 * limits.head_bytes,
+        stall_timeout: time::Duration::from_millis(limits.stall_timeout_ms),
+        metrics: Some(metrics.clone()),
+        unserved: Some(metrics.unserved.clone()),
         head_timeout: time::Duration::from_millis(limits.head_timeout_ms),
         stop_timeout: time::Duration::from_millis(settings.callers.stop_timeout_ms),
         tls,
--- a/src/gateway/router.rs
+++ b/src/gateway/router.rs
@@ -6,7 +6,7 @@
 use futures::{future, FutureExt as _};
 
 use super::{batches, caller_request, context, files, generation, operators, outputs, plain_calls};
-use crate::{endpoint_client, error, http_server, ids};
+use crate::{callers::memory, endpoint_client, error, http_server, ids};
 
 /// Request handler of one worker thread, with its own client for endpoints.
 pub struct CallerRouter {
@@ -55,12 +55,9 @@
 impl RunningRequest {
     fn begin(context: &sync::Arc<context::GatewayContext>, request: &actix_http::Request) -> Self {
         let is_within_limit = context.begin_request();
-        let guard = request.conn_data::<http_server::ConnectionGuard>();
-        if let Some(guard) = guard {
-            guard.record_request();
-        }
+        let account = memory::RequestAccount::of(request);
         let overloaded = |message| error::ApiError::not_run(error::ErrorCode::Overloaded, message);
-        let refusal = if guard.is_some_and(|g| g.is_over) {
+        let refusal = if account.is_some_and(|a| a.connection().is_beyond) {
             Some(overloaded("the gateway has too many connections"))
         } else if !is_within_limit {
             Some(overloaded("the gateway has too many requests at once"))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod batch_item;
 pub mod bench;
 pub mod bundle;
+pub mod callers;
 pub mod cli;
 pub mod clock;
 pub mod daemon;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -81,6 +81,8 @@
     pub state_version: prometheus::IntGauge,
     /// Connections of callers that were closed unread, by reason.
     pub refused_connections: prometheus::IntCounterVec,
+    /// Connections of callers that were closed before their response or while idle, by reason.
+    pub closed_connections: prometheus::IntCounterVec,
     /// Requests rejected because of their key or workspace limit, by reason.
     pub rejected: prometheus::IntCounterVec,
     /// Requests that were held at the start of this process, by outcome.
@@ -271,6 +273,12 @@
                 "Connections of callers that were closed unread, by reason",
                 "reason",
             ),
+            closed_connections: counters(
+                r,
+                "jayhollow_closed_connections_total",
+                "Connections of callers that were closed to bound what they hold, by reason",
+                "reason",
+            ),
             rejected: counters(
                 r,
                 "jayhollow_rejected_requests_total",
@@ -345,7 +353,7 @@
             caller_budget_bytes: gauges(
                 r,
                 "jayhollow_caller_budget_bytes",
-                "Bytes held for callers, and the limit above which requests are refused",
+                "Bytes held for callers, and the limits above which requests are refused and connections closed",
                 "kind",
             ),
             item_starts: counters(
--- a/src/serving/caller_handler.rs
+++ b/src/serving/caller_handler.rs
@@ -6,10 +6,10 @@
 use futures::future;
 
 use super::{
-    attempt, caller_connections, caller_memory, context, job_calls, readiness_gate, refusals,
-    relay, request_admission, route_table, wire,
+    attempt, context, job_calls, readiness_gate, refusals, relay, request_admission, route_table,
+    wire,
 };
-use crate::{clock, decisions::caller_budget, http_server, ids};
+use crate::{callers::memory, clock, decisions::caller_budget, http_server, ids};
 
 /// Timeout of a request whose caller names none.
 const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -29,18 +29,15 @@
             gate: rc::Rc::default(),
         }
     }
+}
 
-    /// Handles one request.
-    ///
-    /// The future is dropped when the caller disconnects.
-    pub fn handle(
+impl http_server::RequestHandler for CallerHandler {
+    fn handle(
         &self,
         request: actix_http::Request,
     ) -> future::LocalBoxFuture<'static, http_server::HttpResponse> {
         let (context, gate) = (self.context.clone(), self.gate.clone());
         let arrived = clock::BootInstant::now();
-        let connection = request.conn_data::<rc::Rc<caller_connections::ConnectionActivity>>();
-        let activity = connection.map(caller_connections::RequestActivity::begin);
         Box::pin(async move {
             let active = relay::ActiveRequest::begin(&context);
             let terms = context.wire.caller_terms(request.head().headers());
@@ -59,10 +56,7 @@
                     .head_mut()
                     .set_connection_type(actix_http::ConnectionType::Close);
             }
-            match activity {
-                Some(activity) => activity.hold_in(response),
-                None => response,
-            }
+            response
         })
     }
 }
@@ -112,7 +106,7 @@
         if let Err(denial) = held.reserve(0) {
             let objective = table.find_batch(&host).map(|route| route.objective);
             let retry_after = objective.unwrap_or(job_calls::RETRY_AFTER);
-            return caller_memory::refuse(&denial, &workspace, retry_after);
+            return refusals::refuse_memory(&denial, &workspace, retry_after);
         }
         return job_calls::respond(&context, call, workspace.as_ref()).await;
     }
@@ -157,7 +151,7 @@
     let body = match reading.await {
         Ok(body) => body,
         Err(http_server::BodyError::NoMemory(denial)) => {
-            return caller_memory::refuse(&denial, &holder, route.objective);
+            return refusals::refuse_memory(&denial, &holder, route.objective);
         }
         Err(e) => return body_error_response(&e),
     };
@@ -201,7 +195,7 @@
         deadline: arrived + timeout,
         arrived,
         token,
-        _held: held,
+        held,
         workspace: workspace.map(|spec| spec.id.clone()),
     };
     relay::serve(context, request, active).await
@@ -213,11 +207,14 @@
     context: &context::ProcessContext,
     request: &actix_http::Request,
     holder: &caller_budget::BudgetHolder,
-) -> caller_memory::HeldBytes {
-    if let Some(account) = request.conn_data::<caller_memory::ConnectionAccount>() {
-        account.borrow_mut().set_holder(holder.clone());
+) -> memory::HeldBytes {
+    match memory::RequestAccount::of(request) {
+        Some(account) => {
+            account.set_holder(holder);
+            account.held(holder.clone())
+        }
+        None => memory::HeldBytes::none(&context.caller_memory, holder.clone(), None),
     }
-    caller_memory::HeldBytes::none(&context.caller_memory, holder.clone())
 }
 
 fn body_error_response(error: &http_server::BodyError) -> http_server::HttpResponse {
--- a/src/serving/connection_gate.rs
+++ b/src/serving/connection_gate.rs
@@ -2,8 +2,8 @@
 
 use std::{cell, rc, time};
 
-use super::{caller_connections, context, loop_delay};
-use crate::{clock, decisions::connection_shedding};
+use super::{context, loop_delay};
+use crate::{callers::table, clock, decisions::connection_shedding};
 
 /// Interval between two log lines about refused connections.
 const LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -11,7 +11,7 @@
 /// Why a connection is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RefusalReason {
-    /// The limit is reached, and no connection is idle.
+    /// The limit is reached, and no connection makes room.
     Limit,
     /// The process falls behind.
     Overload,
@@ -29,7 +29,6 @@
 /// Admits new connections up to a limit, and fewer while the process falls behind.
 pub(super) struct ConnectionGate {
     context: rc::Rc<context::ProcessContext>,
-    table: rc::Rc<caller_connections::ConnectionTable>,
     shedding: rc::Rc<cell::RefCell<connection_shedding::ConnectionShedding>>,
     /// Refusals since the last log line, and when that was written.
     refused: cell::Cell<u64>,
@@ -38,12 +37,11 @@
 
 impl ConnectionGate {
     /// Creates a gate, and starts to sample by how much the process falls behind.
-    pub(super) fn start(context: &rc::Rc<context::ProcessContext>, limit: usize) -> Self {
+    pub(super) fn start(context: &rc::Rc<context::ProcessContext>) -> Self {
         let shedding = rc::Rc::default();
         actix_rt::spawn(sample_delay(context.clone(), rc::Rc::downgrade(&shedding)));
         Self {
             context: context.clone(),
-            table: caller_connections::ConnectionTable::new(limit),
             shedding,
             refused: cell::Cell::new(0),
             logged_at: cell::Cell::new(None),
@@ -51,12 +49,12 @@
     }
 
     /// Admits a new connection; returns `None` if it is refused.
-    pub(super) fn admit(&self) -> Option<caller_connections::OpenConnection> {
+    pub(super) fn admit(&self) -> Option<table::OpenConnection> {
         if self.shedding.borrow().refuses(rand::random()) {
             self.record_refusal(RefusalReason::Overload);
             return None;
         }
-        let opened = self.table.open();
+        let opened = self.context.caller_memory.table().open();
         if opened.is_none() {
             self.record_refusal(RefusalReason::Limit);
         }
@@ -64,8 +62,8 @@
     }
 
     /// Returns whether a connection that was not read yet is closed: it has waited for too long.
-    pub(super) fn is_overdue(&self, connection: &caller_connections::OpenConnection) -> bool {
-        let unread = connection.activity.unused_time();
+    pub(super) fn is_overdue(&self, open: &table::OpenConnection) -> bool {
+        let unread = open.connection.waiting_time();
         let is_overdue = self.shedding.borrow().is_overdue(unread);
         if is_overdue {
             self.record_refusal(RefusalReason::Overload);
--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -5,16 +5,16 @@
 use tokio::sync::watch;
 
 use super::{
-    caller_memory, checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source,
-    job_checkpoints, job_table, members, origin_file, peer_links, peers, permits,
-    progress_transfer, selection, single_flight, slot_queue, state_transfer, stream_origins,
-    unlisted_starts, wire,
+    checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_checkpoints,
+    job_table, members, origin_file, peer_links, peers, permits, progress_transfer, selection,
+    single_flight, slot_queue, state_transfer, stream_origins, unlisted_starts, wire,
     workspaces::{limit_messages, limiter},
 };
 use crate::{
+    callers::{memory, table},
     clock,
     decisions::{
-        admission, liveness, ownership, peer_subset, queue_limit,
+        admission, caller_budget, liveness, ownership, peer_subset, queue_limit,
         rate_limits::{rate_limit, share_clock, token_pools},
     },
     ids, metrics, store,
@@ -59,9 +59,27 @@
     pub memory_bytes: Option<usize>,
     /// Maximum number of open descriptors, if it is limited.
     pub max_descriptors: Option<u64>,
+    /// Longest time in which a caller reads nothing of a response.
+    pub caller_stall: time::Duration,
 }
 
 impl ProcessOptions {
+    /// Returns the maximum number of connections of callers.
+    pub(super) fn max_connections(&self) -> usize {
+        caller_budget::max_connections(self.max_descriptors, self.memory_bytes)
+    }
+
+    /// Creates the account of what is held for callers.
+    fn caller_memory(&self, metrics: &metrics::MetricSet) -> rc::Rc<memory::CallerMemory> {
+        let closed = metrics.closed_connections.clone();
+        let table = table::ConnectionTable::new(self.max_connections(), Some(closed));
+        let limits = self
+            .memory_bytes
+            .map(caller_budget::MemoryLimits::of_instance);
+        let shared = memory::SharedBudget::new(limits, &metrics.caller_budget_bytes);
+        memory::CallerMemory::new(shared, table)
+    }
+
     /// Returns whether the process keeps a start record: without a tolerance there is nothing
     /// to credit.
     pub(super) fn keeps_start_record(&self) -> bool {
@@ -205,10 +223,8 @@
     pub(super) shares: cell::RefCell<share_clock::ShareClock>,
     /// Latest clock stamps of peers.
     pub(super) stamps: cell::RefCell<PeerStamps>,
-    /// Number of callers' connections with response data that is not sent yet.
-    pub(super) unsent_responses: rc::Rc<cell::Cell<usize>>,
-    /// Bytes held for callers.
-    pub(super) caller_memory: rc::Rc<caller_memory::CallerMemory>,
+    /// Connections of callers, and bytes held for them.
+    pub(super) caller_memory: rc::Rc<memory::CallerMemory>,
 }
 
 /// Free slots of an owner by service.
@@ -297,7 +313,7 @@
             origins.insert(record, stream_origins::OriginReach::Shared);
         }
         let metrics = metrics::MetricSet::default();
-        let caller_memory = caller_memory::CallerMemory::new(options.memory_bytes, &metrics);
+        let caller_memory = options.caller_memory(&metrics);
         Self {
             run,
             fleet: rc::Rc::new(fleet),
@@ -352,8 +368,7 @@
             suspensions: watch::Sender::new(0),
             stopping: watch::Sender::new(false),
             active: cell::Cell::new(0),
-            unsent_responses: rc::Rc::default(),
-            caller_memory: rc::Rc::new(caller_memory),
+            caller_memory,
         }
     }
 
@@ -407,7 +422,7 @@
 
     /// Returns whether no request is in progress and all response data has been sent.
     pub(super) fn is_idle(&self) -> bool {
-        self.active.get() == 0 && self.unsent_responses.get() == 0
+        self.active.get() == 0 && self.caller_memory.table().unsent() == 0
     }
 
     /// Returns the time since the start of the process.
--- a/src/serving/event_flow.rs
+++ b/src/serving/event_flow.rs
@@ -14,7 +14,7 @@
     slow_attempt::{self, Waited},
     stream_origins, stream_resumption,
 };
-use crate::{clock, http_server};
+use crate::{callers, clock, http_server};
 
 /// An open stream with its first event, which is `None` if the stream is empty.
 pub(super) struct OpenStream {
@@ -202,6 +202,9 @@
         self.is_started = true;
         open.responding.slot.record_served();
         self.record_first_event();
+        let left = self.request.deadline + MAX_OVERRUN;
+        let left = left.duration_since(clock::BootInstant::now());
+        let end = callers::ResponseDeadline(tokio::time::Instant::now() + left);
         let flow = EventFlow {
             relay: self,
             open: Some(open),
@@ -211,9 +214,11 @@
             let chunk = flow.next_chunk().await?;
             Some((chunk, flow))
         });
-        response
+        let mut response = response
             .body(body::BodyStream::new(Box::pin(chunks)))
-            .map_into_boxed_body()
+            .map_into_boxed_body();
+        response.extensions_mut().insert(end);
+        response
     }
 }
 
--- a/src/serving/listener.rs
+++ b/src/serving/listener.rs
@@ -1,15 +1,12 @@
 //! The listener for callers: one task per connection, limited in number.
 
-use std::{convert, io, net, rc, time};
+use std::{io, net, rc, time};
 
-use actix_http::error::{DispatchError, ParseError};
-use actix_service::{Service as _, ServiceFactory as _};
-
-use super::{
-    caller_connections, caller_handler, caller_memory, caller_socket, connection_gate, context,
-    refusals,
+use super::{caller_handler, connection_gate, context, refusals};
+use crate::{
+    callers::{self, connection},
+    decisions::caller_budget,
 };
-use crate::{decisions::caller_budget, protection};
 
 /// Delay after a failed accept, such as one without free descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
@@ -22,10 +19,9 @@
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Length of the kernel's backlog of new connections.
 const BACKLOG: u32 = 1024;
-/// Size of the write buffer of a caller's connection, in bytes.
-///
-/// Small, as each slow reader occupies this much memory.
-const WRITE_BUFFER_BYTES: usize = 16 << 10;
+/// Bounds of the size of a head that is read, in bytes, whatever the desired state allows.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+const MAX_HEAD_BYTES: usize = 128 << 10;
 
 /// Binds an address with `SO_REUSEADDR`, so that a restart doesn't wait for old connections.
 ///
@@ -62,83 +58,61 @@
         return Ok(());
     };
     let listener = bind(address)?;
-    let context = context.clone();
-    actix_rt::spawn(async move {
-        let waiting = context.unsent_responses.clone();
-        let metrics_context = context.clone();
-        let max_connections = caller_budget::max_connections(context.options.max_descriptors);
-        let handler = caller_handler::CallerHandler::new(context);
-        let service = actix_http::HttpService::build()
-            .client_request_timeout(HEAD_TIMEOUT)
-            .client_disconnect_timeout(time::Duration::from_secs(1))
-            .keep_alive(KEEP_ALIVE)
-            // Detects at once that a caller closes its connection while it waits for a response.
-            .h1_allow_half_closed(protection::is_disabled("caller_close"))
-            .h1_write_buffer_size(WRITE_BUFFER_BYTES)
-            .on_connect_ext(|socket: &caller_socket::CallerSocket, data| {
-                let account: caller_memory::ConnectionAccount = socket.account();
-                data.insert(account);
-                data.insert(socket.activity());
-            })
-            .finish(move |request: actix_http::Request| {
-                let response = handler.handle(request);
-                async move { Ok::<_, convert::Infallible>(response.await) }
-            });
-        let service = match service.new_service(()).await {
-            Ok(service) => rc::Rc::new(service),
-            Err(()) => return log::error!("event=callers_not_served address={address}"),
-        };
-        let gate = connection_gate::ConnectionGate::start(&metrics_context, max_connections);
-        let gate = rc::Rc::new(gate);
-        accept_callers(&listener, &gate, |socket, activity| {
-            let service = service.clone();
-            let context = metrics_context.clone();
-            let memory = &context.caller_memory;
-            let socket =
-                caller_socket::CallerSocket::new(socket, waiting.clone(), memory, activity);
-            async move {
-                let call = service.call((socket, actix_http::Protocol::Http1, None));
-                if let Err(e) = call.await {
-                    if matches!(e, DispatchError::Parse(ParseError::TooLarge)) {
-                        refusals::record_large_head(&context.metrics);
-                    }
-                    log::debug!("event=caller_connection why=\"{e}\"");
-                }
-            }
-        })
-        .await;
-    });
+    limit_buffers(&listener, &context.options);
+    let fleet = context.fleet.clone();
+    let options = connection::ConnectionOptions {
+        idle_timeout: KEEP_ALIVE,
+        head_timeout: HEAD_TIMEOUT,
+        stall_timeout: context.options.caller_stall,
+        max_head_bytes: rc::Rc::new(move || {
+            let max_bytes = fleet.table().state().limits.max_head_bytes;
+            // A larger head is refused by its route, up to what the parser takes.
+            (2 * max_bytes).clamp(MIN_HEAD_BYTES, MAX_HEAD_BYTES)
+        }),
+        is_single: false,
+    };
+    let handler = rc::Rc::new(caller_handler::CallerHandler::new(context.clone()));
+    let memory = context.caller_memory.clone();
+    let server = rc::Rc::new(connection::ConnectionServer::new(handler, options, memory));
+    let gate = rc::Rc::new(connection_gate::ConnectionGate::start(context));
+    actix_rt::spawn(accept_callers(context.clone(), listener, gate, server));
     Ok(())
 }
 
+/// Limits the kernel's buffers so that those of all connections fit into the instance.
+fn limit_buffers(listener: &tokio::net::TcpListener, options: &context::ProcessOptions) {
+    if let Some(memory_bytes) = options.memory_bytes {
+        let bytes = caller_budget::socket_buffer_bytes(memory_bytes, options.max_connections());
+        callers::limit_buffers(listener, bytes);
+    }
+}
+
 /// Accepts callers; closes the connections at once that the gate refuses, so that their callers
 /// turn to another gateway.
-async fn accept_callers<F>(
-    listener: &tokio::net::TcpListener,
-    gate: &rc::Rc<connection_gate::ConnectionGate>,
-    serve: impl Fn(tokio::net::TcpStream, rc::Rc<caller_connections::ConnectionActivity>) -> F,
-) where
-    F: std::future::Future<Output = ()> + 'static,
-{
+async fn accept_callers(
+    context: rc::Rc<context::ProcessContext>,
+    listener: tokio::net::TcpListener,
+    gate: rc::Rc<connection_gate::ConnectionGate>,
+    server: rc::Rc<connection::ConnectionServer>,
+) {
     loop {
-        let Some(socket) = accept(listener).await else {
+        let Some(socket) = accept(&listener).await else {
             continue;
         };
-        let Some(connection) = gate.admit() else {
+        let Some(open) = gate.admit() else {
             continue;
         };
         if let Err(e) = socket.set_nodelay(true) {
             log::debug!("event=caller_socket why=\"{e}\"");
         }
-        let serving = serve(socket, connection.activity.clone());
-        let gate = gate.clone();
+        let (gate, server, context) = (gate.clone(), server.clone(), context.clone());
         actix_rt::spawn(async move {
-            if gate.is_overdue(&connection) {
+            if gate.is_overdue(&open) {
                 return;
             }
-            tokio::select! {
-                () = serving => {}
-                () = connection.activity.closed() => {}
+            let end = server.serve(socket, &open).await;
+            if matches!(end, connection::ConnectionEnd::HeadTooLarge) {
+                refusals::record_large_head(&context.metrics);
             }
         });
     }
--- a/src/serving/metrics_page.rs
+++ b/src/serving/metrics_page.rs
@@ -1,12 +1,15 @@
 //! Serves the metrics page and the readiness check.
 
-use std::{convert, io, net, rc};
+use std::{io, net, rc, time};
 
 use actix_http::StatusCode;
-use actix_service::{Service as _, ServiceFactory as _};
+use futures::future;
 
 use super::{context, listener};
-use crate::http_server;
+use crate::{
+    callers::{self, connection, memory, table},
+    http_server,
+};
 
 /// Serves metrics and readiness at the addresses that the options set.
 ///
@@ -77,35 +80,60 @@
 type PageResponder =
     fn(&context::ProcessContext, &actix_http::Request) -> http_server::HttpResponse;
 
+/// Limits of the pages: their clients send one small request and read a response of some 10 KB.
+const MAX_CONNECTIONS: usize = 32;
+const MAX_HEAD_BYTES: usize = 8 << 10;
+const PAGE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Size of the kernel's buffers of a connection, in bytes.
+const SOCKET_BYTES: usize = 16 << 10;
+
+/// Handler of the requests for one page.
+struct PageHandler {
+    context: rc::Rc<context::ProcessContext>,
+    respond: PageResponder,
+}
+
+impl http_server::RequestHandler for PageHandler {
+    fn handle(
+        &self,
+        request: actix_http::Request,
+    ) -> future::LocalBoxFuture<'static, http_server::HttpResponse> {
+        let response = (self.respond)(&self.context, &request);
+        Box::pin(future::ready(response))
+    }
+}
+
 fn serve(
     context: &rc::Rc<context::ProcessContext>,
     address: net::SocketAddr,
     respond: PageResponder,
 ) -> io::Result<()> {
     let listener = listener::bind(address)?;
-    let context = context.clone();
+    callers::limit_buffers(&listener, SOCKET_BYTES);
+    let options = connection::ConnectionOptions {
+        idle_timeout: PAGE_TIMEOUT,
+        head_timeout: PAGE_TIMEOUT,
+        stall_timeout: PAGE_TIMEOUT,
+        max_head_bytes: rc::Rc::new(|| MAX_HEAD_BYTES),
+        is_single: true,
+    };
+    let closed = context.metrics.closed_connections.clone();
+    let table = table::ConnectionTable::new(MAX_CONNECTIONS, Some(closed));
+    let memory = memory::CallerMemory::new(memory::SharedBudget::unlimited(), table.clone());
+    let handler = rc::Rc::new(PageHandler {
+        context: context.clone(),
+        respond,
+    });
+    let server = rc::Rc::new(connection::ConnectionServer::new(handler, options, memory));
     actix_rt::spawn(async move {
-        let service = actix_http::HttpService::build()
-            .keep_alive(actix_http::KeepAlive::Disabled)
-            .finish(move |request: actix_http::Request| {
-                let response = respond(&context, &request);
-                async move { Ok::<_, convert::Infallible>(response) }
-            })
-            .tcp();
-        let service = match service.new_service(()).await {
-            Ok(service) => rc::Rc::new(service),
-            Err(()) => return log::error!("event=page_not_served address={address}"),
-        };
         loop {
             let Some(socket) = listener::accept(&listener).await else {
                 continue;
             };
-            let service = service.clone();
-            actix_rt::spawn(async move {
-                if let Err(e) = service.call(socket).await {
-                    log::debug!("event=page_connection why=\"{e}\"");
-                }
-            });
+            // A probe that comes must not wait for those that send nothing.
+            let open = table.open_always();
+            let server = server.clone();
+            actix_rt::spawn(async move { server.serve(socket, &open).await });
         }
     });
     Ok(())
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -11,10 +11,7 @@
 pub mod attempt;
 pub mod attempt_flow;
 pub mod borrowed_slots;
-mod caller_connections;
 pub mod caller_handler;
-mod caller_memory;
-mod caller_socket;
 pub mod checkpoint_file;
 pub mod connection;
 mod connection_gate;
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -9,11 +9,16 @@
     listener, member_sync, members, metrics_page, origin_file, owners, peer_calls, peer_server,
     probes, start_record, suspension,
 };
-use crate::{clock, decisions::call_budget::CallClass, protection, store};
+use crate::{callers::table, clock, decisions::call_budget::CallClass, protection, store};
 
 /// Fraction of the grace period after which a stopping process ends in any case.
 const DRAIN_FRACTION: f64 = 0.97;
 
+/// Longest time for which a draining process waits for a caller that reads nothing, or sends
+/// nothing of a request that it has begun, and the largest fraction of the grace period for it.
+const MAX_DRAIN_STALL: time::Duration = time::Duration::from_secs(3);
+const MAX_STALL_FRACTION: f64 = 0.5;
+
 /// Interval at which a draining process checks whether its last request has ended.
 const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
@@ -118,10 +123,13 @@
     let timeout = context.options.grace.mul_f64(DRAIN_FRACTION);
     // Peers and the readiness check must see that the process is leaving before it exits.
     let min_duration = members::PROBE_INTERVAL * 2;
+    let max_stall = MAX_DRAIN_STALL.min(context.options.grace.mul_f64(MAX_STALL_FRACTION));
     let removal = remove_member_record(context);
     tokio::pin!(removal);
     let mut removed = false;
     while started_at.elapsed() < timeout && !protection::is_disabled("drain") {
+        let table = context.caller_memory.table();
+        table.close_stalled(max_stall, table::CloseReason::Stopping);
         let idle = context.is_idle() && context.jobs.is_drained();
         if removed && idle && started_at.elapsed() > min_duration {
             break;
@@ -134,7 +142,7 @@
     log::info!(
         "event=stopped active={} unsent={} after_ms={}",
         context.active.get(),
-        context.unsent_responses.get(),
+        context.caller_memory.table().unsent(),
         started_at.elapsed().as_millis()
     );
 }
--- a/src/serving/refusals.rs
+++ b/src/serving/refusals.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{header, StatusCode};
 
-use crate::{http_server, metrics};
+use crate::{decisions::caller_budget, http_server, metrics};
 
 /// Why a response is a refusal. It travels with the response to the place where all
 /// refusals are recorded, which knows the request and its age.
@@ -43,6 +43,30 @@
     mark(response, label, inputs)
 }
 
+/// Builds the refusal of a request that does not fit into the budget.
+pub fn refuse_memory(
+    denial: &caller_budget::BudgetDenial,
+    workspace: &caller_budget::BudgetHolder,
+    retry_after: time::Duration,
+) -> http_server::HttpResponse {
+    let inputs = format!(
+        "workspace={} why={} bytes={} workspace_bytes={} held_bytes={} max_bytes={} holders={}",
+        workspace.as_ref().map_or("-", |id| id.as_str()),
+        if denial.is_over_share {
+            "over_share"
+        } else {
+            "exhausted"
+        },
+        denial.bytes,
+        denial.held,
+        denial.total,
+        denial.limit,
+        denial.holders,
+    );
+    let body = "the memory for requests is in use; this one was not run\n";
+    refuse_temporarily("memory_budget", inputs, retry_after, body)
+}
+
 /// Builds the refusal of a request that cannot be served at any time.
 pub fn refuse(
     status: StatusCode,
--- a/src/serving/relay.rs
+++ b/src/serving/relay.rs
@@ -5,12 +5,12 @@
 use actix_http::{header, StatusCode};
 
 use super::{
-    attempt, attempt_flow, caller_memory, context, crash_guard,
+    attempt, attempt_flow, context, crash_guard,
     crash_trials::{self, TrialAdmission},
     event_flow, held_slot, refusals, request_admission, response_copy, route_table, slow_attempt,
     stream_origins, stream_resumption, suspension, wire,
 };
-use crate::{clock, http_server, ids};
+use crate::{callers::memory, clock, http_server, ids};
 
 /// Outcome of a request that got a complete response from an endpoint.
 pub(super) const ANSWERED: &str = "answered";
@@ -44,7 +44,7 @@
     /// Token spent for it from the rate limit of its workspace.
     pub(super) token: Option<request_admission::SpentToken>,
     /// Account of its body.
-    pub(super) _held: caller_memory::HeldBytes,
+    pub(super) held: memory::HeldBytes,
     /// Workspace that the request is served for.
     pub workspace: Option<ids::WorkspaceId>,
 }
@@ -333,7 +333,7 @@
         &self,
         head: &actix_http::ResponseHead,
         body: bytes::Bytes,
-        held: caller_memory::HeldBytes,
+        held: memory::HeldBytes,
     ) -> http_server::HttpResponse {
         let mut response = actix_http::Response::build(head.status);
         response_copy::copy_forwarded_headers(&self.context, head, &mut response);
@@ -343,9 +343,8 @@
     }
 
     /// Returns an account for the response of the request, of no bytes yet.
-    pub(super) fn no_held_bytes(&self) -> caller_memory::HeldBytes {
-        let holder = self.request.workspace.clone();
-        caller_memory::HeldBytes::none(&self.context.caller_memory, holder)
+    pub(super) fn no_held_bytes(&self) -> memory::HeldBytes {
+        self.request.held.sibling()
     }
 
     /// Closes the caller's connection after the response if the process is stopping.
--- a/src/serving/response_copy.rs
+++ b/src/serving/response_copy.rs
@@ -4,7 +4,8 @@
 
 use actix_http::body;
 
-use super::{caller_memory, connection, context};
+use super::{connection, context};
+use crate::callers::memory;
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
@@ -13,11 +14,11 @@
 /// connection, which counts it from then on.
 pub(super) struct HeldBody {
     body: bytes::Bytes,
-    held: caller_memory::HeldBytes,
+    held: memory::HeldBytes,
 }
 
 impl HeldBody {
-    pub(super) fn new(body: bytes::Bytes, held: caller_memory::HeldBytes) -> Self {
+    pub(super) fn new(body: bytes::Bytes, held: memory::HeldBytes) -> Self {
         Self { body, held }
     }
 }
@@ -46,9 +47,12 @@
 /// The body was truncated, is malformed or exceeds `MAX_BUFFERED_BYTES`.
 pub(super) async fn read_full_body(
     incoming: &mut connection::IncomingResponse,
-    held: &mut caller_memory::HeldBytes,
+    held: &mut memory::HeldBytes,
 ) -> Result<bytes::Bytes, connection::ExchangeError> {
-    let mut body = bytes::BytesMut::new();
+    let declared = http_length(&incoming.head).unwrap_or(0);
+    // Sized in advance, as growing by doubling would take up to twice as much.
+    let mut body = bytes::BytesMut::with_capacity(declared.min(MAX_BUFFERED_BYTES));
+    held.set(body.capacity());
     while let Some(bytes) = incoming.next_bytes().await? {
         if body.len() + bytes.len() > MAX_BUFFERED_BYTES {
             let reason = format!("the response is larger than {MAX_BUFFERED_BYTES} bytes");
@@ -60,6 +64,12 @@
     Ok(body.freeze())
 }
 
+/// Returns the length of a body as its head declares it, in bytes.
+fn http_length(head: &actix_http::ResponseHead) -> Option<usize> {
+    let length = head.headers().get(actix_http::header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
+
 /// Clones the head of a response, which the library's type doesn't.
 pub(super) fn clone_head(head: &actix_http::ResponseHead) -> actix_http::ResponseHead {
     let mut copy = actix_http::ResponseHead::new(head.status);
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -88,6 +88,11 @@
     pub connections: usize,
     /// Maximum number of concurrent requests in total; further requests are refused.
     pub requests: usize,
+    /// Maximum memory for connections, requests and responses, in bytes. Half of it is for new
+    /// requests; above all of it, the connections that hold the most are closed.
+    pub memory_bytes: usize,
+    /// Maximum time in which a caller reads nothing of a response, in milliseconds.
+    pub stall_timeout_ms: u64,
 }
 
 impl Default for InputLimits {
@@ -102,6 +107,8 @@
             head_bytes: 32 << 10,
             connections: 4_096,
             requests: 8_192,
+            memory_bytes: 64_000_000,
+            stall_timeout_ms: 60_000,
         }
     }
 }
--- a/tests/caller_budget.rs
+++ b/tests/caller_budget.rs
@@ -23,7 +23,10 @@
     #[case] descriptors: Option<u64>,
     #[case] connections: usize,
 ) {
-    assert_eq!(caller_budget::max_connections(descriptors), connections);
+    assert_eq!(
+        caller_budget::max_connections(descriptors, None),
+        connections
+    );
 }
 
 #[test]
@@ -33,6 +36,21 @@
     assert_eq!(budget.admit(&None, 1 << 40), Ok(()));
 }
 
+/// Guards against more connections than fit into the memory, and against fewer than the pages
+/// allow on an instance of the size that they name.
+#[rstest::rstest]
+#[case::small(4_000_000, 31)]
+#[case::edge(260_000_000, 2_000)]
+fn connections_fit_into_the_memory(#[case] memory_bytes: usize, #[case] connections: usize) {
+    let found = caller_budget::max_connections(Some(4_200), Some(memory_bytes));
+    assert_eq!(found, connections);
+    let limits = caller_budget::MemoryLimits::of_instance(memory_bytes);
+    let taken = connections * caller_budget::CONNECTION_BYTES;
+    assert!(taken + limits.admitted <= limits.total);
+    let buffers = caller_budget::socket_buffer_bytes(memory_bytes, connections);
+    assert!(buffers <= memory_bytes / 8 / connections || buffers == 8 << 10);
+}
+
 /// Guards against a limit that a single workspace, or none, does not reach.
 #[test]
 fn a_single_workspace_is_served_up_to_the_whole_budget() {
