fix(serving): accepted jobs are limited by their memory

What callers saw: nothing but the end of a process. A gateway with 64 MB in its settings needed 116 MB for submissions of many small JSON pieces, and 212 MB once responses were bounded; a dispatcher needed 252 MB.

The cause: an accepted job stays in the memory of its gateway until its owner says that it is finished, and in that of its owner until it is old. The tables were limited in number, at 1,000 or not at all, and the parsed form of a job takes many times its bytes.

Why this works: a gateway estimates what the items take and accepts no further job while those that are not finished take a sixteenth of its memory (503 job_memory, with Retry-After). An owner takes unfinished jobs up to a quarter; a job beyond that stays in the store, where it is safe, and is searched for once half of it is free. Finished jobs take a twelfth instead of 24 MB on small instances.

--- a/src/serving/context.rs
+++ b/src/serving/context.rs
@@ -5,9 +5,10 @@
 use tokio::sync::watch;
 
 use super::{
-    checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_checkpoints,
-    job_table, members, origin_file, peer_links, peers, permits, progress_transfer, selection,
-    single_flight, slot_queue, state_transfer, stream_origins, unlisted_starts, wire,
+    checkpoint_file, connection_pool, crash_guard, fleet_model, fleet_source, job_budget,
+    job_checkpoints, job_table, members, origin_file, peer_links, peers, permits,
+    progress_transfer, selection, single_flight, slot_queue, state_transfer, stream_origins,
+    unlisted_starts, wire,
     workspaces::{limit_messages, limiter},
 };
 use crate::{
@@ -149,6 +150,8 @@
     pub(super) slot_queues: cell::RefCell<slot_queue::SlotQueues>,
     /// Jobs that are run or read here.
     pub jobs: job_table::JobTable,
+    /// Memory of the jobs that this process has accepted.
+    pub(super) accepted_jobs: rc::Rc<job_budget::AcceptedJobs>,
     /// Endpoints that may have started again while the list shows their earlier start.
     pub(super) unlisted_starts: cell::RefCell<unlisted_starts::UnlistedStarts>,
     /// Origins of streams that this process keeps.
@@ -314,6 +317,7 @@
         }
         let metrics = metrics::MetricSet::default();
         let caller_memory = options.caller_memory(&metrics);
+        let job_limits = job_budget::JobLimits::of_instance(options.memory_bytes);
         Self {
             run,
             fleet: rc::Rc::new(fleet),
@@ -329,7 +333,8 @@
             links: peer_links::PeerLinks::default(),
             permits: cell::RefCell::default(),
             slot_queues: cell::RefCell::default(),
-            jobs: job_table::JobTable::default(),
+            jobs: job_table::JobTable::new(job_limits),
+            accepted_jobs: job_budget::AcceptedJobs::new(job_limits.accepted),
             unlisted_starts: cell::RefCell::new(unlisted_starts::UnlistedStarts::new(
                 is_first_start,
             )),
--- a/src/serving/job_calls.rs
+++ b/src/serving/job_calls.rs
@@ -5,13 +5,15 @@
 use actix_http::{header, StatusCode};
 
 use super::{
-    context, item_run, job_acceptance, job_ends, job_records, job_runner, job_supervisor,
-    job_table, peers, refusals, request_admission, route_table, wire,
+    context, item_run, job_acceptance, job_budget, job_ends, job_records, job_runner,
+    job_supervisor, job_table, peers, refusals, request_admission, route_table, wire,
 };
 use crate::{clock, http_server, ids, store};
 
 /// Value of the `Retry-After` header when a request cannot be served.
 pub(super) const RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
+/// Value of the `Retry-After` header when there is no memory for a job: some have to finish first.
+const FULL_RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
 /// Time for the owner's response beyond the wait that the caller requested.
 const OWNER_TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(250);
 
@@ -44,6 +46,9 @@
     let Some(Ok(id)) = id.map(|id| id.and_then(scoped)) else {
         return http_server::plain(StatusCode::BAD_REQUEST, "the job has no valid name\n");
     };
+    if context.accepted_jobs.is_full() {
+        return too_many_jobs(context, &id);
+    }
     let items = context.wire.job_items(&body).and_then(|items| {
         items
             .iter()
@@ -58,6 +63,12 @@
         }
     };
     drop(body);
+    let reserved = context
+        .accepted_jobs
+        .reserve(job_budget::item_bytes(&items));
+    let Some(reserved) = reserved else {
+        return too_many_jobs(context, &id);
+    };
     let record = job_records::JobRecord {
         id: id.clone(),
         host: route.host.clone(),
@@ -80,7 +91,7 @@
     metrics.observe(&metrics.full_response, &route.name, "batch", duration);
     match accepted {
         job_acceptance::Acceptance::Accepted(origin) => {
-            job_supervisor::supervise(context, rc::Rc::new(record), origin);
+            job_supervisor::supervise(context, rc::Rc::new(record), origin, reserved);
             http_server::plain(StatusCode::ACCEPTED, "")
         }
         job_acceptance::Acceptance::Refused => {
@@ -93,6 +104,14 @@
     }
 }
 
+/// Builds the refusal of a job while those that were accepted before take all memory for jobs.
+fn too_many_jobs(context: &context::ProcessContext, id: &ids::JobId) -> http_server::HttpResponse {
+    let (held, limit) = context.accepted_jobs.usage();
+    let inputs = format!("job={id} held_bytes={held} max_bytes={limit}");
+    let body = "the memory for jobs is in use; this one was not accepted\n";
+    refusals::refuse_temporarily("job_memory", inputs, FULL_RETRY_AFTER, body)
+}
+
 fn unavailable(body: &'static str) -> http_server::HttpResponse {
     let inputs = format!("why=\"{}\"", body.trim_end());
     refusals::refuse_temporarily("job_unavailable", inputs, RETRY_AFTER, body)
--- a/src/serving/job_runner.rs
+++ b/src/serving/job_runner.rs
@@ -23,14 +23,19 @@
     actix_rt::spawn(job_upkeep::remove_old_jobs(context.clone()));
 }
 
-/// Adopts a job and returns whether it is already finished.
+/// Adopts a job and returns whether it is already finished, or `None` if there is no memory for
+/// it; it is searched for in the store later.
 pub fn adopt_job(
     context: &rc::Rc<context::ProcessContext>,
     record: job_records::JobRecord,
     origin: job_records::JobOrigin,
-) -> bool {
+) -> Option<bool> {
     if let Some(job) = context.jobs.get(&record.id) {
-        return job.borrow().is_finished();
+        return Some(job.borrow().is_finished());
+    }
+    if context.jobs.is_full() {
+        context.jobs.record_left(&record.id);
+        return None;
     }
     let id = record.id.clone();
     let due_ms = job_table::due_time_ms(context, &record);
@@ -52,7 +57,7 @@
         job.knowledge = open_job::OwnerKnowledge::Current;
     }
     context.jobs.work.notify_one();
-    false
+    Some(false)
 }
 
 /// Adopts a job from the store in the background. Returns whether it is already finished.
@@ -65,6 +70,10 @@
         job.read_at = None;
         return job.is_finished();
     }
+    if context.jobs.is_full() {
+        context.jobs.record_left(&id);
+        return false;
+    }
     let context = context.clone();
     actix_rt::spawn(async move {
         match job_records::read_job(context.store.as_ref(), &id).await {
--- a/src/serving/job_supervisor.rs
+++ b/src/serving/job_supervisor.rs
@@ -3,7 +3,7 @@
 
 use std::{cell, collections, rc, time};
 
-use super::{context, job_records, job_runner};
+use super::{context, job_budget, job_records, job_runner};
 use crate::{clock, ids};
 
 /// Maximum wait for an owner to adopt a job.
@@ -32,6 +32,8 @@
     retries: u32,
     /// Whether a hand-off is in progress.
     is_in_flight: bool,
+    /// Memory of the record.
+    _reserved: job_budget::AcceptedBytes,
 }
 
 thread_local! {
@@ -45,6 +47,7 @@
     context: &rc::Rc<context::ProcessContext>,
     record: rc::Rc<job_records::JobRecord>,
     origin: job_records::JobOrigin,
+    reserved: job_budget::AcceptedBytes,
 ) {
     let id = record.id.clone();
     let first = SUPERVISED.with_borrow_mut(|jobs| {
@@ -57,6 +60,7 @@
                 confirmed_at: clock::BootInstant::now(),
                 retries: 0,
                 is_in_flight: false,
+                _reserved: reserved,
             };
             jobs.entry(id.clone()).or_insert(supervised);
         }
@@ -135,7 +139,7 @@
         retries,
     } = handoff;
     if owner == context.id() {
-        return Some(job_runner::adopt_job(context, (**record).clone(), *origin));
+        return job_runner::adopt_job(context, (**record).clone(), *origin);
     }
     let address = context.members.borrow().address_of(owner)?;
     let id = &record.id;
--- a/src/serving/job_table.rs
+++ b/src/serving/job_table.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use super::{
-    context, job_records, members,
+    context, job_budget, job_records, members,
     open_job::{self, OpenJob, SharedJob},
     peers, result_parts, wire,
 };
@@ -31,9 +31,6 @@
 /// Timeout of notifying the owner of a job of a part that this process has appended to it.
 const APPEND_NOTICE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
-/// Maximum total size of finished jobs that are retained for readers, in bytes.
-const MAX_FINISHED_BYTES: usize = 24 << 20;
-
 /// Key of a batch stream: the endpoint and the stream's number in its slot ledger.
 pub type StreamKey = (ids::EndpointId, admission::StreamNumber);
 
@@ -57,8 +54,10 @@
 }
 
 /// Table of all jobs of this process, and of their running streams.
-#[derive(Default)]
 pub struct JobTable {
+    limits: job_budget::JobLimits,
+    /// Whether a job was left in the store for want of memory.
+    has_left: cell::Cell<bool>,
     jobs: cell::RefCell<collections::HashMap<ids::JobId, SharedJob>>,
     streams: cell::RefCell<collections::HashMap<StreamKey, RunningStream>>,
     /// Notified when there may be work, such as a new job or a free slot.
@@ -79,7 +78,64 @@
     doubted_at: cell::Cell<Option<clock::BootInstant>>,
 }
 
+impl Default for JobTable {
+    /// Creates a table for an instance whose memory is not limited.
+    fn default() -> Self {
+        Self::new(job_budget::JobLimits::of_instance(None))
+    }
+}
+
 impl JobTable {
+    /// Creates a table without jobs.
+    pub fn new(limits: job_budget::JobLimits) -> Self {
+        Self {
+            limits,
+            has_left: cell::Cell::new(false),
+            jobs: cell::RefCell::default(),
+            streams: cell::RefCell::default(),
+            work: Notify::new(),
+            ended: cell::RefCell::default(),
+            ends_missed: Notify::new(),
+            is_borrowing: cell::Cell::new(false),
+            hold_times: cell::RefCell::default(),
+            owners_changed: Notify::new(),
+            active_at: cell::Cell::new(None),
+            doubted_at: cell::Cell::new(None),
+        }
+    }
+
+    /// Returns whether the unfinished jobs take all memory for them.
+    pub(super) fn is_full(&self) -> bool {
+        self.open_bytes() >= self.limits.open
+    }
+
+    /// Returns the memory of the unfinished jobs, in bytes.
+    fn open_bytes(&self) -> usize {
+        let jobs = self.jobs.borrow();
+        let open = jobs.values().map(|job| job.borrow());
+        let open = open.filter(|job| !job.is_finished());
+        open.map(|job| job.record_bytes).sum()
+    }
+
+    /// Records that a job was left in the store, which is searched once there is room.
+    pub(super) fn record_left(&self, id: &ids::JobId) {
+        if !self.has_left.replace(true) {
+            log::info!(
+                "event=job_left job={id} why=memory open_bytes={} max_bytes={}",
+                self.open_bytes(),
+                self.limits.open
+            );
+        }
+    }
+
+    /// Has the store searched for jobs that were left there, once there is room for them.
+    fn search_left(&self) {
+        if self.has_left.get() && self.open_bytes() < self.limits.open / 2 {
+            self.has_left.set(false);
+            self.owners_changed.notify_one();
+        }
+    }
+
     /// Returns the job if it is in the table.
     pub fn get(&self, id: &ids::JobId) -> Option<SharedJob> {
         self.jobs.borrow().get(id).cloned()
@@ -250,8 +306,9 @@
         settled && self.streams.borrow().is_empty()
     }
 
-    /// Removes the oldest finished jobs beyond `MAX_FINISHED_BYTES`.
+    /// Removes the oldest finished jobs beyond their limit.
     pub fn trim(&self) {
+        self.search_left();
         let mut jobs = self.jobs.borrow_mut();
         let mut finished: Vec<_> = jobs
             .values()
@@ -263,7 +320,7 @@
         let mut bytes = 0;
         for (_, size, id) in finished {
             bytes += size;
-            if bytes > MAX_FINISHED_BYTES {
+            if bytes > self.limits.finished {
                 jobs.remove(&id);
             }
         }
@@ -286,7 +343,11 @@
         return Ok(None);
     };
     let due_ms = due_time_ms(context, &record);
-    let job = context.jobs.get_or_insert(record, due_ms);
+    let job = match context.jobs.is_full() {
+        // A copy for this reader alone.
+        true => rc::Rc::new(cell::RefCell::new(OpenJob::new(record, due_ms))),
+        false => context.jobs.get_or_insert(record, due_ms),
+    };
     refresh_job(context, &job).await?;
     Ok(Some(job))
 }
--- a/src/serving/mod.rs
+++ b/src/serving/mod.rs
@@ -37,6 +37,7 @@
 pub mod held_slot;
 pub mod item_run;
 pub mod job_acceptance;
+pub mod job_budget;
 pub mod job_calls;
 pub mod job_checkpoints;
 mod job_ends;
--- a/src/serving/open_job.rs
+++ b/src/serving/open_job.rs
@@ -5,8 +5,8 @@
 use tokio::sync::watch;
 
 use super::{
-    directory, job_checkpoints, job_records, job_table::StreamKey, progress_transfer, result_parts,
-    wire,
+    directory, job_budget, job_checkpoints, job_records, job_table::StreamKey, progress_transfer,
+    result_parts, wire,
 };
 use crate::{clock, ids, store};
 
@@ -206,6 +206,8 @@
 pub struct OpenJob {
     /// Submitted job.
     pub record: rc::Rc<job_records::JobRecord>,
+    /// Estimated memory of the record.
+    pub(super) record_bytes: usize,
     /// Results that are in the store.
     pub committed: Vec<wire::ItemResult>,
     /// Number of parts in the store that contain them.
@@ -242,6 +244,7 @@
     pub(super) fn new(record: job_records::JobRecord, due_ms: Option<u64>) -> Self {
         let items = record.items.iter().map(|_| ItemProgress::new()).collect();
         Self {
+            record_bytes: job_budget::item_bytes(&record.items),
             record: rc::Rc::new(record),
             committed: Vec::new(),
             parts: 0,
@@ -477,9 +480,8 @@
 
     /// Estimates the memory that the bodies and committed results take, in bytes.
     pub(super) fn bytes(&self) -> usize {
-        let bodies = self.record.items.iter().map(|i| i.body.len() + 300);
         let results = self.committed.iter().map(|r| r.output.len() + 100);
-        bodies.sum::<usize>() + results.sum::<usize>()
+        self.record_bytes + results.sum::<usize>()
     }
 
     /// Returns the next part to commit.
--- a/src/serving/peer_calls.rs
+++ b/src/serving/peer_calls.rs
@@ -5,9 +5,9 @@
 use tokio::sync::mpsc;
 
 use super::{
-    context, crash_guard, crash_trials, endpoint_records, endpoint_reports, fleet_sync, job_calls,
-    job_checkpoints, job_records, job_runner, job_supervisor, limit_links, origin_exchange, peers,
-    slot_grants, slot_relay,
+    context, crash_guard, crash_trials, endpoint_records, endpoint_reports, fleet_sync, job_budget,
+    job_calls, job_checkpoints, job_records, job_runner, job_supervisor, limit_links,
+    origin_exchange, peers, slot_grants, slot_relay,
 };
 use crate::{decisions::endpoint_speed, ids, store};
 
@@ -104,7 +104,9 @@
             reply(sender, records);
         }
         C::TakeJob(record, origin, sender) => {
-            reply(sender, job_runner::adopt_job(context, record, origin));
+            if let Some(is_finished) = job_runner::adopt_job(context, record, origin) {
+                reply(sender, is_finished);
+            }
         }
         C::FindJob(job, sender) => {
             reply(sender, job_runner::adopt_stored_job(context, job));
@@ -143,13 +145,18 @@
         C::Preempt(slot) => context.jobs.preempt(&slot.endpoint, slot.number),
         C::WriteJob(record, sender) => {
             let context = context.clone();
+            let bytes = job_budget::item_bytes(&record.items);
+            let Some(reserved) = context.accepted_jobs.reserve(bytes) else {
+                log::info!("event=job_write_refused job={} bytes={bytes}", record.id);
+                return reply(sender, peers::WriteOutcome::Refused);
+            };
             actix_rt::spawn(async move {
                 let written = job_records::accept(context.store.as_ref(), &record).await;
                 reply(sender, write_outcome(&written));
                 if written.is_ok() {
                     // The gateway that accepted the job sends it to an owner too.
                     let origin = job_records::JobOrigin::Stored;
-                    job_supervisor::supervise(&context, rc::Rc::new(record), origin);
+                    job_supervisor::supervise(&context, rc::Rc::new(record), origin, reserved);
                 }
             });
         }
