fix(logs): begin and end of a stop pass a flood of lines about requests

What operators saw: the log of a gateway that was stopped beside a crowd had no line event=stopped, so that nothing said whether it had drained.

The cause: lines beyond 400 a second are dropped whatever they say, and each refusal is a line. A line was as long as its caller liked, 50 KB for a long path.

Why this works: warnings and errors have 50 lines a second of their own, begin and end of a stop are warnings, and a line is cut at 2 KB.

--- a/src/log_setup.rs
+++ b/src/log_setup.rs
@@ -6,6 +6,12 @@
 const CHANNEL_LINES: usize = 4096;
 /// Maximum number of lines per second; a line costs about 10 µs of CPU time.
 const LINES_PER_SECOND: u32 = 400;
+/// Maximum number of warnings and errors per second beyond those.
+const WARNINGS_PER_SECOND: u32 = 50;
+/// Maximum length of a line in bytes: names that callers choose may be as long as a head.
+const MAX_LINE_BYTES: usize = 2048;
+/// Position behind which no line has its level, which follows the time.
+const MAX_LEVEL_END: usize = 48;
 
 fn config() -> simplelog::Config {
     simplelog::ConfigBuilder::new()
@@ -35,6 +41,7 @@
         line: Vec::new(),
         second: time::Instant::now(),
         lines: 0,
+        warnings: 0,
     };
     let spawned = thread::Builder::new()
         .name("log".into())
@@ -69,6 +76,7 @@
     line: Vec<u8>,
     second: time::Instant,
     lines: u32,
+    warnings: u32,
 }
 
 impl LineWriter {
@@ -76,6 +84,7 @@
         if self.second.elapsed() >= time::Duration::from_secs(1) {
             self.second = time::Instant::now();
             self.lines = 0;
+            self.warnings = 0;
             let dropped = DROPPED.swap(0, atomic::Ordering::Relaxed);
             if dropped > 0 {
                 let notice = format!("event=log_lines_dropped count={dropped}\n");
@@ -83,18 +92,34 @@
             }
         }
         self.lines += 1;
-        let over = self.lines > LINES_PER_SECOND;
+        let mut over = self.lines > LINES_PER_SECOND;
+        if over && is_warning(&line) {
+            self.warnings += 1;
+            over = self.warnings > WARNINGS_PER_SECOND;
+        }
         if over || self.sender.try_send(line).is_err() {
             DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
         }
     }
 }
 
+/// Returns whether a line has the level of a warning or an error.
+fn is_warning(line: &[u8]) -> bool {
+    let levels = [&b"[WARN]"[..], b"[ERROR]"];
+    let start = &line[..line.len().min(MAX_LEVEL_END)];
+    let is_in_start = |level: &&[u8]| start.windows(level.len()).any(|part| part == *level);
+    levels.iter().any(is_in_start)
+}
+
 impl io::Write for LineWriter {
     fn write(&mut self, data: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(data);
-        if self.line.last() == Some(&b'\n') {
-            let line = std::mem::take(&mut self.line);
+        let room = MAX_LINE_BYTES.saturating_sub(self.line.len());
+        self.line.extend_from_slice(&data[..data.len().min(room)]);
+        if data.last() == Some(&b'\n') {
+            let mut line = std::mem::take(&mut self.line);
+            if line.last() != Some(&b'\n') {
+                line.extend_from_slice(b"...\n");
+            }
             self.send(line);
         }
         Ok(data.len())
--- a/src/serving/process.rs
+++ b/src/serving/process.rs
@@ -114,7 +114,8 @@
 /// Drains the process: waits until all responses are sent and all jobs are handed back, or
 /// the grace period is nearly over.
 async fn stop_gracefully(context: &rc::Rc<context::ProcessContext>) {
-    log::info!("event=stopping active={}", context.active.get());
+    // A warning, so that it passes a flood of lines about requests.
+    log::warn!("event=stopping active={}", context.active.get());
     context.stopping.send_replace(true);
     owners::refresh_owners(context);
     let started_at = clock::BootInstant::now();
@@ -139,7 +140,7 @@
             () = actix_rt::time::sleep(DRAIN_POLL_INTERVAL) => {}
         }
     }
-    log::info!(
+    log::warn!(
         "event=stopped active={} unsent={} after_ms={}",
         context.active.get(),
         context.caller_memory.table().unsent(),
