fix(callers): a connection gives up its turn after each request that was sent ahead

What callers saw: beside a crowd that sends requests ahead, a gateway closed new connections unread, and ordinary requests waited for up to half a second.

The cause: requests that have come already are handled without a wait, so one connection had dozens of them handled at a time, as far as the runtime allows, and each of the others waited for that.

Why this works: after a response the connection yields if the next request is there, so that a turn of the loop has one request of each connection.

--- a/src/callers/connection.rs
+++ b/src/callers/connection.rs
@@ -217,7 +217,7 @@
             };
             is_first = false;
             match self.serve_request(request).await {
-                Ok(AfterResponse::Continues) => {}
+                Ok(AfterResponse::Continues) => self.yield_turn().await,
                 Ok(AfterResponse::Closes) => {
                     self.linger().await;
                     return ConnectionEnd::Finished;
@@ -227,6 +227,15 @@
         }
     }
 
+    /// Lets the other connections run if the next request has come already: one that sends many
+    /// ahead would otherwise have dozens handled at a time, and each of the others waits for them.
+    async fn yield_turn(&self) {
+        let has_next = self.inbound.borrow().len() > 0;
+        if has_next {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Waits for the next request, and reads its head. A new connection has as long for its first
     /// byte as for the whole head.
     async fn read_head(&mut self, is_first: bool) -> Result<actix_http::Request, ConnectionEnd> {
