fix(logs): one kind of event takes at most 180 of the 400 lines a second

The cause: lines beyond 400 a second are dropped in the order in which they come, and two lines for each refusal take all of them.

Why this works: lines are counted by the name of their event as well, and one event leaves room for the others.

--- a/src/log_setup.rs
+++ b/src/log_setup.rs
@@ -1,15 +1,20 @@
 //! Log output, with one line of key=value pairs per event.
 
-use std::{io, sync::atomic, thread, time};
+use std::{collections, io, sync::atomic, thread, time};
 
 /// Capacity of the channel to the writer thread, in lines.
 const CHANNEL_LINES: usize = 4096;
 /// Maximum number of lines per second; a line costs about 10 µs of CPU time.
 const LINES_PER_SECOND: u32 = 400;
+/// Maximum number of lines per second about one kind of event, so that a flood of refusals leaves
+/// room for the others.
+const EVENT_LINES_PER_SECOND: u32 = 180;
 /// Maximum number of warnings and errors per second beyond those.
 const WARNINGS_PER_SECOND: u32 = 50;
 /// Maximum length of a line in bytes: names that callers choose may be as long as a head.
 const MAX_LINE_BYTES: usize = 2048;
+/// Maximum length of the name of an event, in bytes.
+const MAX_NAME_BYTES: usize = 48;
 /// Position behind which no line has its level, which follows the time.
 const MAX_LEVEL_END: usize = 48;
 
@@ -41,6 +46,7 @@
         line: Vec::new(),
         second: time::Instant::now(),
         lines: 0,
+        events: collections::HashMap::new(),
         warnings: 0,
     };
     let spawned = thread::Builder::new()
@@ -75,7 +81,10 @@
     sender: crossbeam_channel::Sender<Vec<u8>>,
     line: Vec<u8>,
     second: time::Instant,
+    /// Lines in this second; of `events`, by name, of which the code has some hundred; and of
+    /// `warnings` beyond the limit.
     lines: u32,
+    events: collections::HashMap<Vec<u8>, u32>,
     warnings: u32,
 }
 
@@ -84,6 +93,7 @@
         if self.second.elapsed() >= time::Duration::from_secs(1) {
             self.second = time::Instant::now();
             self.lines = 0;
+            self.events.clear();
             self.warnings = 0;
             let dropped = DROPPED.swap(0, atomic::Ordering::Relaxed);
             if dropped > 0 {
@@ -91,8 +101,16 @@
                 let _ = self.sender.try_send(notice.into_bytes());
             }
         }
-        self.lines += 1;
-        let mut over = self.lines > LINES_PER_SECOND;
+        let of_event = match self.events.get_mut(event_name(&line)) {
+            Some(of_event) => of_event,
+            None => self.events.entry(event_name(&line).to_vec()).or_default(),
+        };
+        *of_event += 1;
+        let mut over = *of_event > EVENT_LINES_PER_SECOND;
+        if !over {
+            self.lines += 1;
+            over = self.lines > LINES_PER_SECOND;
+        }
         if over && is_warning(&line) {
             self.warnings += 1;
             over = self.warnings > WARNINGS_PER_SECOND;
@@ -103,6 +121,17 @@
     }
 }
 
+/// Returns the name of the event of a line; empty without one.
+fn event_name(line: &[u8]) -> &[u8] {
+    let start = &line[..line.len().min(MAX_LEVEL_END + MAX_NAME_BYTES)];
+    let marker = b"event=";
+    let found = start.windows(marker.len()).position(|part| part == marker);
+    let name = found.map_or(&[][..], |at| &start[at + marker.len()..]);
+    name.split(|b| b.is_ascii_whitespace())
+        .next()
+        .unwrap_or(name)
+}
+
 /// Returns whether a line has the level of a warning or an error.
 fn is_warning(line: &[u8]) -> bool {
     let levels = [&b"[WARN]"[..], b"[ERROR]"];
