--- a/src/callers/connection.rs
+++ b/src/callers/connection.rs
@@ -26,6 +26,9 @@
 /// Longest wait for the rest of a request that was answered before it came, or for the caller's
 /// close after a last response.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Number of times that a full buffer is written before the other connections have their turn, as
+/// a body and a caller may both be ready without a pause.
+const MAX_ROUNDS: usize = 4;
 /// Number of bytes of an unread body that are discarded to keep the connection.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
 /// Number of bytes that are discarded while a connection closes, so that the caller can read the
@@ -459,7 +462,7 @@
         mut body: pin::Pin<&mut body::BoxBody>,
         framing: &mut ResponseFraming,
     ) -> io::Result<()> {
-        loop {
+        for _ in 0..MAX_ROUNDS {
             let mut is_pending = false;
             while framing.expects_more() && self.outbound.has_room() && !is_pending {
                 match body.as_mut().poll_next(context) {
@@ -486,6 +489,9 @@
                 return Ok(());
             }
         }
+        // Goes on after the other connections.
+        context.waker().wake_by_ref();
+        Ok(())
     }
 
     fn append(&mut self, piece: bytes::Bytes, framing: &mut ResponseFraming) -> io::Result<()> {
